--- /dev/null
+++ b/src/adapters/backend/mod.rs
@@ -0,0 +1,5 @@
+//! The backend server over HTTP/1.1.
+
+mod http_backend;
+
+pub(crate) use http_backend::{HttpBackend, NOT_RUN_HEADER, RUN_PATH, STOP_PATH, TASK_HEADER};
--- /dev/null
+++ b/src/adapters/http/agent_api.rs
@@ -0,0 +1,87 @@
+//! The agent's routes: its backend server announces itself here.
+
+use {
+    crate::{adapters::backend::HttpBackend, agent::AgentHandle, cli::RunError, ports::Metrics},
+    poem::{
+        EndpointExt, Route, Server, get, handler,
+        http::StatusCode,
+        listener::TcpListener,
+        post,
+        web::{Data, Json},
+    },
+    serde::{Deserialize, Serialize},
+    std::{future::Future, net::SocketAddr, sync::Arc},
+};
+
+/// What the routes work with.
+#[derive(Debug)]
+pub(crate) struct AgentApi {
+    pub(crate) agent: Arc<AgentHandle>,
+    pub(crate) backend: Arc<HttpBackend>,
+    pub(crate) metrics: Arc<dyn Metrics>,
+}
+
+/// A backend server's announcement to the agent beside it, every second.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct BackendBody {
+    /// Where the backend server listens.
+    pub(crate) addr: SocketAddr,
+    /// Services that it runs.
+    pub(crate) services: Vec<String>,
+    /// Tasks that it runs at a time.
+    pub(crate) slots: u16,
+    /// It wants no new work.
+    #[serde(default)]
+    pub(crate) leaving: bool,
+}
+
+type Api<'a> = Data<&'a Arc<AgentApi>>;
+
+/// Serves the backend server, metrics and health until `stop` resolves.
+pub(crate) async fn serve_agent_api(
+    listen: SocketAddr,
+    api: Arc<AgentApi>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), RunError> {
+    let routes = Route::new()
+        .at("/v1/backend", post(announce))
+        .at("/metrics", get(metrics))
+        .at("/health", get(health))
+        .at("/ready", get(ready))
+        .data(api);
+    Server::new(TcpListener::bind(listen))
+        .run_with_graceful_shutdown(routes, stop, None)
+        .await
+        .map_err(|error| RunError::Listen(listen, error))
+}
+
+#[handler]
+fn announce(api: Api<'_>, Json(body): Json<BackendBody>) -> StatusCode {
+    if body.leaving {
+        api.agent.backend_gone();
+        return StatusCode::OK;
+    }
+    api.backend.set_addr(body.addr);
+    api.agent.backend_up(body.services, body.slots);
+    StatusCode::OK
+}
+
+#[handler]
+fn metrics(api: Api<'_>) -> String {
+    api.metrics.render()
+}
+
+#[handler]
+fn health() -> &'static str {
+    "ok\n"
+}
+
+#[handler]
+async fn ready(api: Api<'_>) -> (StatusCode, &'static str) {
+    if api.agent.is_ready().await {
+        (StatusCode::OK, "ready\n")
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "no backend server yet\n")
+    }
+}
--- /dev/null
+++ b/src/adapters/http/answer.rs
@@ -0,0 +1,252 @@
+//! Answers to clients: status, headers and JSON from a verdict.
+
+use {
+    crate::{
+        core::{
+            job::{JobAnswer, TaskOutcome},
+            ticket::Ticket,
+            verdict::{MayHaveRunReason, NotRunReason, Verdict},
+        },
+        entry::JobReport,
+    },
+    poem::{Response, http::StatusCode},
+    serde::Serialize,
+};
+
+/// Carries the verdict: `done`, `not-run`, `may-have-run` or `running`.
+pub(crate) const VERDICT_HEADER: &str = "rattanslip-verdict";
+/// Carries the verdict's reason.
+pub(crate) const REASON_HEADER: &str = "rattanslip-reason";
+/// When to come back, in milliseconds.
+pub(crate) const RETRY_AFTER_MS_HEADER: &str = "rattanslip-retry-after-ms";
+/// The client's next ticket.
+pub(crate) const NEXT_TICKET_HEADER: &str = "rattanslip-next-ticket";
+/// When to come back, in whole seconds, for clients that know only HTTP.
+const RETRY_AFTER_HEADER: &str = "retry-after";
+
+#[derive(Debug, Serialize)]
+struct TaskJson<'a> {
+    verdict: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    output: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<&'a str>,
+}
+
+#[derive(Debug, Default, Serialize)]
+struct AnswerJson<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket: Option<String>,
+    verdict: &'static str,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    reason: &'a str,
+    #[serde(skip_serializing_if = "is_zero")]
+    retry_after_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    task_count: Option<usize>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ended: Option<u16>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    digest: Option<String>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    tasks: Vec<TaskJson<'a>>,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde calls it so")]
+const fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
+/// The answer to a refused request, with a message for people.
+pub(crate) fn refusal(verdict: Verdict, message: &str) -> Response {
+    let json = AnswerJson {
+        verdict: verdict.as_str(),
+        reason: verdict.reason(),
+        retry_after_ms: verdict.retry_after_ms(),
+        message: Some(message).filter(|message| !message.is_empty()),
+        ..AnswerJson::default()
+    };
+    respond(verdict, &json)
+}
+
+/// The answer to a request that can't be taken as it is.
+pub(crate) fn bad_request(message: &str) -> Response {
+    refusal(Verdict::refused(NotRunReason::BadRequest), message)
+}
+
+/// The answer about a job.
+pub(crate) fn job_response(ticket: Ticket, report: &JobReport) -> Response {
+    match report {
+        JobReport::Ended(answer) => ended(ticket, answer),
+        JobReport::Running { ended, total } => running(ticket, *ended, *total),
+        JobReport::Unknown => unknown(ticket),
+        JobReport::Verdict(verdict) => {
+            let json = AnswerJson {
+                ticket: Some(ticket.to_string()),
+                verdict: verdict.as_str(),
+                reason: verdict.reason(),
+                retry_after_ms: verdict.retry_after_ms(),
+                ..AnswerJson::default()
+            };
+            respond(*verdict, &json)
+        }
+    }
+}
+
+/// The answer to a single request: the output as it is, or the verdict in JSON.
+pub(crate) fn request_response(ticket: Ticket, report: &JobReport) -> Response {
+    if let JobReport::Ended(answer) = report
+        && let [TaskOutcome::Done { output }] = answer.outcomes.as_slice()
+    {
+        return Response::builder()
+            .header(VERDICT_HEADER, answer.verdict.as_str())
+            .content_type("text/plain; charset=utf-8")
+            .body(output.clone());
+    }
+    job_response(ticket, report)
+}
+
+fn ended(ticket: Ticket, answer: &JobAnswer) -> Response {
+    let json = AnswerJson {
+        ticket: Some(ticket.to_string()),
+        verdict: answer.verdict.as_str(),
+        reason: answer.verdict.reason(),
+        retry_after_ms: answer.verdict.retry_after_ms(),
+        task_count: Some(answer.outcomes.len()),
+        digest: Some(blake3::Hash::from_bytes(answer.digest).to_hex().to_string()),
+        tasks: answer.outcomes.iter().map(task_json).collect(),
+        ..AnswerJson::default()
+    };
+    respond(answer.verdict, &json)
+}
+
+fn task_json(outcome: &TaskOutcome) -> TaskJson<'_> {
+    match outcome {
+        TaskOutcome::Done { output } => TaskJson {
+            verdict: "done",
+            output: Some(output),
+            reason: None,
+        },
+        TaskOutcome::Failed { message } => TaskJson {
+            verdict: "failed",
+            output: Some(message),
+            reason: Some(MayHaveRunReason::TaskFailed.as_str()),
+        },
+        TaskOutcome::NotRun { reason } => TaskJson {
+            verdict: "not-run",
+            output: None,
+            reason: Some(reason.as_str()),
+        },
+        TaskOutcome::MayHaveRun { reason } => TaskJson {
+            verdict: "may-have-run",
+            output: None,
+            reason: Some(reason.as_str()),
+        },
+    }
+}
+
+fn running(ticket: Ticket, ended: u16, total: u16) -> Response {
+    let json = AnswerJson {
+        ticket: Some(ticket.to_string()),
+        verdict: "running",
+        task_count: Some(usize::from(total)),
+        ended: Some(ended),
+        ..AnswerJson::default()
+    };
+    Response::builder()
+        .status(StatusCode::ACCEPTED)
+        .header(VERDICT_HEADER, "running")
+        .content_type("application/json")
+        .body(body(&json))
+}
+
+fn unknown(ticket: Ticket) -> Response {
+    let json = AnswerJson {
+        ticket: Some(ticket.to_string()),
+        verdict: "not-run",
+        reason: "not_submitted",
+        ..AnswerJson::default()
+    };
+    Response::builder()
+        .status(StatusCode::NOT_FOUND)
+        .header(VERDICT_HEADER, "not-run")
+        .header(REASON_HEADER, "not_submitted")
+        .content_type("application/json")
+        .body(body(&json))
+}
+
+fn body(json: &AnswerJson<'_>) -> String {
+    serde_json::to_string(json).unwrap_or_default()
+}
+
+fn respond(verdict: Verdict, json: &AnswerJson<'_>) -> Response {
+    let mut response = Response::builder()
+        .status(status_of(verdict))
+        .header(VERDICT_HEADER, verdict.as_str())
+        .content_type("application/json");
+    if verdict.reason() != "" {
+        response = response.header(REASON_HEADER, verdict.reason());
+    }
+    let retry_after_ms = verdict.retry_after_ms();
+    if retry_after_ms > 0 {
+        response = response
+            .header(RETRY_AFTER_MS_HEADER, retry_after_ms)
+            .header(RETRY_AFTER_HEADER, retry_after_ms.div_ceil(1_000));
+    }
+    response.body(body(json))
+}
+
+/// The HTTP status that says the same as the verdict.
+fn status_of(verdict: Verdict) -> StatusCode {
+    match verdict {
+        Verdict::Done => StatusCode::OK,
+        Verdict::NotRun { reason, .. } => not_run_status(reason),
+        Verdict::MayHaveRun { reason, .. } => may_have_run_status(reason),
+    }
+}
+
+const fn not_run_status(reason: NotRunReason) -> StatusCode {
+    match reason {
+        NotRunReason::BadRequest
+        | NotRunReason::TaskCount
+        | NotRunReason::TicketMissing
+        | NotRunReason::TicketMalformed => StatusCode::BAD_REQUEST,
+        NotRunReason::TicketForged => StatusCode::FORBIDDEN,
+        NotRunReason::UnknownService => StatusCode::NOT_FOUND,
+        NotRunReason::TicketReused | NotRunReason::Cancelled => StatusCode::CONFLICT,
+        NotRunReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        NotRunReason::ImpossibleTask => StatusCode::UNPROCESSABLE_ENTITY,
+        NotRunReason::Overloaded | NotRunReason::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
+        NotRunReason::NoTickets
+        | NotRunReason::NoConfiguration
+        | NotRunReason::NoWorkers
+        | NotRunReason::DeadlinePassed
+        | NotRunReason::JobFailed
+        | NotRunReason::SlotsFull
+        | NotRunReason::NoPermit
+        | NotRunReason::Leaving
+        | NotRunReason::BackendDown
+        | NotRunReason::BackendRefused
+        | NotRunReason::Fenced
+        | NotRunReason::StoreUnavailable
+        | NotRunReason::HomeUnreachable => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+const fn may_have_run_status(reason: MayHaveRunReason) -> StatusCode {
+    match reason {
+        MayHaveRunReason::TicketExpired | MayHaveRunReason::AnswerDropped => StatusCode::GONE,
+        MayHaveRunReason::Cancelled => StatusCode::CONFLICT,
+        MayHaveRunReason::DeadlinePassed | MayHaveRunReason::HomeUnreachable => {
+            StatusCode::GATEWAY_TIMEOUT
+        }
+        MayHaveRunReason::TaskFailed
+        | MayHaveRunReason::JobFailed
+        | MayHaveRunReason::BackendLost
+        | MayHaveRunReason::RunnerLost
+        | MayHaveRunReason::HomeLost
+        | MayHaveRunReason::AnswerCorrupt => StatusCode::BAD_GATEWAY,
+    }
+}
--- /dev/null
+++ b/src/adapters/http/entry_api.rs
@@ -0,0 +1,86 @@
+//! The entry's routes.
+
+use {
+    super::{client_api, operator_api},
+    crate::{
+        cli::RunError,
+        entry::{ConfigKeeper, EntryState, Jobs},
+        ports::Metrics,
+    },
+    poem::{
+        EndpointExt, Route, Server, get, handler, http::StatusCode, listener::TcpListener, post,
+        web::Data,
+    },
+    std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Longest time that requests under way may take after a stop, in seconds.
+const STOP_LIMIT_S: u64 = 130;
+
+/// What the routes work with.
+#[derive(Debug)]
+pub(crate) struct EntryApi {
+    pub(crate) jobs: Jobs,
+    pub(crate) claims: crate::entry::Claims,
+    pub(crate) state: Arc<EntryState>,
+    pub(crate) keeper: Arc<ConfigKeeper>,
+    pub(crate) metrics: Arc<dyn Metrics>,
+    pub(crate) max_body_bytes: usize,
+    pub(crate) max_deadline_ms: u64,
+}
+
+/// The entry's API as its handlers see it.
+pub(crate) type Api<'a> = Data<&'a Arc<EntryApi>>;
+
+/// Serves clients and operators until `stop` resolves and requests under way are answered.
+pub(crate) async fn serve_entry_api(
+    listen: SocketAddr,
+    api: Arc<EntryApi>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), RunError> {
+    let routes = Route::new()
+        .at("/v1/tickets", post(client_api::tickets))
+        .at("/v1/jobs", post(client_api::submit_job))
+        .at(
+            "/v1/jobs/:ticket",
+            get(client_api::poll_job).delete(client_api::cancel_job),
+        )
+        .at("/v1/requests/:service", post(client_api::single_request))
+        .at(
+            "/v1/config",
+            get(operator_api::show).post(operator_api::apply),
+        )
+        .at("/v1/config/history", get(operator_api::history))
+        .at("/v1/zones/:zone/:state", post(operator_api::set_zone))
+        .at("/v1/workers", get(operator_api::workers))
+        .at("/metrics", get(metrics))
+        .at("/health", get(health))
+        .at("/ready", get(ready))
+        .data(api);
+    Server::new(TcpListener::bind(listen))
+        .run_with_graceful_shutdown(routes, stop, Some(Duration::from_secs(STOP_LIMIT_S)))
+        .await
+        .map_err(|error| RunError::Listen(listen, error))
+}
+
+#[handler]
+fn metrics(api: Api<'_>) -> String {
+    api.metrics.render()
+}
+
+#[handler]
+fn health() -> &'static str {
+    "ok\n"
+}
+
+#[handler]
+fn ready(api: Api<'_>) -> (StatusCode, &'static str) {
+    if api.state.is_ready() {
+        (StatusCode::OK, "ready\n")
+    } else {
+        (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration or no agents yet\n",
+        )
+    }
+}
--- /dev/null
+++ b/src/adapters/http/mod.rs
@@ -0,0 +1,17 @@
+//! HTTP towards clients, operators and backend servers, by poem.
+
+mod agent_api;
+mod answer;
+mod client;
+mod client_api;
+mod entry_api;
+mod job_body;
+mod operator_api;
+
+pub(crate) use {
+    agent_api::{AgentApi, BackendBody, serve_agent_api},
+    answer::{REASON_HEADER, VERDICT_HEADER},
+    client::{HttpClient, HttpReply},
+    client_api::{IDEMPOTENCY_KEY_HEADER, TICKET_HEADER},
+    entry_api::{EntryApi, serve_entry_api},
+};
--- /dev/null
+++ b/src/adapters/logging/mod.rs
@@ -0,0 +1,5 @@
+//! Structured logs through logforth.
+
+mod init;
+
+pub(crate) use init::init_logging;
--- /dev/null
+++ b/src/adapters/metrics/mod.rs
@@ -0,0 +1,5 @@
+//! Metrics through opentelemetry, shown as Prometheus text.
+
+mod otel_metrics;
+
+pub(crate) use otel_metrics::OtelMetrics;
--- /dev/null
+++ b/src/adapters/metrics/otel_metrics.rs
@@ -0,0 +1,78 @@
+//! Counters and gauges on opentelemetry's Prometheus exporter.
+
+use {
+    crate::ports::{Counter, Gauge, Metrics},
+    opentelemetry::{
+        KeyValue,
+        metrics::{Counter as OtelCounter, Gauge as OtelGauge, MeterProvider},
+    },
+    opentelemetry_sdk::{error::OTelSdkError, metrics::SdkMeterProvider},
+    prometheus::{Encoder, Registry, TextEncoder},
+    std::{collections::BTreeMap, fmt},
+};
+
+/// Metrics of one process.
+pub(crate) struct OtelMetrics {
+    registry: Registry,
+    counters: BTreeMap<Counter, OtelCounter<u64>>,
+    gauges: BTreeMap<Gauge, OtelGauge<u64>>,
+    // Holds the reader alive that the registry gathers from.
+    _provider: SdkMeterProvider,
+}
+
+impl OtelMetrics {
+    /// Sets up every counter and gauge at zero.
+    pub(crate) fn new() -> Result<Self, OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()
+            .map_err(|error| OTelSdkError::InternalFailure(error.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("rattanslip");
+        let counters = Counter::ALL
+            .iter()
+            .map(|counter| (*counter, meter.u64_counter(counter.as_str()).build()))
+            .collect();
+        let gauges = Gauge::ALL
+            .iter()
+            .map(|gauge| (*gauge, meter.u64_gauge(gauge.as_str()).build()))
+            .collect();
+        Ok(Self {
+            registry,
+            counters,
+            gauges,
+            _provider: provider,
+        })
+    }
+}
+
+impl fmt::Debug for OtelMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("OtelMetrics").finish_non_exhaustive()
+    }
+}
+
+impl Metrics for OtelMetrics {
+    fn count(&self, counter: Counter, reason: &'static str) {
+        if let Some(instrument) = self.counters.get(&counter) {
+            instrument.add(1, &[KeyValue::new("reason", reason)]);
+        }
+    }
+
+    fn set(&self, gauge: Gauge, value: u64) {
+        if let Some(instrument) = self.gauges.get(&gauge) {
+            instrument.record(value, &[]);
+        }
+    }
+
+    fn render(&self) -> String {
+        let mut text = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            Ok(()) => String::from_utf8_lossy(&text).into_owned(),
+            Err(error) => format!("# metrics can't be shown: {error}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/src/adapters/peer/h2_server.rs
@@ -0,0 +1,157 @@
+//! The answering side.
+
+use {
+    super::{
+        codec::{encode, encode_into},
+        frame_stream::{FrameReader, StreamError, send_all},
+        h2_client::{
+            CALL_PATH, CONNECTION_WINDOW_BYTES, MAX_STREAMS, SESSION_PATH, STREAM_WINDOW_BYTES,
+        },
+        liveness::until_silent,
+    },
+    crate::core::message::{HomeFrame, PeerReply, PeerRequest, RunnerFrame},
+    async_trait::async_trait,
+    bytes::{Bytes, BytesMut},
+    h2::{RecvStream, server::SendResponse},
+    http::{Request, Response, StatusCode},
+    std::{fmt::Debug, sync::Arc},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::mpsc,
+    },
+};
+
+/// A session as its runner sees it.
+#[derive(Debug)]
+pub(crate) struct RunnerSession {
+    /// Frames from the home; ends when the session is lost.
+    pub(crate) incoming: mpsc::Receiver<HomeFrame>,
+    /// Frames to the home; dropped to close the session.
+    pub(crate) outgoing: mpsc::UnboundedSender<RunnerFrame>,
+}
+
+/// What a process does with its peers' requests.
+#[async_trait]
+pub(crate) trait PeerHandler: Debug + Send + Sync {
+    /// Answers one call.
+    async fn call(&self, request: PeerRequest) -> PeerReply;
+
+    /// Takes a session; `false` if this process has no runner.
+    fn session(&self, session: RunnerSession) -> bool;
+}
+
+/// Frames held for a slow reader of a session.
+const SESSION_BUFFER_FRAMES: usize = 1_024;
+
+/// Serves peers until the task is dropped.
+pub(crate) async fn serve_peers(listener: TcpListener, handler: Arc<dyn PeerHandler>) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                tokio::spawn(serve_connection(socket, Arc::clone(&handler)));
+            }
+            Err(error) => {
+                log::warn!(error:? = error; "accepting a peer failed");
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(socket: TcpStream, handler: Arc<dyn PeerHandler>) {
+    if socket.set_nodelay(true).is_err() {
+        return;
+    }
+    let handshake = h2::server::Builder::new()
+        .initial_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_concurrent_streams(MAX_STREAMS)
+        .handshake(socket)
+        .await;
+    let Ok(mut connection) = handshake else {
+        return;
+    };
+    let Some(pings) = connection.ping_pong() else {
+        return;
+    };
+    let accept = async {
+        while let Some(Ok((request, respond))) = connection.accept().await {
+            tokio::spawn(serve_stream(request, respond, Arc::clone(&handler)));
+        }
+    };
+    tokio::select! {
+        () = accept => {}
+        _ = until_silent(pings) => {}
+    }
+}
+
+async fn serve_stream(
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    handler: Arc<dyn PeerHandler>,
+) {
+    // A stream that breaks has no one left to tell.
+    let _ = match request.uri().path() {
+        CALL_PATH => serve_call(request.into_body(), respond, handler).await,
+        SESSION_PATH => serve_session(request.into_body(), respond, handler).await,
+        _ => respond
+            .send_response(status(StatusCode::NOT_FOUND), true)
+            .map(|_| ())
+            .map_err(StreamError::from),
+    };
+}
+
+fn status(code: StatusCode) -> Response<()> {
+    let mut response = Response::new(());
+    *response.status_mut() = code;
+    response
+}
+
+async fn serve_call(
+    body: RecvStream,
+    mut respond: SendResponse<Bytes>,
+    handler: Arc<dyn PeerHandler>,
+) -> Result<(), StreamError> {
+    let request: PeerRequest = FrameReader::new(body).next().await?;
+    let reply = handler.call(request).await;
+    let mut stream = respond.send_response(status(StatusCode::OK), false)?;
+    send_all(&mut stream, encode(&reply)?, true).await
+}
+
+async fn serve_session(
+    body: RecvStream,
+    mut respond: SendResponse<Bytes>,
+    handler: Arc<dyn PeerHandler>,
+) -> Result<(), StreamError> {
+    let (sender, incoming) = mpsc::channel(SESSION_BUFFER_FRAMES);
+    let (outgoing, mut frames) = mpsc::unbounded_channel();
+    if !handler.session(RunnerSession { incoming, outgoing }) {
+        respond.send_response(status(StatusCode::NOT_FOUND), true)?;
+        return Ok(());
+    }
+    let mut stream = respond.send_response(status(StatusCode::OK), false)?;
+    let read = async {
+        let mut reader = FrameReader::new(body);
+        while let Ok(frame) = reader.next().await {
+            if sender.send(frame).await.is_err() {
+                return;
+            }
+        }
+    };
+    let write = async {
+        while let Some(frame) = frames.recv().await {
+            let mut buffer = BytesMut::new();
+            let mut next = Some(frame);
+            while let Some(frame) = next {
+                encode_into(&mut buffer, &frame)?;
+                next = frames.try_recv().ok();
+            }
+            send_all(&mut stream, buffer.freeze(), false).await?;
+        }
+        Ok(())
+    };
+    tokio::select! {
+        () = read => Ok(()),
+        result = write => result,
+    }
+}
--- /dev/null
+++ b/src/adapters/peer/mod.rs
@@ -0,0 +1,12 @@
+//! h2 streams with bincode between the system's own processes.
+
+mod codec;
+mod frame_stream;
+mod h2_client;
+mod h2_server;
+mod liveness;
+
+pub(crate) use {
+    h2_client::H2Client,
+    h2_server::{PeerHandler, RunnerSession, serve_peers},
+};
--- /dev/null
+++ b/src/adapters/timer/mod.rs
@@ -0,0 +1,5 @@
+//! The timer service on tokio.
+
+mod tokio_timer;
+
+pub(crate) use tokio_timer::TokioTimer;
--- /dev/null
+++ b/src/adapters/timer/tokio_timer.rs
@@ -0,0 +1,46 @@
+//! Ticks from tokio's clock.
+
+use {
+    crate::{core::time::Instant, ports::TimerService},
+    std::time::Duration,
+    tokio::{sync::mpsc, time::MissedTickBehavior},
+};
+
+/// The process's clock, counted from when it was made.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TokioTimer {
+    origin: std::time::Instant,
+}
+
+impl TokioTimer {
+    /// A clock that starts now.
+    pub(crate) fn new() -> Self {
+        Self {
+            origin: std::time::Instant::now(),
+        }
+    }
+}
+
+impl TimerService for TokioTimer {
+    fn now(&self) -> Instant {
+        let micros = self.origin.elapsed().as_micros();
+        Instant::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    fn subscribe(&self, period_ms: u64) -> mpsc::Receiver<Instant> {
+        let (sender, receiver) = mpsc::channel(1);
+        let timer = *self;
+        tokio::spawn(async move {
+            let mut interval = tokio::time::interval(Duration::from_millis(period_ms));
+            interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                interval.tick().await;
+                match sender.try_send(timer.now()) {
+                    Ok(()) | Err(mpsc::error::TrySendError::Full(_)) => {}
+                    Err(mpsc::error::TrySendError::Closed(_)) => return,
+                }
+            }
+        });
+        receiver
+    }
+}
--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,10 @@
+//! The agent: home of jobs and runner of tasks beside one backend server.
+
+mod agent_handle;
+mod announcer;
+mod home_loop;
+mod peer_handler;
+mod run;
+mod runner_loop;
+
+pub(crate) use {agent_handle::AgentHandle, run::run_agent};
--- /dev/null
+++ b/src/bin/rattanslip-agent.rs
@@ -0,0 +1,5 @@
+//! The program `rattanslip-agent`.
+
+fn main() -> std::process::ExitCode {
+    rattanslip::agent_main()
+}
--- /dev/null
+++ b/src/bin/rattanslip-load.rs
@@ -0,0 +1,5 @@
+//! The program `rattanslip-load`.
+
+fn main() -> std::process::ExitCode {
+    rattanslip::load_main()
+}
--- /dev/null
+++ b/src/bin/rattanslip.rs
@@ -0,0 +1,5 @@
+//! The program `rattanslip`.
+
+fn main() -> std::process::ExitCode {
+    rattanslip::operator_main()
+}
--- /dev/null
+++ b/src/cli/args/mod.rs
@@ -0,0 +1,13 @@
+//! The arguments of each program.
+
+mod load_args;
+mod operator_args;
+mod service_args;
+mod standin_args;
+
+pub(crate) use {
+    load_args::LoadArgs,
+    operator_args::{CheckKind, OperatorArgs, OperatorCommand, ZoneCommand},
+    service_args::{AgentArgs, EntryArgs},
+    standin_args::{BackendArgs, PlatformArgs, StandinArgs, StandinCommand},
+};
--- /dev/null
+++ b/src/cli/args/operator_args.rs
@@ -0,0 +1,112 @@
+//! Arguments of `rattanslip`.
+
+use {
+    clap::{Parser, Subcommand, ValueEnum},
+    std::{net::SocketAddr, path::PathBuf},
+};
+
+/// Drives rattanslip from an operator's or a client's shell.
+#[derive(Debug, Parser)]
+#[command(name = "rattanslip", version)]
+pub(crate) struct OperatorArgs {
+    /// Client address of an entry
+    #[arg(long, global = true, env = "RATTANSLIP_ENTRY", value_name = "ADDR")]
+    pub(crate) entry: Option<SocketAddr>,
+    /// Operator's token
+    #[arg(
+        long,
+        global = true,
+        env = "RATTANSLIP_TOKEN",
+        value_name = "TOKEN",
+        hide_env_values = true
+    )]
+    pub(crate) token: Option<String>,
+    /// Print JSON
+    #[arg(long, global = true)]
+    pub(crate) json: bool,
+    /// What to do
+    #[command(subcommand)]
+    pub(crate) command: OperatorCommand,
+}
+
+/// What a file is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub(crate) enum CheckKind {
+    /// The configuration document
+    Document,
+    /// Settings of `rattanslip-entry`
+    Entry,
+    /// Settings of `rattanslip-agent`
+    Agent,
+}
+
+/// The commands.
+#[derive(Debug, Subcommand)]
+pub(crate) enum OperatorCommand {
+    /// Check a file and list all its faults
+    Check {
+        /// The file
+        file: PathBuf,
+        /// What the file is
+        #[arg(long, value_enum, default_value = "document")]
+        kind: CheckKind,
+    },
+    /// Read a token from standard input and print the digest for an entry's settings
+    HashToken,
+    /// Put a configuration document in force
+    Apply {
+        /// The file
+        file: PathBuf,
+        /// The version that it was made from; the one in force if not given
+        #[arg(long)]
+        based_on: Option<u64>,
+    },
+    /// Show the configuration in force
+    Show,
+    /// List accepted changes
+    History,
+    /// Take an availability zone out of service or bring it back
+    Zone {
+        /// Which way
+        #[command(subcommand)]
+        command: ZoneCommand,
+    },
+    /// List workers as the entry sees them
+    Workers,
+    /// Submit a job read from a JSON file and print its answer
+    Submit {
+        /// The file
+        file: PathBuf,
+        /// The job's identity; a fresh ticket if neither is given
+        #[arg(long, conflicts_with = "key")]
+        ticket: Option<String>,
+        /// The client's own key for the job
+        #[arg(long)]
+        key: Option<String>,
+    },
+    /// Ask after a job
+    Status {
+        /// The job's ticket
+        ticket: String,
+    },
+    /// Give a job up
+    Cancel {
+        /// The job's ticket
+        ticket: String,
+    },
+}
+
+/// Which way an availability zone goes.
+#[derive(Debug, Subcommand)]
+pub(crate) enum ZoneCommand {
+    /// No task starts there any more
+    Out {
+        /// The availability zone
+        zone: String,
+    },
+    /// Tasks may start there again
+    In {
+        /// The availability zone
+        zone: String,
+    },
+}
--- /dev/null
+++ b/src/cli/mains.rs
@@ -0,0 +1,80 @@
+//! The programs' entry points.
+
+use {
+    super::{
+        RunError,
+        args::{AgentArgs, EntryArgs, LoadArgs, OperatorArgs, StandinArgs, StandinCommand},
+        commands,
+        exit::exit_code,
+    },
+    crate::{
+        adapters::logging::init_logging,
+        agent::run_agent,
+        conf::{AgentSettings, EntrySettings, load_settings},
+        entry::run_entry,
+        load::run_load,
+        standin::{run_backend, run_platform},
+    },
+    clap::Parser,
+    std::{future::Future, process::ExitCode},
+    tokio::runtime::Builder,
+};
+
+/// Threads of a service process; each shares its host with a backend server or other entries.
+const WORKER_THREADS: usize = 2;
+
+fn block_on(work: impl Future<Output = Result<(), RunError>>) -> Result<(), RunError> {
+    Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()
+        .map_err(RunError::Runtime)?
+        .block_on(work)
+}
+
+/// Runs `rattanslip-entry`.
+pub fn entry_main() -> ExitCode {
+    let args = EntryArgs::parse();
+    exit_code(run_entry_with(&args))
+}
+
+fn run_entry_with(args: &EntryArgs) -> Result<(), RunError> {
+    let settings = load_settings(&args.settings, EntrySettings::read)?;
+    init_logging(&settings.log);
+    block_on(run_entry(settings))
+}
+
+/// Runs `rattanslip-agent`.
+pub fn agent_main() -> ExitCode {
+    let args = AgentArgs::parse();
+    exit_code(run_agent_with(&args))
+}
+
+fn run_agent_with(args: &AgentArgs) -> Result<(), RunError> {
+    let settings = load_settings(&args.settings, AgentSettings::read)?;
+    init_logging(&settings.log);
+    block_on(run_agent(settings))
+}
+
+/// Runs `rattanslip-standin`.
+pub fn standin_main() -> ExitCode {
+    let args = StandinArgs::parse();
+    exit_code(block_on(async {
+        match args.command {
+            StandinCommand::Platform(args) => run_platform(args).await,
+            StandinCommand::Backend(args) => run_backend(args).await,
+        }
+    }))
+}
+
+/// Runs `rattanslip-load`.
+pub fn load_main() -> ExitCode {
+    let args = LoadArgs::parse();
+    exit_code(block_on(run_load(args)))
+}
+
+/// Runs `rattanslip`.
+pub fn operator_main() -> ExitCode {
+    let args = OperatorArgs::parse();
+    exit_code(block_on(commands::run(args)))
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,17 @@
+//! Command lines, exit codes and what each program does with them.
+
+mod args;
+mod commands;
+mod errors;
+mod exit;
+mod mains;
+mod operator_client;
+mod signals;
+
+pub(crate) use {
+    args::{BackendArgs, LoadArgs, PlatformArgs},
+    errors::RunError,
+    signals::stop_signal,
+};
+
+pub use mains::{agent_main, entry_main, load_main, operator_main, standin_main};
--- /dev/null
+++ b/src/cli/operator_client.rs
@@ -0,0 +1,77 @@
+//! Calls to an entry from the command line.
+
+use {
+    super::RunError,
+    crate::adapters::http::{HttpClient, HttpReply},
+    http::Method,
+    serde_json::Value,
+    std::net::SocketAddr,
+};
+
+/// An entry and the token to show it.
+#[derive(Debug)]
+pub(crate) struct OperatorClient {
+    client: HttpClient,
+    entry: SocketAddr,
+    authorization: Option<String>,
+}
+
+impl OperatorClient {
+    /// A client of this entry.
+    pub(crate) fn new(entry: Option<SocketAddr>, token: Option<&str>) -> Result<Self, RunError> {
+        let entry = entry.ok_or_else(|| {
+            RunError::Usage("name an entry with --entry or RATTANSLIP_ENTRY".to_owned())
+        })?;
+        Ok(Self {
+            client: HttpClient::new(),
+            entry,
+            authorization: token.map(|token| format!("Bearer {token}")),
+        })
+    }
+
+    /// Sends a request and returns whatever the entry replies.
+    pub(crate) async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Result<HttpReply, RunError> {
+        let mut headers = headers.to_vec();
+        headers.push(("content-type", "application/json"));
+        if let Some(authorization) = &self.authorization {
+            headers.push(("authorization", authorization));
+        }
+        self.client
+            .send(method, self.entry, path, &headers, body)
+            .await
+            .map_err(|error| RunError::Unreachable(error.to_string()))
+    }
+
+    /// Sends a request and returns the JSON of a success; a refusal is an error.
+    pub(crate) async fn json(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+    ) -> Result<Value, RunError> {
+        let reply = self.send(method, path, &[], body).await?;
+        let value: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
+        if reply.status.is_success() {
+            return Ok(value);
+        }
+        Err(RunError::Refused(describe_refusal(&reply, &value)))
+    }
+}
+
+fn describe_refusal(reply: &HttpReply, value: &Value) -> String {
+    let error = value["error"].as_str().unwrap_or_default();
+    let mut lines = vec![format!("refused ({}): {error}", reply.status)];
+    for fault in value["detail"].as_array().into_iter().flatten() {
+        let line = &fault["line"];
+        let field = fault["field"].as_str().unwrap_or_default();
+        let message = fault["message"].as_str().unwrap_or_default();
+        lines.push(format!("line {line}: {field}: {message}"));
+    }
+    lines.join("\n")
+}
--- /dev/null
+++ b/src/conf/entry_settings.rs
@@ -0,0 +1,98 @@
+//! Settings of `rattanslip-entry`.
+
+use {
+    super::{LogSettings, TableReader},
+    std::net::SocketAddr,
+};
+
+/// An operator's token and the sections that it covers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct OperatorSettings {
+    /// Shown in the history.
+    pub(crate) name: String,
+    /// BLAKE3 digest of the token, 64 hex digits.
+    pub(crate) token_blake3: String,
+    /// Sections of the configuration that the operator may change.
+    pub(crate) sections: Vec<String>,
+}
+
+/// Everything that an entry takes from its file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct EntrySettings {
+    /// The entry's name on the roster.
+    pub(crate) name: String,
+    /// The entry host's availability zone.
+    pub(crate) availability_zone: String,
+    /// Where clients and operators connect.
+    pub(crate) client_listen: SocketAddr,
+    /// Where agents and other entries connect.
+    pub(crate) peer_listen: SocketAddr,
+    /// The platform's table and object store.
+    pub(crate) platform: SocketAddr,
+    /// Time after which a call to the platform is given up.
+    pub(crate) platform_timeout_ms: u64,
+    /// Pause between readings of the configuration's head row.
+    pub(crate) head_poll_ms: u64,
+    /// Largest body of a client's request.
+    pub(crate) max_body_bytes: usize,
+    /// Longest deadline that a client may ask for.
+    pub(crate) max_deadline_ms: u64,
+    /// Operators by token.
+    pub(crate) operators: Vec<OperatorSettings>,
+    /// How the process logs.
+    pub(crate) log: LogSettings,
+}
+
+impl EntrySettings {
+    /// Reads the file's root table.
+    pub(crate) fn read(reader: &mut TableReader<'_>) -> Self {
+        Self {
+            name: reader.name("name"),
+            availability_zone: reader.name("availability_zone"),
+            client_listen: reader.socket_addr("client_listen"),
+            peer_listen: reader.socket_addr("peer_listen"),
+            platform: reader.socket_addr("platform"),
+            platform_timeout_ms: reader.number("platform_timeout_ms", 10..=60_000, Some(1_500)),
+            head_poll_ms: reader.number("head_poll_ms", 50..=2_000, Some(500)),
+            max_body_bytes: reader.number("max_body_bytes", 1_024..=16_777_216, Some(4_194_304)),
+            max_deadline_ms: reader.number("max_deadline_ms", 1_000..=120_000, Some(60_000)),
+            operators: read_operators(reader),
+            log: reader.table("log", LogSettings::read),
+        }
+    }
+}
+
+fn read_operators(reader: &mut TableReader<'_>) -> Vec<OperatorSettings> {
+    reader.table("operators", |operators| {
+        let names = operators.keys();
+        names
+            .into_iter()
+            .map(|name| {
+                operators.table(&name, |operator| OperatorSettings {
+                    token_blake3: read_token_digest(operator),
+                    sections: read_sections(operator),
+                    name: name.clone(),
+                })
+            })
+            .collect()
+    })
+}
+
+fn read_token_digest(operator: &mut TableReader<'_>) -> String {
+    let digest = operator.name("token_blake3");
+    let is_hex = digest.len() == 64 && digest.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if !digest.is_empty() && !is_hex {
+        operator.fault("token_blake3", "must be 64 hex digits");
+    }
+    digest.to_ascii_lowercase()
+}
+
+fn read_sections(operator: &mut TableReader<'_>) -> Vec<String> {
+    let sections = operator.strings("sections");
+    for section in &sections {
+        if !crate::core::config::SECTIONS.contains(&section.as_str()) {
+            operator.fault("sections", format!("no section is named \"{section}\""));
+        }
+    }
+    sections
+}
--- /dev/null
+++ b/src/conf/load.rs
@@ -0,0 +1,24 @@
+//! Reads a settings file.
+
+use {
+    super::{ConfError, Fault, TableReader},
+    std::{fs, path::Path},
+};
+
+/// Reads the file and hands its tables to `read`; every fault is reported at once.
+pub(crate) fn load_settings<S>(
+    path: &Path,
+    read: impl FnOnce(&mut TableReader<'_>) -> S,
+) -> Result<S, ConfError> {
+    let name = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|error| ConfError::Read(name.clone(), error))?;
+    parse_settings(&text, read).map_err(|faults| ConfError::Faults(name, faults))
+}
+
+/// Reads settings from text.
+pub(super) fn parse_settings<S>(
+    text: &str,
+    read: impl FnOnce(&mut TableReader<'_>) -> S,
+) -> Result<S, Vec<Fault>> {
+    TableReader::read_text(text, read)
+}
--- /dev/null
+++ b/src/conf/table_reader.rs
@@ -0,0 +1,257 @@
+//! Reads TOML tables field by field and gathers every fault with its line.
+
+use {
+    super::Fault,
+    std::{
+        cell::RefCell,
+        collections::BTreeSet,
+        fmt::Display,
+        net::SocketAddr,
+        ops::{Range, RangeInclusive},
+    },
+    toml_edit::{Document, Item, TableLike},
+};
+
+/// One table of a file; fields that nobody asked for are faults.
+pub(crate) struct TableReader<'a> {
+    text: &'a str,
+    path: String,
+    table: Option<&'a dyn TableLike>,
+    span: Option<Range<usize>>,
+    known: BTreeSet<String>,
+    faults: &'a RefCell<Vec<Fault>>,
+}
+
+impl<'a> TableReader<'a> {
+    /// Parses the text and hands its root table to `read`.
+    pub(crate) fn read_text<T>(
+        text: &str,
+        read: impl FnOnce(&mut TableReader<'_>) -> T,
+    ) -> Result<T, Vec<Fault>> {
+        let document = match Document::parse(text) {
+            Ok(document) => document,
+            Err(error) => {
+                let start = error.span().map_or(0, |span| span.start);
+                return Err(vec![Fault {
+                    line: line_at(text, start),
+                    field: String::new(),
+                    message: error.message().to_owned(),
+                }]);
+            }
+        };
+        let faults = RefCell::new(Vec::new());
+        let mut reader = TableReader {
+            text,
+            path: String::new(),
+            table: Some(document.as_table()),
+            span: None,
+            known: BTreeSet::new(),
+            faults: &faults,
+        };
+        let value = read(&mut reader);
+        reader.finish();
+        let mut faults = faults.into_inner();
+        if faults.is_empty() {
+            return Ok(value);
+        }
+        faults.sort();
+        Err(faults)
+    }
+
+    /// The path of one of the table's fields.
+    pub(crate) fn path_of(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            return key.to_owned();
+        }
+        format!("{}.{key}", self.path)
+    }
+
+    /// Notes a fault of one of the table's fields.
+    pub(crate) fn fault(&self, key: &str, message: impl Into<String>) {
+        let span = self
+            .table
+            .and_then(|table| table.get_key_value(key))
+            .and_then(|(key, item)| key.span().or_else(|| item.span()))
+            .or_else(|| self.span.clone());
+        self.faults.borrow_mut().push(Fault {
+            line: line_at(self.text, span.map_or(0, |span| span.start)),
+            field: self.path_of(key),
+            message: message.into(),
+        });
+    }
+
+    /// The names of the table's fields.
+    pub(crate) fn keys(&self) -> Vec<String> {
+        self.table
+            .map(|table| table.iter().map(|(key, _)| key.to_owned()).collect())
+            .unwrap_or_default()
+    }
+
+    fn item(&mut self, key: &str) -> Option<&'a Item> {
+        self.known.insert(key.to_owned());
+        self.table.and_then(|table| table.get(key))
+    }
+
+    /// A table within this one; an absent one reads as empty.
+    pub(crate) fn table<T>(
+        &mut self,
+        key: &str,
+        read: impl FnOnce(&mut TableReader<'_>) -> T,
+    ) -> T {
+        let item = self.item(key);
+        let table = item.and_then(Item::as_table_like);
+        if item.is_some() && table.is_none() {
+            self.fault(key, "must be a table");
+        }
+        let span = item.and_then(Item::span).or_else(|| {
+            self.table
+                .and_then(|table| table.get_key_value(key))
+                .and_then(|(key, _)| key.span())
+        });
+        let mut reader = TableReader {
+            text: self.text,
+            path: self.path_of(key),
+            table,
+            span: span.or_else(|| self.span.clone()),
+            known: BTreeSet::new(),
+            faults: self.faults,
+        };
+        let value = read(&mut reader);
+        reader.finish();
+        value
+    }
+
+    /// A string, or the default; without a default the field is required.
+    pub(crate) fn string(&mut self, key: &str, default: Option<&str>) -> String {
+        match self.item(key).map(|item| item.as_str()) {
+            Some(Some(text)) => return text.to_owned(),
+            Some(None) => self.fault(key, "must be a string"),
+            None if default.is_none() => self.fault(key, "is required"),
+            None => {}
+        }
+        default.unwrap_or_default().to_owned()
+    }
+
+    /// A non-empty string.
+    pub(crate) fn name(&mut self, key: &str) -> String {
+        let present = self.table.is_some_and(|table| table.contains_key(key));
+        let text = self.string(key, None);
+        if present && text.trim().is_empty() {
+            self.fault(key, "must not be empty");
+        }
+        text
+    }
+
+    /// One of a few words.
+    pub(crate) fn choice<T: Copy>(&mut self, key: &str, choices: &[(&str, T)], default: T) -> T {
+        let Some(item) = self.item(key) else {
+            return default;
+        };
+        let found = item
+            .as_str()
+            .and_then(|text| choices.iter().find(|(word, _)| *word == text));
+        if let Some((_, value)) = found {
+            return *value;
+        }
+        let words: Vec<&str> = choices.iter().map(|(word, _)| *word).collect();
+        self.fault(key, format!("must be one of {}", words.join(", ")));
+        default
+    }
+
+    /// A whole number within a range, or the default.
+    pub(crate) fn number<N>(&mut self, key: &str, range: RangeInclusive<N>, default: Option<N>) -> N
+    where
+        N: Copy + PartialOrd + Display + TryFrom<i64>,
+    {
+        let fallback = default.unwrap_or(*range.start());
+        let Some(item) = self.item(key) else {
+            if default.is_none() {
+                self.fault(key, "is required");
+            }
+            return fallback;
+        };
+        let value = item.as_integer().and_then(|value| N::try_from(value).ok());
+        match value {
+            Some(value) if range.contains(&value) => value,
+            _ => {
+                let (low, high) = (range.start(), range.end());
+                self.fault(key, format!("must be a whole number from {low} to {high}"));
+                fallback
+            }
+        }
+    }
+
+    /// True or false, or the default.
+    pub(crate) fn boolean(&mut self, key: &str, default: bool) -> bool {
+        let Some(item) = self.item(key) else {
+            return default;
+        };
+        item.as_bool().unwrap_or_else(|| {
+            self.fault(key, "must be true or false");
+            default
+        })
+    }
+
+    /// A list of strings; an absent one reads as empty.
+    pub(crate) fn strings(&mut self, key: &str) -> Vec<String> {
+        let Some(item) = self.item(key) else {
+            return Vec::new();
+        };
+        let Some(array) = item.as_array() else {
+            self.fault(key, "must be a list of strings");
+            return Vec::new();
+        };
+        let texts: Vec<String> = array
+            .iter()
+            .filter_map(|value| value.as_str().map(str::to_owned))
+            .collect();
+        if texts.len() != array.len() {
+            self.fault(key, "must be a list of strings");
+        }
+        texts
+    }
+
+    /// An IP number with a port; host names aren't looked up.
+    pub(crate) fn socket_addr(&mut self, key: &str) -> SocketAddr {
+        let fallback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let present = self.table.is_some_and(|table| table.contains_key(key));
+        let text = self.string(key, None);
+        if !present {
+            return fallback;
+        }
+        text.parse().unwrap_or_else(|_| {
+            self.fault(
+                key,
+                "must be an IP number with a port, such as 127.0.0.1:7000",
+            );
+            fallback
+        })
+    }
+
+    /// A list of IP numbers with ports.
+    pub(crate) fn socket_addrs(&mut self, key: &str) -> Vec<SocketAddr> {
+        let texts = self.strings(key);
+        let addrs: Vec<SocketAddr> = texts.iter().filter_map(|text| text.parse().ok()).collect();
+        if addrs.len() != texts.len() {
+            self.fault(key, "each must be an IP number with a port");
+        }
+        addrs
+    }
+
+    fn finish(&self) {
+        for key in self.keys() {
+            if !self.known.contains(&key) {
+                self.fault(&key, "unknown field");
+            }
+        }
+    }
+}
+
+/// The line, from 1, of a position in the text.
+fn line_at(text: &str, position: usize) -> usize {
+    let end = position.min(text.len());
+    1 + text.as_bytes()[..end]
+        .iter()
+        .filter(|byte| **byte == b'\n')
+        .count()
+}
--- /dev/null
+++ b/src/conf/tests.rs
@@ -0,0 +1,79 @@
+//! Tests of settings and of the configuration document.
+
+use super::{EntrySettings, TableReader, read_document};
+
+const ENTRY: &str = r#"
+name = "entry-1"
+availability_zone = "grindavik"
+client_listen = "127.0.0.1:0"
+peer_listen = "127.0.0.1:0"
+platform = "127.0.0.1:7000"
+"#;
+
+const DOCUMENT: &str = r#"
+[zones.grindavik]
+region = "southwest"
+
+[capacity.workers.w01]
+availability_zone = "grindavik"
+rack = "r1"
+slots = 8
+memory_mb = 262144
+
+[services.crew-share]
+availability_zones = ["grindavik"]
+"#;
+
+macro_rules! fault_cases {
+    ($read:expr; $($name:ident: $text:expr => $faults:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let faults: Vec<String> = $read(&$text)
+                    .err()
+                    .unwrap_or_default()
+                    .iter()
+                    .map(ToString::to_string)
+                    .collect();
+                let expected: &[&str] = &$faults;
+                assert_eq!(faults, expected);
+            }
+        )+
+    };
+}
+
+fn read_entry(text: &str) -> Result<EntrySettings, Vec<super::Fault>> {
+    TableReader::read_text(text, EntrySettings::read)
+}
+
+fault_cases! {
+    read_entry;
+    entry_settings_with_defaults_are_taken: ENTRY.to_owned() => [];
+    all_faults_of_entry_settings_come_at_once:
+        ENTRY.replace("\"127.0.0.1:7000\"", "7000").replace("name = \"entry-1\"", "nmae = \"x\"")
+        + "head_poll_ms = 1\n" => [
+            "line 1: name: is required",
+            "line 2: nmae: unknown field",
+            "line 6: platform: must be a string",
+            "line 6: platform: must be an IP number with a port, such as 127.0.0.1:7000",
+            "line 7: head_poll_ms: must be a whole number from 50 to 2000",
+        ];
+    host_names_are_refused: ENTRY.replace("127.0.0.1:7000", "localhost:7000") => [
+        "line 6: platform: must be an IP number with a port, such as 127.0.0.1:7000",
+    ];
+}
+
+fault_cases! {
+    read_document;
+    small_document_is_taken: DOCUMENT.to_owned() => [];
+    syntax_error_has_its_line: DOCUMENT.replace("slots = 8", "slots = = 8") => [
+        "line 8: extra `=`, expected nothing",
+    ];
+    unknown_zone_of_a_worker: DOCUMENT.replace("zone = \"grindavik\"", "zone = \"grindavk\"") => [
+        "line 6: capacity.workers.w01.availability_zone: no availability zone is named \"grindavk\"",
+        "line 12: services.crew-share.availability_zones: no worker of these availability zones could ever run this service",
+    ];
+    unknown_field_of_a_service: format!("{DOCUMENT}prioritty = 3\n") => [
+        "line 13: services.crew-share.prioritty: unknown field",
+    ];
+}
--- /dev/null
+++ b/src/core/home/job_record.rs
@@ -0,0 +1,153 @@
+//! One job in the home.
+
+use {
+    super::WaiterId,
+    crate::core::{
+        job::{JobAnswer, JobSpec, JobStatus, TaskOutcome, TaskRef},
+        message::StartFrame,
+        ticket::{AgentId, TicketId},
+        time::Instant,
+        verdict::{MayHaveRunReason, NotRunReason},
+    },
+    std::{collections::VecDeque, sync::Arc},
+};
+
+/// Where a task stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum TaskState {
+    /// Waits for a runner.
+    Queued,
+    /// Handed to a runner.
+    Started {
+        /// That runner.
+        runner: AgentId,
+    },
+    /// Over.
+    Ended(TaskOutcome),
+}
+
+/// Where a job stands.
+#[derive(Debug)]
+pub(crate) enum JobState {
+    /// Its tasks are being run.
+    Running(RunningJob),
+    /// Its answer is kept.
+    Ended(Arc<JobAnswer>),
+    /// It ended, and its answer was dropped to save memory.
+    Dropped,
+}
+
+/// What is needed only while a job runs.
+#[derive(Debug)]
+pub(crate) struct RunningJob {
+    pub(crate) spec: JobSpec,
+    pub(crate) deadline: Instant,
+    pub(crate) candidates: Vec<AgentId>,
+    pub(crate) tasks: Vec<TaskState>,
+    pub(crate) queued: VecDeque<u16>,
+    pub(crate) attempts: Vec<u8>,
+    pub(crate) ended: u16,
+    pub(crate) waiters: Vec<WaiterId>,
+}
+
+/// A job under its ticket.
+#[derive(Debug)]
+pub(crate) struct JobRecord {
+    pub(crate) ticket: TicketId,
+    pub(crate) digest: [u8; 32],
+    pub(crate) state: JobState,
+}
+
+impl RunningJob {
+    /// A job none of whose tasks has started.
+    pub(crate) fn new(now: Instant, spec: JobSpec, candidates: Vec<AgentId>) -> Self {
+        let count = u16::try_from(spec.tasks.len()).unwrap_or(u16::MAX);
+        Self {
+            deadline: now.plus_ms(spec.deadline_ms),
+            candidates,
+            tasks: vec![TaskState::Queued; usize::from(count)],
+            queued: (0..count).collect(),
+            attempts: vec![0; usize::from(count)],
+            ended: 0,
+            waiters: Vec::new(),
+            spec,
+        }
+    }
+
+    /// How far the job is.
+    pub(crate) fn progress(&self) -> JobStatus {
+        JobStatus::Running {
+            ended: self.ended,
+            total: u16::try_from(self.tasks.len()).unwrap_or(u16::MAX),
+        }
+    }
+
+    /// The frame that starts one of its tasks.
+    pub(crate) fn start_frame(&self, now: Instant, task: TaskRef) -> Option<StartFrame> {
+        let spec = self.spec.tasks.get(usize::from(task.index))?;
+        Some(StartFrame {
+            task,
+            service: self.spec.service.clone(),
+            input: spec.input.clone(),
+            deadline_ms: self.deadline.millis_since(now),
+            memory_mb: spec.memory_mb,
+            accelerators: spec.accelerators,
+        })
+    }
+
+    /// Ends a task; false if it had ended before.
+    pub(crate) fn end_task(&mut self, index: u16, outcome: TaskOutcome) -> bool {
+        let Some(state) = self.tasks.get_mut(usize::from(index)) else {
+            return false;
+        };
+        if matches!(state, TaskState::Ended(_)) {
+            return false;
+        }
+        *state = TaskState::Ended(outcome);
+        self.ended += 1;
+        true
+    }
+
+    /// Puts a task that did not run back in front of the queue.
+    pub(crate) fn requeue(&mut self, index: u16) {
+        if let Some(state) = self.tasks.get_mut(usize::from(index)) {
+            *state = TaskState::Queued;
+            self.queued.push_front(index);
+        }
+    }
+
+    /// Whether all tasks have ended.
+    pub(crate) fn is_complete(&self) -> bool {
+        usize::from(self.ended) == self.tasks.len()
+    }
+
+    /// Tasks that runners hold.
+    pub(crate) fn started(&self) -> Vec<(u16, AgentId)> {
+        self.tasks
+            .iter()
+            .zip(0u16..)
+            .filter_map(|(state, index)| match state {
+                TaskState::Started { runner } => Some((index, *runner)),
+                TaskState::Queued | TaskState::Ended(_) => None,
+            })
+            .collect()
+    }
+
+    /// The truth for each task when the job ends here and now.
+    pub(crate) fn outcomes(
+        &self,
+        not_run: NotRunReason,
+        may_have_run: MayHaveRunReason,
+    ) -> Vec<TaskOutcome> {
+        self.tasks
+            .iter()
+            .map(|state| match state {
+                TaskState::Queued => TaskOutcome::NotRun { reason: not_run },
+                TaskState::Started { .. } => TaskOutcome::MayHaveRun {
+                    reason: may_have_run,
+                },
+                TaskState::Ended(outcome) => outcome.clone(),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/core/home/mod.rs
@@ -0,0 +1,16 @@
+//! The home of jobs: deduplicates, fans out, gathers and answers.
+
+mod answer_store;
+mod home;
+mod home_event;
+mod job_record;
+mod runner_link;
+mod ticket_ring;
+
+#[cfg(test)]
+mod tests;
+
+pub(crate) use {
+    home::{Home, HomeSettings},
+    home_event::{HomeAction, HomeEvent, WaiterId},
+};
--- /dev/null
+++ b/src/core/message/session_frame.rs
@@ -0,0 +1,94 @@
+//! Frames of the session between a home and a runner.
+
+use {
+    crate::core::{
+        job::{TaskOutcome, TaskRef},
+        ticket::AgentId,
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// One task to start.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StartFrame {
+    /// The task's name.
+    pub(crate) task: TaskRef,
+    /// The service to run it on.
+    pub(crate) service: String,
+    /// The body for the backend server.
+    pub(crate) input: String,
+    /// Time left until the job's deadline.
+    pub(crate) deadline_ms: u64,
+    /// Memory that the task needs.
+    pub(crate) memory_mb: u32,
+    /// Accelerators that the task needs.
+    pub(crate) accelerators: u16,
+}
+
+/// From home to runner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum HomeFrame {
+    /// Opens the session; the runner refuses starts on sessions of a lower epoch.
+    Hello {
+        /// The home's process.
+        home: AgentId,
+        /// Number of the session, growing for each (home, runner) pair.
+        epoch: u64,
+    },
+    /// Start this task now or refuse it now.
+    Start(StartFrame),
+    /// The answer no longer matters: stop the task if the backend server can.
+    Cancel {
+        /// The task.
+        task: TaskRef,
+    },
+    /// What became of these tasks, started on earlier sessions?
+    Query {
+        /// Each task with the epoch of the session it was started on.
+        tasks: Vec<(TaskRef, u64)>,
+    },
+    /// These outcomes have arrived and need not be kept.
+    Ack {
+        /// The tasks.
+        tasks: Vec<TaskRef>,
+    },
+}
+
+/// From runner to home.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum RunnerFrame {
+    /// Accepts the session.
+    Welcome {
+        /// The runner's process; another one than expected means that the expected one is gone.
+        runner: AgentId,
+        /// Slots free now.
+        free_slots: u16,
+    },
+    /// How a task ended, or that it was refused.
+    Outcome {
+        /// The task.
+        task: TaskRef,
+        /// Its end.
+        outcome: TaskOutcome,
+        /// Slots free now.
+        free_slots: u16,
+    },
+    /// Answers [`HomeFrame::Query`].
+    Statuses {
+        /// The tasks asked for.
+        tasks: Vec<(TaskRef, TaskStatus)>,
+    },
+}
+
+/// What a runner knows of a task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum TaskStatus {
+    /// It never started here, and the fenced session can't start it any more.
+    NeverStarted,
+    /// It runs; its outcome will follow.
+    Running,
+    /// It ended.
+    Ended(TaskOutcome),
+    /// Its record may have been dropped.
+    Forgotten,
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,16 @@
+//! Pure decision code: no clock, no socket, no task, no global random state.
+//!
+//! Each machine takes (now, event) and returns actions, so another clock and network
+//! can drive the code that ships.
+
+pub(crate) mod config;
+pub(crate) mod directory;
+pub(crate) mod gate;
+pub(crate) mod home;
+pub(crate) mod job;
+pub(crate) mod message;
+pub(crate) mod placement;
+pub(crate) mod runner;
+pub(crate) mod ticket;
+pub(crate) mod time;
+pub(crate) mod verdict;
--- /dev/null
+++ b/src/core/placement/mod.rs
@@ -0,0 +1,13 @@
+//! Which runner gets the next task.
+
+mod most_free;
+mod placement;
+mod random_worker;
+mod runner_view;
+
+#[cfg(test)]
+mod tests;
+
+pub(crate) use {
+    most_free::MostFree, placement::Placement, random_worker::RandomWorker, runner_view::RunnerView,
+};
--- /dev/null
+++ b/src/core/placement/random_worker.rs
@@ -0,0 +1,32 @@
+//! The naive policy that measurements compare with.
+
+use {
+    super::{Placement, RunnerView},
+    crate::core::time::Instant,
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+};
+
+/// Takes any runner, whatever its load.
+#[derive(Debug)]
+pub(crate) struct RandomWorker {
+    rng: ChaCha8Rng,
+}
+
+impl RandomWorker {
+    /// A policy that draws from this seed.
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+}
+
+impl Placement for RandomWorker {
+    fn choose(&mut self, _now: Instant, views: &[RunnerView]) -> Option<usize> {
+        if views.is_empty() {
+            return None;
+        }
+        Some(self.rng.random_range(0..views.len()))
+    }
+}
--- /dev/null
+++ b/src/core/runner/mod.rs
@@ -0,0 +1,10 @@
+//! Runs tasks on the backend server beside it, each at most once.
+
+mod home_link;
+mod runner;
+mod runner_event;
+
+pub(crate) use {
+    runner::{Runner, RunnerSettings},
+    runner_event::{RunnerAction, RunnerEvent, SessionId},
+};
--- /dev/null
+++ b/src/core/runner/runner.rs
@@ -0,0 +1,332 @@
+//! The runner machine.
+
+use {
+    super::{
+        RunnerAction, RunnerEvent, SessionId,
+        home_link::{HomeLink, KeptOutcome},
+    },
+    crate::core::{
+        gate::Permit,
+        job::{TaskOutcome, TaskRef},
+        message::{HomeFrame, RunnerFrame, StartFrame, TaskStatus},
+        ticket::AgentId,
+        time::Instant,
+        verdict::NotRunReason,
+    },
+    std::collections::BTreeMap,
+};
+
+/// Limits of a runner.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RunnerSettings {
+    /// For how long an outcome that its home has not acknowledged is kept.
+    pub(crate) keep_outcome_ms: u64,
+}
+
+/// Starts tasks on the backend server beside it, each at most once.
+#[derive(Debug)]
+pub(crate) struct Runner {
+    id: AgentId,
+    settings: RunnerSettings,
+    permit: Permit,
+    services: Vec<String>,
+    slots: u16,
+    leaving: bool,
+    links: BTreeMap<AgentId, HomeLink>,
+    sessions: BTreeMap<SessionId, (AgentId, u64)>,
+}
+
+impl Runner {
+    /// A runner without a backend server and without a permit.
+    pub(crate) const fn new(id: AgentId, settings: RunnerSettings) -> Self {
+        Self {
+            id,
+            settings,
+            permit: Permit::unissued(),
+            services: Vec::new(),
+            slots: 0,
+            leaving: false,
+            links: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+        }
+    }
+
+    /// Services of the backend server, empty while none is there.
+    pub(crate) fn services(&self) -> &[String] {
+        &self.services
+    }
+
+    /// Slots of the backend server.
+    pub(crate) const fn slots(&self) -> u16 {
+        self.slots
+    }
+
+    /// Slots without a running task.
+    pub(crate) fn free_slots(&self) -> u16 {
+        self.slots.saturating_sub(self.running_count())
+    }
+
+    /// Tasks that run now.
+    pub(crate) fn running_count(&self) -> u16 {
+        let count: usize = self.links.values().map(|link| link.running.len()).sum();
+        u16::try_from(count).unwrap_or(u16::MAX)
+    }
+
+    /// Whether new work is refused for good.
+    pub(crate) const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Newest configuration version that an entry named.
+    pub(crate) const fn config_version(&self) -> u64 {
+        self.permit.config_version()
+    }
+
+    /// Takes in one event and says what to do about it.
+    pub(crate) fn handle(&mut self, now: Instant, event: RunnerEvent) -> Vec<RunnerAction> {
+        match event {
+            RunnerEvent::Frame { session, frame } => self.on_frame(now, session, frame),
+            RunnerEvent::SessionClosed { session } => self.on_session_closed(session),
+            RunnerEvent::Finished { task, outcome } => self.on_finished(now, task, outcome),
+            RunnerEvent::BackendUp { services, slots } => {
+                self.services = services;
+                self.slots = slots;
+                Vec::new()
+            }
+            RunnerEvent::BackendGone => {
+                self.services.clear();
+                Vec::new()
+            }
+            RunnerEvent::Leave => {
+                self.leaving = true;
+                Vec::new()
+            }
+            RunnerEvent::PermitRenewed {
+                sent_at,
+                config_version,
+                zone_open,
+                permit_ms,
+            } => {
+                self.permit
+                    .renew(sent_at, config_version, zone_open, permit_ms);
+                Vec::new()
+            }
+            RunnerEvent::Tick => {
+                let keep_ms = self.settings.keep_outcome_ms;
+                for link in self.links.values_mut() {
+                    link.drop_old_outcomes(now, keep_ms);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    fn on_frame(
+        &mut self,
+        now: Instant,
+        session: SessionId,
+        frame: HomeFrame,
+    ) -> Vec<RunnerAction> {
+        if let HomeFrame::Hello { home, epoch } = frame {
+            return self.on_hello(now, session, home, epoch);
+        }
+        let Some(&(home, epoch)) = self.sessions.get(&session) else {
+            return vec![RunnerAction::Close(session)];
+        };
+        match frame {
+            HomeFrame::Hello { .. } => Vec::new(),
+            HomeFrame::Start(start) => self.on_start(now, session, home, epoch, start),
+            HomeFrame::Cancel { task } => self.on_cancel(home, task),
+            HomeFrame::Query { tasks } => self.on_query(now, session, home, tasks),
+            HomeFrame::Ack { tasks } => {
+                let link = self.links.entry(home).or_default();
+                for task in tasks {
+                    link.ended.remove(&task);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    fn on_hello(
+        &mut self,
+        now: Instant,
+        session: SessionId,
+        home: AgentId,
+        epoch: u64,
+    ) -> Vec<RunnerAction> {
+        let link = self.links.entry(home).or_default();
+        if epoch <= link.epoch {
+            return vec![RunnerAction::Close(session)];
+        }
+        link.epoch = epoch;
+        link.used_at = now;
+        let replaced = link.session.replace(session);
+        self.sessions.insert(session, (home, epoch));
+        let mut actions = Vec::new();
+        if let Some(old) = replaced {
+            self.sessions.remove(&old);
+            actions.push(RunnerAction::Close(old));
+        }
+        actions.push(RunnerAction::Send {
+            session,
+            frame: RunnerFrame::Welcome {
+                runner: self.id,
+                free_slots: self.free_slots(),
+            },
+        });
+        actions
+    }
+
+    fn on_start(
+        &mut self,
+        now: Instant,
+        session: SessionId,
+        home: AgentId,
+        epoch: u64,
+        start: StartFrame,
+    ) -> Vec<RunnerAction> {
+        let task = start.task;
+        if let Some(reason) = self.refusal(now, home, epoch, &start) {
+            return vec![
+                RunnerAction::CountRefusal(reason),
+                self.outcome_frame(session, task, TaskOutcome::NotRun { reason }),
+            ];
+        }
+        let link = self.links.entry(home).or_default();
+        link.used_at = now;
+        if link.running.contains_key(&task) || link.ended.contains_key(&task) {
+            return Vec::new();
+        }
+        link.running.insert(task, epoch);
+        vec![RunnerAction::Run(start)]
+    }
+
+    /// Why this start can't be taken, if it can't.
+    fn refusal(
+        &self,
+        now: Instant,
+        home: AgentId,
+        epoch: u64,
+        start: &StartFrame,
+    ) -> Option<NotRunReason> {
+        let newest = self.links.get(&home).map_or(0, |link| link.epoch);
+        if epoch < newest {
+            return Some(NotRunReason::Fenced);
+        }
+        if self.leaving {
+            return Some(NotRunReason::Leaving);
+        }
+        if !self.services.contains(&start.service) {
+            return Some(NotRunReason::BackendDown);
+        }
+        if !self.permit.is_valid(now) {
+            return Some(NotRunReason::NoPermit);
+        }
+        if self.free_slots() == 0 {
+            return Some(NotRunReason::SlotsFull);
+        }
+        None
+    }
+
+    fn on_cancel(&self, home: AgentId, task: TaskRef) -> Vec<RunnerAction> {
+        let runs = self
+            .links
+            .get(&home)
+            .is_some_and(|link| link.running.contains_key(&task));
+        if runs {
+            vec![RunnerAction::Stop(task)]
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn on_query(
+        &mut self,
+        now: Instant,
+        session: SessionId,
+        home: AgentId,
+        tasks: Vec<(TaskRef, u64)>,
+    ) -> Vec<RunnerAction> {
+        let link = self.links.entry(home).or_default();
+        link.used_at = now;
+        let statuses = tasks
+            .into_iter()
+            .map(|(task, epoch)| (task, link.status(task, epoch)))
+            .collect();
+        vec![RunnerAction::Send {
+            session,
+            frame: RunnerFrame::Statuses { tasks: statuses },
+        }]
+    }
+
+    fn on_session_closed(&mut self, session: SessionId) -> Vec<RunnerAction> {
+        if let Some((home, _)) = self.sessions.remove(&session)
+            && let Some(link) = self.links.get_mut(&home)
+            && link.session == Some(session)
+        {
+            link.session = None;
+        }
+        Vec::new()
+    }
+
+    fn on_finished(
+        &mut self,
+        now: Instant,
+        task: TaskRef,
+        outcome: TaskOutcome,
+    ) -> Vec<RunnerAction> {
+        let Some(link) = self.links.get_mut(&task.ticket.home) else {
+            return Vec::new();
+        };
+        let Some(epoch) = link.running.remove(&task) else {
+            return Vec::new();
+        };
+        // Guards against a deadlock of a retried task: a refused one may come back to this
+        // runner, and a kept record would make it look like a repeated start. Without a
+        // record it counts as never started, which is the same truth.
+        if !matches!(outcome, TaskOutcome::NotRun { .. }) {
+            let kept = KeptOutcome {
+                outcome: outcome.clone(),
+                epoch,
+                ended_at: now,
+            };
+            link.ended.insert(task, kept);
+        }
+        let Some(session) = link.session else {
+            return Vec::new();
+        };
+        vec![self.outcome_frame(session, task, outcome)]
+    }
+
+    fn outcome_frame(
+        &self,
+        session: SessionId,
+        task: TaskRef,
+        outcome: TaskOutcome,
+    ) -> RunnerAction {
+        RunnerAction::Send {
+            session,
+            frame: RunnerFrame::Outcome {
+                task,
+                outcome,
+                free_slots: self.free_slots(),
+            },
+        }
+    }
+}
+
+impl HomeLink {
+    fn status(&self, task: TaskRef, epoch: u64) -> TaskStatus {
+        if self.running.contains_key(&task) {
+            return TaskStatus::Running;
+        }
+        if let Some(kept) = self.ended.get(&task) {
+            return TaskStatus::Ended(kept.outcome.clone());
+        }
+        if epoch <= self.forgot_through_epoch {
+            return TaskStatus::Forgotten;
+        }
+        TaskStatus::NeverStarted
+    }
+}
--- /dev/null
+++ b/src/core/time/mod.rs
@@ -0,0 +1,5 @@
+//! Points in time on a process's own monotonic clock.
+
+mod instant;
+
+pub(crate) use instant::Instant;
--- /dev/null
+++ b/src/core/verdict/mod.rs
@@ -0,0 +1,11 @@
+//! Whether a request may have run: the error type of every layer.
+
+mod may_have_run_reason;
+mod not_run_reason;
+mod reasons;
+mod verdict;
+
+pub(crate) use {
+    may_have_run_reason::MayHaveRunReason, not_run_reason::NotRunReason, reasons::reasons,
+    verdict::Verdict,
+};
--- /dev/null
+++ b/src/entry/run.rs
@@ -0,0 +1,117 @@
+//! Wires an entry together and runs it until it is told to stop.
+
+use {
+    super::{Claims, ConfigKeeper, EntryState, Jobs, peer_handler::EntryPeerHandler},
+    crate::{
+        adapters::{
+            http::{EntryApi, serve_entry_api},
+            metrics::OtelMetrics,
+            peer::{H2Client, serve_peers},
+            platform::HttpStore,
+            timer::TokioTimer,
+        },
+        cli::{RunError, stop_signal},
+        conf::EntrySettings,
+        core::{message::PeerEntry, ticket::AgentId},
+        ports::{Gauge, Metrics, TimerService},
+    },
+    rand::RngExt,
+    std::sync::Arc,
+    tokio::net::TcpListener,
+};
+
+/// Period of housekeeping, in milliseconds.
+const HOUSEKEEPING_MS: u64 = 500;
+
+/// Runs an entry until SIGTERM or SIGINT; requests under way are answered first.
+pub(crate) async fn run_entry(settings: EntrySettings) -> Result<(), RunError> {
+    let metrics: Arc<dyn Metrics> = Arc::new(OtelMetrics::new().map_err(RunError::metrics)?);
+    let timer: Arc<dyn TimerService> = Arc::new(TokioTimer::new());
+    let peers = TcpListener::bind(settings.peer_listen)
+        .await
+        .map_err(|error| RunError::Listen(settings.peer_listen, error))?;
+    let me = PeerEntry {
+        entry: AgentId(rand::rng().random()),
+        name: settings.name.clone(),
+        peer_addr: settings.peer_listen,
+    };
+    let state = Arc::new(EntryState::new(
+        me,
+        Arc::clone(&timer),
+        rand::rng().random(),
+    ));
+    let store = Arc::new(HttpStore::new(
+        settings.platform,
+        settings.platform_timeout_ms,
+        Arc::clone(&metrics),
+    ));
+    let keeper = Arc::new(ConfigKeeper {
+        state: Arc::clone(&state),
+        table: store.clone(),
+        objects: store.clone(),
+        timer: Arc::clone(&timer),
+        operators: settings.operators.clone(),
+    });
+    let handler = Arc::new(EntryPeerHandler {
+        state: Arc::clone(&state),
+    });
+    tokio::spawn(serve_peers(peers, handler));
+    tokio::spawn(poll_head(
+        Arc::clone(&keeper),
+        Arc::clone(&timer),
+        settings.head_poll_ms,
+    ));
+    tokio::spawn(keep_house(
+        Arc::clone(&state),
+        Arc::clone(&timer),
+        Arc::clone(&metrics),
+    ));
+    let api = Arc::new(EntryApi {
+        jobs: Jobs {
+            state: Arc::clone(&state),
+            network: Arc::new(H2Client::new(Arc::clone(&metrics))),
+            timer,
+            metrics: Arc::clone(&metrics),
+        },
+        claims: Claims {
+            state: Arc::clone(&state),
+            table: store,
+        },
+        state,
+        keeper,
+        metrics,
+        max_body_bytes: settings.max_body_bytes,
+        max_deadline_ms: settings.max_deadline_ms,
+    });
+    log::info!(name = settings.name.as_str(), client_listen:% = settings.client_listen; "entry started");
+    serve_entry_api(settings.client_listen, api, stop_signal()).await?;
+    log::info!("entry stopped");
+    Ok(())
+}
+
+/// Reads the head row again and again.
+async fn poll_head(keeper: Arc<ConfigKeeper>, timer: Arc<dyn TimerService>, period_ms: u64) {
+    let mut ticks = timer.subscribe(period_ms);
+    let mut reachable = true;
+    while ticks.recv().await.is_some() {
+        let result = keeper.refresh().await;
+        if result.is_ok() != reachable {
+            reachable = result.is_ok();
+            log::warn!(reachable, error:? = result.err(); "the platform's reachability changed");
+        }
+    }
+}
+
+async fn keep_house(
+    state: Arc<EntryState>,
+    timer: Arc<dyn TimerService>,
+    metrics: Arc<dyn Metrics>,
+) {
+    let mut ticks = timer.subscribe(HOUSEKEEPING_MS);
+    while ticks.recv().await.is_some() {
+        let alive = state.expire();
+        metrics.set(Gauge::AgentsAlive, alive as u64);
+        let version = state.in_force().map_or(0, |held| held.head.version);
+        metrics.set(Gauge::ConfigVersion, version);
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,16 @@
+//! rattanslip: a dispatcher for sub-second tasks.
+//!
+//! The library holds all of it; each binary calls one function. `docs/ARCHITECTURE.md` says
+//! which process does what and where to find which decision.
+
+mod adapters;
+mod agent;
+mod cli;
+mod conf;
+mod core;
+mod entry;
+mod load;
+mod ports;
+mod standin;
+
+pub use cli::{agent_main, entry_main, load_main, operator_main, standin_main};
--- /dev/null
+++ b/src/ports/metrics.rs
@@ -0,0 +1,51 @@
+//! Counters and gauges.
+
+use {crate::core::verdict::reasons, std::fmt::Debug};
+
+reasons! {
+    /// Something counted, split by reason.
+    Counter {
+        /// Requests refused as "not run", by reason.
+        Refusals => "rattanslip.refusals",
+        /// Tasks handed to another runner or anew, by the reason of the first try's end.
+        Retries => "rattanslip.retries",
+        /// Jobs ended at their home, by verdict reason.
+        Jobs => "rattanslip.jobs",
+        /// Tasks handed to the backend server.
+        Starts => "rattanslip.starts",
+        /// Answers given to clients, by verdict.
+        Answers => "rattanslip.answers",
+        /// Calls to the platform's store, by kind and outcome.
+        StoreCalls => "rattanslip.store_calls",
+        /// Announcements, by outcome.
+        Announcements => "rattanslip.announcements",
+        /// Connections and sessions to peers that were lost, by cause.
+        PeerLosses => "rattanslip.peer_losses",
+    }
+}
+
+reasons! {
+    /// Something with a present value.
+    Gauge {
+        /// Version of the configuration held.
+        ConfigVersion => "rattanslip.config_version",
+        /// Agents known to be alive.
+        AgentsAlive => "rattanslip.agents_alive",
+        /// Jobs that have not ended at this home.
+        JobsRunning => "rattanslip.jobs_running",
+        /// Tasks that run at this runner.
+        TasksRunning => "rattanslip.tasks_running",
+    }
+}
+
+/// Takes in counts and shows them.
+pub(crate) trait Metrics: Debug + Send + Sync {
+    /// Adds one to a counter under a reason.
+    fn count(&self, counter: Counter, reason: &'static str);
+
+    /// Sets a gauge.
+    fn set(&self, gauge: Gauge, value: u64);
+
+    /// All values in Prometheus's text format.
+    fn render(&self) -> String;
+}
--- /dev/null
+++ b/src/standin/backend.rs
@@ -0,0 +1,170 @@
+//! The backend server's stand-in: runs tasks by sleeping and records every start.
+
+use {
+    crate::{
+        adapters::{
+            backend::{NOT_RUN_HEADER, RUN_PATH, STOP_PATH, TASK_HEADER},
+            http::{BackendBody, HttpClient},
+        },
+        cli::{BackendArgs, RunError, stop_signal},
+    },
+    poem::{
+        EndpointExt, IntoResponse, Request, Response, Route, Server, get, handler,
+        http::{Method, StatusCode},
+        listener::TcpListener,
+        post,
+        web::{Data, Json},
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::time::{interval, sleep},
+};
+
+/// Pause between announcements to the agent, in milliseconds.
+const ANNOUNCE_MS: u64 = 500;
+
+/// Faults that can be switched on by posting them to `/faults`.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct BackendFaults {
+    /// Every task fails at once.
+    fail_all: bool,
+    /// Every task is refused as not run.
+    refuse_all: bool,
+    /// Every task takes this many times as long; zero counts as one.
+    slow_factor: u32,
+    /// No more announcements, and no new work wanted.
+    leaving: bool,
+    /// No more announcements.
+    silent: bool,
+}
+
+/// One start of a task.
+#[derive(Debug, Clone, Serialize)]
+struct StartRecord {
+    task: String,
+    /// Milliseconds since 1970, on this host's clock.
+    at_unix_ms: u128,
+}
+
+#[derive(Debug, Default)]
+struct BackendInner {
+    faults: BackendFaults,
+    starts: Vec<StartRecord>,
+    stops: BTreeMap<String, u32>,
+}
+
+#[derive(Debug, Default)]
+struct Backend(Mutex<BackendInner>);
+
+type Shared<'a> = Data<&'a Arc<Backend>>;
+
+impl Backend {
+    fn lock(&self) -> MutexGuard<'_, BackendInner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Runs the stand-in until SIGTERM.
+pub(crate) async fn run_backend(args: BackendArgs) -> Result<(), RunError> {
+    let backend = Arc::new(Backend::default());
+    let routes = Route::new()
+        .at(RUN_PATH, post(run))
+        .at(STOP_PATH, post(stop))
+        .at("/faults", post(set_faults))
+        .at("/starts", get(starts))
+        .data(Arc::clone(&backend));
+    let listen = args.listen;
+    tokio::spawn(announce(args, backend));
+    Server::new(TcpListener::bind(listen))
+        .run_with_graceful_shutdown(routes, stop_signal(), None)
+        .await
+        .map_err(|error| RunError::Listen(listen, error))
+}
+
+async fn announce(args: BackendArgs, backend: Arc<Backend>) {
+    let client = HttpClient::new();
+    let mut ticks = interval(Duration::from_millis(ANNOUNCE_MS));
+    loop {
+        ticks.tick().await;
+        let faults = backend.lock().faults.clone();
+        if faults.silent {
+            continue;
+        }
+        let body = BackendBody {
+            addr: args.listen,
+            services: args.services.clone(),
+            slots: args.slots,
+            leaving: faults.leaving,
+        };
+        let Ok(body) = serde_json::to_string(&body) else {
+            return;
+        };
+        // An agent that isn't there yet is told again at the next tick.
+        let _ = client
+            .send(
+                Method::POST,
+                args.agent,
+                "/v1/backend",
+                &[("content-type", "application/json")],
+                body,
+            )
+            .await;
+    }
+}
+
+/// Runs a task: its input is `MILLISECONDS TEXT`, its output is `TEXT`.
+#[handler]
+async fn run(backend: Shared<'_>, request: &Request, input: String) -> Response {
+    let task = request.header(TASK_HEADER).unwrap_or_default().to_owned();
+    let faults = backend.lock().faults.clone();
+    if faults.refuse_all {
+        return Response::builder()
+            .status(StatusCode::SERVICE_UNAVAILABLE)
+            .header(NOT_RUN_HEADER, "1")
+            .finish();
+    }
+    backend.lock().starts.push(StartRecord {
+        task,
+        at_unix_ms: unix_ms(),
+    });
+    if faults.fail_all {
+        return (StatusCode::INTERNAL_SERVER_ERROR, "told to fail").into_response();
+    }
+    let (work_ms, output) = input.split_once(' ').unwrap_or((input.as_str(), ""));
+    let Ok(work_ms) = work_ms.parse::<u64>() else {
+        let message = "the input begins with a number of milliseconds";
+        return (StatusCode::BAD_REQUEST, message).into_response();
+    };
+    let factor = u64::from(faults.slow_factor.max(1));
+    sleep(Duration::from_millis(work_ms * factor)).await;
+    output.to_owned().into_response()
+}
+
+fn unix_ms() -> u128 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis())
+}
+
+#[handler]
+fn stop(backend: Shared<'_>, request: &Request) -> StatusCode {
+    let task = request.header(TASK_HEADER).unwrap_or_default().to_owned();
+    *backend.lock().stops.entry(task).or_default() += 1;
+    StatusCode::OK
+}
+
+#[handler]
+fn set_faults(backend: Shared<'_>, Json(faults): Json<BackendFaults>) -> StatusCode {
+    backend.lock().faults = faults;
+    StatusCode::OK
+}
+
+#[handler]
+fn starts(backend: Shared<'_>) -> Json<Vec<StartRecord>> {
+    Json(backend.lock().starts.clone())
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,7 @@
+//! Stand-ins for outside systems, with faults to switch on; for tests and demonstrations only.
+
+mod backend;
+mod platform;
+mod platform_store;
+
+pub(crate) use {backend::run_backend, platform::run_platform};
--- /dev/null
+++ b/src/standin/platform.rs
@@ -0,0 +1,171 @@
+//! The platform's stand-in over HTTP.
+
+use {
+    super::platform_store::PlatformStore,
+    crate::{
+        cli::{PlatformArgs, RunError, stop_signal},
+        ports::Transaction,
+    },
+    poem::{
+        EndpointExt, IntoResponse, Response, Route, Server, get, handler,
+        http::StatusCode,
+        listener::TcpListener,
+        post,
+        web::{Data, Json, Path},
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// Faults that can be switched on by posting them to `/faults`.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct PlatformFaults {
+    /// Every call is refused.
+    down: bool,
+    /// Every call takes this much longer.
+    slow_ms: u64,
+    /// The replies of this many writes are lost after the writes took effect.
+    lose_write_replies: u32,
+}
+
+/// Calls since the start.
+#[derive(Debug, Clone, Default, Serialize)]
+struct PlatformCalls {
+    reads: u64,
+    writes: u64,
+}
+
+#[derive(Debug, Default)]
+struct PlatformInner {
+    store: PlatformStore,
+    faults: PlatformFaults,
+    calls: PlatformCalls,
+}
+
+#[derive(Debug, Default)]
+struct Platform(Mutex<PlatformInner>);
+
+type Shared<'a> = Data<&'a Arc<Platform>>;
+
+impl Platform {
+    fn lock(&self) -> MutexGuard<'_, PlatformInner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits as the faults say; `Err` if the platform is down.
+    async fn begin(&self, is_write: bool) -> Result<(), Response> {
+        let faults = {
+            let mut inner = self.lock();
+            if is_write {
+                inner.calls.writes += 1;
+            } else {
+                inner.calls.reads += 1;
+            }
+            inner.faults.clone()
+        };
+        sleep(Duration::from_millis(faults.slow_ms)).await;
+        if faults.down {
+            return Err(StatusCode::SERVICE_UNAVAILABLE.into_response());
+        }
+        Ok(())
+    }
+
+    /// Whether the reply of the write just made is to be lost.
+    fn loses_reply(&self) -> bool {
+        let mut inner = self.lock();
+        if inner.faults.lose_write_replies == 0 {
+            return false;
+        }
+        inner.faults.lose_write_replies -= 1;
+        true
+    }
+
+    /// The reply to a write, or none for good if a fault swallows it.
+    async fn finish_write(&self, response: Response) -> Response {
+        if self.loses_reply() {
+            std::future::pending::<()>().await;
+        }
+        response
+    }
+}
+
+/// Runs the stand-in until SIGTERM.
+pub(crate) async fn run_platform(args: PlatformArgs) -> Result<(), RunError> {
+    let routes = Route::new()
+        .at("/table/rows/:key", get(get_row))
+        .at("/table/scan/:prefix", get(scan))
+        .at("/table/transact", post(transact))
+        .at("/objects/:name", get(get_object).put(put_object))
+        .at("/faults", post(set_faults))
+        .at("/calls", get(calls))
+        .data(Arc::new(Platform::default()));
+    Server::new(TcpListener::bind(args.listen))
+        .run_with_graceful_shutdown(routes, stop_signal(), Some(Duration::from_secs(1)))
+        .await
+        .map_err(|error| RunError::Listen(args.listen, error))
+}
+
+#[handler]
+async fn get_row(platform: Shared<'_>, Path(key): Path<String>) -> Response {
+    if let Err(down) = platform.begin(false).await {
+        return down;
+    }
+    match platform.lock().store.get(&key) {
+        Some(row) => Json(row).into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+#[handler]
+async fn scan(platform: Shared<'_>, Path(prefix): Path<String>) -> Response {
+    if let Err(down) = platform.begin(false).await {
+        return down;
+    }
+    let rows = platform.lock().store.scan(&prefix);
+    Json(rows).into_response()
+}
+
+#[handler]
+async fn transact(platform: Shared<'_>, Json(transaction): Json<Transaction>) -> Response {
+    if let Err(down) = platform.begin(true).await {
+        return down;
+    }
+    let outcome = platform.lock().store.transact(transaction);
+    platform.finish_write(Json(outcome).into_response()).await
+}
+
+#[handler]
+async fn get_object(platform: Shared<'_>, Path(name): Path<String>) -> Response {
+    if let Err(down) = platform.begin(false).await {
+        return down;
+    }
+    match platform.lock().store.object(&name) {
+        Some(body) => body.clone().into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+#[handler]
+async fn put_object(platform: Shared<'_>, Path(name): Path<String>, body: String) -> Response {
+    if let Err(down) = platform.begin(true).await {
+        return down;
+    }
+    platform.lock().store.put_object(name, body);
+    platform.finish_write(StatusCode::OK.into_response()).await
+}
+
+#[handler]
+fn set_faults(platform: Shared<'_>, Json(faults): Json<PlatformFaults>) -> StatusCode {
+    platform.lock().faults = faults;
+    StatusCode::OK
+}
+
+#[handler]
+fn calls(platform: Shared<'_>) -> Json<PlatformCalls> {
+    Json(platform.lock().calls.clone())
+}
