--- a/src/adapters/http/answer.rs
+++ b/src/adapters/http/answer.rs
@@ -59,8 +59,42 @@
     *value == 0
 }
 
-/// The answer to a refused request, with a message for people.
-pub(crate) fn refusal(verdict: Verdict, message: &str) -> Response {
+/// A request that is answered without going further.
+#[derive(Debug)]
+pub(crate) struct Refusal {
+    /// What to tell the client's program.
+    pub(crate) verdict: Verdict,
+    /// What to tell the client's developer.
+    pub(crate) message: String,
+}
+
+impl Refusal {
+    /// A refusal that coming back can't change.
+    pub(crate) fn new(reason: NotRunReason, message: impl Into<String>) -> Self {
+        Self {
+            verdict: Verdict::refused(reason),
+            message: message.into(),
+        }
+    }
+
+    /// A refusal with a time to come back.
+    pub(crate) const fn retry_after(reason: NotRunReason, retry_after_ms: u64) -> Self {
+        Self {
+            verdict: Verdict::NotRun {
+                reason,
+                retry_after_ms,
+            },
+            message: String::new(),
+        }
+    }
+
+    /// The answer to the client.
+    pub(crate) fn response(&self) -> Response {
+        refusal(self.verdict, &self.message)
+    }
+}
+
+fn refusal(verdict: Verdict, message: &str) -> Response {
     let json = AnswerJson {
         verdict: verdict.as_str(),
         reason: verdict.reason(),
@@ -71,11 +105,6 @@
     respond(verdict, &json)
 }
 
-/// The answer to a request that can't be taken as it is.
-pub(crate) fn bad_request(message: &str) -> Response {
-    refusal(Verdict::refused(NotRunReason::BadRequest), message)
-}
-
 /// The answer about a job.
 pub(crate) fn job_response(ticket: Ticket, report: &JobReport) -> Response {
     match report {
--- a/src/adapters/http/entry_api.rs
+++ b/src/adapters/http/entry_api.rs
@@ -1,15 +1,16 @@
 //! The entry's routes.
 
 use {
-    super::{client_api, operator_api},
+    super::{answer::Refusal, client_api, operator_api},
     crate::{
         cli::RunError,
+        core::verdict::NotRunReason,
         entry::{ConfigKeeper, EntryState, Jobs},
         ports::Metrics,
     },
     poem::{
-        EndpointExt, Route, Server, get, handler, http::StatusCode, listener::TcpListener, post,
-        web::Data,
+        EndpointExt, Response, Route, Server, get, handler, http::StatusCode,
+        listener::TcpListener, post, web::Data,
     },
     std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -39,7 +40,7 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), RunError> {
     let routes = Route::new()
-        .at("/v1/tickets", post(client_api::tickets))
+        .at("/v1/tickets", post(client_api::get_tickets))
         .at("/v1/jobs", post(client_api::submit_job))
         .at(
             "/v1/jobs/:ticket",
@@ -56,13 +57,22 @@
         .at("/metrics", get(metrics))
         .at("/health", get(health))
         .at("/ready", get(ready))
-        .data(api);
+        .data(api)
+        .catch_all_error(unroutable);
     Server::new(TcpListener::bind(listen))
         .run_with_graceful_shutdown(routes, stop, Some(Duration::from_secs(STOP_LIMIT_S)))
         .await
         .map_err(|error| RunError::Listen(listen, error))
 }
 
+/// Answers what no route takes; nothing ran, and the answer says so like any other.
+async fn unroutable(error: poem::Error) -> Response {
+    let refusal = Refusal::new(NotRunReason::BadRequest, error.to_string());
+    let mut response = refusal.response();
+    response.set_status(error.status());
+    response
+}
+
 #[handler]
 fn metrics(api: Api<'_>) -> String {
     api.metrics.render()
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -58,7 +58,7 @@
         id,
         worker: settings.worker.clone(),
         availability_zone: settings.availability_zone.clone(),
-        peer_addr: settings.peer_listen,
+        peer_addr: settings.peer_addr,
         entries: settings.entries.clone(),
         agent: Arc::clone(&agent),
         network,
--- a/src/conf/agent_settings.rs
+++ b/src/conf/agent_settings.rs
@@ -23,6 +23,8 @@
     pub(crate) availability_zone: String,
     /// Where entries and other agents connect.
     pub(crate) peer_listen: SocketAddr,
+    /// Where entries and other agents reach it, if not where it listens.
+    pub(crate) peer_addr: SocketAddr,
     /// Where the backend server announces itself; also metrics and health.
     pub(crate) http_listen: SocketAddr,
     /// Entries to announce to.
@@ -48,10 +50,12 @@
 impl AgentSettings {
     /// Reads the file's root table.
     pub(crate) fn read(reader: &mut TableReader<'_>) -> Self {
+        let peer_listen = reader.socket_addr("peer_listen");
         let settings = Self {
             worker: reader.name("worker"),
             availability_zone: reader.name("availability_zone"),
-            peer_listen: reader.socket_addr("peer_listen"),
+            peer_listen,
+            peer_addr: reader.socket_addr_or("peer_addr", peer_listen),
             http_listen: reader.socket_addr("http_listen"),
             entries: reader.socket_addrs("entries"),
             slots: reader.number("slots", 1..=1_024, Some(8)),
--- a/src/conf/entry_settings.rs
+++ b/src/conf/entry_settings.rs
@@ -27,6 +27,8 @@
     pub(crate) client_listen: SocketAddr,
     /// Where agents and other entries connect.
     pub(crate) peer_listen: SocketAddr,
+    /// Where agents and other entries reach it, if not where it listens.
+    pub(crate) peer_addr: SocketAddr,
     /// The platform's table and object store.
     pub(crate) platform: SocketAddr,
     /// Time after which a call to the platform is given up.
@@ -46,11 +48,13 @@
 impl EntrySettings {
     /// Reads the file's root table.
     pub(crate) fn read(reader: &mut TableReader<'_>) -> Self {
+        let peer_listen = reader.socket_addr("peer_listen");
         Self {
             name: reader.name("name"),
             availability_zone: reader.name("availability_zone"),
             client_listen: reader.socket_addr("client_listen"),
-            peer_listen: reader.socket_addr("peer_listen"),
+            peer_listen,
+            peer_addr: reader.socket_addr_or("peer_addr", peer_listen),
             platform: reader.socket_addr("platform"),
             platform_timeout_ms: reader.number("platform_timeout_ms", 10..=60_000, Some(1_500)),
             head_poll_ms: reader.number("head_poll_ms", 50..=2_000, Some(500)),
--- a/src/conf/table_reader.rs
+++ b/src/conf/table_reader.rs
@@ -228,6 +228,14 @@
         })
     }
 
+    /// An IP number with a port, or the default.
+    pub(crate) fn socket_addr_or(&mut self, key: &str, default: SocketAddr) -> SocketAddr {
+        if self.table.is_some_and(|table| table.contains_key(key)) {
+            return self.socket_addr(key);
+        }
+        default
+    }
+
     /// A list of IP numbers with ports.
     pub(crate) fn socket_addrs(&mut self, key: &str) -> Vec<SocketAddr> {
         let texts = self.strings(key);
--- a/src/conf/tests.rs
+++ b/src/conf/tests.rs
@@ -10,6 +10,22 @@
 platform = "127.0.0.1:7000"
 "#;
 
+/// The deployments of today, as the examples give them.
+const EXAMPLES: [&str; 2] = [
+    include_str!("../../examples/hafsteinsson.toml"),
+    include_str!("../../examples/chikushi.toml"),
+];
+
+#[test]
+fn the_examples_are_todays_deployments() {
+    for (text, zones) in EXAMPLES.into_iter().zip([4, 3]) {
+        let document = read_document(text).expect("no faults");
+        assert_eq!(document.zones.len(), zones);
+        assert_eq!(document.workers.len(), 11);
+        assert!(document.workers.values().all(|worker| worker.slots == 8));
+    }
+}
+
 const DOCUMENT: &str = r#"
 [zones.grindavik]
 region = "southwest"
@@ -29,7 +45,7 @@
         $(
             #[test]
             fn $name() {
-                let faults: Vec<String> = $read(&$text)
+                let faults: Vec<String> = $read(($text).as_ref())
                     .err()
                     .unwrap_or_default()
                     .iter()
@@ -48,7 +64,7 @@
 
 fault_cases! {
     read_entry;
-    entry_settings_with_defaults_are_taken: ENTRY.to_owned() => [];
+    entry_settings_with_defaults_are_taken: ENTRY => [];
     all_faults_of_entry_settings_come_at_once:
         ENTRY.replace("\"127.0.0.1:7000\"", "7000").replace("name = \"entry-1\"", "nmae = \"x\"")
         + "head_poll_ms = 1\n" => [
@@ -65,7 +81,7 @@
 
 fault_cases! {
     read_document;
-    small_document_is_taken: DOCUMENT.to_owned() => [];
+    small_document_is_taken: DOCUMENT => [];
     syntax_error_has_its_line: DOCUMENT.replace("slots = 8", "slots = = 8") => [
         "line 8: extra `=`, expected nothing",
     ];
--- a/src/core/home/home.rs
+++ b/src/core/home/home.rs
@@ -4,13 +4,13 @@
     super::{
         HomeAction, HomeEvent, WaiterId,
         answer_store::AnswerStore,
-        job_record::{JobRecord, JobState, RunningJob, TaskState},
-        runner_link::{LinkState, RunnerLink, RunnerLinks},
+        job_record::{JobRecord, JobState, RunningJob},
+        runner_link::{RunnerLink, RunnerLinks},
         ticket_ring::{JobKey, TicketRing, TicketState},
     },
     crate::core::{
-        job::{JobAnswer, JobSpec, JobStatus, TaskOutcome, TaskRef},
-        message::{Candidate, HomeFrame, RunnerFrame, TaskStatus},
+        job::{JobSpec, JobStatus},
+        message::Candidate,
         placement::Placement,
         ticket::{AgentId, GrantSecret, Ticket, TicketGrant},
         time::Instant,
@@ -23,8 +23,6 @@
     },
 };
 
-/// Starts of one task, after which a home gives it up.
-const MAX_ATTEMPTS: u8 = 8;
 /// When to come back after a deadline passed, in milliseconds.
 const DEADLINE_RETRY_AFTER_MS: u64 = 1_000;
 /// When to come back to another home, in milliseconds.
@@ -42,7 +40,7 @@
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
+pub(super) enum Timer {
     Deadline(JobKey),
     Wait(JobKey, WaiterId),
 }
@@ -50,17 +48,17 @@
 /// Runs the jobs whose tickets name it.
 #[derive(Debug)]
 pub(crate) struct Home {
-    id: AgentId,
-    settings: HomeSettings,
-    ring: TicketRing,
-    jobs: SlotMap<JobKey, JobRecord>,
-    waiting: VecDeque<JobKey>,
-    answers: AnswerStore,
-    links: RunnerLinks,
-    timers: BTreeSet<(Instant, Timer)>,
-    placement: Box<dyn Placement>,
-    leaving: bool,
-    actions: Vec<HomeAction>,
+    pub(super) id: AgentId,
+    pub(super) settings: HomeSettings,
+    pub(super) ring: TicketRing,
+    pub(super) jobs: SlotMap<JobKey, JobRecord>,
+    pub(super) waiting: VecDeque<JobKey>,
+    pub(super) answers: AnswerStore,
+    pub(super) links: RunnerLinks,
+    pub(super) timers: BTreeSet<(Instant, Timer)>,
+    pub(super) placement: Box<dyn Placement>,
+    pub(super) leaving: bool,
+    pub(super) actions: Vec<HomeAction>,
 }
 
 impl Home {
@@ -221,7 +219,7 @@
         let key = self.jobs.insert(JobRecord {
             ticket: ticket.id,
             digest,
-            state: JobState::Running(job),
+            state: JobState::Running(Box::new(job)),
         });
         self.ring.record(&ticket, key);
         self.timers.insert((deadline, Timer::Deadline(key)));
@@ -265,229 +263,6 @@
         self.reply(waiter, status);
     }
 
-    fn on_frame(&mut self, now: Instant, runner: AgentId, epoch: u64, frame: RunnerFrame) {
-        let Some(link) = self.links.get_mut(&runner) else {
-            return;
-        };
-        if link.epoch != epoch {
-            return;
-        }
-        match frame {
-            RunnerFrame::Welcome {
-                runner: actual,
-                free_slots,
-            } => self.on_welcome(now, runner, actual, free_slots),
-            RunnerFrame::Outcome {
-                task,
-                outcome,
-                free_slots,
-            } => {
-                link.report_free(now, free_slots);
-                self.on_outcome(now, runner, task, outcome);
-            }
-            RunnerFrame::Statuses { tasks } => {
-                for (task, status) in tasks {
-                    self.on_status(now, runner, task, status);
-                }
-            }
-        }
-    }
-
-    fn on_welcome(&mut self, now: Instant, runner: AgentId, actual: AgentId, free_slots: u16) {
-        if runner != actual {
-            self.lose_runner(now, runner);
-            return;
-        }
-        let Some(link) = self.links.get_mut(&runner) else {
-            return;
-        };
-        link.state = LinkState::Open;
-        link.silent_since = None;
-        link.report_free(now, free_slots);
-        if link.outstanding.is_empty() {
-            return;
-        }
-        let tasks = link.outstanding.iter().map(|(t, e)| (*t, *e)).collect();
-        self.actions.push(HomeAction::Send {
-            runner,
-            epoch: link.epoch,
-            frame: HomeFrame::Query { tasks },
-        });
-    }
-
-    fn on_status(&mut self, now: Instant, runner: AgentId, task: TaskRef, status: TaskStatus) {
-        let outcome = match status {
-            TaskStatus::Running => return,
-            TaskStatus::Ended(outcome) => outcome,
-            TaskStatus::NeverStarted => TaskOutcome::NotRun {
-                reason: NotRunReason::Fenced,
-            },
-            TaskStatus::Forgotten => TaskOutcome::MayHaveRun {
-                reason: MayHaveRunReason::RunnerLost,
-            },
-        };
-        self.on_outcome(now, runner, task, outcome);
-    }
-
-    fn on_outcome(&mut self, now: Instant, runner: AgentId, task: TaskRef, outcome: TaskOutcome) {
-        let Some(link) = self.links.get_mut(&runner) else {
-            return;
-        };
-        if link.outstanding.remove(&task).is_none() {
-            return;
-        }
-        if let TaskOutcome::NotRun { reason } = &outcome {
-            if *reason != NotRunReason::SlotsFull {
-                link.pause(now);
-            }
-        } else {
-            self.actions.push(HomeAction::Send {
-                runner,
-                epoch: link.epoch,
-                frame: HomeFrame::Ack { tasks: vec![task] },
-            });
-        }
-        let TicketState::Used(key) = self.ring.state_of(&task.ticket) else {
-            return;
-        };
-        self.settle_task(key, task.index, outcome);
-    }
-
-    /// Takes in the end of one start of a task: retries it, ends it, or fails the job.
-    fn settle_task(&mut self, key: JobKey, index: u16, outcome: TaskOutcome) {
-        let Some(JobRecord {
-            state: JobState::Running(job),
-            ..
-        }) = self.jobs.get_mut(key)
-        else {
-            return;
-        };
-        let attempts = job.attempts[usize::from(index)];
-        let retry = match &outcome {
-            TaskOutcome::NotRun {
-                reason: NotRunReason::SlotsFull,
-            } => Some(NotRunReason::SlotsFull.as_str()),
-            TaskOutcome::NotRun { reason } if attempts < MAX_ATTEMPTS => Some(reason.as_str()),
-            TaskOutcome::MayHaveRun { reason }
-                if job.spec.repeatable && attempts < MAX_ATTEMPTS =>
-            {
-                Some(reason.as_str())
-            }
-            _ => None,
-        };
-        if let Some(reason) = retry {
-            let was_queued = !job.queued.is_empty();
-            job.requeue(index);
-            if !was_queued {
-                self.waiting.push_front(key);
-            }
-            self.actions.push(HomeAction::CountRetry(reason));
-            return;
-        }
-        let failed = !matches!(outcome, TaskOutcome::Done { .. });
-        if !job.end_task(index, outcome) {
-            return;
-        }
-        if failed {
-            self.fail_job(key, NotRunReason::JobFailed, MayHaveRunReason::JobFailed, 0);
-        } else if job.is_complete() {
-            self.end_job(key, Verdict::Done);
-        }
-    }
-
-    /// Ends a job before all its tasks are done, with the truth for each task.
-    fn fail_job(
-        &mut self,
-        key: JobKey,
-        not_run: NotRunReason,
-        may_have_run: MayHaveRunReason,
-        retry_after_ms: u64,
-    ) {
-        let Some(JobRecord {
-            ticket,
-            state: JobState::Running(job),
-            ..
-        }) = self.jobs.get_mut(key)
-        else {
-            return;
-        };
-        for (index, runner) in job.started() {
-            if let Some(link) = self.links.get(&runner) {
-                let task = TaskRef {
-                    ticket: *ticket,
-                    index,
-                };
-                self.actions.push(HomeAction::Send {
-                    runner,
-                    epoch: link.epoch,
-                    frame: HomeFrame::Cancel { task },
-                });
-            }
-        }
-        let outcomes = job.outcomes(not_run, may_have_run);
-        let verdict = verdict_of(&outcomes, not_run, may_have_run, retry_after_ms);
-        job.tasks = outcomes.into_iter().map(TaskState::Ended).collect();
-        self.end_job(key, verdict);
-    }
-
-    fn end_job(&mut self, key: JobKey, verdict: Verdict) {
-        let Some(record) = self.jobs.get_mut(key) else {
-            return;
-        };
-        let JobState::Running(job) = &mut record.state else {
-            return;
-        };
-        let outcomes = std::mem::take(&mut job.tasks)
-            .into_iter()
-            .filter_map(|state| match state {
-                TaskState::Ended(outcome) => Some(outcome),
-                TaskState::Queued | TaskState::Started { .. } => None,
-            })
-            .collect();
-        let waiters = std::mem::take(&mut job.waiters);
-        self.timers.remove(&(job.deadline, Timer::Deadline(key)));
-        let answer = Arc::new(JobAnswer::new(record.ticket, verdict, outcomes));
-        record.state = JobState::Ended(Arc::clone(&answer));
-        for waiter in waiters {
-            self.reply(waiter, JobStatus::Ended(Arc::clone(&answer)));
-        }
-        self.actions.push(HomeAction::CountEnd(match verdict {
-            Verdict::Done => "done",
-            Verdict::NotRun { .. } | Verdict::MayHaveRun { .. } => verdict.reason(),
-        }));
-        for old in self.answers.keep(key, &answer) {
-            if let Some(record) = self.jobs.get_mut(old)
-                && matches!(record.state, JobState::Ended(_))
-            {
-                record.state = JobState::Dropped;
-            }
-        }
-    }
-
-    fn on_session_lost(&mut self, now: Instant, runner: AgentId, epoch: u64) {
-        if let Some(link) = self.links.get_mut(&runner)
-            && link.epoch == epoch
-        {
-            link.lose_session(now);
-        }
-    }
-
-    /// Gives up all tasks of a runner whose process is gone.
-    fn lose_runner(&mut self, now: Instant, runner: AgentId) {
-        let Some(link) = self.links.remove(&runner) else {
-            return;
-        };
-        for task in link.outstanding.into_keys() {
-            if let TicketState::Used(key) = self.ring.state_of(&task.ticket) {
-                let outcome = TaskOutcome::MayHaveRun {
-                    reason: MayHaveRunReason::RunnerLost,
-                };
-                self.settle_task(key, task.index, outcome);
-            }
-        }
-        self.dispatch(now);
-    }
-
     fn on_tick(&mut self, now: Instant) {
         while let Some((due, timer)) = self.timers.first().copied() {
             if due > now {
@@ -535,90 +310,6 @@
         }
     }
 
-    /// Opens sessions to runners that waiting jobs could use or that hold tasks.
-    fn open_sessions(&mut self, now: Instant) {
-        let mut wanted: BTreeSet<AgentId> = BTreeSet::new();
-        for key in &self.waiting {
-            if let Some(JobState::Running(job)) = self.jobs.get(*key).map(|record| &record.state) {
-                wanted.extend(&job.candidates);
-            }
-        }
-        for (runner, link) in &mut self.links {
-            if !wanted.contains(runner) && link.outstanding.is_empty() {
-                continue;
-            }
-            if let Some(epoch) = link.next_epoch(now) {
-                self.actions.push(HomeAction::OpenSession {
-                    runner: *runner,
-                    peer_addr: link.peer_addr,
-                    epoch,
-                });
-            }
-        }
-    }
-
-    /// Starts queued tasks, oldest job first, while placement finds runners for them.
-    fn dispatch(&mut self, now: Instant) {
-        let mut still_waiting = VecDeque::new();
-        while let Some(key) = self.waiting.pop_front() {
-            if self.dispatch_job(now, key) {
-                still_waiting.push_back(key);
-            }
-        }
-        self.waiting = still_waiting;
-    }
-
-    /// Starts what it can of one job; true if tasks are left in its queue.
-    fn dispatch_job(&mut self, now: Instant, key: JobKey) -> bool {
-        let Some(JobRecord {
-            ticket,
-            state: JobState::Running(job),
-            ..
-        }) = self.jobs.get_mut(key)
-        else {
-            return false;
-        };
-        while let Some(&index) = job.queued.front() {
-            let usable: Vec<AgentId> = job
-                .candidates
-                .iter()
-                .filter(|runner| {
-                    self.links
-                        .get(runner)
-                        .is_some_and(|link| link.is_usable(now))
-                })
-                .copied()
-                .collect();
-            let views: Vec<_> = usable
-                .iter()
-                .filter_map(|runner| self.links.get(runner).map(RunnerLink::view))
-                .collect();
-            let Some(position) = self.placement.choose(now, &views) else {
-                return true;
-            };
-            let runner = usable[position];
-            let task = TaskRef {
-                ticket: *ticket,
-                index,
-            };
-            let (Some(frame), Some(link)) =
-                (job.start_frame(now, task), self.links.get_mut(&runner))
-            else {
-                return true;
-            };
-            job.queued.pop_front();
-            job.tasks[usize::from(index)] = TaskState::Started { runner };
-            job.attempts[usize::from(index)] += 1;
-            link.note_start(task);
-            self.actions.push(HomeAction::Send {
-                runner,
-                epoch: link.epoch,
-                frame: HomeFrame::Start(frame),
-            });
-        }
-        false
-    }
-
     fn refuse(&mut self, waiter: WaiterId, reason: NotRunReason, retry_after_ms: u64) {
         let verdict = Verdict::NotRun {
             reason,
@@ -632,7 +323,7 @@
         self.reply(waiter, JobStatus::Refused(verdict));
     }
 
-    fn reply(&mut self, waiter: WaiterId, status: JobStatus) {
+    pub(super) fn reply(&mut self, waiter: WaiterId, status: JobStatus) {
         self.actions.push(HomeAction::Reply { waiter, status });
     }
 
@@ -641,34 +332,3 @@
         self.id
     }
 }
-
-/// A job none of whose tasks may have run is itself "not run".
-fn verdict_of(
-    outcomes: &[TaskOutcome],
-    not_run: NotRunReason,
-    may_have_run: MayHaveRunReason,
-    retry_after_ms: u64,
-) -> Verdict {
-    let first_fault = outcomes.iter().find_map(|outcome| match outcome {
-        TaskOutcome::Failed { .. } => Some(MayHaveRunReason::TaskFailed),
-        TaskOutcome::MayHaveRun { reason } if *reason != may_have_run => Some(*reason),
-        _ => None,
-    });
-    let none_ran = outcomes
-        .iter()
-        .all(|outcome| matches!(outcome, TaskOutcome::NotRun { .. }));
-    if none_ran {
-        let cause = outcomes.iter().find_map(|outcome| match outcome {
-            TaskOutcome::NotRun { reason } if *reason != not_run => Some(*reason),
-            _ => None,
-        });
-        return Verdict::NotRun {
-            reason: cause.unwrap_or(not_run),
-            retry_after_ms,
-        };
-    }
-    Verdict::MayHaveRun {
-        reason: first_fault.unwrap_or(may_have_run),
-        retry_after_ms,
-    }
-}
--- a/src/core/home/job_record.rs
+++ b/src/core/home/job_record.rs
@@ -30,7 +30,7 @@
 #[derive(Debug)]
 pub(crate) enum JobState {
     /// Its tasks are being run.
-    Running(RunningJob),
+    Running(Box<RunningJob>),
     /// Its answer is kept.
     Ended(Arc<JobAnswer>),
     /// It ended, and its answer was dropped to save memory.
--- a/src/core/home/mod.rs
+++ b/src/core/home/mod.rs
@@ -1,10 +1,13 @@
 //! The home of jobs: deduplicates, fans out, gathers and answers.
 
 mod answer_store;
+mod dispatch;
 mod home;
 mod home_event;
 mod job_record;
 mod runner_link;
+mod sessions;
+mod settle;
 mod ticket_ring;
 
 #[cfg(test)]
--- /dev/null
+++ b/src/core/home/sessions.rs
@@ -0,0 +1,132 @@
+//! The home's sessions with runners: what is outstanding there, and what became of it.
+
+use {
+    super::{Home, HomeAction, runner_link::LinkState, ticket_ring::TicketState},
+    crate::core::{
+        job::{TaskOutcome, TaskRef},
+        message::{HomeFrame, RunnerFrame, TaskStatus},
+        ticket::AgentId,
+        time::Instant,
+        verdict::{MayHaveRunReason, NotRunReason},
+    },
+};
+
+impl Home {
+    pub(super) fn on_frame(
+        &mut self,
+        now: Instant,
+        runner: AgentId,
+        epoch: u64,
+        frame: RunnerFrame,
+    ) {
+        let Some(link) = self.links.get_mut(&runner) else {
+            return;
+        };
+        if link.epoch != epoch {
+            return;
+        }
+        match frame {
+            RunnerFrame::Welcome {
+                runner: actual,
+                free_slots,
+            } => self.on_welcome(now, runner, actual, free_slots),
+            RunnerFrame::Outcome {
+                task,
+                outcome,
+                free_slots,
+            } => {
+                link.report_free(now, free_slots);
+                self.on_outcome(now, runner, task, outcome);
+            }
+            RunnerFrame::Statuses { tasks } => {
+                for (task, status) in tasks {
+                    self.on_status(now, runner, task, status);
+                }
+            }
+        }
+    }
+
+    fn on_welcome(&mut self, now: Instant, runner: AgentId, actual: AgentId, free_slots: u16) {
+        if runner != actual {
+            self.lose_runner(now, runner);
+            return;
+        }
+        let Some(link) = self.links.get_mut(&runner) else {
+            return;
+        };
+        link.state = LinkState::Open;
+        link.silent_since = None;
+        link.report_free(now, free_slots);
+        if link.outstanding.is_empty() {
+            return;
+        }
+        let tasks = link.outstanding.iter().map(|(t, e)| (*t, *e)).collect();
+        self.actions.push(HomeAction::Send {
+            runner,
+            epoch: link.epoch,
+            frame: HomeFrame::Query { tasks },
+        });
+    }
+
+    fn on_status(&mut self, now: Instant, runner: AgentId, task: TaskRef, status: TaskStatus) {
+        let outcome = match status {
+            TaskStatus::Running => return,
+            TaskStatus::Ended(outcome) => outcome,
+            TaskStatus::NeverStarted => TaskOutcome::NotRun {
+                reason: NotRunReason::Fenced,
+            },
+            TaskStatus::Forgotten => TaskOutcome::MayHaveRun {
+                reason: MayHaveRunReason::RunnerLost,
+            },
+        };
+        self.on_outcome(now, runner, task, outcome);
+    }
+
+    fn on_outcome(&mut self, now: Instant, runner: AgentId, task: TaskRef, outcome: TaskOutcome) {
+        let Some(link) = self.links.get_mut(&runner) else {
+            return;
+        };
+        if link.outstanding.remove(&task).is_none() {
+            return;
+        }
+        if let TaskOutcome::NotRun { reason } = &outcome {
+            if *reason != NotRunReason::SlotsFull {
+                link.pause(now);
+            }
+        } else {
+            self.actions.push(HomeAction::Send {
+                runner,
+                epoch: link.epoch,
+                frame: HomeFrame::Ack { tasks: vec![task] },
+            });
+        }
+        let TicketState::Used(key) = self.ring.state_of(&task.ticket) else {
+            return;
+        };
+        self.settle_task(key, task.index, outcome);
+    }
+
+    pub(super) fn on_session_lost(&mut self, now: Instant, runner: AgentId, epoch: u64) {
+        if let Some(link) = self.links.get_mut(&runner)
+            && link.epoch == epoch
+        {
+            link.lose_session(now);
+        }
+    }
+
+    /// Gives up all tasks of a runner whose process is gone.
+    pub(super) fn lose_runner(&mut self, now: Instant, runner: AgentId) {
+        let Some(link) = self.links.remove(&runner) else {
+            return;
+        };
+        for task in link.outstanding.into_keys() {
+            if let TicketState::Used(key) = self.ring.state_of(&task.ticket) {
+                let outcome = TaskOutcome::MayHaveRun {
+                    reason: MayHaveRunReason::RunnerLost,
+                };
+                self.settle_task(key, task.index, outcome);
+            }
+        }
+        self.dispatch(now);
+    }
+}
--- /dev/null
+++ b/src/core/home/settle.rs
@@ -0,0 +1,163 @@
+//! How tasks and jobs end at their home.
+
+use {
+    super::{
+        Home, HomeAction,
+        home::Timer,
+        job_record::{JobRecord, JobState, TaskState},
+        ticket_ring::JobKey,
+    },
+    crate::core::{
+        job::{JobAnswer, JobStatus, TaskOutcome, TaskRef},
+        message::HomeFrame,
+        verdict::{MayHaveRunReason, NotRunReason, Verdict},
+    },
+    std::sync::Arc,
+};
+
+/// Starts of one task, after which a home gives it up.
+const MAX_ATTEMPTS: u8 = 8;
+
+impl Home {
+    /// Takes in the end of one start of a task: retries it, ends it, or fails the job.
+    pub(super) fn settle_task(&mut self, key: JobKey, index: u16, outcome: TaskOutcome) {
+        let Some(JobRecord {
+            state: JobState::Running(job),
+            ..
+        }) = self.jobs.get_mut(key)
+        else {
+            return;
+        };
+        let attempts = job.attempts[usize::from(index)];
+        let retry = match &outcome {
+            TaskOutcome::NotRun {
+                reason: NotRunReason::SlotsFull,
+            } => Some(NotRunReason::SlotsFull.as_str()),
+            TaskOutcome::NotRun { reason } if attempts < MAX_ATTEMPTS => Some(reason.as_str()),
+            TaskOutcome::MayHaveRun { reason }
+                if job.spec.repeatable && attempts < MAX_ATTEMPTS =>
+            {
+                Some(reason.as_str())
+            }
+            _ => None,
+        };
+        if let Some(reason) = retry {
+            let was_queued = !job.queued.is_empty();
+            job.requeue(index);
+            if !was_queued {
+                self.waiting.push_front(key);
+            }
+            self.actions.push(HomeAction::CountRetry(reason));
+            return;
+        }
+        let failed = !matches!(outcome, TaskOutcome::Done { .. });
+        if !job.end_task(index, outcome) {
+            return;
+        }
+        if failed {
+            self.fail_job(key, NotRunReason::JobFailed, MayHaveRunReason::JobFailed, 0);
+        } else if job.is_complete() {
+            self.end_job(key, Verdict::Done);
+        }
+    }
+
+    /// Ends a job before all its tasks are done, with the truth for each task.
+    pub(super) fn fail_job(
+        &mut self,
+        key: JobKey,
+        not_run: NotRunReason,
+        may_have_run: MayHaveRunReason,
+        retry_after_ms: u64,
+    ) {
+        let Some(JobRecord {
+            ticket,
+            state: JobState::Running(job),
+            ..
+        }) = self.jobs.get_mut(key)
+        else {
+            return;
+        };
+        for (index, runner) in job.started() {
+            if let Some(link) = self.links.get(&runner) {
+                let task = TaskRef {
+                    ticket: *ticket,
+                    index,
+                };
+                self.actions.push(HomeAction::Send {
+                    runner,
+                    epoch: link.epoch,
+                    frame: HomeFrame::Cancel { task },
+                });
+            }
+        }
+        let outcomes = job.outcomes(not_run, may_have_run);
+        let verdict = verdict_of(&outcomes, not_run, may_have_run, retry_after_ms);
+        job.tasks = outcomes.into_iter().map(TaskState::Ended).collect();
+        self.end_job(key, verdict);
+    }
+
+    fn end_job(&mut self, key: JobKey, verdict: Verdict) {
+        let Some(record) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let JobState::Running(job) = &mut record.state else {
+            return;
+        };
+        let outcomes = std::mem::take(&mut job.tasks)
+            .into_iter()
+            .filter_map(|state| match state {
+                TaskState::Ended(outcome) => Some(outcome),
+                TaskState::Queued | TaskState::Started { .. } => None,
+            })
+            .collect();
+        let waiters = std::mem::take(&mut job.waiters);
+        self.timers.remove(&(job.deadline, Timer::Deadline(key)));
+        let answer = Arc::new(JobAnswer::new(record.ticket, verdict, outcomes));
+        record.state = JobState::Ended(Arc::clone(&answer));
+        for waiter in waiters {
+            self.reply(waiter, JobStatus::Ended(Arc::clone(&answer)));
+        }
+        self.actions.push(HomeAction::CountEnd(match verdict {
+            Verdict::Done => "done",
+            Verdict::NotRun { .. } | Verdict::MayHaveRun { .. } => verdict.reason(),
+        }));
+        for old in self.answers.keep(key, &answer) {
+            if let Some(record) = self.jobs.get_mut(old)
+                && matches!(record.state, JobState::Ended(_))
+            {
+                record.state = JobState::Dropped;
+            }
+        }
+    }
+}
+
+/// A job none of whose tasks may have run is itself "not run".
+fn verdict_of(
+    outcomes: &[TaskOutcome],
+    not_run: NotRunReason,
+    may_have_run: MayHaveRunReason,
+    retry_after_ms: u64,
+) -> Verdict {
+    let first_fault = outcomes.iter().find_map(|outcome| match outcome {
+        TaskOutcome::Failed { .. } => Some(MayHaveRunReason::TaskFailed),
+        TaskOutcome::MayHaveRun { reason } if *reason != may_have_run => Some(*reason),
+        _ => None,
+    });
+    let none_ran = outcomes
+        .iter()
+        .all(|outcome| matches!(outcome, TaskOutcome::NotRun { .. }));
+    if none_ran {
+        let cause = outcomes.iter().find_map(|outcome| match outcome {
+            TaskOutcome::NotRun { reason } if *reason != not_run => Some(*reason),
+            _ => None,
+        });
+        return Verdict::NotRun {
+            reason: cause.unwrap_or(not_run),
+            retry_after_ms,
+        };
+    }
+    Verdict::MayHaveRun {
+        reason: first_fault.unwrap_or(may_have_run),
+        retry_after_ms,
+    }
+}
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -33,7 +33,7 @@
     let me = PeerEntry {
         entry: AgentId(rand::rng().random()),
         name: settings.name.clone(),
-        peer_addr: settings.peer_listen,
+        peer_addr: settings.peer_addr,
     };
     let state = Arc::new(EntryState::new(
         me,
--- /dev/null
+++ b/tests/processes/main.rs
@@ -0,0 +1,9 @@
+//! Tests with real processes on loopback: one program for all, so that it is linked once.
+
+#![allow(
+    clippy::expect_used,
+    reason = "a test that can't be set up must fail loudly"
+)]
+
+mod path;
+mod support;
--- /dev/null
+++ b/tests/processes/support/mod.rs
@@ -0,0 +1,33 @@
+//! What the process tests share: a deployment on loopback, an HTTP client, a faulty proxy.
+
+#![allow(
+    dead_code,
+    unused_imports,
+    reason = "each helper is used by some of the tests"
+)]
+
+mod deployment;
+mod http;
+mod process;
+mod proxy;
+
+pub use {
+    deployment::{Deployment, Layout, SERVICE, TOKEN, WorkerHandle, job_body},
+    http::{Reply, get, request, try_request},
+    process::Process,
+    proxy::Proxy,
+};
+
+use std::time::{Duration, Instant};
+
+/// Waits for a condition; fails loudly after `limit`.
+pub async fn eventually<F>(what: &str, limit: Duration, mut holds: impl FnMut() -> F)
+where
+    F: Future<Output = bool>,
+{
+    let started_at = Instant::now();
+    while !holds().await {
+        assert!(started_at.elapsed() < limit, "not within {limit:?}: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/tests/processes/support/process.rs
@@ -0,0 +1,80 @@
+//! A child process, ended by its own id.
+
+use {
+    rustix::process::{Pid, Signal, kill_process},
+    std::{
+        fs::File,
+        path::Path,
+        process::{Child, Command, ExitStatus},
+        time::{Duration, Instant},
+    },
+};
+
+/// A program that a test started; killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program of this package with its output in `log`.
+    pub fn start(program: &str, args: &[&str], log: &Path) -> Self {
+        let output = File::create(log).expect("log file");
+        let child = Command::new(program)
+            .args(args)
+            .stdout(output.try_clone().expect("log file"))
+            .stderr(output)
+            .spawn()
+            .expect("program starts");
+        Self { child }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).expect("process id");
+        kill_process(Pid::from_raw(pid).expect("process id"), signal).expect("signal");
+    }
+
+    /// Freezes the process (SIGSTOP).
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on (SIGCONT).
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks for a planned stop (SIGTERM).
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Kills the process (SIGKILL) and waits until it is gone.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("kill");
+        self.child.wait().expect("wait");
+    }
+
+    /// Waits for the process's own end.
+    pub async fn wait(&mut self, limit: Duration) -> ExitStatus {
+        let started_at = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("wait") {
+                return status;
+            }
+            assert!(
+                started_at.elapsed() < limit,
+                "still running after {limit:?}"
+            );
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may be gone already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
