--- a/src/agent/home_loop.rs
+++ b/src/agent/home_loop.rs
@@ -84,9 +84,7 @@
                 runner,
                 epoch,
                 outgoing,
-            } => {
-                self.sessions.insert(runner, (epoch, outgoing));
-            }
+            } => self.keep_session(runner, epoch, outgoing),
             // A dropped receiver no longer wants the reply.
             HomeInput::Grant(count, reply) => {
                 let _ = reply.send(self.home.grant(self.timer.now(), count));
@@ -97,6 +95,23 @@
         }
     }
 
+    /// Guards against a session that opened late and takes the place of a newer one: the home
+    /// sends on the newest only, so its frames would be dropped and its tasks never start.
+    fn keep_session(
+        &mut self,
+        runner: AgentId,
+        epoch: u64,
+        outgoing: mpsc::UnboundedSender<HomeFrame>,
+    ) {
+        if self
+            .sessions
+            .get(&runner)
+            .is_none_or(|(open_epoch, _)| *open_epoch < epoch)
+        {
+            self.sessions.insert(runner, (epoch, outgoing));
+        }
+    }
+
     fn forget_session(&mut self, runner: AgentId, epoch: u64) {
         if self
             .sessions
--- a/src/core/home/answer_store.rs
+++ b/src/core/home/answer_store.rs
@@ -3,6 +3,7 @@
 use {
     super::ticket_ring::JobKey,
     crate::core::job::{JobAnswer, TaskOutcome},
+    slotmap::SecondaryMap,
     std::collections::VecDeque,
 };
 
@@ -11,16 +12,19 @@
 pub(crate) struct AnswerStore {
     limit_bytes: usize,
     kept_bytes: usize,
-    order: VecDeque<(JobKey, usize)>,
+    /// Oldest first; a job that is not in `bytes` any more has been forgotten.
+    order: VecDeque<JobKey>,
+    bytes: SecondaryMap<JobKey, usize>,
 }
 
 impl AnswerStore {
     /// A store that keeps up to `limit_bytes` of answers.
-    pub(crate) const fn new(limit_bytes: usize) -> Self {
+    pub(crate) fn new(limit_bytes: usize) -> Self {
         Self {
             limit_bytes,
             kept_bytes: 0,
             order: VecDeque::new(),
+            bytes: SecondaryMap::new(),
         }
     }
 
@@ -28,16 +32,38 @@
     pub(crate) fn keep(&mut self, key: JobKey, answer: &JobAnswer) -> Vec<JobKey> {
         let bytes = answer_bytes(answer);
         self.kept_bytes += bytes;
-        self.order.push_back((key, bytes));
+        self.order.push_back(key);
+        self.bytes.insert(key, bytes);
         let mut dropped = Vec::new();
         while self.kept_bytes > self.limit_bytes
-            && let Some((oldest, oldest_bytes)) = self.order.pop_front()
+            && let Some(oldest) = self.order.pop_front()
         {
-            self.kept_bytes -= oldest_bytes;
-            dropped.push(oldest);
+            if self.release(oldest) {
+                dropped.push(oldest);
+            }
         }
         dropped
     }
+
+    /// Frees the share of a job whose record is dropped.
+    pub(crate) fn forget(&mut self, key: JobKey) {
+        self.release(key);
+        while self
+            .order
+            .front()
+            .is_some_and(|oldest| !self.bytes.contains_key(*oldest))
+        {
+            self.order.pop_front();
+        }
+    }
+
+    fn release(&mut self, key: JobKey) -> bool {
+        let Some(bytes) = self.bytes.remove(key) else {
+            return false;
+        };
+        self.kept_bytes -= bytes;
+        true
+    }
 }
 
 fn answer_bytes(answer: &JobAnswer) -> usize {
@@ -50,5 +76,5 @@
             TaskOutcome::NotRun { .. } | TaskOutcome::MayHaveRun { .. } => 0,
         })
         .sum();
-    texts + answer.outcomes.len() * size_of::<TaskOutcome>()
+    size_of::<JobAnswer>() + texts + answer.outcomes.len() * size_of::<TaskOutcome>()
 }
--- a/src/core/home/dispatch.rs
+++ b/src/core/home/dispatch.rs
@@ -24,7 +24,7 @@
             if !wanted.contains(runner) && link.outstanding.is_empty() {
                 continue;
             }
-            if let Some(epoch) = link.next_epoch(now) {
+            if let Some(epoch) = link.next_epoch(now, &mut self.last_epoch) {
                 self.actions.push(HomeAction::OpenSession {
                     runner: *runner,
                     peer_addr: link.peer_addr,
@@ -85,7 +85,8 @@
             };
             job.queued.pop_front();
             job.tasks[usize::from(index)] = TaskState::Started { runner };
-            job.attempts[usize::from(index)] += 1;
+            let attempts = &mut job.attempts[usize::from(index)];
+            *attempts = attempts.saturating_add(1);
             link.note_start(task);
             self.actions.push(HomeAction::Send {
                 runner,
--- a/src/core/home/home.rs
+++ b/src/core/home/home.rs
@@ -27,6 +27,8 @@
 const DEADLINE_RETRY_AFTER_MS: u64 = 1_000;
 /// When to come back to another home, in milliseconds.
 const LEAVING_RETRY_AFTER_MS: u64 = 50;
+/// Time between ticks from which on this process must have been paused, in milliseconds.
+const PAUSED_AFTER_MS: u64 = 1_000;
 
 /// Limits of a home.
 #[derive(Debug, Clone, Copy)]
@@ -56,6 +58,9 @@
     pub(super) answers: AnswerStore,
     pub(super) links: RunnerLinks,
     pub(super) timers: BTreeSet<(Instant, Timer)>,
+    /// Epoch of the newest session to any runner.
+    pub(super) last_epoch: u64,
+    ticked_at: Option<Instant>,
     pub(super) placement: Box<dyn Placement>,
     pub(super) leaving: bool,
     pub(super) actions: Vec<HomeAction>,
@@ -77,6 +82,8 @@
             answers: AnswerStore::new(settings.answers_limit_bytes),
             links: RunnerLinks::new(),
             timers: BTreeSet::new(),
+            last_epoch: 0,
+            ticked_at: None,
             placement,
             leaving: false,
             actions: Vec::new(),
@@ -161,7 +168,7 @@
             TicketState::Expired => self.reply_expired(waiter),
             TicketState::Used(key) => {
                 let digest = spec.digest();
-                if self.jobs.get(key).is_some_and(|job| job.digest != digest) {
+                if self.jobs.get(key).is_some_and(|job| job.differs(&digest)) {
                     self.refuse(waiter, NotRunReason::TicketReused, 0);
                     return;
                 }
@@ -197,7 +204,10 @@
         match self.ring.state(&ticket) {
             TicketState::Forged => self.refuse(waiter, NotRunReason::TicketForged, 0),
             TicketState::Expired => self.reply_expired(waiter),
-            TicketState::Unused => self.reply(waiter, JobStatus::Unknown),
+            TicketState::Unused => {
+                let key = self.cancel_unused(ticket);
+                self.attach(now, waiter, key, &[], 0);
+            }
             TicketState::Used(key) => {
                 self.fail_job(key, NotRunReason::Cancelled, MayHaveRunReason::Cancelled, 0);
                 self.attach(now, waiter, key, &[], 0);
@@ -205,6 +215,20 @@
         }
     }
 
+    /// Uses a ticket up without a job.
+    ///
+    /// Guards against a submission that arrives after its cancellation, because it waited in a
+    /// socket or went through another entry: the canceller was told "not run", and so is it.
+    fn cancel_unused(&mut self, ticket: Ticket) -> JobKey {
+        let key = self.jobs.insert(JobRecord {
+            ticket: ticket.id,
+            digest: [0; 32],
+            state: JobState::Cancelled,
+        });
+        self.ring.record(&ticket, key);
+        key
+    }
+
     fn start_job(
         &mut self,
         now: Instant,
@@ -245,6 +269,7 @@
             JobState::Dropped => {
                 JobStatus::Refused(Verdict::may_have_run(MayHaveRunReason::AnswerDropped))
             }
+            JobState::Cancelled => JobStatus::Refused(Verdict::refused(NotRunReason::Cancelled)),
             JobState::Running(job) => {
                 for candidate in candidates {
                     if !job.candidates.contains(&candidate.runner) {
@@ -264,6 +289,30 @@
     }
 
     fn on_tick(&mut self, now: Instant) {
+        self.excuse_own_pause(now);
+        self.fire_timers(now);
+        self.lose_silent_runners(now);
+        self.drop_expired(now);
+    }
+
+    /// Guards against blaming runners for this process's own pause: when it wakes, sessions look
+    /// silent for as long as it slept, although nobody tried to reach them. That time is taken off.
+    fn excuse_own_pause(&mut self, now: Instant) {
+        let slept_ms = self
+            .ticked_at
+            .replace(now)
+            .map_or(0, |ticked_at| now.millis_since(ticked_at));
+        if slept_ms < PAUSED_AFTER_MS {
+            return;
+        }
+        for link in self.links.values_mut() {
+            if let Some(since) = &mut link.silent_since {
+                *since = since.plus_ms(slept_ms).min(now);
+            }
+        }
+    }
+
+    fn fire_timers(&mut self, now: Instant) {
         while let Some((due, timer)) = self.timers.first().copied() {
             if due > now {
                 break;
@@ -279,6 +328,9 @@
                 Timer::Wait(key, waiter) => self.end_wait(key, waiter),
             }
         }
+    }
+
+    fn lose_silent_runners(&mut self, now: Instant) {
         let lost_after_ms = self.settings.runner_lost_after_ms;
         let lost: Vec<AgentId> = self
             .links
@@ -292,8 +344,17 @@
         for runner in lost {
             self.lose_runner(now, runner);
         }
-        for key in self.ring.drop_expired(now) {
+    }
+
+    fn drop_expired(&mut self, now: Instant) {
+        let jobs = &self.jobs;
+        let is_running = |key| {
+            jobs.get(key)
+                .is_some_and(|record| matches!(record.state, JobState::Running(_)))
+        };
+        for key in self.ring.drop_expired(now, is_running) {
             self.jobs.remove(key);
+            self.answers.forget(key);
         }
     }
 
--- a/src/core/home/job_record.rs
+++ b/src/core/home/job_record.rs
@@ -35,6 +35,8 @@
     Ended(Arc<JobAnswer>),
     /// It ended, and its answer was dropped to save memory.
     Dropped,
+    /// Its ticket was cancelled before anything was submitted.
+    Cancelled,
 }
 
 /// What is needed only while a job runs.
@@ -58,6 +60,13 @@
     pub(crate) state: JobState,
 }
 
+impl JobRecord {
+    /// Whether a submission with this digest is another job than the one recorded.
+    pub(crate) fn differs(&self, digest: &[u8; 32]) -> bool {
+        !matches!(self.state, JobState::Cancelled) && self.digest != *digest
+    }
+}
+
 impl RunningJob {
     /// A job none of whose tasks has started.
     pub(crate) fn new(now: Instant, spec: JobSpec, candidates: Vec<AgentId>) -> Self {
--- a/src/core/home/runner_link.rs
+++ b/src/core/home/runner_link.rs
@@ -101,10 +101,15 @@
     }
 
     /// The next epoch to open, if a session is wanted and may be opened now.
-    pub(crate) fn next_epoch(&mut self, now: Instant) -> Option<u64> {
+    ///
+    /// `last_epoch` counts the sessions of the whole home. Guards against a runner that refuses
+    /// its home for good: a link that was given up and met anew goes on counting where the runner
+    /// last saw it, so its sessions are newer than those that the runner remembers.
+    pub(crate) fn next_epoch(&mut self, now: Instant, last_epoch: &mut u64) -> Option<u64> {
         match self.state {
             LinkState::Closed { retry_at } if now >= retry_at => {
-                self.epoch += 1;
+                *last_epoch += 1;
+                self.epoch = *last_epoch;
                 self.state = LinkState::Opening;
                 Some(self.epoch)
             }
--- a/src/core/home/settle.rs
+++ b/src/core/home/settle.rs
@@ -17,6 +17,8 @@
 
 /// Starts of one task, after which a home gives it up.
 const MAX_ATTEMPTS: u8 = 8;
+/// When to come back after no runner took a task, in milliseconds.
+const NOT_TAKEN_RETRY_AFTER_MS: u64 = 1_000;
 
 impl Home {
     /// Takes in the end of one start of a task: retries it, ends it, or fails the job.
@@ -51,11 +53,16 @@
             return;
         }
         let failed = !matches!(outcome, TaskOutcome::Done { .. });
+        let retry_after_ms = match outcome {
+            TaskOutcome::NotRun { .. } => NOT_TAKEN_RETRY_AFTER_MS,
+            _ => 0,
+        };
         if !job.end_task(index, outcome) {
             return;
         }
         if failed {
-            self.fail_job(key, NotRunReason::JobFailed, MayHaveRunReason::JobFailed, 0);
+            let reasons = (NotRunReason::JobFailed, MayHaveRunReason::JobFailed);
+            self.fail_job(key, reasons.0, reasons.1, retry_after_ms);
         } else if job.is_complete() {
             self.end_job(key, Verdict::Done);
         }
@@ -156,8 +163,6 @@
             retry_after_ms,
         };
     }
-    Verdict::MayHaveRun {
-        reason: first_fault.unwrap_or(may_have_run),
-        retry_after_ms,
-    }
+    // The answer is final: asking again can't change it.
+    Verdict::may_have_run(first_fault.unwrap_or(may_have_run))
 }
--- /dev/null
+++ b/src/core/home/tests/faults.rs
@@ -0,0 +1,189 @@
+//! Single failures, each with its story.
+
+use {
+    super::world::{World, job},
+    crate::core::{
+        job::{JobStatus, TaskOutcome},
+        verdict::{MayHaveRunReason, NotRunReason, Verdict},
+    },
+};
+
+/// An auditor's job has a long deadline and its ticket was granted long before. The ticket's
+/// time is over while the job runs; the home drops the generation with the running job in it,
+/// and the auditor's request is never answered at all.
+#[test]
+fn a_ticket_that_expires_while_its_job_runs_loses_no_answer() {
+    let mut world = World::new(1, 2);
+    let ticket = world.tickets(1)[0];
+    world.advance(19_000);
+    let waiter = world.submit(ticket, job(1, false, 10_000), 10_000);
+    world.deliver_all();
+    world.advance(2_000);
+    let again = world.submit(ticket, job(1, false, 10_000), 10_000);
+    world.finish(0, 3);
+    world.deliver_all();
+    assert_eq!(world.answer(waiter).verdict, Verdict::Done);
+    assert_eq!(world.answer(again), world.answer(waiter));
+    assert_eq!(world.starts.values().sum::<u32>(), 1);
+}
+
+/// A client's ticket is cancelled before its submission arrives: the POST waits in a socket, the
+/// DELETE goes through another entry and is told "not run". Then the POST arrives and the share
+/// is paid all the same, although the office has paid it by hand.
+#[test]
+fn a_cancelled_ticket_never_starts_late() {
+    let mut world = World::new(1, 2);
+    let ticket = world.tickets(1)[0];
+    let cancelled = world.cancel(ticket);
+    let late = world.submit(ticket, job(1, false, 5_000), 5_000);
+    world.deliver_all();
+    let not_run = JobStatus::Refused(Verdict::refused(NotRunReason::Cancelled));
+    assert_eq!(world.reply(cancelled), &not_run);
+    assert_eq!(world.reply(late), &not_run);
+    assert!(world.starts.is_empty());
+}
+
+/// A runner is cut off for longer than the limit, with many sessions behind it, and comes back.
+/// The home has forgotten the runner's link and counts sessions from one again, so the runner
+/// refuses every session as an old one: the worker stays idle although it is healthy.
+#[test]
+fn a_runner_given_up_for_lost_is_used_again_at_its_return() {
+    let mut world = World::new(1, 2);
+    let tickets = world.tickets(3);
+    world.submit(tickets[0], job(1, false, 60_000), 0);
+    for number in 0..60 {
+        world.deliver_all();
+        world.break_session(number);
+    }
+    for _ in 0..80 {
+        world.break_session(world.session_count() - 1);
+        world.advance(100);
+    }
+    let back = world.submit(tickets[1], job(1, false, 2_000), 2_000);
+    for _ in 0..4 {
+        world.deliver_all();
+        world.finish(0, 3);
+        world.deliver_all();
+        world.finish(0, 3);
+        world.advance(100);
+    }
+    assert_eq!(world.answer(back).verdict, Verdict::Done);
+}
+
+/// All slots are taken by other homes for minutes; a task is offered again each time the runner
+/// says it has a slot. After 255 refusals the count of tries overflows and the home dies with
+/// all its jobs.
+#[test]
+fn hundreds_of_refusals_do_not_end_the_home() {
+    let mut world = World::new(1, 0);
+    let ticket = world.tickets(1)[0];
+    let waiter = world.submit(ticket, job(1, false, 40_000), 40_000);
+    for _ in 0..600 {
+        world.deliver_all();
+        world.advance(60);
+    }
+    world.run_out(50_000);
+    let answer = world.answer(waiter);
+    assert!(
+        matches!(
+            answer.verdict,
+            Verdict::NotRun {
+                reason: NotRunReason::DeadlinePassed,
+                ..
+            }
+        ),
+        "{answer:?}"
+    );
+}
+
+/// A runner's acknowledgement is lost and the runner given up; when it returns, a repeatable task
+/// is offered to it again. It still keeps the first outcome and takes the start for a doubled
+/// frame: it stays mute, and the letting agent waits until the deadline for an answer that exists.
+#[test]
+fn a_start_of_an_ended_task_is_answered_with_its_outcome() {
+    let mut world = World::new(1, 2);
+    let ticket = world.tickets(1)[0];
+    let waiter = world.submit(ticket, job(1, true, 60_000), 60_000);
+    world.deliver_all();
+    world.advance(1_000);
+    for _ in 0..32 {
+        world.break_session(world.session_count() - 1);
+        world.advance(100);
+    }
+    // The runner ends the task while the home has given it up.
+    world.finish(0, 3);
+    // The entry asks again, as it does every second, and names the runner anew.
+    world.poll(ticket, 0);
+    for _ in 0..10 {
+        world.deliver_all();
+        world.advance(100);
+    }
+    assert_eq!(world.answer(waiter).verdict, Verdict::Done);
+    assert_eq!(world.starts.values().sum::<u32>(), 1);
+}
+
+/// A home hangs for ten seconds (its host pages or is frozen) just after a session broke. When it
+/// wakes, its clock says that the runner was silent for ten seconds, and jobs fail although
+/// nobody had tried to reach the runner in that time.
+#[test]
+fn a_home_that_was_paused_does_not_blame_its_runners() {
+    let mut world = World::new(1, 2);
+    let ticket = world.tickets(1)[0];
+    let waiter = world.submit(ticket, job(1, false, 60_000), 60_000);
+    world.deliver_all();
+    world.advance(5);
+    world.break_session(0);
+    world.advance(10_000);
+    world.finish(0, 3);
+    world.run_out(13_000);
+    assert_eq!(world.answer(waiter).verdict, Verdict::Done);
+}
+
+/// A job fails at one of its tasks while others run and others wait. The office must know for
+/// each share whether it may have been paid; what waits must never start.
+#[test]
+fn a_failing_job_tells_the_truth_for_each_task_and_starts_nothing_more() {
+    let mut world = World::new(1, 3);
+    let ticket = world.tickets(1)[0];
+    let waiter = world.submit(ticket, job(6, false, 5_000), 5_000);
+    world.deliver_all();
+    world.finish(0, 3);
+    world.finish(0, 0);
+    world.deliver_all();
+    let answer = world.answer(waiter);
+    let count =
+        |wanted: fn(&TaskOutcome) -> bool| answer.outcomes.iter().filter(|o| wanted(o)).count();
+    assert_eq!(count(|o| matches!(o, TaskOutcome::Done { .. })), 1);
+    assert_eq!(count(|o| matches!(o, TaskOutcome::Failed { .. })), 1);
+    let running = |o: &TaskOutcome| {
+        matches!(
+            o,
+            TaskOutcome::MayHaveRun {
+                reason: MayHaveRunReason::JobFailed
+            }
+        )
+    };
+    assert!(count(running) >= 1);
+    assert!(count(|o| matches!(o, TaskOutcome::NotRun { .. })) >= 2);
+    let started = world.starts.len();
+    world.run_out(8_000);
+    assert_eq!(world.starts.len(), started);
+    assert!(!world.stopped.is_empty(), "running tasks are told to stop");
+}
+
+/// A worker is in a zone that is out, and no other serves the job. The client gets "not run", and
+/// with it a time to come back: without one its program takes the refusal for one that lasts.
+#[test]
+fn a_job_that_no_runner_takes_is_told_when_to_come_back() {
+    let mut world = World::new(1, 2);
+    world.set_zone(0, false);
+    let ticket = world.tickets(1)[0];
+    let waiter = world.submit(ticket, job(1, false, 30_000), 30_000);
+    for _ in 0..60 {
+        world.deliver_all();
+        world.advance(100);
+    }
+    let verdict = world.answer(waiter).verdict;
+    assert_eq!(verdict.reason(), "no_permit");
+    assert!(verdict.retry_after_ms() > 0, "{verdict:?}");
+}
--- /dev/null
+++ b/src/core/home/tests/interleavings.rs
@@ -0,0 +1,219 @@
+//! Random interleavings of everything that can happen, against a naive model in one map.
+
+use {
+    super::world::{World, job},
+    crate::core::{
+        home::WaiterId,
+        job::{JobAnswer, JobStatus, TaskOutcome, TaskRef},
+        ticket::{Ticket, TicketId},
+        verdict::{NotRunReason, Verdict},
+    },
+    proptest::{
+        prelude::*,
+        test_runner::{RngSeed, TestCaseResult},
+    },
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+const TICKETS: usize = 5;
+const NODES: usize = 3;
+/// Every deadline and every ticket is over by then.
+const END_MS: u64 = 60_000;
+
+/// One thing that happens.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Submit { ticket: usize, wait_ms: u64 },
+    Poll { ticket: usize, wait_ms: u64 },
+    Cancel { ticket: usize },
+    ToRunner { session: usize },
+    ToHome { session: usize },
+    Break { session: usize },
+    CloseAtRunner { session: usize },
+    Finish { node: usize, kind: u8 },
+    Restart { node: usize },
+    Zone { node: usize, open: bool },
+    Advance { ms: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let session = 0..12_usize;
+    prop_oneof![
+        4 => (0..TICKETS, 0..1_500_u64).prop_map(|(ticket, wait_ms)| Step::Submit { ticket, wait_ms }),
+        1 => (0..TICKETS, 0..1_500_u64).prop_map(|(ticket, wait_ms)| Step::Poll { ticket, wait_ms }),
+        1 => (0..TICKETS).prop_map(|ticket| Step::Cancel { ticket }),
+        20 => session.clone().prop_map(|session| Step::ToRunner { session }),
+        20 => session.clone().prop_map(|session| Step::ToHome { session }),
+        3 => session.clone().prop_map(|session| Step::Break { session }),
+        2 => session.prop_map(|session| Step::CloseAtRunner { session }),
+        8 => (0..NODES, 0..12_u8).prop_map(|(node, kind)| Step::Finish { node, kind }),
+        1 => (0..NODES).prop_map(|node| Step::Restart { node }),
+        1 => (0..NODES, any::<bool>()).prop_map(|(node, open)| Step::Zone { node, open }),
+        4 => prop_oneof![1..100_u64, 100..4_000_u64].prop_map(|ms| Step::Advance { ms }),
+    ]
+}
+
+/// Tickets by number: jobs of different sizes and deadlines, number 1 and 3 repeatable.
+fn spec_of(ticket: usize) -> crate::core::job::JobSpec {
+    let deadline_ms = if ticket == 4 { 30_000 } else { 4_000 };
+    job(ticket + 1, is_repeatable(ticket), deadline_ms)
+}
+
+const fn is_repeatable(ticket: usize) -> bool {
+    ticket % 2 == 1
+}
+
+/// What happened, in one map: the model that the machines are compared with.
+#[derive(Debug, Default)]
+struct Model {
+    asked: BTreeMap<WaiterId, usize>,
+    answers: BTreeMap<TicketId, Arc<JobAnswer>>,
+}
+
+fn take(world: &mut World, model: &mut Model, tickets: &[Ticket], step: Step) {
+    // Later sessions than the range of the strategy are reached from the newest one back.
+    let session = |number: usize, world: &World| {
+        let count = world.session_count();
+        if count > 12 && number.is_multiple_of(2) {
+            count - 1 - number / 2
+        } else {
+            number
+        }
+    };
+    match step {
+        Step::Submit { ticket, wait_ms } => {
+            let waiter = world.submit(tickets[ticket], spec_of(ticket), wait_ms);
+            model.asked.insert(waiter, ticket);
+        }
+        Step::Poll { ticket, wait_ms } => {
+            let waiter = world.poll(tickets[ticket], wait_ms);
+            model.asked.insert(waiter, ticket);
+        }
+        Step::Cancel { ticket } => {
+            let waiter = world.cancel(tickets[ticket]);
+            model.asked.insert(waiter, ticket);
+        }
+        Step::ToRunner { session: number } => world.deliver_to_runner(session(number, world)),
+        Step::ToHome { session: number } => world.deliver_to_home(session(number, world)),
+        Step::Break { session: number } => world.break_session(session(number, world)),
+        Step::CloseAtRunner { session: number } => world.close_at_runner(session(number, world)),
+        Step::Finish { node, kind } => world.finish(node, kind),
+        Step::Restart { node } => world.restart_runner(node),
+        Step::Zone { node, open } => world.set_zone(node, open),
+        Step::Advance { ms } => world.advance(ms),
+    }
+}
+
+fn check(world: &World, model: &mut Model, tickets: &[Ticket]) -> TestCaseResult {
+    for (waiter, number) in model.asked.clone() {
+        let replies = world.replies.get(&waiter).map_or(&[][..], Vec::as_slice);
+        prop_assert_eq!(
+            replies.len(),
+            1,
+            "{:?} of ticket {}: {:?}",
+            waiter,
+            number,
+            replies
+        );
+        let ticket = tickets[number].id;
+        match &replies[0] {
+            JobStatus::Ended(answer) => check_answer(world, model, number, ticket, answer)?,
+            JobStatus::Refused(Verdict::NotRun { reason, .. }) => {
+                prop_assert_eq!(*reason, NotRunReason::Cancelled);
+                check_never_started(world, ticket)?;
+            }
+            _ => {}
+        }
+    }
+    for (task, count) in &world.starts {
+        let number = tickets.iter().position(|ticket| ticket.id == task.ticket);
+        let repeatable = number.is_some_and(is_repeatable);
+        prop_assert!(
+            *count <= 1 || repeatable,
+            "{} started {} times",
+            task,
+            count
+        );
+    }
+    Ok(())
+}
+
+fn check_answer(
+    world: &World,
+    model: &mut Model,
+    number: usize,
+    ticket: TicketId,
+    answer: &Arc<JobAnswer>,
+) -> TestCaseResult {
+    let first = model
+        .answers
+        .entry(ticket)
+        .or_insert_with(|| Arc::clone(answer));
+    prop_assert_eq!(&*first, answer, "one job, one answer");
+    prop_assert!(answer.is_whole(&ticket, spec_of(number).tasks.len()));
+    let all_done = answer
+        .outcomes
+        .iter()
+        .all(|outcome| matches!(outcome, TaskOutcome::Done { .. }));
+    prop_assert_eq!(
+        all_done,
+        answer.verdict == Verdict::Done,
+        "complete or failed"
+    );
+    for (outcome, index) in answer.outcomes.iter().zip(0..) {
+        let task = TaskRef { ticket, index };
+        let started = world.starts.get(&task).copied().unwrap_or(0);
+        match outcome {
+            TaskOutcome::NotRun { reason } => {
+                let message = format!("{task} not run ({reason:?}), started {started} times");
+                // A repeatable task may have run before the try that ended it.
+                prop_assert!(started == 0, "{}", message);
+            }
+            TaskOutcome::Done { output } => {
+                prop_assert!(started >= 1);
+                prop_assert_eq!(output, &format!("out {index}"));
+            }
+            TaskOutcome::Failed { .. } => prop_assert!(started >= 1),
+            TaskOutcome::MayHaveRun { .. } => {}
+        }
+    }
+    if matches!(answer.verdict, Verdict::NotRun { .. }) {
+        check_never_started(world, ticket)?;
+    }
+    Ok(())
+}
+
+fn check_never_started(world: &World, ticket: TicketId) -> TestCaseResult {
+    let started: Vec<_> = world
+        .starts
+        .iter()
+        .filter(|(task, count)| task.ticket == ticket && **count > 0)
+        .collect();
+    prop_assert!(started.is_empty(), "not run, but started: {:?}", started);
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_500,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(4),
+        max_shrink_iters: 20_000,
+        ..ProptestConfig::default()
+    })]
+
+    /// A deckhand's share is paid twice, or the office is told "not run" and pays it again by
+    /// hand, when starts, refusals, silence, new sessions, restarts, late frames, resubmissions,
+    /// cancellations and deadlines cross in an order that nobody thought of.
+    #[test]
+    fn any_interleaving_keeps_the_promises(steps in prop::collection::vec(step(), 1..160)) {
+        let mut world = World::new(NODES, 2);
+        let tickets = world.tickets(u32::try_from(TICKETS).unwrap_or(0));
+        let mut model = Model::default();
+        for step in steps {
+            take(&mut world, &mut model, &tickets, step);
+        }
+        world.run_out(END_MS);
+        check(&world, &mut model, &tickets)?;
+    }
+}
--- /dev/null
+++ b/src/core/home/tests/world.rs
@@ -0,0 +1,461 @@
+//! One home and a few runners on a network that delays, breaks and crosses everything.
+
+use {
+    crate::core::{
+        home::{Home, HomeAction, HomeEvent, HomeSettings, WaiterId},
+        job::{JobAnswer, JobSpec, JobStatus, TaskOutcome, TaskRef, TaskSpec},
+        message::{Candidate, HomeFrame, RunnerFrame, StartFrame},
+        placement::MostFree,
+        runner::{Runner, RunnerAction, RunnerEvent, RunnerSettings, SessionId},
+        ticket::{AgentId, GrantSecret, Ticket},
+        time::Instant,
+        verdict::{MayHaveRunReason, NotRunReason},
+    },
+    std::{
+        collections::{BTreeMap, VecDeque},
+        net::SocketAddr,
+        sync::Arc,
+    },
+};
+
+const SERVICE: &str = "crew-share";
+const KEEP_OUTCOME_MS: u64 = 2_000;
+const TICKET_TTL_MS: u64 = 20_000;
+
+/// A session with the frames under way on it.
+#[derive(Debug)]
+struct Session {
+    runner: AgentId,
+    epoch: u64,
+    node: usize,
+    /// The process behind the address when the session was opened.
+    incarnation: u64,
+    id: SessionId,
+    to_runner: VecDeque<HomeFrame>,
+    to_home: VecDeque<RunnerFrame>,
+    home_lost: bool,
+    runner_closed: bool,
+}
+
+#[derive(Debug)]
+struct Node {
+    runner: Runner,
+    id: AgentId,
+    running: Vec<TaskRef>,
+    version: u64,
+}
+
+/// Everything, with the witness of starts and of replies.
+#[derive(Debug)]
+pub(super) struct World {
+    pub(super) now_ms: u64,
+    pub(super) home: Home,
+    nodes: Vec<Node>,
+    sessions: Vec<Session>,
+    next_id: u64,
+    pub(super) starts: BTreeMap<TaskRef, u32>,
+    pub(super) replies: BTreeMap<WaiterId, Vec<JobStatus>>,
+    pub(super) asked: u64,
+    pub(super) stopped: Vec<TaskRef>,
+}
+
+const fn home_settings() -> HomeSettings {
+    HomeSettings {
+        ticket_ttl_ms: TICKET_TTL_MS,
+        answers_limit_bytes: 32 << 20,
+        runner_lost_after_ms: 3_000,
+    }
+}
+
+pub(super) fn job(tasks: usize, repeatable: bool, deadline_ms: u64) -> JobSpec {
+    let tasks = (0..tasks)
+        .map(|index| TaskSpec {
+            input: format!("share {index}"),
+            declared_run_ms: 0,
+            memory_mb: 0,
+            accelerators: 0,
+        })
+        .collect();
+    JobSpec {
+        service: SERVICE.to_owned(),
+        team: String::new(),
+        deadline_ms,
+        repeatable,
+        tasks,
+    }
+}
+
+fn addr(node: usize) -> SocketAddr {
+    let port = u16::try_from(1_000 + node).unwrap_or(u16::MAX);
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+impl World {
+    /// A home and `nodes` runners with `slots` slots each, all with permits.
+    pub(super) fn new(nodes: usize, slots: u16) -> Self {
+        let secret = GrantSecret::new([7; 32]);
+        let placement = Box::new(MostFree::new(11));
+        let mut world = Self {
+            now_ms: 1_000,
+            home: Home::new(AgentId(1), secret, home_settings(), placement),
+            nodes: Vec::new(),
+            sessions: Vec::new(),
+            next_id: 100,
+            starts: BTreeMap::new(),
+            replies: BTreeMap::new(),
+            asked: 0,
+            stopped: Vec::new(),
+        };
+        for _ in 0..nodes {
+            let node = world.boot(slots);
+            world.nodes.push(node);
+        }
+        world
+    }
+
+    fn boot(&mut self, slots: u16) -> Node {
+        self.next_id += 1;
+        let id = AgentId(self.next_id);
+        let settings = RunnerSettings {
+            keep_outcome_ms: KEEP_OUTCOME_MS,
+        };
+        let mut runner = Runner::new(id, settings);
+        let services = vec![SERVICE.to_owned()];
+        runner.handle(self.now(), RunnerEvent::BackendUp { services, slots });
+        runner.handle(self.now(), permit(self.now(), 1, true));
+        Node {
+            runner,
+            id,
+            running: Vec::new(),
+            version: 1,
+        }
+    }
+
+    pub(super) const fn now(&self) -> Instant {
+        Instant::from_millis(self.now_ms)
+    }
+
+    /// Grants a block and returns its first tickets.
+    pub(super) fn tickets(&mut self, count: u32) -> Vec<Ticket> {
+        let grant = self.home.grant(self.now(), count).expect("grant");
+        (0..count).map(|counter| grant.ticket(counter)).collect()
+    }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        self.nodes
+            .iter()
+            .enumerate()
+            .map(|(number, node)| Candidate {
+                runner: node.id,
+                peer_addr: addr(number),
+                slots: node.runner.slots(),
+                free_slots: node.runner.free_slots(),
+            })
+            .collect()
+    }
+
+    fn waiter(&mut self) -> WaiterId {
+        self.asked += 1;
+        WaiterId(self.asked)
+    }
+
+    pub(super) fn submit(&mut self, ticket: Ticket, spec: JobSpec, wait_ms: u64) -> WaiterId {
+        let (waiter, candidates) = (self.waiter(), self.candidates());
+        self.feed(HomeEvent::Submit {
+            waiter,
+            ticket,
+            spec,
+            candidates,
+            wait_ms,
+        });
+        waiter
+    }
+
+    pub(super) fn poll(&mut self, ticket: Ticket, wait_ms: u64) -> WaiterId {
+        let (waiter, candidates) = (self.waiter(), self.candidates());
+        self.feed(HomeEvent::Poll {
+            waiter,
+            ticket,
+            candidates,
+            wait_ms,
+        });
+        waiter
+    }
+
+    pub(super) fn cancel(&mut self, ticket: Ticket) -> WaiterId {
+        let waiter = self.waiter();
+        self.feed(HomeEvent::Cancel { waiter, ticket });
+        waiter
+    }
+
+    /// The single reply that this waiter must have got by now.
+    pub(super) fn reply(&self, waiter: WaiterId) -> &JobStatus {
+        match self.replies.get(&waiter).map(Vec::as_slice) {
+            Some([status]) => status,
+            other => panic!("{waiter:?} must have one reply, has {other:?}"),
+        }
+    }
+
+    /// The final answer that this waiter must have got by now.
+    pub(super) fn answer(&self, waiter: WaiterId) -> Arc<JobAnswer> {
+        match self.reply(waiter) {
+            JobStatus::Ended(answer) => Arc::clone(answer),
+            other => panic!("{waiter:?} has no answer but {other:?}"),
+        }
+    }
+
+    pub(super) fn feed(&mut self, event: HomeEvent) {
+        for action in self.home.handle(self.now(), event) {
+            match action {
+                HomeAction::OpenSession {
+                    runner,
+                    peer_addr,
+                    epoch,
+                } => self.open(runner, peer_addr, epoch),
+                HomeAction::Send {
+                    runner,
+                    epoch,
+                    frame,
+                } => self.send(runner, epoch, frame),
+                HomeAction::Reply { waiter, status } => {
+                    self.replies.entry(waiter).or_default().push(status);
+                }
+                HomeAction::CountRetry(_) | HomeAction::CountEnd(_) => {}
+            }
+        }
+    }
+
+    fn open(&mut self, runner: AgentId, peer_addr: SocketAddr, epoch: u64) {
+        let node = usize::from(peer_addr.port()) - 1_000;
+        self.next_id += 1;
+        let hello = HomeFrame::Hello {
+            home: self.home.id(),
+            epoch,
+        };
+        self.sessions.push(Session {
+            runner,
+            epoch,
+            node,
+            incarnation: self.nodes[node].id.0,
+            id: SessionId(self.next_id),
+            to_runner: VecDeque::from([hello]),
+            to_home: VecDeque::new(),
+            home_lost: false,
+            runner_closed: false,
+        });
+    }
+
+    fn send(&mut self, runner: AgentId, epoch: u64, frame: HomeFrame) {
+        let session = self
+            .sessions
+            .iter_mut()
+            .find(|s| s.runner == runner && s.epoch == epoch && !s.home_lost);
+        if let Some(session) = session {
+            session.to_runner.push_back(frame);
+        }
+    }
+
+    /// Delivers the next frame of a session to its runner, also long after the home lost it.
+    pub(super) fn deliver_to_runner(&mut self, number: usize) {
+        let Some(session) = self.sessions.get_mut(number) else {
+            return;
+        };
+        let is_gone = self.nodes[session.node].id.0 != session.incarnation;
+        if session.runner_closed || is_gone {
+            session.to_runner.clear();
+            return;
+        }
+        let Some(frame) = session.to_runner.pop_front() else {
+            return;
+        };
+        let (node, session) = (session.node, session.id);
+        self.feed_runner(node, RunnerEvent::Frame { session, frame });
+    }
+
+    /// Delivers the next frame of a session to the home, also after a newer one was opened.
+    pub(super) fn deliver_to_home(&mut self, number: usize) {
+        let Some(session) = self.sessions.get_mut(number) else {
+            return;
+        };
+        let Some(frame) = session.to_home.pop_front() else {
+            if session.runner_closed && !session.home_lost {
+                self.break_session(number);
+            }
+            return;
+        };
+        let (runner, epoch) = (session.runner, session.epoch);
+        self.feed(HomeEvent::Frame {
+            runner,
+            epoch,
+            frame,
+        });
+    }
+
+    /// The home finds a session lost; what is under way on it may still arrive.
+    pub(super) fn break_session(&mut self, number: usize) {
+        let Some(session) = self.sessions.get_mut(number) else {
+            return;
+        };
+        if std::mem::replace(&mut session.home_lost, true) {
+            return;
+        }
+        let (runner, epoch) = (session.runner, session.epoch);
+        self.feed(HomeEvent::SessionLost { runner, epoch });
+    }
+
+    /// The runner finds a session lost, with all that was under way to it.
+    pub(super) fn close_at_runner(&mut self, number: usize) {
+        let Some(session) = self.sessions.get_mut(number) else {
+            return;
+        };
+        if std::mem::replace(&mut session.runner_closed, true) {
+            return;
+        }
+        session.to_home.clear();
+        let (node, session) = (session.node, session.id);
+        self.feed_runner(node, RunnerEvent::SessionClosed { session });
+    }
+
+    pub(super) fn feed_runner(&mut self, node: usize, event: RunnerEvent) {
+        let now = self.now();
+        for action in self.nodes[node].runner.handle(now, event) {
+            match action {
+                RunnerAction::Send { session, frame } => {
+                    if let Some(open) = self.sessions.iter_mut().find(|s| s.id == session)
+                        && !open.runner_closed
+                    {
+                        open.to_home.push_back(frame);
+                    }
+                }
+                RunnerAction::Run(StartFrame { task, .. }) => {
+                    *self.starts.entry(task).or_default() += 1;
+                    self.nodes[node].running.push(task);
+                }
+                RunnerAction::Stop(task) => self.stopped.push(task),
+                RunnerAction::Close(session) => {
+                    if let Some(open) = self.sessions.iter_mut().find(|s| s.id == session) {
+                        open.runner_closed = true;
+                    }
+                }
+                RunnerAction::CountRefusal(_) => {}
+            }
+        }
+    }
+
+    /// A backend server ends its oldest running task; `kind` picks how.
+    pub(super) fn finish(&mut self, node: usize, kind: u8) {
+        if self.nodes[node].running.is_empty() {
+            return;
+        }
+        let task = self.nodes[node].running.remove(0);
+        let outcome = match kind {
+            0 => TaskOutcome::Failed {
+                message: "broken".to_owned(),
+            },
+            1 => TaskOutcome::MayHaveRun {
+                reason: MayHaveRunReason::BackendLost,
+            },
+            2 => {
+                // The backend server said that it ran nothing, so the witness forgets the start.
+                if let Some(count) = self.starts.get_mut(&task) {
+                    *count -= 1;
+                }
+                TaskOutcome::NotRun {
+                    reason: NotRunReason::BackendRefused,
+                }
+            }
+            _ => TaskOutcome::Done {
+                output: format!("out {}", task.index),
+            },
+        };
+        self.feed_runner(node, RunnerEvent::Finished { task, outcome });
+    }
+
+    /// A backend server ends its oldest running task with this output.
+    pub(super) fn finish_with(&mut self, node: usize, output: String) {
+        let task = self.nodes[node].running.remove(0);
+        let outcome = TaskOutcome::Done { output };
+        self.feed_runner(node, RunnerEvent::Finished { task, outcome });
+    }
+
+    /// Drops the records of starts and replies, so that they don't count as the home's memory.
+    pub(super) fn forget_witness(&mut self) {
+        self.starts.clear();
+        self.replies.clear();
+    }
+
+    /// The runner's process is replaced by another one at the same address.
+    pub(super) fn restart_runner(&mut self, node: usize) {
+        let slots = self.nodes[node].runner.slots();
+        self.nodes[node] = self.boot(slots);
+    }
+
+    /// Opens or closes the zone of a runner.
+    pub(super) fn set_zone(&mut self, node: usize, open: bool) {
+        self.nodes[node].version += 1;
+        let event = permit(self.now(), self.nodes[node].version, open);
+        self.feed_runner(node, event);
+    }
+
+    pub(super) fn advance(&mut self, ms: u64) {
+        self.now_ms += ms;
+        for node in 0..self.nodes.len() {
+            self.feed_runner(node, RunnerEvent::Tick);
+        }
+        self.feed(HomeEvent::Tick);
+    }
+
+    pub(super) const fn session_count(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Lets everything arrive and end: late frames too, then running tasks, then deadlines.
+    pub(super) fn run_out(&mut self, until_ms: u64) {
+        while self.now_ms < until_ms {
+            for _ in 0..4 {
+                self.deliver_all();
+                for node in 0..self.nodes.len() {
+                    while !self.nodes[node].running.is_empty() {
+                        self.finish(node, 3);
+                    }
+                }
+            }
+            self.advance(50);
+        }
+        self.deliver_all();
+    }
+
+    pub(super) fn deliver_all(&mut self) {
+        let mut number = 0;
+        while number < self.sessions.len() {
+            while self.sessions[number].has_frames() {
+                self.deliver_to_runner(number);
+                self.deliver_to_home(number);
+            }
+            self.notice_end(number);
+            number += 1;
+        }
+    }
+
+    fn notice_end(&mut self, number: usize) {
+        let session = &self.sessions[number];
+        if session.runner_closed || self.nodes[session.node].id.0 != session.incarnation {
+            self.break_session(number);
+        }
+    }
+}
+
+impl Session {
+    fn has_frames(&self) -> bool {
+        !self.to_runner.is_empty() || !self.to_home.is_empty()
+    }
+}
+
+fn permit(sent_at: Instant, config_version: u64, zone_open: bool) -> RunnerEvent {
+    RunnerEvent::PermitRenewed {
+        sent_at,
+        config_version,
+        zone_open,
+        permit_ms: 10_000_000,
+    }
+}
--- a/src/core/home/ticket_ring.rs
+++ b/src/core/home/ticket_ring.rs
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 struct Generation {
     granted_at: Instant,
+    /// Past its time: no job may begin, those that run may end.
+    closed: bool,
     jobs: BTreeMap<u32, JobKey>,
 }
 
@@ -65,6 +67,7 @@
         self.next_generation += 1;
         let opened = Generation {
             granted_at: now,
+            closed: false,
             jobs: BTreeMap::new(),
         };
         self.generations.insert(generation, opened);
@@ -86,6 +89,7 @@
         };
         match generation.jobs.get(&id.counter) {
             Some(&key) => TicketState::Used(key),
+            None if generation.closed => TicketState::Expired,
             None => TicketState::Unused,
         }
     }
@@ -97,14 +101,38 @@
         }
     }
 
-    /// Drops the generations past their time to live and returns their jobs.
-    pub(crate) fn drop_expired(&mut self, now: Instant) -> Vec<JobKey> {
+    /// Drops the records past their time to live and returns their jobs.
+    ///
+    /// Guards against a lost answer when a ticket's time is over in the middle of its job: the
+    /// record of a running job stays until the job has ended, and only the rest of its
+    /// generation is dropped.
+    pub(crate) fn drop_expired(
+        &mut self,
+        now: Instant,
+        is_running: impl Fn(JobKey) -> bool,
+    ) -> Vec<JobKey> {
+        let expired: Vec<u32> = self
+            .generations
+            .iter()
+            .take_while(|(_, generation)| now.millis_since(generation.granted_at) >= self.ttl_ms)
+            .map(|(number, _)| *number)
+            .collect();
         let mut dropped = Vec::new();
-        while let Some(oldest) = self.generations.first_entry() {
-            if now.millis_since(oldest.get().granted_at) < self.ttl_ms {
-                break;
+        for number in expired {
+            let Some(generation) = self.generations.get_mut(&number) else {
+                continue;
+            };
+            generation.closed = true;
+            generation.jobs.retain(|_, key| {
+                let keep = is_running(*key);
+                if !keep {
+                    dropped.push(*key);
+                }
+                keep
+            });
+            if generation.jobs.is_empty() {
+                self.generations.remove(&number);
             }
-            dropped.extend(oldest.remove().jobs.into_values());
         }
         dropped
     }
--- a/src/core/runner/home_link.rs
+++ b/src/core/runner/home_link.rs
@@ -35,6 +35,26 @@
 }
 
 impl HomeLink {
+    /// The link of a home that opens a session of this epoch and is not remembered.
+    ///
+    /// Guards against a false "never started": a home has tasks from earlier sessions here only
+    /// if this runner had welcomed them, so whoever asks after such a task asks after something
+    /// that was forgotten together with the link.
+    pub(crate) fn new(epoch: u64) -> Self {
+        Self {
+            forgot_through_epoch: epoch.saturating_sub(1),
+            ..Self::default()
+        }
+    }
+
+    /// Whether nothing of this home is left here that it could still ask for.
+    pub(crate) fn is_idle(&self, now: Instant, keep_ms: u64) -> bool {
+        self.session.is_none()
+            && self.running.is_empty()
+            && self.ended.is_empty()
+            && now.millis_since(self.used_at) >= keep_ms
+    }
+
     /// Drops outcomes that nobody asked for in `keep_ms`.
     pub(crate) fn drop_old_outcomes(&mut self, now: Instant, keep_ms: u64) {
         let mut forgot = self.forgot_through_epoch;
--- a/src/core/runner/mod.rs
+++ b/src/core/runner/mod.rs
@@ -4,6 +4,9 @@
 mod runner;
 mod runner_event;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use {
     runner::{Runner, RunnerSettings},
     runner_event::{RunnerAction, RunnerEvent, SessionId},
--- a/src/core/runner/runner.rs
+++ b/src/core/runner/runner.rs
@@ -32,7 +32,7 @@
     services: Vec<String>,
     slots: u16,
     leaving: bool,
-    links: BTreeMap<AgentId, HomeLink>,
+    pub(super) links: BTreeMap<AgentId, HomeLink>,
     sessions: BTreeMap<SessionId, (AgentId, u64)>,
 }
 
@@ -86,7 +86,7 @@
     pub(crate) fn handle(&mut self, now: Instant, event: RunnerEvent) -> Vec<RunnerAction> {
         match event {
             RunnerEvent::Frame { session, frame } => self.on_frame(now, session, frame),
-            RunnerEvent::SessionClosed { session } => self.on_session_closed(session),
+            RunnerEvent::SessionClosed { session } => self.on_session_closed(now, session),
             RunnerEvent::Finished { task, outcome } => self.on_finished(now, task, outcome),
             RunnerEvent::BackendUp { services, slots } => {
                 self.services = services;
@@ -116,6 +116,7 @@
                 for link in self.links.values_mut() {
                     link.drop_old_outcomes(now, keep_ms);
                 }
+                self.links.retain(|_, link| !link.is_idle(now, keep_ms));
                 Vec::new()
             }
         }
@@ -139,9 +140,8 @@
             HomeFrame::Cancel { task } => self.on_cancel(home, task),
             HomeFrame::Query { tasks } => self.on_query(now, session, home, tasks),
             HomeFrame::Ack { tasks } => {
-                let link = self.links.entry(home).or_default();
-                for task in tasks {
-                    link.ended.remove(&task);
+                if let Some(link) = self.links.get_mut(&home) {
+                    link.ended.retain(|task, _| !tasks.contains(task));
                 }
                 Vec::new()
             }
@@ -155,7 +155,10 @@
         home: AgentId,
         epoch: u64,
     ) -> Vec<RunnerAction> {
-        let link = self.links.entry(home).or_default();
+        let link = self
+            .links
+            .entry(home)
+            .or_insert_with(|| HomeLink::new(epoch));
         if epoch <= link.epoch {
             return vec![RunnerAction::Close(session)];
         }
@@ -187,21 +190,45 @@
         start: StartFrame,
     ) -> Vec<RunnerAction> {
         let task = start.task;
+        if let Some(actions) = self.repeated_start(session, home, task) {
+            return actions;
+        }
         if let Some(reason) = self.refusal(now, home, epoch, &start) {
             return vec![
                 RunnerAction::CountRefusal(reason),
                 self.outcome_frame(session, task, TaskOutcome::NotRun { reason }),
             ];
         }
-        let link = self.links.entry(home).or_default();
+        let Some(link) = self.links.get_mut(&home) else {
+            return vec![RunnerAction::Close(session)];
+        };
         link.used_at = now;
-        if link.running.contains_key(&task) || link.ended.contains_key(&task) {
-            return Vec::new();
-        }
         link.running.insert(task, epoch);
         vec![RunnerAction::Run(start)]
     }
 
+    /// What to do about a start of a task that is known here.
+    ///
+    /// Guards against a second start, and against a home that waits for nothing: it may have
+    /// given this runner up and offer a repeatable task anew, while the outcome is still kept.
+    fn repeated_start(
+        &self,
+        session: SessionId,
+        home: AgentId,
+        task: TaskRef,
+    ) -> Option<Vec<RunnerAction>> {
+        let link = self.links.get(&home)?;
+        if link.running.contains_key(&task) {
+            return Some(Vec::new());
+        }
+        let kept = link.ended.get(&task)?;
+        Some(vec![self.outcome_frame(
+            session,
+            task,
+            kept.outcome.clone(),
+        )])
+    }
+
     /// Why this start can't be taken, if it can't.
     fn refusal(
         &self,
@@ -248,7 +275,9 @@
         home: AgentId,
         tasks: Vec<(TaskRef, u64)>,
     ) -> Vec<RunnerAction> {
-        let link = self.links.entry(home).or_default();
+        let Some(link) = self.links.get_mut(&home) else {
+            return vec![RunnerAction::Close(session)];
+        };
         link.used_at = now;
         let statuses = tasks
             .into_iter()
@@ -260,12 +289,13 @@
         }]
     }
 
-    fn on_session_closed(&mut self, session: SessionId) -> Vec<RunnerAction> {
+    fn on_session_closed(&mut self, now: Instant, session: SessionId) -> Vec<RunnerAction> {
         if let Some((home, _)) = self.sessions.remove(&session)
             && let Some(link) = self.links.get_mut(&home)
             && link.session == Some(session)
         {
             link.session = None;
+            link.used_at = now;
         }
         Vec::new()
     }
--- /dev/null
+++ b/src/core/runner/tests.rs
@@ -0,0 +1,176 @@
+//! Tests of the runner machine by itself; the home's tests drive both machines together.
+
+#![allow(clippy::panic, reason = "a test that cannot go on must fail loudly")]
+
+use {
+    super::{Runner, RunnerAction, RunnerEvent, RunnerSettings, SessionId},
+    crate::core::{
+        job::{TaskOutcome, TaskRef},
+        message::{HomeFrame, RunnerFrame, StartFrame, TaskStatus},
+        ticket::{AgentId, TicketId},
+        time::Instant,
+        verdict::NotRunReason,
+    },
+};
+
+const HOME: AgentId = AgentId(1);
+const KEEP_OUTCOME_MS: u64 = 1_000;
+
+fn task(index: u16) -> TaskRef {
+    let ticket = TicketId {
+        home: HOME,
+        generation: 0,
+        counter: 0,
+    };
+    TaskRef { ticket, index }
+}
+
+fn start(index: u16) -> StartFrame {
+    StartFrame {
+        task: task(index),
+        service: "crew-share".to_owned(),
+        input: String::new(),
+        deadline_ms: 1_000,
+        memory_mb: 0,
+        accelerators: 0,
+    }
+}
+
+fn runner() -> Runner {
+    let settings = RunnerSettings {
+        keep_outcome_ms: KEEP_OUTCOME_MS,
+    };
+    let mut runner = Runner::new(AgentId(2), settings);
+    let services = vec!["crew-share".to_owned()];
+    runner.handle(at(0), RunnerEvent::BackendUp { services, slots: 1 });
+    let permit = RunnerEvent::PermitRenewed {
+        sent_at: at(0),
+        config_version: 1,
+        zone_open: true,
+        permit_ms: 1_000_000,
+    };
+    runner.handle(at(0), permit);
+    runner
+}
+
+const fn at(now_ms: u64) -> Instant {
+    Instant::from_millis(now_ms)
+}
+
+fn frame(runner: &mut Runner, now_ms: u64, session: u64, frame: HomeFrame) -> Vec<RunnerAction> {
+    let session = SessionId(session);
+    runner.handle(at(now_ms), RunnerEvent::Frame { session, frame })
+}
+
+fn hello(runner: &mut Runner, now_ms: u64, session: u64, epoch: u64) -> Vec<RunnerAction> {
+    frame(
+        runner,
+        now_ms,
+        session,
+        HomeFrame::Hello { home: HOME, epoch },
+    )
+}
+
+fn status(runner: &mut Runner, now_ms: u64, session: u64, index: u16, epoch: u64) -> TaskStatus {
+    let tasks = vec![(task(index), epoch)];
+    let actions = frame(runner, now_ms, session, HomeFrame::Query { tasks });
+    match actions.into_iter().next() {
+        Some(RunnerAction::Send {
+            frame: RunnerFrame::Statuses { mut tasks },
+            ..
+        }) => tasks.remove(0).1,
+        other => panic!("no statuses but {other:?}"),
+    }
+}
+
+/// A home is frozen for minutes; the runner has run its task and dropped the outcome that nobody
+/// fetched, and later everything it knew of that home. The home wakes and asks. "Never started"
+/// would make it start the share payment a second time elsewhere.
+#[test]
+fn a_forgotten_home_is_never_told_never_started() {
+    let mut runner = runner();
+    hello(&mut runner, 0, 1, 3);
+    frame(&mut runner, 0, 1, HomeFrame::Start(start(0)));
+    let session = SessionId(1);
+    runner.handle(at(10), RunnerEvent::SessionClosed { session });
+    let outcome = TaskOutcome::Done {
+        output: "paid".to_owned(),
+    };
+    runner.handle(
+        at(20),
+        RunnerEvent::Finished {
+            task: task(0),
+            outcome,
+        },
+    );
+    runner.handle(at(1_100), RunnerEvent::Tick);
+    assert!(runner.links.is_empty(), "idle links must not pile up");
+
+    hello(&mut runner, 2_000, 2, 4);
+    assert_eq!(status(&mut runner, 2_000, 2, 0, 3), TaskStatus::Forgotten);
+    assert_eq!(
+        status(&mut runner, 2_000, 2, 1, 4),
+        TaskStatus::NeverStarted
+    );
+}
+
+/// A start waits in the socket of a connection that the home believes lost. The home opens a new
+/// session and is told that the task never started, so it starts the task elsewhere; then the old
+/// bytes arrive after all.
+#[test]
+fn a_start_on_a_replaced_session_never_runs() {
+    let mut runner = runner();
+    hello(&mut runner, 0, 1, 1);
+    hello(&mut runner, 1, 2, 2);
+    assert_eq!(status(&mut runner, 1, 2, 0, 1), TaskStatus::NeverStarted);
+    let late = frame(&mut runner, 2, 1, HomeFrame::Start(start(0)));
+    assert_eq!(late, vec![RunnerAction::Close(SessionId(1))]);
+    let stale_hello = hello(&mut runner, 3, 3, 1);
+    assert_eq!(stale_hello, vec![RunnerAction::Close(SessionId(3))]);
+    assert_eq!(runner.running_count(), 0);
+}
+
+/// What a second task is told while the only slot is taken, or while the runner is unfit.
+macro_rules! refusal_cases {
+    ($($name:ident: $event:expr => $reason:ident;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut runner = runner();
+                hello(&mut runner, 0, 1, 1);
+                frame(&mut runner, 0, 1, HomeFrame::Start(start(0)));
+                if let Some(event) = $event {
+                    runner.handle(at(0), event);
+                }
+                let actions = frame(&mut runner, 0, 1, HomeFrame::Start(start(1)));
+                let reason = NotRunReason::$reason;
+                assert_eq!(actions[0], RunnerAction::CountRefusal(reason));
+                assert!(!actions.iter().any(|a| matches!(a, RunnerAction::Run(_))));
+                assert_eq!(runner.running_count(), 1);
+            }
+        )+
+    };
+}
+
+refusal_cases! {
+    a_full_runner_refuses: None::<RunnerEvent> => SlotsFull;
+    a_leaving_runner_refuses: Some(RunnerEvent::Leave) => Leaving;
+    a_runner_without_backend_server_refuses: Some(RunnerEvent::BackendGone) => BackendDown;
+    a_runner_in_a_closed_zone_refuses: Some(RunnerEvent::PermitRenewed {
+        sent_at: at(0),
+        config_version: 2,
+        zone_open: false,
+        permit_ms: 0,
+    }) => NoPermit;
+}
+
+/// A frame is doubled on its way: the task must not start twice.
+#[test]
+fn a_doubled_start_runs_once() {
+    let mut runner = runner();
+    hello(&mut runner, 0, 1, 1);
+    let first = frame(&mut runner, 0, 1, HomeFrame::Start(start(0)));
+    assert_eq!(first, vec![RunnerAction::Run(start(0))]);
+    let doubled = frame(&mut runner, 0, 1, HomeFrame::Start(start(0)));
+    assert!(doubled.is_empty());
+}
