--- a/src/adapters/http/answer.rs
+++ b/src/adapters/http/answer.rs
@@ -207,7 +207,9 @@
 }
 
 fn body(json: &AnswerJson<'_>) -> String {
-    serde_json::to_string(json).unwrap_or_default()
+    let mut text = serde_json::to_string(json).unwrap_or_default();
+    text.push('\n');
+    text
 }
 
 fn respond(verdict: Verdict, json: &AnswerJson<'_>) -> Response {
@@ -228,7 +230,7 @@
 }
 
 /// The HTTP status that says the same as the verdict.
-fn status_of(verdict: Verdict) -> StatusCode {
+pub(super) fn status_of(verdict: Verdict) -> StatusCode {
     match verdict {
         Verdict::Done => StatusCode::OK,
         Verdict::NotRun { reason, .. } => not_run_status(reason),
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -8,6 +8,9 @@
 mod job_body;
 mod operator_api;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use {
     agent_api::{AgentApi, BackendBody, serve_agent_api},
     answer::{REASON_HEADER, VERDICT_HEADER},
--- /dev/null
+++ b/tests/pages.rs
@@ -0,0 +1,181 @@
+//! Checks that what the pages name exists: files, tests, settings, metrics, reasons and flags.
+
+#![allow(
+    clippy::expect_used,
+    reason = "a test that can't be set up must fail loudly"
+)]
+
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{Path, PathBuf},
+};
+
+/// Folders whose text may hold what a page names.
+const CODE_FOLDERS: [&str; 5] = ["src", "tests", "scripts", "examples", ".ci"];
+/// Files beside them.
+const CODE_FILES: [&str; 2] = ["Cargo.toml", "Cargo.lock"];
+
+fn top() -> &'static Path {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+}
+
+/// All files below a folder.
+fn files_below(folder: &Path) -> Vec<PathBuf> {
+    let mut files = Vec::new();
+    for item in fs::read_dir(folder).expect("folder") {
+        let path = item.expect("file").path();
+        if path.is_dir() {
+            files.extend(files_below(&path));
+        } else {
+            files.push(path);
+        }
+    }
+    files
+}
+
+fn pages() -> Vec<PathBuf> {
+    let mut pages = files_below(&top().join("docs"));
+    pages.extend(["README.md", "CONTRIBUTING.md", "CHANGELOG.md"].map(|page| top().join(page)));
+    pages.retain(|page| page.extension().is_some_and(|extension| extension == "md"));
+    pages
+}
+
+fn code() -> String {
+    let mut files: Vec<PathBuf> = CODE_FILES.iter().map(|file| top().join(file)).collect();
+    for folder in CODE_FOLDERS {
+        files.extend(files_below(&top().join(folder)));
+    }
+    let texts = files
+        .iter()
+        .map(|file| fs::read_to_string(file).expect("text"));
+    texts.collect::<Vec<_>>().join("\n")
+}
+
+/// The words of the code: what stands between characters that no name contains.
+fn words(text: &str) -> BTreeSet<&str> {
+    text.split(|c: char| !c.is_alphanumeric() && c != '_')
+        .collect()
+}
+
+/// The inline code of a page; fenced blocks are left out, since `scripts/run-page` runs them.
+fn inline_code(page: &str) -> Vec<&str> {
+    let mut spans = Vec::new();
+    let mut fenced = false;
+    for line in page.lines() {
+        if line.starts_with("```") {
+            fenced = !fenced;
+        } else if !fenced {
+            spans.extend(line.split('`').skip(1).step_by(2));
+        }
+    }
+    spans
+}
+
+fn is_snake_case(name: &str) -> bool {
+    name.contains('_')
+        && name
+            .bytes()
+            .all(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'_')
+}
+
+fn is_path(name: &str) -> bool {
+    let folders = [
+        "core/",
+        "ports/",
+        "adapters/",
+        "entry/",
+        "agent/",
+        "conf/",
+        "cli/",
+        "standin/",
+    ];
+    let begins = |prefix: &str| name.starts_with(prefix);
+    name.bytes()
+        .all(|byte| byte.is_ascii_alphanumeric() || b"/._-".contains(&byte))
+        && (["src/", "tests/", "scripts/", "docs/", "examples/"]
+            .into_iter()
+            .any(begins)
+            || folders.into_iter().any(begins))
+}
+
+fn exists(path: &str) -> bool {
+    top().join(path).exists() || top().join("src").join(path).exists()
+}
+
+/// Whether a test is named `module::function`, with the file's or folder's name in front.
+fn test_exists(name: &str, code: &str) -> bool {
+    let function = name.rsplit("::").next().expect("function");
+    words(code).contains(function)
+}
+
+/// What is wrong with one name on a page, if anything.
+fn fault(name: &str, code: &str, words: &BTreeSet<&str>) -> Option<&'static str> {
+    if let Some(flag) = name
+        .split(' ')
+        .next()
+        .and_then(|name| name.strip_prefix("--"))
+    {
+        let field = flag.replace('-', "_");
+        let known = words.contains(field.as_str()) || code.contains(&format!("--{flag}"));
+        return (!known).then_some("no such flag");
+    }
+    if is_path(name) {
+        return (!exists(name)).then_some("no such file");
+    }
+    if name.contains("::")
+        && name.split("::").all(|part| {
+            part.bytes()
+                .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'_')
+        })
+    {
+        return (!test_exists(name, code)).then_some("no such test");
+    }
+    if let Some(metric) = name.strip_prefix("rattanslip_") {
+        // Prometheus adds the suffix to counters, and dots become underscores.
+        let plain = metric.strip_suffix("_total").unwrap_or(metric);
+        let known = code.contains(&format!("rattanslip.{plain}"));
+        return (!known).then_some("no such metric");
+    }
+    if is_snake_case(name) {
+        return (!words.contains(name)).then_some("no such name in the code");
+    }
+    if name.starts_with("rattanslip-") && !name.contains(' ') {
+        let bare = name.split(':').next().unwrap_or(name);
+        let known = code.contains(bare) || exists(&format!("src/bin/{bare}.rs"));
+        return (!known).then_some("no such program or header");
+    }
+    None
+}
+
+#[test]
+fn what_the_pages_name_exists() {
+    let code = code();
+    let words = words(&code);
+    let mut faults = Vec::new();
+    for page in pages() {
+        let text = fs::read_to_string(&page).expect("page");
+        for name in inline_code(&text) {
+            if let Some(fault) = fault(name, &code, &words) {
+                faults.push(format!("{}: `{name}`: {fault}", page.display()));
+            }
+        }
+    }
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
+
+#[test]
+fn links_between_pages_lead_somewhere() {
+    let mut faults = Vec::new();
+    for page in pages() {
+        let text = fs::read_to_string(&page).expect("page");
+        let folder = page.parent().expect("folder");
+        for link in text.split("](").skip(1) {
+            let target = link.split([')', '#']).next().expect("target");
+            if !target.is_empty() && !target.contains("://") && !folder.join(target).exists() {
+                faults.push(format!("{}: {target}", page.display()));
+            }
+        }
+    }
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
