--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,4 +6,5 @@
 )]
 
 mod path;
+mod programs;
 mod support;
--- a/tests/processes/support/mod.rs
+++ b/tests/processes/support/mod.rs
@@ -12,7 +12,7 @@
 mod proxy;
 
 pub use {
-    deployment::{Deployment, Layout, SERVICE, TOKEN, WorkerHandle, job_body},
+    deployment::{Deployment, Layout, SERVICE, TOKEN, WorkerHandle, free_addr, job_body},
     http::{Reply, get, request, try_request},
     process::Process,
     proxy::Proxy,
