--- a/src/adapters/metrics/otel_metrics.rs
+++ b/src/adapters/metrics/otel_metrics.rs
@@ -56,9 +56,9 @@
 }
 
 impl Metrics for OtelMetrics {
-    fn count(&self, counter: Counter, reason: &'static str) {
+    fn add(&self, counter: Counter, reason: &'static str, amount: u64) {
         if let Some(instrument) = self.counters.get(&counter) {
-            instrument.add(1, &[KeyValue::new("reason", reason)]);
+            instrument.add(amount, &[KeyValue::new("reason", reason)]);
         }
     }
 
--- a/src/adapters/peer/h2_client.rs
+++ b/src/adapters/peer/h2_client.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         codec::{encode, encode_into},
+        counted_socket::CountedSocket,
         frame_stream::{FrameReader, send_all},
         liveness::until_silent,
     },
@@ -88,7 +89,7 @@
             h2::client::Builder::new()
                 .initial_window_size(STREAM_WINDOW_BYTES)
                 .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-                .handshake(socket)
+                .handshake(CountedSocket::new(socket, Arc::clone(&self.metrics)))
                 .await
                 .map_err(|error| error.to_string())
         };
--- a/src/adapters/peer/h2_server.rs
+++ b/src/adapters/peer/h2_server.rs
@@ -3,13 +3,17 @@
 use {
     super::{
         codec::{encode, encode_into},
+        counted_socket::CountedSocket,
         frame_stream::{FrameReader, StreamError, send_all},
         h2_client::{
             CALL_PATH, CONNECTION_WINDOW_BYTES, MAX_STREAMS, SESSION_PATH, STREAM_WINDOW_BYTES,
         },
         liveness::until_silent,
     },
-    crate::core::message::{HomeFrame, PeerReply, PeerRequest, RunnerFrame},
+    crate::{
+        core::message::{HomeFrame, PeerReply, PeerRequest, RunnerFrame},
+        ports::Metrics,
+    },
     async_trait::async_trait,
     bytes::{Bytes, BytesMut},
     h2::{RecvStream, server::SendResponse},
@@ -44,11 +48,16 @@
 const SESSION_BUFFER_FRAMES: usize = 1_024;
 
 /// Serves peers until the task is dropped.
-pub(crate) async fn serve_peers(listener: TcpListener, handler: Arc<dyn PeerHandler>) {
+pub(crate) async fn serve_peers(
+    listener: TcpListener,
+    handler: Arc<dyn PeerHandler>,
+    metrics: Arc<dyn Metrics>,
+) {
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
-                tokio::spawn(serve_connection(socket, Arc::clone(&handler)));
+                let (handler, metrics) = (Arc::clone(&handler), Arc::clone(&metrics));
+                tokio::spawn(serve_connection(socket, handler, metrics));
             }
             Err(error) => {
                 log::warn!(error:? = error; "accepting a peer failed");
@@ -58,7 +67,11 @@
     }
 }
 
-async fn serve_connection(socket: TcpStream, handler: Arc<dyn PeerHandler>) {
+async fn serve_connection(
+    socket: TcpStream,
+    handler: Arc<dyn PeerHandler>,
+    metrics: Arc<dyn Metrics>,
+) {
     if socket.set_nodelay(true).is_err() {
         return;
     }
@@ -66,7 +79,7 @@
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
-        .handshake(socket)
+        .handshake(CountedSocket::new(socket, metrics))
         .await;
     let Ok(mut connection) = handshake else {
         return;
--- a/src/adapters/peer/mod.rs
+++ b/src/adapters/peer/mod.rs
@@ -1,6 +1,7 @@
 //! h2 streams with bincode between the system's own processes.
 
 mod codec;
+mod counted_socket;
 mod frame_stream;
 mod h2_client;
 mod h2_server;
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -53,7 +53,7 @@
     let handler = Arc::new(AgentPeerHandler {
         agent: Arc::clone(&agent),
     });
-    tokio::spawn(serve_peers(peers, handler));
+    tokio::spawn(serve_peers(peers, handler, Arc::clone(&metrics)));
     let announcer = Arc::new(Announcer {
         id,
         worker: settings.worker.clone(),
--- a/src/cli/args/standin_args.rs
+++ b/src/cli/args/standin_args.rs
@@ -2,7 +2,7 @@
 
 use {
     clap::{Parser, Subcommand},
-    std::net::SocketAddr,
+    std::net::{Ipv4Addr, SocketAddr},
 };
 
 /// Stands in for outside systems in tests and demonstrations.
@@ -21,6 +21,8 @@
     Platform(PlatformArgs),
     /// A backend server that announces itself and runs tasks
     Backend(BackendArgs),
+    /// Many agents in one process, each with its own address, to measure slopes with
+    Agents(AgentsArgs),
 }
 
 /// Arguments of the platform's stand-in.
@@ -47,3 +49,35 @@
     #[arg(long, default_value_t = 8)]
     pub(crate) slots: u16,
 }
+
+/// Arguments of many agents in one process.
+#[derive(Debug, clap::Args)]
+pub(crate) struct AgentsArgs {
+    /// How many agents
+    #[arg(long)]
+    pub(crate) count: u32,
+    /// Address of the first agent; the others take the next ones
+    #[arg(long, default_value = "127.77.0.1")]
+    pub(crate) first_ip: Ipv4Addr,
+    /// Number of the first worker; worker N is named wNNNN
+    #[arg(long, default_value_t = 0)]
+    pub(crate) first_number: u32,
+    /// An availability zone, filled in turn; may be given several times
+    #[arg(long = "zone", value_name = "NAME", required = true)]
+    pub(crate) zones: Vec<String>,
+    /// Peer address of an entry; may be given several times
+    #[arg(long = "entry", value_name = "ADDR", required = true)]
+    pub(crate) entries: Vec<SocketAddr>,
+    /// The backend server that all of them share; without it they run no tasks
+    #[arg(long, value_name = "ADDR")]
+    pub(crate) backend: Option<SocketAddr>,
+    /// The backend server's service
+    #[arg(long)]
+    pub(crate) service: String,
+    /// Tasks that each worker runs at a time
+    #[arg(long, default_value_t = 8)]
+    pub(crate) slots: u16,
+    /// A line added to each agent's settings; may be given several times
+    #[arg(long = "setting", value_name = "LINE")]
+    pub(crate) settings: Vec<String>,
+}
--- a/src/cli/mains.rs
+++ b/src/cli/mains.rs
@@ -13,7 +13,7 @@
         conf::{AgentSettings, EntrySettings, load_settings},
         entry::run_entry,
         load::run_load,
-        standin::{run_backend, run_platform},
+        standin::{run_agents, run_backend, run_platform},
     },
     clap::Parser,
     std::{future::Future, process::ExitCode},
@@ -63,6 +63,7 @@
         match args.command {
             StandinCommand::Platform(args) => run_platform(args).await,
             StandinCommand::Backend(args) => run_backend(args).await,
+            StandinCommand::Agents(args) => run_agents(args).await,
         }
     }))
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,7 +9,7 @@
 mod signals;
 
 pub(crate) use {
-    args::{BackendArgs, LoadArgs, PlatformArgs},
+    args::{AgentsArgs, BackendArgs, LoadArgs, PlatformArgs},
     errors::RunError,
     signals::stop_signal,
 };
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -55,7 +55,7 @@
     let handler = Arc::new(EntryPeerHandler {
         state: Arc::clone(&state),
     });
-    tokio::spawn(serve_peers(peers, handler));
+    tokio::spawn(serve_peers(peers, handler, Arc::clone(&metrics)));
     tokio::spawn(poll_head(
         Arc::clone(&keeper),
         Arc::clone(&timer),
--- a/src/ports/metrics.rs
+++ b/src/ports/metrics.rs
@@ -21,6 +21,10 @@
         Announcements => "rattanslip.announcements",
         /// Connections and sessions to peers that were lost, by cause.
         PeerLosses => "rattanslip.peer_losses",
+        /// Payload bytes on connections to peers, by direction.
+        PeerBytes => "rattanslip.peer_bytes",
+        /// Writes to connections to peers; each is about one segment.
+        PeerWrites => "rattanslip.peer_writes",
     }
 }
 
@@ -41,7 +45,12 @@
 /// Takes in counts and shows them.
 pub(crate) trait Metrics: Debug + Send + Sync {
     /// Adds one to a counter under a reason.
-    fn count(&self, counter: Counter, reason: &'static str);
+    fn count(&self, counter: Counter, reason: &'static str) {
+        self.add(counter, reason, 1);
+    }
+
+    /// Adds an amount to a counter under a reason.
+    fn add(&self, counter: Counter, reason: &'static str, amount: u64);
 
     /// Sets a gauge.
     fn set(&self, gauge: Gauge, value: u64);
--- /dev/null
+++ b/src/standin/agents.rs
@@ -0,0 +1,95 @@
+//! Many agents in one process, each the shipped agent with its own address, to measure slopes with.
+
+use {
+    crate::{
+        adapters::http::{BackendBody, HttpClient},
+        agent::run_agent,
+        cli::{AgentsArgs, RunError},
+        conf::{AgentSettings, ConfError, TableReader},
+    },
+    http::Method,
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        time::Duration,
+    },
+    tokio::{
+        task::JoinSet,
+        time::{MissedTickBehavior, interval, sleep},
+    },
+};
+
+/// Port on which each agent listens for peers, at its own address.
+const PEER_PORT: u16 = 7_400;
+/// Port of each agent's HTTP server, at its own address.
+const HTTP_PORT: u16 = 7_401;
+/// Pause between the backend server's announcements to one agent, in milliseconds.
+const ANNOUNCE_MS: u64 = 1_000;
+/// Time over which the starts are spread for each agent, in microseconds, so that their seconds
+/// differ as they do on separate hosts.
+const START_SPREAD_US: u64 = 1_000_000;
+
+/// Runs the agents until SIGTERM.
+pub(crate) async fn run_agents(args: AgentsArgs) -> Result<(), RunError> {
+    let mut agents = JoinSet::new();
+    let pause_us = START_SPREAD_US / u64::from(args.count.max(1));
+    for index in 0..args.count {
+        let settings = settings_of(&args, index)?;
+        if let Some(backend) = args.backend {
+            tokio::spawn(announce_backend(
+                settings.http_listen,
+                BackendBody {
+                    addr: backend,
+                    services: vec![args.service.clone()],
+                    slots: args.slots,
+                    leaving: false,
+                },
+            ));
+        }
+        agents.spawn(run_agent(settings));
+        sleep(Duration::from_micros(pause_us)).await;
+    }
+    while let Some(ended) = agents.join_next().await {
+        ended.map_err(|error| RunError::Failed(error.to_string()))??;
+    }
+    Ok(())
+}
+
+/// The settings as their file would say them, so that the defaults are the shipped ones.
+fn settings_of(args: &AgentsArgs, index: u32) -> Result<AgentSettings, RunError> {
+    let ip = Ipv4Addr::from_bits(args.first_ip.to_bits() + index);
+    let number = args.first_number + index;
+    let zone = &args.zones[index as usize % args.zones.len()];
+    let entries: Vec<String> = args.entries.iter().map(|e| format!("\"{e}\"")).collect();
+    let text = format!(
+        "worker = \"w{number:04}\"\n\
+         availability_zone = \"{zone}\"\n\
+         peer_listen = \"{ip}:{PEER_PORT}\"\n\
+         http_listen = \"{ip}:{HTTP_PORT}\"\n\
+         entries = [{}]\n\
+         slots = {}\n\
+         {}\n",
+        entries.join(", "),
+        args.slots,
+        args.settings.join("\n"),
+    );
+    TableReader::read_text(&text, AgentSettings::read)
+        .map_err(|faults| ConfError::Faults(format!("agent {number}"), faults).into())
+}
+
+/// Announces the shared backend server to one agent, as it would do itself.
+async fn announce_backend(agent: SocketAddr, body: BackendBody) {
+    let Ok(body) = serde_json::to_string(&body) else {
+        return;
+    };
+    let client = HttpClient::new();
+    let headers = [("content-type", "application/json")];
+    let mut ticks = interval(Duration::from_millis(ANNOUNCE_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        // An agent that isn't there yet is told again at the next tick.
+        let _ = client
+            .send(Method::POST, agent, "/v1/backend", &headers, body.clone())
+            .await;
+    }
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,7 +1,8 @@
 //! Stand-ins for outside systems, with faults to switch on; for tests and demonstrations only.
 
+mod agents;
 mod backend;
 mod platform;
 mod platform_store;
 
-pub(crate) use {backend::run_backend, platform::run_platform};
+pub(crate) use {agents::run_agents, backend::run_backend, platform::run_platform};
