--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -1,9 +1,12 @@
 # Starts and stops one deployment on loopback; sourced by scripts/demo and other scripts.
 #
 # Needs: BIN (folder of the programs), DOCUMENT (configuration), SERVICE, WORK (a folder for
-# settings and logs). Sets: ENTRIES (client addresses), PLATFORM, BACKENDS, AGENT_HTTP.
+# settings and logs). Sets: ENTRIES (client addresses), PLATFORM, BACKENDS, AGENT_HTTP and
+# BACKEND_ZONES (of each backend server). Optional: AGENT_SETTINGS (TOML added to each agent's
+# settings), BACKEND_ARGS (array of further arguments of each backend server).
 
 PIDS=()
+BACKEND_ARGS=()
 PORT=$((20000 + RANDOM % 20000))
 
 # Sets REPLY to the next port on which nothing listens.
@@ -83,10 +86,12 @@
 peer_listen = "$peer"
 http_listen = "$http"
 entries = [${entries%, }]
+${AGENT_SETTINGS:-}
 TOML
   start "agent-$name" "$BIN/rattanslip-agent" --settings "$WORK/agent-$name.toml"
   start "backend-$name" "$BIN/rattanslip-standin" backend \
-    --listen "$backend" --agent "$http" --service "$SERVICE"
+    --listen "$backend" --agent "$http" --service "$SERVICE" "${BACKEND_ARGS[@]}"
+  BACKEND_ZONES+=("$zone")
   BACKENDS+=("$backend")
   AGENT_HTTP+=("$http")
 }
@@ -94,7 +99,7 @@
 # Starts platform, two entries and all workers of the document, and applies it.
 start_deployment() {
   TOKEN_BLAKE3=$(echo demo-token | "$BIN/rattanslip" hash-token)
-  ENTRIES=() ENTRY_PEERS=() BACKENDS=() AGENT_HTTP=()
+  ENTRIES=() ENTRY_PEERS=() BACKENDS=() BACKEND_ZONES=() AGENT_HTTP=()
   start_platform
   local first_zone
   first_zone=$(workers_of_document | head -n 1 | cut -d ' ' -f 2)
@@ -140,5 +145,7 @@
 # For traps: ends what is still there, whatever its state.
 kill_deployment() {
   local pid
-  for pid in "${PIDS[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+  for pid in "${PIDS[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  # Waiting here keeps the shell from reporting each end.
+  wait "${PIDS[@]}" 2>/dev/null || true
 }
--- a/src/cli/args/mod.rs
+++ b/src/cli/args/mod.rs
@@ -6,7 +6,7 @@
 mod standin_args;
 
 pub(crate) use {
-    load_args::LoadArgs,
+    load_args::{LoadArgs, Shape, ZonedBackend},
     operator_args::{CheckKind, OperatorArgs, OperatorCommand, ZoneCommand},
     service_args::{AgentArgs, EntryArgs},
     standin_args::{BackendArgs, PlatformArgs, StandinArgs, StandinCommand},
--- a/src/cli/args/standin_args.rs
+++ b/src/cli/args/standin_args.rs
@@ -46,4 +46,7 @@
     /// Tasks that it runs at a time
     #[arg(long, default_value_t = 8)]
     pub(crate) slots: u16,
+    /// Slots that it announces, if it promises more than it can do
+    #[arg(long)]
+    pub(crate) announced_slots: Option<u16>,
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,8 +9,9 @@
 mod signals;
 
 pub(crate) use {
-    args::{BackendArgs, LoadArgs, PlatformArgs},
+    args::{BackendArgs, LoadArgs, PlatformArgs, Shape, ZonedBackend},
     errors::RunError,
+    operator_client::OperatorClient,
     signals::stop_signal,
 };
 
--- /dev/null
+++ b/src/load/exchange.rs
@@ -0,0 +1,231 @@
+//! One job from submission to its last answer.
+
+use {
+    super::{schedule::PlannedJob, ticket_pool::TicketPool},
+    crate::{
+        adapters::http::{
+            HttpClient, HttpReply, NEXT_TICKET_HEADER, REASON_HEADER, TEAM_HEADER, TICKET_HEADER,
+            VERDICT_HEADER,
+        },
+        cli::LoadArgs,
+        core::{job::TaskRef, ticket::Ticket},
+    },
+    http::Method,
+    serde_json::{Value, json},
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::{Instant, sleep, sleep_until, timeout},
+};
+
+/// Most times that a blindly retrying client sends the same job.
+const BLIND_ATTEMPTS: usize = 2;
+/// Pause of a blindly retrying client, in milliseconds.
+const BLIND_PAUSE_MS: u64 = 50;
+/// Time beyond the deadline after which a missing answer counts as lost, in milliseconds.
+const LOST_AFTER_MS: u64 = 3_000;
+
+/// What the client saw of one try.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    /// The ticket that it was sent under.
+    pub(crate) ticket: Option<Ticket>,
+    /// Verdict and reason, or what went wrong on the way.
+    pub(crate) verdict: String,
+    /// The job's verdict says that nothing ran.
+    pub(crate) not_run: bool,
+    /// Tasks whose own verdict is "not run", in an answer that lists them.
+    pub(crate) not_run_tasks: Vec<u16>,
+    /// No answer at all.
+    pub(crate) lost: bool,
+    /// Said to be done, but an output is missing or another job's.
+    pub(crate) partial: bool,
+}
+
+impl Attempt {
+    /// Whether every task ran and the answer is whole.
+    pub(crate) fn is_done(&self) -> bool {
+        self.verdict == "done"
+    }
+
+    /// Name of one of the job's tasks, as backend servers record it.
+    pub(crate) fn task_name(&self, index: u16) -> Option<String> {
+        self.ticket.map(|ticket| {
+            TaskRef {
+                ticket: ticket.id,
+                index,
+            }
+            .to_string()
+        })
+    }
+}
+
+/// A job's tries and the time from its planned arrival to the last answer.
+#[derive(Debug)]
+pub(crate) struct JobResult {
+    /// Position in the schedule.
+    pub(crate) number: usize,
+    /// Every try, the last one last.
+    pub(crate) attempts: Vec<Attempt>,
+    /// From the planned arrival to the last answer.
+    pub(crate) response_us: u64,
+}
+
+/// A client of the deployment.
+#[derive(Debug)]
+pub(crate) struct LoadClient {
+    pub(crate) http: HttpClient,
+    pub(crate) args: LoadArgs,
+    pub(crate) tickets: TicketPool,
+}
+
+impl LoadClient {
+    /// Sends a job and waits for its answer; a blindly retrying client sends it again.
+    pub(crate) async fn run_job(
+        &self,
+        number: usize,
+        job: &PlannedJob,
+        arrival: Instant,
+        cancel_at: Instant,
+    ) -> JobResult {
+        let mut attempts = Vec::new();
+        let tries = if self.args.blind_retry {
+            BLIND_ATTEMPTS
+        } else {
+            1
+        };
+        for turn in 0..tries {
+            let entry = self.args.entries[(number + turn) % self.args.entries.len()];
+            let attempt = self.attempt(entry, number, job, cancel_at).await;
+            let done = attempt.is_done();
+            attempts.push(attempt);
+            if done {
+                break;
+            }
+            if turn + 1 < tries {
+                sleep(Duration::from_millis(BLIND_PAUSE_MS)).await;
+            }
+        }
+        JobResult {
+            number,
+            attempts,
+            response_us: u64::try_from(arrival.elapsed().as_micros()).unwrap_or(u64::MAX),
+        }
+    }
+
+    async fn attempt(
+        &self,
+        entry: SocketAddr,
+        number: usize,
+        job: &PlannedJob,
+        cancel_at: Instant,
+    ) -> Attempt {
+        let Some(ticket) = self.tickets.take(&self.http, entry).await else {
+            return failed_attempt(None, "not-run no_ticket_in_hand", false);
+        };
+        let parsed = ticket.parse().ok();
+        let limit = Duration::from_millis(job.deadline_ms + LOST_AFTER_MS);
+        let headers = [
+            (TICKET_HEADER, ticket.as_str()),
+            (TEAM_HEADER, self.args.team.as_str()),
+        ];
+        let body = job_body(&self.args, number, job);
+        let sending = self
+            .http
+            .send(Method::POST, entry, "/v1/jobs", &headers, body);
+        let answer = async {
+            if !job.cancelled {
+                return timeout(limit, sending).await;
+            }
+            tokio::pin!(sending);
+            tokio::select! {
+                reply = &mut sending => return Ok(reply),
+                () = sleep_until(cancel_at) => {}
+            }
+            let path = format!("/v1/jobs/{ticket}");
+            // The answer to the submission says how the job ended.
+            let _ = self
+                .http
+                .send(Method::DELETE, entry, &path, &[], String::new())
+                .await;
+            timeout(limit, sending).await
+        };
+        match answer.await {
+            Ok(Ok(reply)) => {
+                self.tickets.put(reply.header(NEXT_TICKET_HEADER));
+                read_attempt(parsed, &reply, number, job)
+            }
+            Ok(Err(_)) => failed_attempt(parsed, "unreachable", true),
+            Err(_) => failed_attempt(parsed, "no answer", true),
+        }
+    }
+}
+
+fn failed_attempt(ticket: Option<Ticket>, verdict: &str, lost: bool) -> Attempt {
+    Attempt {
+        ticket,
+        verdict: verdict.to_owned(),
+        not_run: false,
+        not_run_tasks: Vec::new(),
+        lost,
+        partial: false,
+    }
+}
+
+fn job_body(args: &LoadArgs, number: usize, job: &PlannedJob) -> String {
+    let tasks: Vec<Value> = job
+        .tasks
+        .iter()
+        .enumerate()
+        .map(|(index, task)| {
+            let mut body = json!({
+                "input": format!("{} {}", task.run_ms, expected_output(number, index)),
+                "declared_run_ms": task.declared_ms,
+            });
+            if let Some(memory_mb) = job.memory_mb {
+                body["memory_mb"] = json!(memory_mb);
+            }
+            body
+        })
+        .collect();
+    json!({
+        "service": args.service,
+        "deadline_ms": job.deadline_ms,
+        "repeatable": args.repeatable,
+        "tasks": tasks,
+    })
+    .to_string()
+}
+
+fn expected_output(number: usize, index: usize) -> String {
+    format!("job {number} task {index}")
+}
+
+fn read_attempt(
+    ticket: Option<Ticket>,
+    reply: &HttpReply,
+    number: usize,
+    job: &PlannedJob,
+) -> Attempt {
+    let verdict = reply.header(VERDICT_HEADER);
+    let reason = reply.header(REASON_HEADER);
+    let answer: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
+    let tasks = answer["tasks"].as_array().map_or(&[][..], Vec::as_slice);
+    let all_own = tasks.len() == job.tasks.len()
+        && tasks
+            .iter()
+            .enumerate()
+            .all(|(index, task)| task["output"] == expected_output(number, index));
+    let not_run_tasks = tasks
+        .iter()
+        .zip(0u16..)
+        .filter(|(task, _)| task["verdict"] == "not-run")
+        .map(|(_, index)| index)
+        .collect();
+    Attempt {
+        ticket,
+        verdict: format!("{verdict} {reason}").trim_end().to_owned(),
+        not_run: verdict == "not-run",
+        not_run_tasks,
+        lost: verdict.is_empty(),
+        partial: verdict == "done" && !all_own,
+    }
+}
--- /dev/null
+++ b/src/load/findings.rs
@@ -0,0 +1,282 @@
+//! What the answers and the backend servers' records say together.
+
+use {
+    super::{
+        exchange::JobResult,
+        ideal::ideal_responses_us,
+        probe::{StartRecord, ZonedStart},
+        schedule::PlannedJob,
+    },
+    crate::cli::{LoadArgs, RunError},
+    hdrhistogram::Histogram,
+    std::collections::BTreeMap,
+};
+
+/// Slowdowns are recorded as integers, so many to one.
+pub(crate) const SLOWDOWN_UNIT: f64 = 1_000.0;
+
+/// Largest value recorded: ten minutes in microseconds.
+const MAX_RECORDED: u64 = 600_000_000;
+
+/// When things happened, in microseconds since 1970.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RunTimes {
+    /// The schedule's beginning.
+    pub(crate) began_us: u64,
+    /// The operator's call that took the zone out was sent.
+    pub(crate) zone_out_us: Option<u64>,
+    /// The operator's call that brought it back was sent.
+    pub(crate) zone_in_us: Option<u64>,
+}
+
+/// Counts and distributions of one run.
+#[derive(Debug)]
+pub(crate) struct Findings {
+    pub(crate) jobs: u64,
+    pub(crate) done: u64,
+    pub(crate) done_in_time: u64,
+    pub(crate) tasks_done: u64,
+    pub(crate) starts: u64,
+    pub(crate) useless_starts: u64,
+    pub(crate) double_starts: u64,
+    pub(crate) lost: u64,
+    pub(crate) partial: u64,
+    pub(crate) false_not_run: u64,
+    pub(crate) verdicts: BTreeMap<String, u64>,
+    pub(crate) slowdown: Histogram<u64>,
+    pub(crate) response_us: Histogram<u64>,
+    pub(crate) refusal_us: Histogram<u64>,
+    pub(crate) overhead_us: Histogram<u64>,
+    pub(crate) goodput_ratio: f64,
+    pub(crate) zone_work_ratio: Option<f64>,
+    pub(crate) zone_out_last_start_ms: Option<f64>,
+}
+
+/// What a task's name leads back to.
+#[derive(Debug, Clone, Copy)]
+struct Origin {
+    /// Its work counts: the job was done in time.
+    useful: bool,
+    /// The client was told that it did not run.
+    said_not_run: bool,
+    run_ms: u32,
+}
+
+impl Findings {
+    /// Judges a run.
+    pub(crate) fn new(
+        args: &LoadArgs,
+        times: RunTimes,
+        plan: &[PlannedJob],
+        results: &[JobResult],
+        starts: &[ZonedStart],
+    ) -> Result<Self, RunError> {
+        let mut findings = Self::empty().map_err(|error| RunError::Failed(error.to_string()))?;
+        let ideals_us = ideal_responses_us(plan, args.slots);
+        let mut origins = BTreeMap::new();
+        for result in results {
+            let job = &plan[result.number];
+            findings.add_job(job, result, ideals_us[result.number]);
+            note_origins(&mut origins, job, result);
+        }
+        findings.add_starts(args, &origins, starts);
+        findings.add_overheads(plan, results, &ideals_us, starts);
+        findings.add_work(args, times, &origins, starts);
+        Ok(findings)
+    }
+
+    fn empty() -> Result<Self, hdrhistogram::CreationError> {
+        Ok(Self {
+            jobs: 0,
+            done: 0,
+            done_in_time: 0,
+            tasks_done: 0,
+            starts: 0,
+            useless_starts: 0,
+            double_starts: 0,
+            lost: 0,
+            partial: 0,
+            false_not_run: 0,
+            verdicts: BTreeMap::new(),
+            slowdown: new_histogram()?,
+            response_us: new_histogram()?,
+            refusal_us: new_histogram()?,
+            overhead_us: new_histogram()?,
+            goodput_ratio: 0.0,
+            zone_work_ratio: None,
+            zone_out_last_start_ms: None,
+        })
+    }
+
+    fn add_job(&mut self, job: &PlannedJob, result: &JobResult, ideal_us: u64) {
+        self.jobs += 1;
+        let Some(last) = result.attempts.last() else {
+            return;
+        };
+        *self.verdicts.entry(last.verdict.clone()).or_default() += 1;
+        self.lost += u64::from(last.lost);
+        self.partial += u64::from(last.partial);
+        if last.not_run {
+            self.refusal_us.saturating_record(result.response_us);
+        }
+        if !last.is_done() {
+            return;
+        }
+        self.done += 1;
+        self.done_in_time += u64::from(is_in_time(job, result));
+        self.tasks_done += job.tasks.len() as u64;
+        self.response_us.saturating_record(result.response_us);
+        let slowdown = result.response_us as f64 / ideal_us.max(1) as f64;
+        self.slowdown
+            .saturating_record((slowdown * SLOWDOWN_UNIT) as u64);
+    }
+
+    fn add_starts(
+        &mut self,
+        args: &LoadArgs,
+        origins: &BTreeMap<String, Origin>,
+        starts: &[ZonedStart],
+    ) {
+        let mut seen: BTreeMap<&str, u64> = BTreeMap::new();
+        for start in starts {
+            if origins.contains_key(&start.record.task) {
+                *seen.entry(&start.record.task).or_default() += 1;
+            }
+        }
+        for (task, count) in seen {
+            let Some(origin) = origins.get(task) else {
+                continue;
+            };
+            self.starts += count;
+            self.useless_starts += if origin.useful { count - 1 } else { count };
+            self.false_not_run += u64::from(origin.said_not_run);
+            if !args.repeatable {
+                self.double_starts += count - 1;
+            }
+        }
+    }
+
+    /// Overhead of jobs of one task that the ideal does not let wait: the response time less the
+    /// time that the backend server itself took.
+    fn add_overheads(
+        &mut self,
+        plan: &[PlannedJob],
+        results: &[JobResult],
+        ideals_us: &[u64],
+        starts: &[ZonedStart],
+    ) {
+        let ran_us: BTreeMap<&str, u64> = starts
+            .iter()
+            .map(|start| (start.record.task.as_str(), start.record.ran_us))
+            .collect();
+        for result in results {
+            let job = &plan[result.number];
+            let [task] = job.tasks.as_slice() else {
+                continue;
+            };
+            let unqueued = ideals_us[result.number] == u64::from(task.run_ms) * 1_000;
+            let Some(last) = result.attempts.last().filter(|last| last.is_done()) else {
+                continue;
+            };
+            let ran = last
+                .task_name(0)
+                .and_then(|name| ran_us.get(name.as_str()).copied())
+                .filter(|ran_us| *ran_us > 0);
+            if let Some(ran_us) = ran
+                && unqueued
+            {
+                self.overhead_us
+                    .saturating_record(result.response_us.saturating_sub(ran_us));
+            }
+        }
+    }
+
+    fn add_work(
+        &mut self,
+        args: &LoadArgs,
+        times: RunTimes,
+        origins: &BTreeMap<String, Origin>,
+        starts: &[ZonedStart],
+    ) {
+        let useful: Vec<&ZonedStart> = starts
+            .iter()
+            .filter(|start| {
+                origins
+                    .get(&start.record.task)
+                    .is_some_and(|origin| origin.useful)
+            })
+            .collect();
+        let ran_us = |record: &StartRecord| match (record.ran_us, origins.get(&record.task)) {
+            (0, Some(origin)) => u64::from(origin.run_ms) * 1_000,
+            (ran_us, _) => ran_us,
+        };
+        let work_us = |from_us: u64, to_us: u64, zone_left_out: Option<&str>| -> u64 {
+            useful
+                .iter()
+                .filter(|start| zone_left_out != Some(start.availability_zone.as_str()))
+                .map(|start| overlap_us(&start.record, ran_us(&start.record), from_us, to_us))
+                .sum()
+        };
+        let from_us = times.began_us + args.warmup_ms * 1_000;
+        let to_us = times.began_us + args.duration_ms * 1_000;
+        let slots = args.slots as f64;
+        self.goodput_ratio =
+            work_us(from_us, to_us, None) as f64 / (slots * (to_us - from_us) as f64);
+        let (Some(out_us), Some(in_us), Some(zone)) =
+            (times.zone_out_us, times.zone_in_us, &args.zone_out)
+        else {
+            return;
+        };
+        let zone_backends = args
+            .backends
+            .iter()
+            .filter(|backend| backend.availability_zone == *zone)
+            .count();
+        let remaining = slots * (1.0 - zone_backends as f64 / args.backends.len().max(1) as f64);
+        let while_out = work_us(out_us, in_us, Some(zone));
+        let after = work_us(in_us, to_us, None);
+        let could =
+            remaining * (in_us - out_us) as f64 + slots * to_us.saturating_sub(in_us) as f64;
+        self.zone_work_ratio = Some((while_out + after) as f64 / could);
+        self.zone_out_last_start_ms = starts
+            .iter()
+            .filter(|start| start.availability_zone == *zone)
+            .map(|start| start.record.at_unix_us)
+            .filter(|at_us| (out_us..in_us).contains(at_us))
+            .max()
+            .map(|at_us| (at_us - out_us) as f64 / 1_000.0);
+    }
+}
+
+/// Bounds are given because a histogram that grows clamps what it has not grown to yet.
+fn new_histogram() -> Result<Histogram<u64>, hdrhistogram::CreationError> {
+    Histogram::new_with_bounds(1, MAX_RECORDED, 3)
+}
+
+fn is_in_time(job: &PlannedJob, result: &JobResult) -> bool {
+    result.response_us <= job.deadline_ms * 1_000
+}
+
+fn note_origins(origins: &mut BTreeMap<String, Origin>, job: &PlannedJob, result: &JobResult) {
+    for attempt in &result.attempts {
+        let useful = attempt.is_done() && is_in_time(job, result);
+        for (task, index) in job.tasks.iter().zip(0u16..) {
+            let said_not_run = attempt.not_run || attempt.not_run_tasks.contains(&index);
+            if let Some(name) = attempt.task_name(index) {
+                let origin = Origin {
+                    useful,
+                    said_not_run,
+                    run_ms: task.run_ms,
+                };
+                origins.insert(name, origin);
+            }
+        }
+    }
+}
+
+/// How much of a run lies within a window.
+fn overlap_us(record: &StartRecord, ran_us: u64, from_us: u64, to_us: u64) -> u64 {
+    let begin = record.at_unix_us.max(from_us);
+    let end = (record.at_unix_us + ran_us).min(to_us);
+    end.saturating_sub(begin)
+}
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -1,7 +1,15 @@
-//! The load tool: sends jobs at a set rate and checks every answer.
+//! The load tool: sends jobs at a set rate, checks every answer and measures against the ideal.
 
+mod exchange;
+mod findings;
+mod ideal;
+mod probe;
 mod report;
 mod run;
 mod schedule;
+mod ticket_pool;
+
+#[cfg(test)]
+mod tests;
 
 pub(crate) use run::run_load;
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -1,150 +1,147 @@
-//! Sends the schedule and gathers the answers.
+//! Sends the schedule, gathers the answers and judges them.
 
 use {
     super::{
-        report::Report,
+        exchange::{JobResult, LoadClient},
+        findings::{Findings, RunTimes},
+        probe::{cpu_us, read_starts, read_wasted_messages},
+        report::{Costs, json_report, print_table},
         schedule::{PlannedJob, plan},
+        ticket_pool::TicketPool,
     },
     crate::{
-        adapters::http::{HttpClient, HttpReply, REASON_HEADER, TICKET_HEADER, VERDICT_HEADER},
-        cli::{LoadArgs, RunError},
+        adapters::http::HttpClient,
+        cli::{LoadArgs, OperatorClient, RunError},
     },
     http::Method,
-    serde_json::{Value, json},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
     tokio::{
-        task::JoinSet,
+        task::{JoinSet, yield_now},
         time::{Instant, sleep_until},
     },
 };
 
-#[derive(Debug)]
-struct JobResult {
-    verdict: String,
-    response_us: u64,
-    wrong: bool,
-}
+/// Time given to the last frames before the counters are read, in milliseconds.
+const SETTLE_MS: u64 = 200;
+
+/// Steps of the runtime's timer, with room, in milliseconds.
+const TIMER_STEP_MS: u64 = 2;
 
-/// Runs the load and prints the report; fails if an answer was wrong.
+/// Runs the load and prints the report; fails if an answer was wrong or missing.
 pub(crate) async fn run_load(args: LoadArgs) -> Result<(), RunError> {
-    let args = Arc::new(args);
-    let client = HttpClient::new();
-    let started_at = Instant::now();
-    let mut running = JoinSet::new();
-    for (number, job) in plan(&args).into_iter().enumerate() {
-        sleep_until(started_at + Duration::from_micros(job.at_us)).await;
-        let entry = args.entries[number % args.entries.len()];
-        running.spawn(send_job(
-            client.clone(),
-            Arc::clone(&args),
-            entry,
-            number,
-            job,
-        ));
-    }
-    let mut report = Report::new().map_err(|error| RunError::Failed(error.to_string()))?;
-    while let Some(result) = running.join_next().await {
-        let result = result.map_err(|error| RunError::Failed(error.to_string()))?;
-        report.wrong += u64::from(result.wrong);
-        if result.verdict == "done" {
-            report.response_us.saturating_record(result.response_us);
-        }
-        *report.verdicts.entry(result.verdict).or_default() += 1;
+    let plan: Arc<[PlannedJob]> = plan(&args).into();
+    let client = Arc::new(LoadClient {
+        http: HttpClient::new(),
+        tickets: TicketPool::default(),
+        args,
+    });
+    for entry in &client.args.entries {
+        client.tickets.fetch(&client.http, *entry).await;
     }
-    if args.json {
-        report.print_json();
+    let before = read_costs(&client).await;
+    let began_us = unix_us();
+    // The first jobs are sent after the timer's step, too.
+    let began = Instant::now() + Duration::from_millis(TIMER_STEP_MS);
+    let zone = tokio::spawn(move_zone(Arc::clone(&client), began));
+    let results = send_all(&client, &plan, began).await?;
+    let (zone_out_us, zone_in_us) = zone
+        .await
+        .map_err(|error| RunError::Failed(error.to_string()))??;
+    tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
+    let after = read_costs(&client).await;
+    let costs = Costs {
+        wasted_messages: after.wasted_messages.saturating_sub(before.wasted_messages),
+        entry_cpu_us: after.entry_cpu_us.saturating_sub(before.entry_cpu_us),
+        agent_cpu_us: after.agent_cpu_us.saturating_sub(before.agent_cpu_us),
+    };
+    let starts = read_starts(&client.http, &client.args.backends).await?;
+    let times = RunTimes {
+        began_us,
+        zone_out_us,
+        zone_in_us,
+    };
+    let findings = Findings::new(&client.args, times, &plan, &results, &starts)?;
+    if client.args.json {
+        println!("{}", json_report(&findings, costs));
     } else {
-        report.print_table();
+        print_table(&findings, costs);
     }
-    if report.wrong > 0 {
-        return Err(RunError::Failed(format!("{} wrong answers", report.wrong)));
+    if findings.partial > 0 {
+        let message = format!("{} answers were not whole", findings.partial);
+        return Err(RunError::Failed(message));
     }
     Ok(())
 }
 
-async fn send_job(
-    client: HttpClient,
-    args: Arc<LoadArgs>,
-    entry: SocketAddr,
-    number: usize,
-    job: PlannedJob,
-) -> JobResult {
-    let sent_at = Instant::now();
-    let verdict = match exchange(&client, &args, entry, number, &job).await {
-        Ok(reply) => (verdict_of(&reply), is_wrong(&reply, number, &job)),
-        Err(detail) => (detail, false),
-    };
-    JobResult {
-        verdict: verdict.0,
-        wrong: verdict.1,
-        response_us: u64::try_from(sent_at.elapsed().as_micros()).unwrap_or(u64::MAX),
+async fn read_costs(client: &LoadClient) -> Costs {
+    Costs {
+        wasted_messages: read_wasted_messages(&client.http, &client.args.agents).await,
+        entry_cpu_us: cpu_us(&client.args.entry_pids),
+        agent_cpu_us: cpu_us(&client.args.agent_pids),
     }
 }
 
-async fn exchange(
-    client: &HttpClient,
-    args: &LoadArgs,
-    entry: SocketAddr,
-    number: usize,
-    job: &PlannedJob,
-) -> Result<HttpReply, String> {
-    let tickets = client
-        .send(Method::POST, entry, "/v1/tickets", &[], String::new())
-        .await
-        .map_err(|_| "unreachable".to_owned())?;
-    let tickets: Value = serde_json::from_slice(&tickets.body).unwrap_or(Value::Null);
-    let ticket = tickets["tickets"][0].as_str().ok_or("no ticket")?;
-    let tasks: Vec<Value> = job
-        .run_ms
-        .iter()
-        .enumerate()
-        .map(|(index, run_ms)| {
-            json!({
-                "input": format!("{run_ms} {}", expected_output(number, index)),
-                "declared_run_ms": run_ms,
-            })
-        })
-        .collect();
-    let body = json!({
-        "service": args.service,
-        "deadline_ms": args.deadline_ms,
-        "tasks": tasks,
-    });
-    client
-        .send(
-            Method::POST,
-            entry,
-            "/v1/jobs",
-            &[(TICKET_HEADER, ticket)],
-            body.to_string(),
-        )
-        .await
-        .map_err(|_| "unreachable".to_owned())
+async fn send_all(
+    client: &Arc<LoadClient>,
+    plan: &Arc<[PlannedJob]>,
+    began: Instant,
+) -> Result<Vec<JobResult>, RunError> {
+    let cancel_at = began + Duration::from_millis(client.args.duration_ms / 2);
+    let mut running = JoinSet::new();
+    for (number, job) in plan.iter().enumerate() {
+        let arrival = began + Duration::from_micros(job.at_us);
+        wait_for_arrival(arrival).await;
+        let client = Arc::clone(client);
+        let plan = Arc::clone(plan);
+        running.spawn(async move {
+            client
+                .run_job(number, &plan[number], arrival, cancel_at)
+                .await
+        });
+    }
+    let mut results = Vec::with_capacity(plan.len());
+    while let Some(result) = running.join_next().await {
+        results.push(result.map_err(|error| RunError::Failed(error.to_string()))?);
+    }
+    Ok(results)
 }
 
-fn expected_output(number: usize, index: usize) -> String {
-    format!("job {number} task {index}")
+/// Waits to the microsecond: the timer alone would be late by up to a millisecond, which would
+/// count as overhead.
+async fn wait_for_arrival(arrival: Instant) {
+    sleep_until(arrival - Duration::from_millis(TIMER_STEP_MS)).await;
+    while Instant::now() < arrival {
+        yield_now().await;
+    }
 }
 
-fn verdict_of(reply: &HttpReply) -> String {
-    let verdict = reply.header(VERDICT_HEADER);
-    let reason = reply.header(REASON_HEADER);
-    if reason.is_empty() {
-        return verdict.to_owned();
-    }
-    format!("{verdict} {reason}")
+/// Takes the availability zone out and brings it back, if asked to; returns when.
+async fn move_zone(
+    client: Arc<LoadClient>,
+    began: Instant,
+) -> Result<(Option<u64>, Option<u64>), RunError> {
+    let args = &client.args;
+    let Some(zone) = &args.zone_out else {
+        return Ok((None, None));
+    };
+    let operator = OperatorClient::new(args.entries.first().copied(), args.token.as_deref())?;
+    sleep_until(began + Duration::from_millis(args.zone_out_at_ms)).await;
+    let out_us = unix_us();
+    let path = format!("/v1/zones/{zone}/out");
+    operator.json(Method::POST, &path, String::new()).await?;
+    sleep_until(began + Duration::from_millis(args.zone_in_at_ms)).await;
+    let in_us = unix_us();
+    let path = format!("/v1/zones/{zone}/in");
+    operator.json(Method::POST, &path, String::new()).await?;
+    Ok((Some(out_us), Some(in_us)))
 }
 
-/// Whether a job that is said to be done lacks an output or has another job's.
-fn is_wrong(reply: &HttpReply, number: usize, job: &PlannedJob) -> bool {
-    if reply.header(VERDICT_HEADER) != "done" {
-        return false;
-    }
-    let answer: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
-    let tasks = answer["tasks"].as_array().map_or(&[][..], Vec::as_slice);
-    let all_own = tasks
-        .iter()
-        .enumerate()
-        .all(|(index, task)| task["output"] == expected_output(number, index));
-    !all_own || tasks.len() != job.run_ms.len()
+fn unix_us() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
 }
--- a/src/load/schedule.rs
+++ b/src/load/schedule.rs
@@ -1,38 +1,147 @@
 //! When jobs arrive and how long their tasks work.
 
 use {
-    crate::cli::LoadArgs,
+    crate::cli::{LoadArgs, Shape},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
 };
 
+/// Bursts come once in this many microseconds.
+const BURST_PERIOD_US: u64 = 1_000_000;
+/// Share of each period that a burst lasts.
+const BURST_SHARE: f64 = 0.1;
+/// Shortest and longest time of an ordinary task, in milliseconds.
+const ORDINARY_MS: (f64, f64) = (50.0, 1_000.0);
+/// Shortest and longest time of a long task, in milliseconds.
+const LONG_MS: (f64, f64) = (2_000.0, 4_000.0);
+/// Share of long tasks.
+const LONG_SHARE: f64 = 0.01;
+/// Tasks of a wide job.
+const WIDE_TASKS: usize = 200;
+/// Time of a wide job's task, in milliseconds.
+const WIDE_TASK_MS: u32 = 20;
+/// Memory that no worker has, in megabytes.
+const IMPOSSIBLE_MEMORY_MB: u32 = 100_000_000;
+
+/// One task of a planned job.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PlannedTask {
+    /// How long it works.
+    pub(crate) run_ms: u32,
+    /// How long the client says that it works.
+    pub(crate) declared_ms: u32,
+}
+
 /// One job of the schedule.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct PlannedJob {
     /// When it is sent, in microseconds from the start.
     pub(crate) at_us: u64,
-    /// How long each of its tasks works.
-    pub(crate) run_ms: Vec<u32>,
+    /// Its tasks.
+    pub(crate) tasks: Vec<PlannedTask>,
+    /// Its deadline from the moment it is sent.
+    pub(crate) deadline_ms: u64,
+    /// It is cancelled with others in the middle of the run.
+    pub(crate) cancelled: bool,
+    /// Memory that each task declares, if it does.
+    pub(crate) memory_mb: Option<u32>,
+}
+
+impl PlannedJob {
+    /// The longest of its tasks, in milliseconds.
+    pub(crate) fn longest_ms(&self) -> u64 {
+        let longest = self.tasks.iter().map(|task| task.run_ms).max();
+        u64::from(longest.unwrap_or(0))
+    }
 }
 
-/// Poisson arrivals: gaps between jobs are exponential, drawn from the seed.
+/// Poisson arrivals at the rate that gives the wanted load, with bursts if wanted.
 pub(crate) fn plan(args: &LoadArgs) -> Vec<PlannedJob> {
     let mut rng = ChaCha8Rng::seed_from_u64(args.seed);
+    let jobs_per_s = args.load * args.slots as f64 / mean_job_s(args.shape);
+    let end_us = args.duration_ms * 1_000;
     let mut jobs = Vec::new();
-    let mut at_s = 0.0;
-    let end_s = args.duration_ms as f64 / 1_000.0;
+    let mut at_us = 0;
     loop {
         let uniform: f64 = rng.random();
-        at_s += -(1.0 - uniform).ln() / args.jobs_per_s;
-        if at_s >= end_s {
+        let rate = jobs_per_s * rate_factor(args.burst_factor, at_us);
+        at_us += (-(1.0 - uniform).ln() / rate * 1_000_000.0) as u64;
+        if at_us >= end_us {
             return jobs;
         }
-        let run_ms = (0..args.tasks)
-            .map(|_| rng.random_range(args.min_run_ms..=args.max_run_ms))
-            .collect();
-        jobs.push(PlannedJob {
-            at_us: (at_s * 1_000_000.0) as u64,
-            run_ms,
-        });
+        jobs.push(plan_job(&mut rng, args, at_us));
+    }
+}
+
+/// Rate at a time as a multiple of the mean rate.
+fn rate_factor(burst_factor: f64, at_us: u64) -> f64 {
+    let base = 1.0 / (1.0 + BURST_SHARE * (burst_factor - 1.0));
+    let phase = (at_us % BURST_PERIOD_US) as f64 / BURST_PERIOD_US as f64;
+    if phase < BURST_SHARE {
+        base * burst_factor
+    } else {
+        base
+    }
+}
+
+fn plan_job(rng: &mut ChaCha8Rng, args: &LoadArgs, at_us: u64) -> PlannedJob {
+    let tasks: Vec<PlannedTask> = match args.shape {
+        Shape::Mixed => (0..mixed_task_count(rng))
+            .map(|_| plan_task(rng, args.declared_error))
+            .collect(),
+        Shape::Wide => vec![
+            PlannedTask {
+                run_ms: WIDE_TASK_MS,
+                declared_ms: WIDE_TASK_MS,
+            };
+            WIDE_TASKS
+        ],
+    };
+    let cancelled = rng.random_bool(args.cancel_share);
+    let impossible = rng.random_bool(args.impossible_share);
+    let mut job = PlannedJob {
+        at_us,
+        tasks,
+        deadline_ms: 0,
+        cancelled,
+        memory_mb: impossible.then_some(IMPOSSIBLE_MEMORY_MB),
+    };
+    job.deadline_ms = job.longest_ms() + args.slack_ms;
+    job
+}
+
+/// Three in four jobs are single requests, the others have up to 20 tasks.
+fn mixed_task_count(rng: &mut ChaCha8Rng) -> usize {
+    match rng.random_range(0..20) {
+        0..15 => 1,
+        15..19 => rng.random_range(2..=6),
+        _ => rng.random_range(7..=20),
+    }
+}
+
+fn plan_task(rng: &mut ChaCha8Rng, declared_error: f64) -> PlannedTask {
+    let run_ms = if rng.random_bool(LONG_SHARE) {
+        rng.random_range(LONG_MS.0..LONG_MS.1)
+    } else {
+        let (shortest, longest) = ORDINARY_MS;
+        shortest * (longest / shortest).powf(rng.random())
+    };
+    let error = declared_error.powf(rng.random_range(-1.0..=1.0));
+    PlannedTask {
+        run_ms: run_ms as u32,
+        declared_ms: (run_ms * error) as u32,
+    }
+}
+
+/// Work of an average job, in seconds.
+fn mean_job_s(shape: Shape) -> f64 {
+    let (shortest, longest) = ORDINARY_MS;
+    let ordinary_ms = (longest - shortest) / (longest / shortest).ln();
+    let long_ms = f64::midpoint(LONG_MS.0, LONG_MS.1);
+    let task_ms = ordinary_ms * (1.0 - LONG_SHARE) + long_ms * LONG_SHARE;
+    let mixed_tasks = 0.75 + 0.2 * 4.0 + 0.05 * 13.5;
+    match shape {
+        Shape::Mixed => mixed_tasks * task_ms / 1_000.0,
+        Shape::Wide => WIDE_TASKS as f64 * f64::from(WIDE_TASK_MS) / 1_000.0,
     }
 }
--- /dev/null
+++ b/src/load/ticket_pool.rs
@@ -0,0 +1,57 @@
+//! Tickets in the client's hand.
+
+use {
+    crate::adapters::http::HttpClient,
+    http::Method,
+    serde_json::Value,
+    std::{
+        net::SocketAddr,
+        sync::{Mutex, PoisonError},
+    },
+};
+
+/// Tickets asked for at a time.
+const BATCH: usize = 100;
+
+/// Tickets fetched ahead and those that came with answers; the newest is used first.
+#[derive(Debug, Default)]
+pub(crate) struct TicketPool {
+    tickets: Mutex<Vec<String>>,
+}
+
+impl TicketPool {
+    /// Keeps a ticket for a later job.
+    pub(crate) fn put(&self, ticket: &str) {
+        if !ticket.is_empty() {
+            self.lock().push(ticket.to_owned());
+        }
+    }
+
+    /// A ticket, fetched from the entry if none is in hand.
+    pub(crate) async fn take(&self, client: &HttpClient, entry: SocketAddr) -> Option<String> {
+        if let Some(ticket) = self.lock().pop() {
+            return Some(ticket);
+        }
+        self.fetch(client, entry).await;
+        self.lock().pop()
+    }
+
+    /// Fetches a batch.
+    pub(crate) async fn fetch(&self, client: &HttpClient, entry: SocketAddr) {
+        let path = format!("/v1/tickets?count={BATCH}");
+        let Ok(reply) = client
+            .send(Method::POST, entry, &path, &[], String::new())
+            .await
+        else {
+            return;
+        };
+        let body: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
+        for ticket in body["tickets"].as_array().into_iter().flatten() {
+            self.put(ticket.as_str().unwrap_or_default());
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<String>> {
+        self.tickets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -21,7 +21,10 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
-    tokio::time::{interval, sleep},
+    tokio::{
+        sync::Semaphore,
+        time::{Instant, interval, sleep},
+    },
 };
 
 /// Pause between announcements to the agent, in milliseconds.
@@ -49,6 +52,10 @@
     task: String,
     /// Milliseconds since 1970, on this host's clock.
     at_unix_ms: u128,
+    /// Microseconds since 1970, on this host's clock.
+    at_unix_us: u128,
+    /// How long it ran, in microseconds; zero while it runs.
+    ran_us: u128,
 }
 
 #[derive(Debug, Default)]
@@ -58,20 +65,49 @@
     stops: BTreeMap<String, u32>,
 }
 
-#[derive(Debug, Default)]
-struct Backend(Mutex<BackendInner>);
+/// The stand-in's record and its slots.
+#[derive(Debug)]
+struct Backend {
+    inner: Mutex<BackendInner>,
+    /// Tasks beyond the slots wait here: a backend server can't do more at a time than it can.
+    slots: Semaphore,
+}
 
 type Shared<'a> = Data<&'a Arc<Backend>>;
 
 impl Backend {
     fn lock(&self) -> MutexGuard<'_, BackendInner> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes a start and returns its position in the record.
+    fn record_start(&self, task: String) -> usize {
+        let at = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let mut inner = self.lock();
+        inner.starts.push(StartRecord {
+            task,
+            at_unix_ms: at.as_millis(),
+            at_unix_us: at.as_micros(),
+            ran_us: 0,
+        });
+        inner.starts.len() - 1
+    }
+
+    fn record_end(&self, position: usize, ran: Duration) {
+        if let Some(record) = self.lock().starts.get_mut(position) {
+            record.ran_us = ran.as_micros();
+        }
     }
 }
 
 /// Runs the stand-in until SIGTERM.
 pub(crate) async fn run_backend(args: BackendArgs) -> Result<(), RunError> {
-    let backend = Arc::new(Backend::default());
+    let backend = Arc::new(Backend {
+        inner: Mutex::default(),
+        slots: Semaphore::new(usize::from(args.slots)),
+    });
     let routes = Route::new()
         .at(RUN_PATH, post(run))
         .at(STOP_PATH, post(stop))
@@ -98,7 +134,7 @@
         let body = BackendBody {
             addr: args.listen,
             services: args.services.clone(),
-            slots: args.slots,
+            slots: args.announced_slots.unwrap_or(args.slots),
             leaving: faults.leaving,
         };
         let Ok(body) = serde_json::to_string(&body) else {
@@ -128,10 +164,11 @@
             .header(NOT_RUN_HEADER, "1")
             .finish();
     }
-    backend.lock().starts.push(StartRecord {
-        task,
-        at_unix_ms: unix_ms(),
-    });
+    let Ok(_slot) = backend.slots.acquire().await else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    let began = Instant::now();
+    let record = backend.record_start(task);
     if faults.fail_all {
         return (StatusCode::INTERNAL_SERVER_ERROR, "told to fail").into_response();
     }
@@ -142,15 +179,10 @@
     };
     let factor = u64::from(faults.slow_factor.max(1));
     sleep(Duration::from_millis(work_ms * factor)).await;
+    backend.record_end(record, began.elapsed());
     output.to_owned().into_response()
 }
 
-fn unix_ms() -> u128 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis())
-}
-
 #[handler]
 fn stop(backend: Shared<'_>, request: &Request) -> StatusCode {
     let task = request.header(TASK_HEADER).unwrap_or_default().to_owned();
