--- a/src/adapters/http/entry_api.rs
+++ b/src/adapters/http/entry_api.rs
@@ -51,6 +51,7 @@
             "/v1/config",
             get(operator_api::show).post(operator_api::apply),
         )
+        .at("/v1/config/diff", post(operator_api::diff))
         .at("/v1/config/history", get(operator_api::history))
         .at("/v1/zones/:zone/:state", post(operator_api::set_zone))
         .at("/v1/workers", get(operator_api::workers))
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod client;
 mod client_api;
+mod config_body;
 mod entry_api;
 mod job_body;
 mod operator_api;
--- a/src/adapters/http/operator_api.rs
+++ b/src/adapters/http/operator_api.rs
@@ -1,34 +1,41 @@
 //! What operators call.
 
 use {
-    super::entry_api::{Api, EntryApi},
-    crate::{conf::OperatorSettings, entry::ApplyError, ports::StoreError},
+    super::{
+        config_body::{BasedOnBody, ChangeBody, HistoryQuery, ShowQuery, ZoneQuery},
+        entry_api::{Api, EntryApi},
+    },
+    crate::{
+        conf::OperatorSettings,
+        core::config::{SECTIONS, ZoneState},
+        entry::{Accepted, ApplyError, Change, Edit},
+    },
     poem::{
         IntoResponse, Request, Response, handler,
         http::StatusCode,
-        web::{Json, Path},
+        web::{Json, Path, Query},
     },
-    serde::{Deserialize, Serialize},
     serde_json::json,
     std::sync::Arc,
 };
 
-/// Tries to take a zone out or in while other changes win the race.
-const ZONE_TRIES: usize = 5;
+/// Versions that a history shows if none are asked for.
+const HISTORY_LAST: u64 = 100;
+/// When to come back after a change was refused for want of the platform or of a turn, in seconds.
+const RETRY_AFTER_S: u64 = 2;
 
-/// A document on its way to be applied.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct ApplyBody {
-    /// The document's text.
-    text: String,
-    /// The version that it was made from, zero for the first.
-    based_on: u64,
-}
-
-/// `GET /v1/config`
+/// `GET /v1/config`, `GET /v1/config?version=N`
 #[handler]
-pub(crate) fn show(api: Api<'_>) -> Response {
-    match api.state.in_force() {
+pub(crate) async fn show(api: Api<'_>, Query(query): Query<ShowQuery>) -> Response {
+    let held = match query.version {
+        None => api.state.in_force(),
+        Some(version) => match api.keeper.at_version(version).await {
+            Ok(Some(held)) => Some(held),
+            Ok(None) => return failure(&ApplyError::UnknownBase(version)),
+            Err(error) => return failure(&ApplyError::Unavailable(error)),
+        },
+    };
+    match held {
         Some(held) => Json(json!({
             "version": held.head.version,
             "sections": held.head.sections,
@@ -41,22 +48,39 @@
 
 /// `POST /v1/config`
 #[handler]
-pub(crate) async fn apply(api: Api<'_>, request: &Request, body: Json<ApplyBody>) -> Response {
+pub(crate) async fn apply(api: Api<'_>, request: &Request, body: Json<ChangeBody>) -> Response {
     let Some(operator) = operator(&api, request) else {
         return failure(&ApplyError::Unauthorized);
     };
-    match api.keeper.apply(operator, &body.text, body.based_on).await {
-        Ok(head) => Json(json!({ "version": head.version })).into_response(),
-        Err(error) => failure(&error),
-    }
+    let change = match change(body.0) {
+        Ok(change) => change,
+        Err(detail) => return message(StatusCode::BAD_REQUEST, &detail),
+    };
+    answer(api.keeper.apply(operator, &change).await)
 }
 
-/// `GET /v1/config/history`
+/// `POST /v1/config/diff`: what the change would do now; without a token for any section.
 #[handler]
-pub(crate) async fn history(api: Api<'_>) -> Response {
-    match api.keeper.history().await {
+pub(crate) async fn diff(api: Api<'_>, request: &Request, body: Json<ChangeBody>) -> Response {
+    let owned = match (operator(&api, request), request.header("authorization")) {
+        (Some(operator), _) => operator.sections.clone(),
+        (None, Some(_)) => return failure(&ApplyError::Unauthorized),
+        (None, None) => SECTIONS.into_iter().map(str::to_owned).collect(),
+    };
+    let change = match change(body.0) {
+        Ok(change) => change,
+        Err(detail) => return message(StatusCode::BAD_REQUEST, &detail),
+    };
+    answer(api.keeper.preview(&owned, &change).await)
+}
+
+/// `GET /v1/config/history`, `GET /v1/config/history?last=N`
+#[handler]
+pub(crate) async fn history(api: Api<'_>, Query(query): Query<HistoryQuery>) -> Response {
+    let last = query.last.unwrap_or(HISTORY_LAST);
+    match api.keeper.history(last).await {
         Ok(heads) => Json(heads).into_response(),
-        Err(error) => failure(&ApplyError::Store(error)),
+        Err(error) => failure(&ApplyError::Unavailable(error)),
     }
 }
 
@@ -66,45 +90,21 @@
     api: Api<'_>,
     request: &Request,
     Path((zone, state)): Path<(String, String)>,
+    Query(query): Query<ZoneQuery>,
 ) -> Response {
     let Some(operator) = operator(&api, request) else {
         return failure(&ApplyError::Unauthorized);
     };
-    let word = match state.as_str() {
-        "out" => "out",
-        "in" => "open",
+    let state = match state.as_str() {
+        "out" => ZoneState::Out,
+        "in" => ZoneState::Open,
         _ => return message(StatusCode::NOT_FOUND, "the last part is out or in"),
     };
-    for _ in 0..ZONE_TRIES {
-        let Some(held) = api.state.in_force() else {
-            return message(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
-        };
-        let Some(text) = with_zone_state(&held.text, &zone, word) else {
-            return message(StatusCode::NOT_FOUND, "no such availability zone");
-        };
-        match api.keeper.apply(operator, &text, held.head.version).await {
-            Ok(head) => return Json(json!({ "version": head.version })).into_response(),
-            Err(ApplyError::Conflict(_)) => {
-                if let Err(error) = api.keeper.refresh().await {
-                    return failure(&ApplyError::Store(error));
-                }
-            }
-            Err(error) => return failure(&error),
-        }
-    }
-    failure(&ApplyError::Conflict(None))
-}
-
-/// The document with one zone's state changed and everything else as it was.
-fn with_zone_state(text: &str, zone: &str, state: &str) -> Option<String> {
-    let mut document: toml_edit::DocumentMut = text.parse().ok()?;
-    let zone = document
-        .get_mut("zones")?
-        .as_table_like_mut()?
-        .get_mut(zone)?
-        .as_table_like_mut()?;
-    zone.insert("state", toml_edit::value(state));
-    Some(document.to_string())
+    let change = Change {
+        edit: Edit::Zone { zone, state },
+        close_last_zone: query.last,
+    };
+    answer(api.keeper.apply(operator, &change).await)
 }
 
 /// `GET /v1/workers`
@@ -135,6 +135,29 @@
     api.keeper.operator(token)
 }
 
+fn change(body: ChangeBody) -> Result<Change, String> {
+    let based_on = BasedOnBody::sections(body.based_on, &body.text)?;
+    Ok(Change {
+        edit: Edit::Document {
+            text: body.text,
+            based_on,
+        },
+        close_last_zone: body.close_last_zone,
+    })
+}
+
+fn answer(result: Result<Accepted, ApplyError>) -> Response {
+    match result {
+        Ok(accepted) => Json(json!({
+            "version": accepted.head.version,
+            "sections": accepted.sections,
+            "differences": accepted.differences,
+        }))
+        .into_response(),
+        Err(error) => failure(&error),
+    }
+}
+
 fn message(status: StatusCode, text: &str) -> Response {
     Json(json!({ "error": text }))
         .with_status(status)
@@ -142,19 +165,31 @@
 }
 
 fn failure(error: &ApplyError) -> Response {
-    let (status, detail) = match error {
-        ApplyError::Unauthorized => (StatusCode::UNAUTHORIZED, json!(null)),
-        ApplyError::Forbidden(_) => (StatusCode::FORBIDDEN, json!(null)),
-        ApplyError::Invalid(faults) => (StatusCode::BAD_REQUEST, json!(faults)),
-        ApplyError::Conflict(head) => (StatusCode::CONFLICT, json!(head)),
-        ApplyError::Store(StoreError::Unavailable(_)) => {
-            (StatusCode::SERVICE_UNAVAILABLE, json!(null))
-        }
-        ApplyError::Store(StoreError::OutcomeUnknown(_)) => {
-            (StatusCode::GATEWAY_TIMEOUT, json!(null))
+    let detail = match error {
+        ApplyError::Invalid(faults) => json!(faults),
+        ApplyError::Conflict(version, conflicts) => {
+            json!({ "version": version, "conflicts": conflicts })
         }
+        _ => json!(null),
     };
-    Json(json!({ "error": error.to_string(), "detail": detail }))
-        .with_status(status)
-        .into_response()
+    let body = json!({ "error": error.to_string(), "reason": error.as_str(), "detail": detail });
+    let mut response = Json(body).with_status(status(error)).into_response();
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        response
+            .headers_mut()
+            .insert("retry-after", RETRY_AFTER_S.into());
+    }
+    response
+}
+
+const fn status(error: &ApplyError) -> StatusCode {
+    match error {
+        ApplyError::Unauthorized => StatusCode::UNAUTHORIZED,
+        ApplyError::Forbidden(_) => StatusCode::FORBIDDEN,
+        ApplyError::Invalid(_) => StatusCode::BAD_REQUEST,
+        ApplyError::UnknownZone(_) | ApplyError::UnknownBase(_) => StatusCode::NOT_FOUND,
+        ApplyError::Conflict(..) => StatusCode::CONFLICT,
+        ApplyError::Busy | ApplyError::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
+        ApplyError::OutcomeUnknown(..) => StatusCode::GATEWAY_TIMEOUT,
+    }
 }
--- a/src/cli/args/mod.rs
+++ b/src/cli/args/mod.rs
@@ -7,7 +7,7 @@
 
 pub(crate) use {
     load_args::LoadArgs,
-    operator_args::{CheckKind, OperatorArgs, OperatorCommand, ZoneCommand},
+    operator_args::{CheckKind, DocumentArgs, OperatorArgs, OperatorCommand, ZoneCommand},
     service_args::{AgentArgs, EntryArgs},
     standin_args::{BackendArgs, PlatformArgs, StandinArgs, StandinCommand},
 };
--- a/src/cli/args/operator_args.rs
+++ b/src/cli/args/operator_args.rs
@@ -53,18 +53,22 @@
     },
     /// Read a token from standard input and print the digest for an entry's settings
     HashToken,
+    /// Show what a configuration document would change
+    Diff(DocumentArgs),
     /// Put a configuration document in force
-    Apply {
-        /// The file
-        file: PathBuf,
-        /// The version that it was made from; the one in force if not given
+    Apply(DocumentArgs),
+    /// Show the configuration in force
+    Show {
+        /// Show it as it was at this version
         #[arg(long)]
-        based_on: Option<u64>,
+        version: Option<u64>,
     },
-    /// Show the configuration in force
-    Show,
     /// List accepted changes
-    History,
+    History {
+        /// How many of the newest versions; 100 if not given
+        #[arg(long)]
+        last: Option<u64>,
+    },
     /// Take an availability zone out of service or bring it back
     Zone {
         /// Which way
@@ -96,6 +100,19 @@
     },
 }
 
+/// A document and what it was made from.
+#[derive(Debug, clap::Args)]
+pub(crate) struct DocumentArgs {
+    /// The file
+    pub(crate) file: PathBuf,
+    /// The version that it was made from; if not given, its first line says so (see `show`)
+    #[arg(long, value_name = "VERSION")]
+    pub(crate) based_on: Option<u64>,
+    /// Allow that no availability zone stays open
+    #[arg(long)]
+    pub(crate) close_last_zone: bool,
+}
+
 /// Which way an availability zone goes.
 #[derive(Debug, Subcommand)]
 pub(crate) enum ZoneCommand {
@@ -103,6 +120,9 @@
     Out {
         /// The availability zone
         zone: String,
+        /// Allow that no availability zone stays open
+        #[arg(long)]
+        last: bool,
     },
     /// Tasks may start there again
     In {
--- a/src/cli/commands/config.rs
+++ b/src/cli/commands/config.rs
@@ -1,70 +1,113 @@
-//! `rattanslip apply`, `show`, `history` and `zone`.
+//! `rattanslip apply`, `diff`, `show`, `history` and `zone`.
 
 use {
-    crate::cli::{RunError, operator_client::OperatorClient},
+    super::words::{describe_change, time_of},
+    crate::{
+        cli::{RunError, operator_client::OperatorClient},
+        conf::with_version_mark,
+    },
     http::Method,
     serde_json::{Value, json},
     std::path::Path,
 };
 
+/// A document with what the operator says about it.
+#[derive(Debug)]
+pub(crate) struct DocumentChange<'a> {
+    /// The file.
+    pub(crate) file: &'a Path,
+    /// The version that it was made from; its first line says it if this doesn't.
+    pub(crate) based_on: Option<u64>,
+    /// Whether the last open availability zone may be closed.
+    pub(crate) close_last_zone: bool,
+}
+
+impl DocumentChange<'_> {
+    fn body(&self) -> Result<String, RunError> {
+        let text = std::fs::read_to_string(self.file)
+            .map_err(|error| RunError::Usage(format!("{}: {error}", self.file.display())))?;
+        let mut body = json!({ "text": text, "close_last_zone": self.close_last_zone });
+        if let Some(version) = self.based_on {
+            body["based_on"] = version.into();
+        }
+        Ok(body.to_string())
+    }
+}
+
 /// Puts a document in force.
 pub(crate) async fn apply(
     client: &OperatorClient,
-    file: &Path,
-    based_on: Option<u64>,
+    change: &DocumentChange<'_>,
     as_json: bool,
 ) -> Result<(), RunError> {
-    let text = std::fs::read_to_string(file)
-        .map_err(|error| RunError::Usage(format!("{}: {error}", file.display())))?;
-    let based_on = match based_on {
-        Some(version) => version,
-        None => version_in_force(client).await?,
-    };
-    let body = json!({ "text": text, "based_on": based_on }).to_string();
-    let reply = client.json(Method::POST, "/v1/config", body).await?;
-    print_version(&reply, "configuration in force", as_json);
+    let reply = client
+        .json(Method::POST, "/v1/config", change.body()?)
+        .await?;
+    print_accepted(&reply, as_json);
     Ok(())
 }
 
-async fn version_in_force(client: &OperatorClient) -> Result<u64, RunError> {
-    let held = client
-        .json(Method::GET, "/v1/config", String::new())
+/// Shows what a document would change.
+pub(crate) async fn diff(
+    client: &OperatorClient,
+    change: &DocumentChange<'_>,
+    as_json: bool,
+) -> Result<(), RunError> {
+    let reply = client
+        .json(Method::POST, "/v1/config/diff", change.body()?)
         .await?;
-    Ok(held["version"].as_u64().unwrap_or(0))
+    if as_json {
+        println!("{reply}");
+        return Ok(());
+    }
+    println!("against version {}:", reply["version"]);
+    print!("{}", describe_change(&reply));
+    Ok(())
 }
 
-/// Shows the document in force.
-pub(crate) async fn show(client: &OperatorClient, as_json: bool) -> Result<(), RunError> {
-    let held = client
-        .json(Method::GET, "/v1/config", String::new())
-        .await?;
+/// Shows the document in force, or as it was at a version.
+pub(crate) async fn show(
+    client: &OperatorClient,
+    version: Option<u64>,
+    as_json: bool,
+) -> Result<(), RunError> {
+    let path = match version {
+        Some(version) => format!("/v1/config?version={version}"),
+        None => "/v1/config".to_owned(),
+    };
+    let held = client.json(Method::GET, &path, String::new()).await?;
     if as_json {
         println!("{held}");
         return Ok(());
     }
-    println!("# version {}", held["version"]);
-    for (section, change) in held["sections"].as_object().into_iter().flatten() {
-        let author = change["author"].as_str().unwrap_or_default();
-        println!("# {section}: version {} by {author}", change["version"]);
-    }
-    print!("{}", held["text"].as_str().unwrap_or_default());
+    let text = held["text"].as_str().unwrap_or_default();
+    let version = held["version"].as_u64().unwrap_or(0);
+    print!("{}", with_version_mark(version, text));
     Ok(())
 }
 
 /// Lists accepted changes, oldest first.
-pub(crate) async fn history(client: &OperatorClient, as_json: bool) -> Result<(), RunError> {
-    let heads = client
-        .json(Method::GET, "/v1/config/history", String::new())
-        .await?;
+pub(crate) async fn history(
+    client: &OperatorClient,
+    last: Option<u64>,
+    as_json: bool,
+) -> Result<(), RunError> {
+    let path = match last {
+        Some(last) => format!("/v1/config/history?last={last}"),
+        None => "/v1/config/history".to_owned(),
+    };
+    let heads = client.json(Method::GET, &path, String::new()).await?;
     if as_json {
         println!("{heads}");
         return Ok(());
     }
+    println!("{:>7}  {:<9}  {:<20}  author", "version", "section", "time");
     for head in heads.as_array().into_iter().flatten() {
         for (section, change) in head["sections"].as_object().into_iter().flatten() {
             if change["version"] == head["version"] {
                 let author = change["author"].as_str().unwrap_or_default();
-                println!("version {}  {section:<9}  {author}", head["version"]);
+                let time = time_of(change);
+                println!("{:>7}  {section:<9}  {time:<20}  {author}", head["version"]);
             }
         }
     }
@@ -76,22 +119,30 @@
     client: &OperatorClient,
     zone: &str,
     way: &str,
+    last: bool,
     as_json: bool,
 ) -> Result<(), RunError> {
-    let path = format!("/v1/zones/{zone}/{way}");
+    let path = format!("/v1/zones/{zone}/{way}?last={last}");
     let reply = client.json(Method::POST, &path, String::new()).await?;
-    print_version(
-        &reply,
-        &format!("availability zone {zone} is {way}"),
-        as_json,
-    );
+    print_accepted(&reply, as_json);
     Ok(())
 }
 
-fn print_version(reply: &Value, what: &str, as_json: bool) {
+fn print_accepted(reply: &Value, as_json: bool) {
     if as_json {
         println!("{reply}");
+        return;
+    }
+    let is_change = reply["sections"]
+        .as_array()
+        .is_some_and(|sections| !sections.is_empty());
+    let word = if is_change {
+        "accepted as"
     } else {
-        println!("{what}: version {}", reply["version"]);
+        "unchanged:"
+    };
+    println!("{word} version {}", reply["version"]);
+    if is_change {
+        print!("{}", describe_change(reply));
     }
 }
--- a/src/cli/commands/mod.rs
+++ b/src/cli/commands/mod.rs
@@ -5,6 +5,7 @@
 mod hash_token;
 mod jobs;
 mod run;
+mod words;
 mod workers;
 
-pub(crate) use run::run;
+pub(crate) use {run::run, words::describe_conflicts};
--- a/src/cli/commands/run.rs
+++ b/src/cli/commands/run.rs
@@ -1,10 +1,14 @@
 //! Picks the command.
 
 use {
-    super::{check, config, hash_token, jobs, workers},
+    super::{
+        check,
+        config::{self, DocumentChange},
+        hash_token, jobs, workers,
+    },
     crate::cli::{
         RunError,
-        args::{OperatorArgs, OperatorCommand, ZoneCommand},
+        args::{DocumentArgs, OperatorArgs, OperatorCommand, ZoneCommand},
         operator_client::OperatorClient,
     },
 };
@@ -17,23 +21,37 @@
     if matches!(args.command, OperatorCommand::HashToken) {
         return hash_token::hash_token();
     }
-    let client = OperatorClient::new(args.entry, args.token.as_deref())?;
+    let as_json = args.json;
+    let client = OperatorClient::new(args.entry, args.token.as_deref(), as_json)?;
     match args.command {
         OperatorCommand::Check { .. } | OperatorCommand::HashToken => Ok(()),
-        OperatorCommand::Apply { file, based_on } => {
-            config::apply(&client, &file, based_on, args.json).await
-        }
-        OperatorCommand::Show => config::show(&client, args.json).await,
-        OperatorCommand::History => config::history(&client, args.json).await,
+        OperatorCommand::Diff(args) => config::diff(&client, &args.change(), as_json).await,
+        OperatorCommand::Apply(args) => config::apply(&client, &args.change(), as_json).await,
+        OperatorCommand::Show { version } => config::show(&client, version, as_json).await,
+        OperatorCommand::History { last } => config::history(&client, last, as_json).await,
         OperatorCommand::Zone { command } => match command {
-            ZoneCommand::Out { zone } => config::set_zone(&client, &zone, "out", args.json).await,
-            ZoneCommand::In { zone } => config::set_zone(&client, &zone, "in", args.json).await,
+            ZoneCommand::Out { zone, last } => {
+                config::set_zone(&client, &zone, "out", last, as_json).await
+            }
+            ZoneCommand::In { zone } => {
+                config::set_zone(&client, &zone, "in", false, as_json).await
+            }
         },
-        OperatorCommand::Workers => workers::list(&client, args.json).await,
+        OperatorCommand::Workers => workers::list(&client, as_json).await,
         OperatorCommand::Submit { file, ticket, key } => {
-            jobs::submit(&client, &file, ticket, key, args.json).await
+            jobs::submit(&client, &file, ticket, key, as_json).await
+        }
+        OperatorCommand::Status { ticket } => jobs::status(&client, &ticket, as_json).await,
+        OperatorCommand::Cancel { ticket } => jobs::cancel(&client, &ticket, as_json).await,
+    }
+}
+
+impl DocumentArgs {
+    fn change(&self) -> DocumentChange<'_> {
+        DocumentChange {
+            file: &self.file,
+            based_on: self.based_on,
+            close_last_zone: self.close_last_zone,
         }
-        OperatorCommand::Status { ticket } => jobs::status(&client, &ticket, args.json).await,
-        OperatorCommand::Cancel { ticket } => jobs::cancel(&client, &ticket, args.json).await,
     }
 }
--- /dev/null
+++ b/src/cli/commands/words.rs
@@ -0,0 +1,65 @@
+//! Replies of the configuration's routes in an operator's words.
+
+use {jiff::Timestamp, serde_json::Value, std::fmt::Write};
+
+/// What a change does, a line each.
+pub(crate) fn describe_change(reply: &Value) -> String {
+    let mut text = String::new();
+    for difference in reply["differences"].as_array().into_iter().flatten() {
+        let words = difference["words"].as_str().unwrap_or_default();
+        // Writing to a string can't fail.
+        let _ = writeln!(text, "  {words}");
+    }
+    if !text.is_empty() {
+        return text;
+    }
+    let sections: Vec<&str> = reply["sections"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter_map(Value::as_str)
+        .collect();
+    if sections.is_empty() {
+        return "  nothing would change\n".to_owned();
+    }
+    format!("  only comments, in {}\n", sections.join(", "))
+}
+
+/// Who changed what since, a line for each section.
+pub(crate) fn describe_conflicts(detail: &Value) -> Vec<String> {
+    let conflicts = detail["conflicts"].as_array();
+    let mut lines: Vec<String> = conflicts
+        .into_iter()
+        .flatten()
+        .map(|conflict| {
+            format!(
+                "section {}: changed by {} at {} in version {}; your document was made from version {}",
+                conflict["section"].as_str().unwrap_or_default(),
+                conflict["author"].as_str().unwrap_or_default(),
+                time_of(conflict),
+                conflict["version"],
+                conflict["based_on"],
+            )
+        })
+        .collect();
+    let based_on_nothing = conflicts
+        .into_iter()
+        .flatten()
+        .any(|conflict| conflict["based_on"] == 0);
+    if based_on_nothing {
+        lines.push(
+            "say what it was made from: --based-on VERSION, or edit what `show` prints".to_owned(),
+        );
+    }
+    lines
+}
+
+/// The time of a section's last change, in UTC.
+pub(crate) fn time_of(change: &Value) -> String {
+    change["changed_at_ms"]
+        .as_i64()
+        .and_then(|ms| Timestamp::from_millisecond(ms).ok())
+        .map_or_else(String::new, |time| {
+            time.strftime("%Y-%m-%dT%H:%M:%SZ").to_string()
+        })
+}
--- a/src/cli/commands/workers.rs
+++ b/src/cli/commands/workers.rs
@@ -1,16 +1,30 @@
 //! `rattanslip workers`.
 
 use {
-    crate::cli::{RunError, operator_client::OperatorClient},
+    crate::{
+        cli::{RunError, operator_client::OperatorClient},
+        conf::{DocumentRules, read_document_by},
+        core::config::Document,
+    },
     http::Method,
-    serde_json::Value,
+    serde_json::{Value, json},
+    std::collections::BTreeSet,
 };
 
-/// Lists workers as the entry sees them.
+/// Lists workers as the entry sees them, then declared ones that it doesn't see.
 pub(crate) async fn list(client: &OperatorClient, as_json: bool) -> Result<(), RunError> {
-    let workers = client
+    let mut workers = client
         .json(Method::GET, "/v1/workers", String::new())
         .await?;
+    let held = client
+        .json(Method::GET, "/v1/config", String::new())
+        .await?;
+    let text = held["text"].as_str().unwrap_or_default();
+    let document = read_document_by(text, &DocumentRules::Accepted).unwrap_or_default();
+    let absent = absent_workers(&workers, &document);
+    if let Some(workers) = workers.as_array_mut() {
+        workers.extend(absent);
+    }
     if as_json {
         println!("{workers}");
         return Ok(());
@@ -25,6 +39,29 @@
     Ok(())
 }
 
+/// Declared workers that don't announce themselves.
+fn absent_workers(present: &Value, document: &Document) -> Vec<Value> {
+    let present: BTreeSet<&str> = present
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter_map(|worker| worker["worker"].as_str())
+        .collect();
+    document
+        .workers
+        .iter()
+        .filter(|(name, _)| !present.contains(name.as_str()))
+        .map(|(name, worker)| {
+            json!({
+                "worker": name,
+                "availability_zone": worker.availability_zone,
+                "slots": worker.slots,
+                "absent": if worker.arrived { "silent" } else { "not arrived" },
+            })
+        })
+        .collect()
+}
+
 fn row(worker: &Value) -> String {
     let services: Vec<&str> = worker["services"]
         .as_array()
@@ -32,18 +69,24 @@
         .flatten()
         .filter_map(Value::as_str)
         .collect();
-    let leaving = if worker["leaving"] == true {
-        "  (leaving)"
-    } else {
-        ""
+    let state = match worker["absent"].as_str() {
+        Some(absent) => format!("(declared, {absent})"),
+        None if worker["leaving"] == true => format!("{}  (leaving)", services.join(", ")),
+        None => services.join(", "),
     };
     format!(
-        "{:<12} {:<14} {:>5} {:>5} {:>9}  {}{leaving}",
+        "{:<12} {:<14} {:>5} {:>5} {:>9}  {state}",
         worker["worker"].as_str().unwrap_or_default(),
         worker["availability_zone"].as_str().unwrap_or_default(),
         worker["slots"],
-        worker["free_slots"],
-        worker["silent_ms"],
-        services.join(", "),
+        number(&worker["free_slots"]),
+        number(&worker["silent_ms"]),
     )
 }
+
+/// A number, or a dash for what isn't known.
+fn number(value: &Value) -> String {
+    value
+        .as_u64()
+        .map_or_else(|| "-".to_owned(), |number| number.to_string())
+}
--- a/src/cli/errors.rs
+++ b/src/cli/errors.rs
@@ -40,6 +40,10 @@
         Refused(detail: String) {
             display("{}", detail)
         }
+        /// The entry found faults in a document.
+        BadDocument(detail: String) {
+            display("{}", detail)
+        }
         /// An argument is missing or can't be used.
         Usage(detail: String) {
             display("{}", detail)
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -18,7 +18,7 @@
     };
     eprintln!("{error}");
     let code = match error {
-        RunError::Conf(_) | RunError::Usage(_) => BAD_INPUT,
+        RunError::Conf(_) | RunError::Usage(_) | RunError::BadDocument(_) => BAD_INPUT,
         RunError::Unreachable(_) => UNREACHABLE,
         RunError::Refused(_) => REFUSED,
         RunError::Listen(..)
--- a/src/cli/operator_client.rs
+++ b/src/cli/operator_client.rs
@@ -1,9 +1,9 @@
 //! Calls to an entry from the command line.
 
 use {
-    super::RunError,
+    super::{RunError, commands::describe_conflicts},
     crate::adapters::http::{HttpClient, HttpReply},
-    http::Method,
+    http::{Method, StatusCode},
     serde_json::Value,
     std::net::SocketAddr,
 };
@@ -14,11 +14,16 @@
     client: HttpClient,
     entry: SocketAddr,
     authorization: Option<String>,
+    prints_refusals: bool,
 }
 
 impl OperatorClient {
-    /// A client of this entry.
-    pub(crate) fn new(entry: Option<SocketAddr>, token: Option<&str>) -> Result<Self, RunError> {
+    /// A client of this entry; with `as_json` refusals are printed as the entry sent them.
+    pub(crate) fn new(
+        entry: Option<SocketAddr>,
+        token: Option<&str>,
+        as_json: bool,
+    ) -> Result<Self, RunError> {
         let entry = entry.ok_or_else(|| {
             RunError::Usage("name an entry with --entry or RATTANSLIP_ENTRY".to_owned())
         })?;
@@ -26,6 +31,7 @@
             client: HttpClient::new(),
             entry,
             authorization: token.map(|token| format!("Bearer {token}")),
+            prints_refusals: as_json,
         })
     }
 
@@ -60,7 +66,15 @@
         if reply.status.is_success() {
             return Ok(value);
         }
-        Err(RunError::Refused(describe_refusal(&reply, &value)))
+        if self.prints_refusals {
+            println!("{value}");
+        }
+        let description = describe_refusal(&reply, &value);
+        Err(match (reply.status, value["detail"].is_array()) {
+            (StatusCode::BAD_REQUEST, true) => RunError::BadDocument(description),
+            (StatusCode::GATEWAY_TIMEOUT, _) => RunError::Failed(description),
+            _ => RunError::Refused(description),
+        })
     }
 }
 
@@ -71,7 +85,9 @@
         let line = &fault["line"];
         let field = fault["field"].as_str().unwrap_or_default();
         let message = fault["message"].as_str().unwrap_or_default();
-        lines.push(format!("line {line}: {field}: {message}"));
+        let separator = if field.is_empty() { "" } else { ": " };
+        lines.push(format!("line {line}: {field}{separator}{message}"));
     }
+    lines.extend(describe_conflicts(&value["detail"]));
     lines.join("\n")
 }
--- a/src/conf/document_reader.rs
+++ b/src/conf/document_reader.rs
@@ -1,36 +1,44 @@
 //! Reads and checks the configuration document.
 
 use {
-    super::{Fault, TableReader},
+    super::{DocumentRules, Fault, TableReader},
     crate::core::{
-        config::{Document, Quota, Service, Worker, Zone, ZoneState},
+        config::{Document, Quota, SECTIONS, Service, Worker, Zone, ZoneState},
         job::MAX_TASKS,
     },
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
-/// Reads a document; every fault is reported at once.
+/// Reads a document by all rules; every fault is reported at once.
 pub(crate) fn read_document(text: &str) -> Result<Document, Vec<Fault>> {
+    read_document_by(text, &DocumentRules::Whole)
+}
+
+/// Reads a document by these rules; every fault is reported at once.
+pub(crate) fn read_document_by(text: &str, rules: &DocumentRules) -> Result<Document, Vec<Fault>> {
     TableReader::read_text(text, |root| {
+        for section in SECTIONS {
+            root.require_header(section);
+        }
         let zones = root.table("zones", |table| named(table, read_zone));
         let workers = root.table("capacity", |capacity| {
-            capacity.table("workers", |table| {
-                named(table, |worker| read_worker(worker, &zones))
-            })
-        });
-        let services = root.table("services", |table| {
-            named(table, |service| read_service(service, &zones, &workers))
+            capacity.table("workers", |table| named(table, read_worker))
         });
+        let services = root.table("services", |table| named(table, read_service));
         let quotas = root.table("quotas", |table| named(table, read_quota));
-        if zones.is_empty() {
-            root.fault("zones", "must have at least one availability zone");
-        }
-        Document {
+        let document = Document {
             workers,
             services,
             zones,
             quotas,
+        };
+        if rules.compares_sections() {
+            compare_sections(root, &document);
         }
+        if let DocumentRules::Change { open_now } = rules {
+            check_last_zone(root, &document, open_now);
+        }
+        document
     })
 }
 
@@ -60,60 +68,106 @@
     }
 }
 
-fn read_worker(worker: &mut TableReader<'_>, zones: &BTreeMap<String, Zone>) -> Worker {
-    let availability_zone = worker.name("availability_zone");
-    if !availability_zone.is_empty() && !zones.contains_key(&availability_zone) {
-        let message = format!("no availability zone is named \"{availability_zone}\"");
-        worker.fault("availability_zone", message);
-    }
+fn read_worker(worker: &mut TableReader<'_>) -> Worker {
     Worker {
-        availability_zone,
+        availability_zone: worker.name("availability_zone"),
         rack: worker.name("rack"),
         slots: worker.number("slots", 1..=1_024, None),
         memory_mb: worker.number("memory_mb", 1..=16_777_216, None),
         accelerators: worker.number("accelerators", 0..=1_024, Some(0)),
+        arrived: worker.boolean("arrived", true),
     }
 }
 
-fn read_service(
-    service: &mut TableReader<'_>,
-    zones: &BTreeMap<String, Zone>,
-    workers: &BTreeMap<String, Worker>,
-) -> Service {
+fn read_service(service: &mut TableReader<'_>) -> Service {
     let availability_zones = service.strings("availability_zones");
     if availability_zones.is_empty() {
         service.fault("availability_zones", "must name at least one");
     }
-    for zone in &availability_zones {
-        if !zones.contains_key(zone) {
-            let message = format!("no availability zone is named \"{zone}\"");
-            service.fault("availability_zones", message);
-        }
-    }
-    let read = Service {
+    Service {
         availability_zones,
         default_deadline_ms: service.number("default_deadline_ms", 10..=120_000, Some(10_000)),
         repeatable: service.boolean("repeatable", false),
         memory_mb: service.number("memory_mb", 0..=16_777_216, Some(0)),
         accelerators: service.number("accelerators", 0..=1_024, Some(0)),
         max_tasks: service.number("max_tasks", 1..=200, Some(MAX_TASKS as i64)) as usize,
+    }
+}
+
+fn read_quota(quota: &mut TableReader<'_>) -> Quota {
+    Quota {
+        slots: quota.number("slots", 0..=1_000_000, None),
+    }
+}
+
+/// Holds the sections against each other.
+fn compare_sections(root: &TableReader<'_>, document: &Document) {
+    if document.zones.is_empty() {
+        root.fault("zones", "must have at least one availability zone");
+    }
+    for (name, worker) in &document.workers {
+        let zone = &worker.availability_zone;
+        if !zone.is_empty() {
+            check_zone(root, document, &["capacity", "workers", name], zone);
+        }
+    }
+    for (name, service) in &document.services {
+        for zone in &service.availability_zones {
+            check_zone(root, document, &["services", name], zone);
+        }
+        check_runnable(root, document, name, service);
+    }
+    for (name, quota) in &document.quotas {
+        check_quota(root, document, name, quota);
+    }
+}
+
+fn check_zone(root: &TableReader<'_>, document: &Document, table: &[&str], zone: &str) {
+    if document.zones.contains_key(zone) {
+        return;
+    }
+    let field = match table {
+        ["services", ..] => "availability_zones",
+        _ => "availability_zone",
     };
-    let fits = workers.values().any(|worker| {
-        read.availability_zones.contains(&worker.availability_zone)
-            && worker.memory_mb >= read.memory_mb
-            && worker.accelerators >= read.accelerators
+    let path: Vec<&str> = table.iter().copied().chain([field]).collect();
+    root.fault_at(&path, format!("no availability zone is named \"{zone}\""));
+}
+
+/// A service must fit some declared worker; one that has not arrived yet counts.
+fn check_runnable(root: &TableReader<'_>, document: &Document, name: &str, service: &Service) {
+    let runnable = document.workers.values().any(|worker| {
+        service
+            .availability_zones
+            .contains(&worker.availability_zone)
+            && worker.memory_mb >= service.memory_mb
+            && worker.accelerators >= service.accelerators
     });
-    if !fits {
-        service.fault(
-            "availability_zones",
+    if !runnable {
+        root.fault_at(
+            &["services", name, "availability_zones"],
             "no worker of these availability zones could ever run this service",
         );
     }
-    read
 }
 
-fn read_quota(quota: &mut TableReader<'_>) -> Quota {
-    Quota {
-        slots: quota.number("slots", 0..=1_000_000, None),
+fn check_quota(root: &TableReader<'_>, document: &Document, name: &str, quota: &Quota) {
+    let declared = document.declared_slots();
+    if u64::from(quota.slots) > declared {
+        let message = format!("is above the {declared} slots of all declared workers");
+        root.fault_at(&["quotas", name, "slots"], message);
+    }
+}
+
+/// Guards against a slip that stops all work: the last open zone closes only on demand.
+fn check_last_zone(root: &TableReader<'_>, document: &Document, open_now: &BTreeSet<String>) {
+    if open_now.is_empty() || document.open_zones().next().is_some() {
+        return;
+    }
+    for zone in open_now {
+        root.fault_at(
+            &["zones", zone, "state"],
+            "closes the last open availability zone; say so with --close-last-zone",
+        );
     }
 }
--- a/src/conf/fault.rs
+++ b/src/conf/fault.rs
@@ -7,6 +7,8 @@
 pub(crate) struct Fault {
     /// Line in the file, from 1.
     pub(crate) line: usize,
+    /// The section, such as `services`; for settings the outermost field.
+    pub(crate) section: String,
     /// Path of the field, such as `services.rent-index.memory_mb`.
     pub(crate) field: String,
     /// What is wrong with it.
--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -2,23 +2,31 @@
 
 mod agent_settings;
 mod document_reader;
+mod document_rules;
 mod entry_settings;
 mod errors;
 mod fault;
 mod load;
 mod log_settings;
+mod section_texts;
 mod table_reader;
+mod zone_edit;
 
+#[cfg(test)]
+mod document_tests;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use {
     agent_settings::{AgentSettings, PlacementSetting},
-    document_reader::read_document,
+    document_reader::{read_document, read_document_by},
+    document_rules::DocumentRules,
     entry_settings::{EntrySettings, OperatorSettings},
     errors::ConfError,
     fault::Fault,
     load::load_settings,
     log_settings::{LogFormat, LogSettings},
+    section_texts::{merge_sections, section_texts, split_version_mark, with_version_mark},
     table_reader::TableReader,
+    zone_edit::with_zone_state,
 };
--- /dev/null
+++ b/src/conf/section_texts.rs
@@ -0,0 +1,151 @@
+//! The text of each section, cut out and put together without touching a byte of it.
+
+use {
+    crate::core::config::SECTIONS,
+    std::collections::BTreeMap,
+    toml_edit::{Document, Item, Table},
+};
+
+/// Begins the line by which `show` says what a document was made from.
+const VERSION_MARK: &str = "# rattanslip version ";
+
+/// A header with all that belongs to it: the comments above it and the fields below it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Chunk<'a> {
+    section: &'static str,
+    text: &'a str,
+}
+
+/// The version that a document says it was made from, and the document without that line.
+pub(crate) fn split_version_mark(text: &str) -> (Option<u64>, &str) {
+    let Some(rest) = text.strip_prefix(VERSION_MARK) else {
+        return (None, text);
+    };
+    let (version, document) = rest.split_once('\n').unwrap_or((rest, ""));
+    match version.trim().parse() {
+        Ok(version) => (Some(version), document),
+        Err(_) => (None, text),
+    }
+}
+
+/// The document with the line that says what it was made from.
+pub(crate) fn with_version_mark(version: u64, text: &str) -> String {
+    format!("{VERSION_MARK}{version}\n{text}")
+}
+
+/// Each section's text.
+pub(crate) fn section_texts(text: &str) -> BTreeMap<&'static str, String> {
+    let mut texts = BTreeMap::new();
+    for chunk in chunks(text) {
+        let section: &mut String = texts.entry(chunk.section).or_default();
+        section.push_str(chunk.text);
+    }
+    texts
+}
+
+/// The document in force with some sections taken from another document.
+///
+/// A section that is taken stands where it stood before, a new one at the end.
+pub(crate) fn merge_sections(current: &str, mine: &str, taken: &[&'static str]) -> String {
+    let mine = section_texts(mine);
+    let mut merged = String::with_capacity(current.len());
+    let mut placed: Vec<&str> = Vec::new();
+    for chunk in chunks(current) {
+        if !taken.contains(&chunk.section) {
+            push_lines(&mut merged, chunk.text);
+        } else if !placed.contains(&chunk.section) {
+            placed.push(chunk.section);
+            push_lines(&mut merged, mine.get(chunk.section).map_or("", |text| text));
+        }
+    }
+    for section in taken {
+        if !placed.contains(section) {
+            push_lines(&mut merged, mine.get(section).map_or("", |text| text));
+        }
+    }
+    merged
+}
+
+/// Appends text that must begin on a line of its own.
+fn push_lines(merged: &mut String, text: &str) {
+    if !merged.is_empty() && !merged.ends_with('\n') && !text.is_empty() {
+        merged.push('\n');
+    }
+    merged.push_str(text);
+}
+
+/// The document cut before the comments of each header; text that can't be parsed has none.
+fn chunks(text: &str) -> Vec<Chunk<'_>> {
+    let Ok(document) = Document::parse(text) else {
+        return Vec::new();
+    };
+    let mut headers = Vec::new();
+    for section in SECTIONS {
+        if let Some(item) = document.as_table().get(section) {
+            headers_of(item, section, &mut headers);
+        }
+    }
+    headers.sort_unstable();
+    let starts: Vec<usize> = headers
+        .iter()
+        .enumerate()
+        .map(|(index, (header, _))| match index {
+            0 => 0,
+            _ => start_of_comments(text, *header),
+        })
+        .collect();
+    let ends = starts.iter().skip(1).copied().chain([text.len()]);
+    headers
+        .iter()
+        .zip(starts.iter().zip(ends))
+        .filter_map(|((_, section), (start, end))| {
+            text.get(*start..end).map(|text| Chunk { section, text })
+        })
+        .collect()
+}
+
+fn headers_of(item: &Item, section: &'static str, headers: &mut Vec<(usize, &'static str)>) {
+    match item {
+        Item::Table(table) => headers_of_table(table, section, headers),
+        Item::ArrayOfTables(tables) => {
+            for table in tables {
+                headers_of_table(table, section, headers);
+            }
+        }
+        Item::None | Item::Value(_) => {}
+    }
+}
+
+fn headers_of_table(
+    table: &Table,
+    section: &'static str,
+    headers: &mut Vec<(usize, &'static str)>,
+) {
+    if let Some(span) = table.span()
+        && !table.is_implicit()
+        && !table.is_dotted()
+    {
+        headers.push((span.start, section));
+    }
+    for (_, item) in table {
+        headers_of(item, section, headers);
+    }
+}
+
+/// Where the comments just above a header begin; blank lines before them end the chunk before.
+fn start_of_comments(text: &str, header: usize) -> usize {
+    let mut position = header;
+    let mut start = header;
+    for line in text[..header].split_inclusive('\n').rev() {
+        let trimmed = line.trim_start();
+        let is_comment = trimmed.starts_with('#');
+        if !trimmed.is_empty() && !is_comment {
+            break;
+        }
+        position -= line.len();
+        if is_comment || !line.ends_with('\n') {
+            start = position;
+        }
+    }
+    start
+}
--- a/src/conf/table_reader.rs
+++ b/src/conf/table_reader.rs
@@ -34,6 +34,7 @@
                 let start = error.span().map_or(0, |span| span.start);
                 return Err(vec![Fault {
                     line: line_at(text, start),
+                    section: section_at(text, start),
                     field: String::new(),
                     message: error.message().to_owned(),
                 }]);
@@ -73,10 +74,44 @@
             .and_then(|table| table.get_key_value(key))
             .and_then(|(key, item)| key.span().or_else(|| item.span()))
             .or_else(|| self.span.clone());
+        let field = self.path_of(key);
+        self.push(span, field, message.into());
+    }
+
+    /// Notes a fault of a field further down, at the line of the nearest table or field there is.
+    pub(crate) fn fault_at(&self, path: &[&str], message: impl Into<String>) {
+        let mut table = self.table;
+        let mut span = self.span.clone();
+        for key in path {
+            let Some((key, item)) = table.and_then(|table| table.get_key_value(key)) else {
+                break;
+            };
+            span = match item.as_table() {
+                Some(table) if table.span().is_some() => table.span(),
+                _ => key.span().or_else(|| item.span()).or(span),
+            };
+            table = item.as_table_like();
+        }
+        self.push(span, self.path_of(&path.join(".")), message.into());
+    }
+
+    /// Notes a fault if a table is written without a header, as `zones.a = {}` or `zones = {}`.
+    pub(crate) fn require_header(&self, key: &str) {
+        let item = self.table.and_then(|table| table.get(key));
+        let has_header = |item: &Item| item.as_table().is_none_or(|table| !table.is_dotted());
+        if item.is_some_and(|item| item.is_inline_table() || !has_header(item)) {
+            let message = format!("must be written with headers, such as [{key}.NAME]");
+            self.fault(key, message);
+        }
+    }
+
+    fn push(&self, span: Option<Range<usize>>, field: String, message: String) {
+        let section = field.split('.').next().unwrap_or_default().to_owned();
         self.faults.borrow_mut().push(Fault {
             line: line_at(self.text, span.map_or(0, |span| span.start)),
-            field: self.path_of(key),
-            message: message.into(),
+            section,
+            field,
+            message,
         });
     }
 
@@ -263,3 +298,17 @@
         .filter(|byte| **byte == b'\n')
         .count()
 }
+
+/// The first name of the header above a position, for faults of syntax.
+fn section_at(text: &str, position: usize) -> String {
+    let end = text[position.min(text.len())..]
+        .find('\n')
+        .map_or(text.len(), |length| position + length);
+    text[..end]
+        .lines()
+        .rev()
+        .find_map(|line| line.trim_start().strip_prefix('['))
+        .and_then(|header| header.trim_start_matches('[').split(['.', ']']).next())
+        .unwrap_or_default()
+        .to_owned()
+}
--- a/src/core/config/document.rs
+++ b/src/core/config/document.rs
@@ -18,6 +18,8 @@
     pub(crate) memory_mb: u32,
     /// Accelerators for tasks.
     pub(crate) accelerators: u16,
+    /// Whether it stands in its rack; one that doesn't counts as declared, not as present.
+    pub(crate) arrived: bool,
 }
 
 /// A service that clients submit to.
@@ -83,18 +85,32 @@
             .is_some_and(|zone| zone.state == ZoneState::Open)
     }
 
-    /// The sections in which another document differs from this one.
-    pub(crate) fn changed_sections(&self, other: &Self) -> Vec<&'static str> {
-        let changed = [
-            self.workers != other.workers,
-            self.services != other.services,
-            self.zones != other.zones,
-            self.quotas != other.quotas,
-        ];
-        SECTIONS
-            .into_iter()
-            .zip(changed)
-            .filter_map(|(section, changed)| changed.then_some(section))
-            .collect()
+    /// The availability zones in which tasks may start.
+    pub(crate) fn open_zones(&self) -> impl Iterator<Item = &String> {
+        self.zones
+            .iter()
+            .filter(|(_, zone)| zone.state == ZoneState::Open)
+            .map(|(name, _)| name)
+    }
+
+    /// The slots of all declared workers.
+    pub(crate) fn declared_slots(&self) -> u64 {
+        self.workers
+            .values()
+            .map(|worker| u64::from(worker.slots))
+            .sum()
+    }
+
+    /// This document with one section alone.
+    pub(crate) fn only(&self, section: &str) -> Self {
+        let mut only = Self::default();
+        match section {
+            "capacity" => only.workers = self.workers.clone(),
+            "services" => only.services = self.services.clone(),
+            "zones" => only.zones = self.zones.clone(),
+            "quotas" => only.quotas = self.quotas.clone(),
+            _ => {}
+        }
+        only
     }
 }
--- a/src/core/config/mod.rs
+++ b/src/core/config/mod.rs
@@ -1,9 +1,16 @@
 //! The configuration document and its sections.
 
+mod change;
+mod difference;
 mod document;
 mod head;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use {
+    change::{BasedOn, ChangeInput, ChangeRefusal, SectionConflict, SectionState, Sections},
+    difference::Difference,
     document::{Document, Quota, SECTIONS, Service, Worker, Zone, ZoneState},
     head::{Head, SectionHead},
 };
--- /dev/null
+++ b/src/entry/config_change.rs
@@ -0,0 +1,352 @@
+//! Accepts operators' changes: plans them, writes them, and settles lost replies.
+
+use {
+    super::{
+        ApplyError, ConfigKeeper, InForce,
+        config_draft::{Change, Draft, Proposal, sections_of},
+        config_keeper::{HEAD_KEY, history_key},
+    },
+    crate::{
+        conf::OperatorSettings,
+        core::config::{Difference, Document, Head, SECTIONS, SectionHead, Sections},
+        ports::{Check, Counter, Put, StoreError, Transaction, TransactionOutcome},
+    },
+    std::{
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        sync::MutexGuard,
+        time::{sleep, timeout},
+    },
+};
+
+/// Times that a change is planned anew because another entry's change came in between.
+const RACES_LIMIT: usize = 20;
+/// How long a change waits for those before it at this entry, in milliseconds.
+const TURN_LIMIT_MS: u64 = 5_000;
+/// Tries to find out whether a write took effect whose reply was lost.
+const SETTLE_TRIES: usize = 10;
+/// Time after which finding out is given up, in milliseconds.
+const SETTLE_LIMIT_MS: u64 = 4_000;
+/// Pause between these tries, in milliseconds.
+const SETTLE_PAUSE_MS: u64 = 100;
+
+/// What an accepted change did.
+#[derive(Debug, Clone)]
+pub(crate) struct Accepted {
+    /// The head in force with it.
+    pub(crate) head: Head,
+    /// The sections that changed; none if the document was in force already.
+    pub(crate) sections: Vec<&'static str>,
+    /// What changed, in words.
+    pub(crate) differences: Vec<Difference>,
+}
+
+/// The configuration in force with the version of its head row, zero if there is no row.
+#[derive(Debug)]
+struct Current {
+    in_force: InForce,
+    row_version: u64,
+}
+
+/// What became of a write.
+#[derive(Debug, PartialEq, Eq)]
+enum Written {
+    Accepted,
+    /// Another change came first; this one had no effect and never will.
+    Raced,
+}
+
+impl ConfigKeeper {
+    /// Puts a change in force; `Ok` only once the platform holds it.
+    pub(crate) async fn apply(
+        &self,
+        operator: &OperatorSettings,
+        change: &Change,
+    ) -> Result<Accepted, ApplyError> {
+        let result = self.apply_in_turn(operator, change).await;
+        let outcome = match &result {
+            Ok(accepted) if accepted.sections.is_empty() => "unchanged",
+            Ok(_) => "accepted",
+            Err(error) => error.as_str(),
+        };
+        self.metrics.count(Counter::ConfigChanges, outcome);
+        result
+    }
+
+    /// What a change would do now, without making it.
+    pub(crate) async fn preview(
+        &self,
+        owned: &[String],
+        change: &Change,
+    ) -> Result<Accepted, ApplyError> {
+        let current = self.current().await?;
+        let draft = self.draft(owned, change, &current.in_force).await?;
+        Ok(Accepted {
+            differences: current.in_force.document.differences(&draft.document),
+            sections: draft.taken,
+            head: current.in_force.head,
+        })
+    }
+
+    async fn apply_in_turn(
+        &self,
+        operator: &OperatorSettings,
+        change: &Change,
+    ) -> Result<Accepted, ApplyError> {
+        let _turn = self.wait_for_turn().await?;
+        for _ in 0..RACES_LIMIT {
+            let current = self.current().await?;
+            let draft = self
+                .draft(&operator.sections, change, &current.in_force)
+                .await?;
+            if draft.taken.is_empty() {
+                return Ok(unchanged(current.in_force.head));
+            }
+            let differences = current.in_force.document.differences(&draft.document);
+            let head = next_head(&current.in_force.head, operator, &draft);
+            let sections = draft.taken.clone();
+            if self.write(&current, &head, draft).await? == Written::Accepted {
+                return Ok(Accepted {
+                    head,
+                    sections,
+                    differences,
+                });
+            }
+            self.metrics.count(Counter::Retries, "config_race");
+        }
+        Err(ApplyError::Busy)
+    }
+
+    /// Lets one change of this entry at a time through, so that its own don't race each other.
+    async fn wait_for_turn(&self) -> Result<MutexGuard<'_, ()>, ApplyError> {
+        timeout(Duration::from_millis(TURN_LIMIT_MS), self.turn.lock())
+            .await
+            .map_err(|_| ApplyError::Busy)
+    }
+
+    /// Reads the head row, and the document unless this entry holds it already.
+    ///
+    /// Guards against a configuration that reverts: a head older than the one in force here
+    /// shows that the platform lost rows, and nothing is built on it.
+    async fn current(&self) -> Result<Current, ApplyError> {
+        let row = self.read_head().await.map_err(ApplyError::Unavailable)?;
+        let held = self.state.in_force().unwrap_or_else(InForce::nothing);
+        let (head, row_version) = row.unwrap_or_default();
+        if head.version < held.head.version {
+            let detail = format!(
+                "the platform's head row went back to version {}",
+                head.version
+            );
+            return Err(ApplyError::Unavailable(StoreError::Unavailable(detail)));
+        }
+        if head == held.head {
+            return Ok(Current {
+                in_force: held,
+                row_version,
+            });
+        }
+        let in_force = self
+            .read_document_of(head)
+            .await
+            .map_err(ApplyError::Unavailable)?;
+        Ok(Current {
+            in_force,
+            row_version,
+        })
+    }
+
+    async fn draft(
+        &self,
+        owned: &[String],
+        change: &Change,
+        in_force: &InForce,
+    ) -> Result<Draft, ApplyError> {
+        let (text, based_on) = change.document(in_force)?;
+        let proposal = Proposal::new(change, &text, based_on, in_force, owned)?;
+        let bases = self.read_bases(&proposal.bases_needed()).await?;
+        proposal.draft(&bases)
+    }
+
+    /// Reads sections as they were at earlier versions, each version once.
+    async fn read_bases(
+        &self,
+        needed: &[(&'static str, u64)],
+    ) -> Result<Sections<Document>, ApplyError> {
+        let mut versions: Vec<u64> = needed.iter().map(|(_, version)| *version).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        let mut bases = Sections::new();
+        for version in versions.into_iter().filter(|version| *version > 0) {
+            let base = self
+                .at_version(version)
+                .await
+                .map_err(ApplyError::Unavailable)?
+                .ok_or(ApplyError::UnknownBase(version))?;
+            let mut sections = sections_of(&base.document, &base.text);
+            for section in SECTIONS {
+                if needed.contains(&(section, version))
+                    && let Some(state) = sections.remove(section)
+                {
+                    bases.insert(section, state);
+                }
+            }
+        }
+        Ok(bases)
+    }
+
+    /// Writes the object, then moves the head to it in one transaction with its history row.
+    async fn write(
+        &self,
+        current: &Current,
+        head: &Head,
+        draft: Draft,
+    ) -> Result<Written, ApplyError> {
+        self.put_text(&head.object, &draft.text).await?;
+        let asked_at = self.timer.now();
+        let transaction = accept_transaction(head, current.row_version)?;
+        let written = match self.table.transact(transaction).await {
+            Ok(TransactionOutcome::Committed) => Written::Accepted,
+            Ok(TransactionOutcome::Conflict { .. }) => Written::Raced,
+            Err(error @ StoreError::Unavailable(_)) => return Err(ApplyError::Unavailable(error)),
+            Err(StoreError::OutcomeUnknown(detail)) => self.settle(current, head, detail).await?,
+        };
+        if written == Written::Accepted {
+            let accepted = InForce {
+                head: head.clone(),
+                text: draft.text.into(),
+                document: Arc::new(draft.document),
+            };
+            self.state.head_read(asked_at, Some(accepted));
+        }
+        Ok(written)
+    }
+
+    /// Writes the text under its name, which holds its digest: writing it twice does no harm.
+    async fn put_text(&self, object: &str, text: &str) -> Result<(), ApplyError> {
+        match self.objects.put_object(object, text.to_owned()).await {
+            Ok(()) => Ok(()),
+            Err(error @ StoreError::Unavailable(_)) => Err(ApplyError::Unavailable(error)),
+            Err(error @ StoreError::OutcomeUnknown(_)) => {
+                match self.objects.get_object(object).await {
+                    Ok(Some(stored)) if stored == text => Ok(()),
+                    Ok(_) | Err(_) => Err(ApplyError::Unavailable(error)),
+                }
+            }
+        }
+    }
+
+    /// Finds out whether a write took effect whose reply was lost.
+    ///
+    /// Guards against a refusal that isn't true: a write whose reply was lost may still be under
+    /// way and land after the rows were read. So if its history row isn't there, the head row is
+    /// written anew with the value that it had: whichever of the two writes comes first makes
+    /// the other's check of the head row's version fail. After that, the history row's presence
+    /// says for good what became of the change.
+    async fn settle(
+        &self,
+        current: &Current,
+        head: &Head,
+        detail: String,
+    ) -> Result<Written, ApplyError> {
+        let started_at = self.timer.now();
+        for _ in 0..SETTLE_TRIES {
+            if let Some(written) = self.try_settle(current, head).await {
+                self.metrics
+                    .count(Counter::ConfigChanges, "settled_by_reading");
+                return Ok(written);
+            }
+            if self.timer.now().millis_since(started_at) > SETTLE_LIMIT_MS {
+                break;
+            }
+            sleep(Duration::from_millis(SETTLE_PAUSE_MS)).await;
+        }
+        Err(ApplyError::OutcomeUnknown(head.version, detail))
+    }
+
+    async fn try_settle(&self, current: &Current, head: &Head) -> Option<Written> {
+        if let Some(found) = self.read_history_row(head.version).await.ok()? {
+            return Some(became_of(head, Some(&found)));
+        }
+        let fence = fence_transaction(&current.in_force.head, current.row_version).ok()?;
+        self.table.transact(fence).await.ok()?;
+        let found = self.read_history_row(head.version).await.ok()?;
+        Some(became_of(head, found.as_ref()))
+    }
+}
+
+const fn unchanged(head: Head) -> Accepted {
+    Accepted {
+        head,
+        sections: Vec::new(),
+        differences: Vec::new(),
+    }
+}
+
+fn became_of(head: &Head, found: Option<&Head>) -> Written {
+    if found == Some(head) {
+        return Written::Accepted;
+    }
+    Written::Raced
+}
+
+/// The head after this change.
+fn next_head(head: &Head, operator: &OperatorSettings, draft: &Draft) -> Head {
+    let change = SectionHead {
+        version: head.version + 1,
+        author: operator.name.clone(),
+        changed_at_ms: unix_ms(),
+    };
+    let digest = blake3::hash(draft.text.as_bytes()).to_hex();
+    let object = format!("config-{}-{}", change.version, &digest[..16]);
+    head.next(object, &draft.taken, &change)
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn accept_transaction(head: &Head, row_version: u64) -> Result<Transaction, ApplyError> {
+    let value = encode_head(head)?;
+    Ok(Transaction {
+        checks: vec![head_check(row_version)],
+        puts: vec![
+            head_put(value.clone()),
+            Put {
+                key: history_key(head.version),
+                value: Some(value),
+            },
+        ],
+    })
+}
+
+/// Writes the head row anew with the value that it had.
+fn fence_transaction(head: &Head, row_version: u64) -> Result<Transaction, ApplyError> {
+    Ok(Transaction {
+        checks: vec![head_check(row_version)],
+        puts: vec![head_put(encode_head(head)?)],
+    })
+}
+
+fn head_check(row_version: u64) -> Check {
+    Check {
+        key: HEAD_KEY.to_owned(),
+        version: row_version,
+    }
+}
+
+fn head_put(value: String) -> Put {
+    Put {
+        key: HEAD_KEY.to_owned(),
+        value: Some(value),
+    }
+}
+
+fn encode_head(head: &Head) -> Result<String, ApplyError> {
+    serde_json::to_string(head)
+        .map_err(|error| ApplyError::Unavailable(StoreError::Unavailable(error.to_string())))
+}
--- /dev/null
+++ b/src/entry/config_tests/fake_platform.rs
@@ -0,0 +1,212 @@
+//! The platform's table and object store in memory, with latencies and faults from a seed.
+
+use {
+    super::{CallFault, FAULTS},
+    crate::{
+        entry::EntryState,
+        ports::{ObjectStore, Row, StoreError, Table, Transaction, TransactionOutcome},
+        standin::PlatformStore,
+    },
+    async_trait::async_trait,
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{
+        collections::VecDeque,
+        sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// After this time a caller gives up.
+const GIVE_UP_MS: u64 = 1_500;
+
+#[derive(Debug)]
+struct Inner {
+    store: PlatformStore,
+    rng: ChaCha8Rng,
+    fault_percent: u32,
+    planned: VecDeque<CallFault>,
+    calls: usize,
+    watched: Vec<(Arc<EntryState>, u64)>,
+}
+
+/// A platform that loses replies, refuses, and lets writes land late.
+#[derive(Debug)]
+pub(super) struct FakePlatform {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug)]
+enum Write {
+    Rows(Transaction),
+    Object(String, String),
+}
+
+impl FakePlatform {
+    pub(super) fn new(seed: u64) -> Arc<Self> {
+        let inner = Inner {
+            store: PlatformStore::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            fault_percent: 0,
+            planned: VecDeque::new(),
+            calls: 0,
+            watched: Vec::new(),
+        };
+        Arc::new(Self {
+            inner: Arc::new(Mutex::new(inner)),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no panic before")
+    }
+
+    /// From now on this share of calls goes wrong.
+    pub(super) fn set_fault_percent(&self, percent: u32) {
+        self.lock().fault_percent = percent;
+    }
+
+    /// What happens to the next calls, before the share decides again.
+    pub(super) fn plan(&self, faults: &[CallFault]) {
+        self.lock().planned.extend(faults);
+    }
+
+    /// Nothing goes wrong any more.
+    pub(super) fn heal(&self) {
+        let mut inner = self.lock();
+        inner.planned.clear();
+        inner.fault_percent = 0;
+    }
+
+    /// Calls since the last time this was asked.
+    pub(super) fn take_calls(&self) -> usize {
+        std::mem::take(&mut self.lock().calls)
+    }
+
+    /// From now on fails the test when this entry's version in force goes down.
+    pub(super) fn watch(&self, state: &Arc<EntryState>) {
+        self.lock().watched.push((Arc::clone(state), 0));
+    }
+
+    /// Waits as the network would and decides what goes wrong.
+    async fn begin(&self) -> CallFault {
+        let (latency_ms, fault) = {
+            let mut inner = self.lock();
+            inner.calls += 1;
+            let latency_ms = inner.latency_ms();
+            (latency_ms, inner.next_fault())
+        };
+        sleep(Duration::from_millis(latency_ms)).await;
+        self.lock().check_watched();
+        if matches!(fault, CallFault::CallLost | CallFault::Late) {
+            sleep(Duration::from_millis(GIVE_UP_MS)).await;
+        }
+        fault
+    }
+
+    async fn read<T>(&self, read: impl FnOnce(&PlatformStore) -> T) -> Result<T, StoreError> {
+        let fault = self.begin().await;
+        match fault {
+            CallFault::Fine => Ok(read(&self.lock().store)),
+            CallFault::Unavailable => Err(StoreError::Unavailable("down".to_owned())),
+            CallFault::ReplyLost | CallFault::CallLost | CallFault::Late => Err(lost()),
+        }
+    }
+
+    async fn write(&self, write: Write) -> Result<TransactionOutcome, StoreError> {
+        match self.begin().await {
+            CallFault::Fine => Ok(self.lock().store.take(write)),
+            CallFault::Unavailable => Err(StoreError::Unavailable("down".to_owned())),
+            CallFault::ReplyLost => {
+                self.lock().store.take(write);
+                Err(lost())
+            }
+            CallFault::CallLost => Err(lost()),
+            CallFault::Late => {
+                let inner = Arc::clone(&self.inner);
+                let delay_ms = self.lock().rng.random_range(0..8_000);
+                tokio::spawn(async move {
+                    sleep(Duration::from_millis(delay_ms)).await;
+                    inner.lock().expect("no panic before").store.take(write);
+                });
+                Err(lost())
+            }
+        }
+    }
+}
+
+impl Inner {
+    /// Mostly a few milliseconds; now and then as long as a pause of the caller.
+    fn latency_ms(&mut self) -> u64 {
+        match self.rng.random_range(0..20) {
+            0 => self.rng.random_range(0..6_000),
+            _ => self.rng.random_range(0..20),
+        }
+    }
+
+    fn next_fault(&mut self) -> CallFault {
+        if let Some(fault) = self.planned.pop_front() {
+            return fault;
+        }
+        if self.rng.random_range(0..100) >= self.fault_percent {
+            return CallFault::Fine;
+        }
+        FAULTS[self.rng.random_range(0..FAULTS.len())]
+    }
+
+    fn check_watched(&mut self) {
+        for (state, before) in &mut self.watched {
+            let now = state.in_force().map_or(0, |held| held.head.version);
+            assert!(
+                now >= *before,
+                "the version in force went from {before} to {now}"
+            );
+            *before = now;
+        }
+    }
+}
+
+impl PlatformStore {
+    fn take(&mut self, write: Write) -> TransactionOutcome {
+        match write {
+            Write::Rows(transaction) => self.transact(transaction),
+            Write::Object(name, body) => {
+                self.put_object(name, body);
+                TransactionOutcome::Committed
+            }
+        }
+    }
+}
+
+fn lost() -> StoreError {
+    StoreError::OutcomeUnknown("timed out".to_owned())
+}
+
+#[async_trait]
+impl Table for FakePlatform {
+    async fn get(&self, key: &str) -> Result<Option<Row>, StoreError> {
+        self.read(|store| store.get(key).cloned()).await
+    }
+
+    async fn scan(&self, prefix: &str) -> Result<Vec<Row>, StoreError> {
+        self.read(|store| store.scan(prefix)).await
+    }
+
+    async fn transact(&self, transaction: Transaction) -> Result<TransactionOutcome, StoreError> {
+        self.write(Write::Rows(transaction)).await
+    }
+}
+
+#[async_trait]
+impl ObjectStore for FakePlatform {
+    async fn get_object(&self, name: &str) -> Result<Option<String>, StoreError> {
+        self.read(|store| store.object(name).cloned()).await
+    }
+
+    async fn put_object(&self, name: &str, body: String) -> Result<(), StoreError> {
+        self.write(Write::Object(name.to_owned(), body))
+            .await
+            .map(|_| ())
+    }
+}
--- /dev/null
+++ b/src/entry/config_tests/mod.rs
@@ -0,0 +1,144 @@
+//! Tests of the keeper against a fake platform with faults, in virtual time.
+
+mod fake_platform;
+mod races;
+mod single;
+
+use {
+    super::{Change, ConfigKeeper, Edit, EntryState, based_on_all},
+    crate::{
+        conf::OperatorSettings,
+        core::{
+            config::{Document, SECTIONS},
+            message::PeerEntry,
+            ticket::AgentId,
+            time::Instant,
+        },
+        ports::{Counter, Gauge, Metrics, TimerService},
+    },
+    fake_platform::FakePlatform,
+    std::sync::Arc,
+    tokio::sync::mpsc,
+};
+
+/// What becomes of a call, as the fake decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallFault {
+    /// Nothing goes wrong.
+    Fine,
+    /// The platform refuses.
+    Unavailable,
+    /// The reply is lost after the write took effect.
+    ReplyLost,
+    /// The call is lost.
+    CallLost,
+    /// The caller gives up; the write takes effect later.
+    Late,
+}
+
+/// All that can go wrong.
+const FAULTS: [CallFault; 4] = [
+    CallFault::Unavailable,
+    CallFault::ReplyLost,
+    CallFault::CallLost,
+    CallFault::Late,
+];
+
+/// Tokio's paused clock as the keeper's timer.
+#[derive(Debug)]
+struct VirtualTimer(tokio::time::Instant);
+
+impl TimerService for VirtualTimer {
+    fn now(&self) -> Instant {
+        let micros = self.0.elapsed().as_micros();
+        Instant::from_micros(u64::try_from(micros).expect("a short test"))
+    }
+
+    fn subscribe(&self, _period_ms: u64) -> mpsc::Receiver<Instant> {
+        mpsc::channel(1).1
+    }
+}
+
+#[derive(Debug)]
+struct NoMetrics;
+
+impl Metrics for NoMetrics {
+    fn count(&self, _counter: Counter, _reason: &'static str) {}
+
+    fn set(&self, _gauge: Gauge, _value: u64) {}
+
+    fn render(&self) -> String {
+        String::new()
+    }
+}
+
+fn operator(name: &str, sections: &[&str]) -> OperatorSettings {
+    OperatorSettings {
+        name: name.to_owned(),
+        token_blake3: blake3::hash(name.as_bytes()).to_hex().to_string(),
+        sections: sections
+            .iter()
+            .map(|section| (*section).to_owned())
+            .collect(),
+    }
+}
+
+fn keeper(platform: &Arc<FakePlatform>) -> Arc<ConfigKeeper> {
+    let timer: Arc<dyn TimerService> = Arc::new(VirtualTimer(tokio::time::Instant::now()));
+    let me = PeerEntry {
+        entry: AgentId(1),
+        name: "entry".to_owned(),
+        peer_addr: ([127, 0, 0, 1], 1).into(),
+    };
+    Arc::new(ConfigKeeper {
+        state: Arc::new(EntryState::new(me, Arc::clone(&timer), 1)),
+        table: Arc::clone(platform) as _,
+        objects: Arc::clone(platform) as _,
+        timer,
+        metrics: Arc::new(NoMetrics),
+        operators: vec![operator("ops", &SECTIONS)],
+        turn: tokio::sync::Mutex::default(),
+    })
+}
+
+/// A document whose sections each hold one value, in the order of [`SECTIONS`].
+fn document(values: [u32; 4]) -> String {
+    let [memory, deadline, region, team] = values;
+    format!(
+        "[zones.z]\nregion = \"{region}\"\n[capacity.workers.w]\navailability_zone = \"z\"\n\
+         rack = \"r\"\nslots = 8\nmemory_mb = {}\n[services.s]\navailability_zones = [\"z\"]\n\
+         default_deadline_ms = {}\n[quotas.t{team}]\nslots = 1\n",
+        memory + 1_000,
+        deadline + 1_000,
+    )
+}
+
+fn values(document: &Document) -> [u32; 4] {
+    let team = document.quotas.keys().next().expect("a team");
+    [
+        document.workers["w"].memory_mb - 1_000,
+        u32::try_from(document.services["s"].default_deadline_ms).expect("small") - 1_000,
+        document.zones["z"].region.parse().expect("a number"),
+        team[1..].parse().expect("a number"),
+    ]
+}
+
+fn change(values: [u32; 4], based_on: u64) -> Change {
+    Change {
+        edit: Edit::Document {
+            text: document(values),
+            based_on: based_on_all(based_on),
+        },
+        close_last_zone: false,
+    }
+}
+
+/// Runs a test in virtual time: whenever all tasks sleep, the clock jumps.
+fn in_virtual_time<T>(test: impl Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("runtime")
+        .block_on(test)
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,15 +1,24 @@
 //! The entry: clients and operators on one side, agents on the other.
 
+mod apply_error;
 mod claims;
+mod config_change;
+mod config_draft;
 mod config_keeper;
 mod entry_state;
 mod jobs;
 mod peer_handler;
 mod run;
 
+#[cfg(test)]
+mod config_tests;
+
 pub(crate) use {
+    apply_error::ApplyError,
     claims::Claims,
-    config_keeper::{ApplyError, ConfigKeeper},
+    config_change::Accepted,
+    config_draft::{Change, Edit, based_on_all},
+    config_keeper::ConfigKeeper,
     entry_state::{EntryState, InForce},
     jobs::{JobReport, Jobs},
     run::run_entry,
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -17,7 +17,7 @@
     },
     rand::RngExt,
     std::sync::Arc,
-    tokio::net::TcpListener,
+    tokio::{net::TcpListener, sync::Mutex},
 };
 
 /// Period of housekeeping, in milliseconds.
@@ -50,7 +50,9 @@
         table: store.clone(),
         objects: store.clone(),
         timer: Arc::clone(&timer),
+        metrics: Arc::clone(&metrics),
         operators: settings.operators.clone(),
+        turn: Mutex::default(),
     });
     let handler = Arc::new(EntryPeerHandler {
         state: Arc::clone(&state),
--- a/src/ports/metrics.rs
+++ b/src/ports/metrics.rs
@@ -17,6 +17,8 @@
         Answers => "rattanslip.answers",
         /// Calls to the platform's store, by kind and outcome.
         StoreCalls => "rattanslip.store_calls",
+        /// Changes of the configuration, by outcome.
+        ConfigChanges => "rattanslip.config_changes",
         /// Announcements, by outcome.
         Announcements => "rattanslip.announcements",
         /// Connections and sessions to peers that were lost, by cause.
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -5,3 +5,6 @@
 mod platform_store;
 
 pub(crate) use {backend::run_backend, platform::run_platform};
+
+#[cfg(test)]
+pub(crate) use platform_store::PlatformStore;
