A change that meets a newer head puts it in force at its entry at once

Cause: after a conflict the entry went on showing the version from before for up to head_poll_ms, so the operator who was told of the conflict read the old document again. The conflicts themselves are inherent: 20 operators who edit one section from one version lose 19 + 18 + ... times at worst.

--- a/src/entry/config_change.rs
+++ b/src/entry/config_change.rs
@@ -126,11 +126,13 @@
             .map_err(|_| ApplyError::Busy)
     }
 
-    /// Reads the head row, and the document unless this entry holds it already.
+    /// Reads the head row, and the document unless this entry holds it already; a newer one is in
+    /// force here from then on, so that an operator who is told of a conflict can read what came.
     ///
     /// Guards against a configuration that reverts: a head older than the one in force here
     /// shows that the platform lost rows, and nothing is built on it.
     async fn current(&self) -> Result<Current, ApplyError> {
+        let asked_at = self.timer.now();
         let row = self.read_head().await.map_err(ApplyError::Unavailable)?;
         let held = self.state.in_force().unwrap_or_else(InForce::nothing);
         let (head, row_version) = row.unwrap_or_default();
@@ -151,6 +153,7 @@
             .read_document_of(head)
             .await
             .map_err(ApplyError::Unavailable)?;
+        self.state.head_read(asked_at, Some(in_force.clone()));
         Ok(Current {
             in_force,
             row_version,
--- a/src/entry/config_tests/mod.rs
+++ b/src/entry/config_tests/mod.rs
@@ -65,6 +65,8 @@
 impl Metrics for NoMetrics {
     fn count(&self, _counter: Counter, _reason: &'static str) {}
 
+    fn add(&self, _counter: Counter, _reason: &'static str, _amount: u64) {}
+
     fn set(&self, _gauge: Gauge, _value: u64) {}
 
     fn render(&self) -> String {
