Zone gate: permits that rest on a proved rule; entries on a roster, digests, one announcement

Cause: an entry granted permits only while it read the head row itself, so a plain outage of the platform stopped all work after five seconds; every agent announced to every entry; and a start was checked when it was taken, not when its bytes were written.

Rule (src/core/gate/zone_gate.rs): a permit rests on a reading of the head at most 2 s old, here or at another entry, or on every entry on the roster having been asked within 2 s, with nothing closing the worker. Entries write changes only while their row stands and all others know them.

Ruled out by the model (gate::tests::model), each seen failing first: removing a silent entry's row while it may still grant without the platform (a new entry closes the zone unasked); settling a lost write by one reading (it may land later); dropping an entry that a scan missed; changes by an entry that the others don't know or whose row is gone.

--- a/src/agent/agent_handle.rs
+++ b/src/agent/agent_handle.rs
@@ -5,7 +5,10 @@
         home_loop::HomeInput,
         runner_loop::{RunnerInput, RunnerSnapshot},
     },
-    crate::core::{home::HomeEvent, runner::RunnerEvent, ticket::TicketGrant, time::Instant},
+    crate::core::{
+        home::HomeEvent, message::GateNotice, runner::RunnerEvent, ticket::TicketGrant,
+        time::Instant,
+    },
     crate::ports::TimerService,
     std::sync::{Arc, Mutex, PoisonError},
     tokio::sync::{Notify, mpsc, oneshot},
@@ -64,6 +67,20 @@
         self.announce_now.notify_one();
     }
 
+    /// An entry told that tasks may start here, or no longer.
+    pub(crate) fn gate_changed(&self, notice: GateNotice) {
+        self.tell_runner(RunnerEvent::PermitRenewed {
+            sent_at: self.timer.now(),
+            config_version: notice.config_version,
+            zone_open: notice.zone_open,
+            permit_ms: 0,
+        });
+        if notice.zone_open {
+            // The permit itself comes with the reply to an announcement.
+            self.announce_now.notify_one();
+        }
+    }
+
     /// Feeds the runner.
     pub(crate) fn tell_runner(&self, event: RunnerEvent) {
         // The loops end only with the process.
--- a/src/agent/peer_handler.rs
+++ b/src/agent/peer_handler.rs
@@ -27,6 +27,10 @@
 #[async_trait]
 impl PeerHandler for AgentPeerHandler {
     async fn call(&self, request: PeerRequest) -> PeerReply {
+        if let PeerRequest::Gate(notice) = request {
+            self.agent.gate_changed(notice);
+            return PeerReply::Noted;
+        }
         let Some(event_for) = event_for(request) else {
             return PeerReply::Unsupported;
         };
@@ -51,7 +55,10 @@
 
 fn event_for(request: PeerRequest) -> Option<EventFor> {
     match request {
-        PeerRequest::Announce(_) => None,
+        PeerRequest::Announce(_)
+        | PeerRequest::Digest(_)
+        | PeerRequest::Configuration
+        | PeerRequest::Gate(_) => None,
         PeerRequest::Submit(submission) => Some(Box::new(move |waiter| HomeEvent::Submit {
             waiter,
             ticket: submission.ticket,
--- a/src/core/gate/mod.rs
+++ b/src/core/gate/mod.rs
@@ -1,5 +1,16 @@
 //! The zone gate: permits under which a runner may start tasks.
 
+mod pending_change;
 mod permit;
+mod shared_permit;
+mod zone_gate;
 
-pub(crate) use permit::Permit;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use {
+    pending_change::ChangeId,
+    permit::Permit,
+    shared_permit::SharedPermit,
+    zone_gate::{ChangeEnd, PERMIT_MS, ZoneGate},
+};
--- a/src/core/message/peer_call.rs
+++ b/src/core/message/peer_call.rs
@@ -1,8 +1,9 @@
 //! Calls with one request and one reply.
 
 use {
-    super::{Announcement, AnnouncementReply},
+    super::{Announcement, AnnouncementReply, Digest, DigestReply, GateNotice},
     crate::core::{
+        config::Head,
         job::{JobSpec, JobStatus},
         ticket::{AgentId, Ticket},
     },
@@ -41,6 +42,12 @@
 pub(crate) enum PeerRequest {
     /// Agent to entry, every second.
     Announce(Announcement),
+    /// Entry to entry, twice a second and when something changed.
+    Digest(Digest),
+    /// Entry to entry: the configuration that you hold, please.
+    Configuration,
+    /// Entry to agent: whether tasks may start has changed.
+    Gate(GateNotice),
     /// Entry to home: start this job, or attach to it.
     Submit(Box<Submission>),
     /// Entry to home: what became of this ticket?
@@ -66,6 +73,12 @@
     Announced(AnnouncementReply),
     /// To [`PeerRequest::Submit`], [`PeerRequest::Poll`] and [`PeerRequest::Cancel`].
     Job(JobStatus),
+    /// To [`PeerRequest::Digest`].
+    Digest(DigestReply),
+    /// To [`PeerRequest::Configuration`]: the head row and the document's text.
+    Configuration(Option<(Head, String)>),
+    /// To [`PeerRequest::Gate`].
+    Noted,
     /// The receiver has no part that takes this request.
     Unsupported,
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod job;
 pub(crate) mod message;
 pub(crate) mod placement;
+pub(crate) mod roster;
 pub(crate) mod runner;
 pub(crate) mod ticket;
 pub(crate) mod time;
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -162,7 +162,7 @@
         };
         match self.network.call(addr, request).await {
             Ok(PeerReply::Job(status)) => Ok(report(status)),
-            Ok(PeerReply::Announced(_) | PeerReply::Unsupported) => Err(home_unreachable()),
+            Ok(_) => Err(home_unreachable()),
             Err(PeerError::Unreachable(_) | PeerError::Lost(_)) => Err(home_unreachable()),
         }
     }
--- a/src/ports/metrics.rs
+++ b/src/ports/metrics.rs
@@ -17,6 +17,12 @@
         Answers => "rattanslip.answers",
         /// Calls to the platform's store, by kind and outcome.
         StoreCalls => "rattanslip.store_calls",
+        /// Digests sent to other entries, by outcome.
+        Digests => "rattanslip.digests",
+        /// Agents told that their zone was taken out or in, by outcome.
+        GateNotices => "rattanslip.gate_notices",
+        /// Changes of the configuration, by outcome.
+        ConfigChanges => "rattanslip.config_changes",
         /// Announcements, by outcome.
         Announcements => "rattanslip.announcements",
         /// Connections and sessions to peers that were lost, by cause.
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -6,3 +6,6 @@
 mod platform_store;
 
 pub(crate) use {agents::run_agents, backend::run_backend, platform::run_platform};
+
+#[cfg(test)]
+pub(crate) use platform_store::PlatformStore;
