--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -5,6 +5,7 @@
     reason = "a test that can't be set up must fail loudly"
 )]
 
+mod once;
 mod path;
 mod programs;
 mod support;
--- /dev/null
+++ b/tests/processes/once.rs
@@ -0,0 +1,398 @@
+//! Once, whole and truthfully: what a client sees when processes and connections fail.
+
+use {
+    super::support::{
+        Deployment, Layout, Proxy, Reply, SERVICE, eventually, free_addr, get, job_body, request,
+        try_request,
+    },
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    tokio::task::JoinHandle,
+};
+
+/// Generous: what is measured stands in docs/design/once.md.
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn submit_in_background(entry: SocketAddr, ticket: &str, body: &str) -> JoinHandle<Option<Reply>> {
+    let (ticket, body) = (ticket.to_owned(), body.to_owned());
+    tokio::spawn(async move {
+        let headers = [("rattanslip-ticket", ticket.as_str())];
+        try_request("POST", entry, "/v1/jobs", &headers, &body)
+            .await
+            .ok()
+    })
+}
+
+fn submit_by_key(entry: SocketAddr, key: &str, body: &str) -> JoinHandle<Reply> {
+    let (key, body) = (key.to_owned(), body.to_owned());
+    tokio::spawn(async move {
+        let headers = [("idempotency-key", key.as_str())];
+        request("POST", entry, "/v1/jobs", &headers, &body).await
+    })
+}
+
+async fn wait_for_starts(deployment: &Deployment, count: usize) {
+    eventually("tasks have started", LIMIT, || async {
+        deployment.starts().await.len() >= count
+    })
+    .await;
+}
+
+/// The worker whose agent is home of the only job that runs.
+async fn home_of(deployment: &Deployment, ticket: &str) -> usize {
+    let poll = format!("/v1/jobs/{ticket}");
+    let mut found = None;
+    for (number, worker) in deployment.workers.iter().enumerate() {
+        let metrics = get(worker.agent_http, "/metrics").await.body;
+        if metrics.contains("rattanslip_jobs_running 1") {
+            found = Some(number);
+        }
+    }
+    let status = get(deployment.entry_addrs[0], &poll).await;
+    found.unwrap_or_else(|| panic!("no home runs {ticket}: {}", status.body))
+}
+
+fn wanted(tasks: usize) -> Vec<String> {
+    (0..tasks).map(|index| format!("share {index}")).collect()
+}
+
+fn assert_whole(reply: &Reply, tasks: usize) {
+    assert_eq!(reply.verdict(), "done", "{}", reply.body);
+    assert_eq!(reply.outputs(), wanted(tasks));
+}
+
+/// A skipper's office loses patience and sends its job again through another entry in the same
+/// moment as the first. Both get the same whole answer, and no share is paid twice.
+#[tokio::test]
+async fn the_same_job_through_two_entries_at_once_runs_once() {
+    let deployment = Deployment::start(Layout::default()).await;
+    let body = job_body(20, 100, 20_000);
+    for _ in 0..5 {
+        let ticket = deployment.ticket(0).await;
+        let first = submit_in_background(deployment.entry_addrs[0], &ticket, &body);
+        let second = submit_in_background(deployment.entry_addrs[1], &ticket, &body);
+        let first = first.await.expect("first").expect("reply");
+        let second = second.await.expect("second").expect("reply");
+        assert_whole(&first, 20);
+        assert_eq!(first.body, second.body);
+    }
+    assert_eq!(deployment.assert_no_double_start().await, 100);
+}
+
+/// An entry is killed in the middle of a job. Its client sees a broken connection, asks through
+/// another entry with the same ticket, and gets the whole answer of the one run.
+#[tokio::test]
+async fn an_entry_killed_in_the_middle_of_a_job_costs_no_answer() {
+    let mut deployment = Deployment::start(Layout::default()).await;
+    let body = job_body(12, 1_500, 30_000);
+    let ticket = deployment.ticket(0).await;
+    let first = submit_in_background(deployment.entry_addrs[0], &ticket, &body);
+    wait_for_starts(&deployment, 4).await;
+    deployment.entries[0].kill();
+    assert!(first.await.expect("first").is_none());
+    let reply = deployment.submit(1, &ticket, &body).await;
+    assert_whole(&reply, 12);
+    assert_eq!(deployment.assert_no_double_start().await, 12);
+}
+
+/// A home is killed in the middle of a job and its agent replaced. Nobody can know how far it
+/// got: the client is told "may have run", now and at every later try, and nothing starts again.
+#[tokio::test]
+async fn a_killed_home_means_may_have_run_and_nothing_starts_again() {
+    let mut deployment = Deployment::start(Layout::default()).await;
+    let body = job_body(3, 2_000, 20_000);
+    let ticket = deployment.ticket(0).await;
+    let first = submit_in_background(deployment.entry_addrs[0], &ticket, &body);
+    wait_for_starts(&deployment, 3).await;
+    let home = home_of(&deployment, &ticket).await;
+    deployment.workers[home].agent.kill();
+    let first = first.await.expect("first").expect("reply");
+    assert_eq!(first.verdict(), "may-have-run", "{}", first.body);
+    // The killed agent's backend server goes on and is announced to the agent that follows.
+    let replacement = deployment.start_worker(home);
+    let lost = std::mem::replace(&mut deployment.workers[home], replacement);
+    deployment.wait_for_workers(3).await;
+    for entry in [0, 1] {
+        let reply = deployment.submit(entry, &ticket, &body).await;
+        assert_eq!(reply.verdict(), "may-have-run", "{}", reply.body);
+    }
+    deployment.workers.push(lost);
+    assert_eq!(deployment.assert_no_double_start().await, 3);
+}
+
+/// A home's host freezes for ten seconds in the middle of a job. The client's request is given an
+/// honest "may have run" with a time to come back; when the home is back, the same ticket gets
+/// the whole answer, and no task was started a second time.
+#[tokio::test]
+async fn a_home_paused_for_ten_seconds_answers_when_it_is_back() {
+    let deployment = Deployment::start(Layout::default()).await;
+    let body = job_body(9, 1_000, 60_000);
+    let ticket = deployment.ticket(0).await;
+    let first = submit_in_background(deployment.entry_addrs[0], &ticket, &body);
+    wait_for_starts(&deployment, 3).await;
+    let home = home_of(&deployment, &ticket).await;
+    deployment.workers[home].agent.pause();
+    let reply = first.await.expect("first").expect("reply");
+    assert_eq!(
+        (reply.verdict(), reply.reason()),
+        ("may-have-run", "home_unreachable")
+    );
+    assert_ne!(reply.header("rattanslip-retry-after-ms"), "");
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    deployment.workers[home].agent.resume();
+    let again = answered(&deployment, 1, &ticket, &body).await;
+    deployment.assert_no_double_start().await;
+    if again.verdict() == "done" {
+        assert_eq!(again.outputs(), wanted(9));
+    } else {
+        panic!("{}", again.body);
+    }
+}
+
+/// Submits again as the verdict asks for, until the home can be reached.
+async fn answered(deployment: &Deployment, entry: usize, ticket: &str, body: &str) -> Reply {
+    for _ in 0..20 {
+        let reply = deployment.submit(entry, ticket, body).await;
+        if reply.reason() != "home_unreachable" {
+            return reply;
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    panic!("the home can't be reached");
+}
+
+/// A runner's host freezes with tasks on it. Its tasks may have run, so the job fails at once
+/// with the truth for each, well before the deadline; when the runner wakes, it starts nothing
+/// that was told otherwise.
+#[tokio::test]
+async fn a_paused_runner_fails_its_jobs_before_the_deadline() {
+    let layout = Layout {
+        agent_settings: "runner_lost_after_ms = 1500".to_owned(),
+        ..Layout::default()
+    };
+    let deployment = Deployment::start(layout).await;
+    let body = job_body(12, 3_000, 60_000);
+    let ticket = deployment.ticket(0).await;
+    let first = submit_in_background(deployment.entry_addrs[0], &ticket, &body);
+    wait_for_starts(&deployment, 12).await;
+    let home = home_of(&deployment, &ticket).await;
+    let runner = (home + 1) % 3;
+    deployment.workers[runner].agent.pause();
+    let reply = first.await.expect("first").expect("reply");
+    assert_eq!(
+        (reply.verdict(), reply.reason()),
+        ("may-have-run", "runner_lost")
+    );
+    let tasks = reply.json()["tasks"].as_array().expect("tasks").len();
+    assert_eq!(tasks, 12, "the truth for each task");
+    deployment.workers[runner].agent.resume();
+    let again = deployment.submit(1, &ticket, &body).await;
+    assert_eq!(again.body, reply.body);
+    assert_eq!(deployment.assert_no_double_start().await, 12);
+}
+
+/// Something between home and runner loses track of their connection: bytes vanish, nothing is
+/// closed, new connections work. Without pings the job would hang until its deadline. The home
+/// opens a new session, asks what became of its tasks, and the answer is whole.
+#[tokio::test]
+async fn a_silent_connection_between_home_and_runner_costs_nothing() {
+    let listen = free_addr();
+    let proxy = Proxy::start(listen).await;
+    let layout = Layout {
+        workers: 2,
+        slots: 6,
+        peer_addrs: BTreeMap::from([("w01".to_owned(), (listen, proxy.addr))]),
+        ..Layout::default()
+    };
+    let deployment = Deployment::start(layout).await;
+    for _ in 0..6 {
+        let ticket = deployment.ticket(0).await;
+        let body = job_body(10, 400, 20_000);
+        let before = deployment.starts().await.len();
+        let first = submit_in_background(deployment.entry_addrs[0], &ticket, &body);
+        wait_for_starts(&deployment, before + 6).await;
+        proxy.go_silent();
+        let started_at = std::time::Instant::now();
+        let reply = first.await.expect("first").expect("reply");
+        println!("answered {:?} after the silence", started_at.elapsed());
+        assert_whole(&reply, 10);
+    }
+    assert_eq!(deployment.assert_no_double_start().await, 60);
+}
+
+/// The same between an entry and a home: the entry's call waits on a connection that is gone. It
+/// must find out, call again under the same ticket, and hand on the answer of the one run.
+#[tokio::test]
+async fn a_silent_connection_between_entry_and_home_costs_nothing() {
+    let listen = free_addr();
+    let proxy = Proxy::start(listen).await;
+    let layout = Layout {
+        workers: 1,
+        peer_addrs: BTreeMap::from([("w01".to_owned(), (listen, proxy.addr))]),
+        ..Layout::default()
+    };
+    let deployment = Deployment::start(layout).await;
+    for round in 1..=4 {
+        let ticket = deployment.ticket(0).await;
+        let body = job_body(4, 300, 20_000);
+        let first = submit_in_background(deployment.entry_addrs[0], &ticket, &body);
+        wait_for_starts(&deployment, 4 * round).await;
+        proxy.go_silent();
+        let started_at = std::time::Instant::now();
+        let reply = first.await.expect("first").expect("reply");
+        println!("answered {:?} after the silence", started_at.elapsed());
+        assert_whole(&reply, 4);
+    }
+    assert_eq!(deployment.assert_no_double_start().await, 16);
+}
+
+/// A client sends its own key, the platform's write takes effect and its reply is lost, while the
+/// same key comes in through another entry. Both must end at one ticket and one run.
+#[tokio::test]
+async fn a_lost_reply_of_a_claim_and_a_race_for_it_run_once() {
+    let deployment = Deployment::start(Layout::default()).await;
+    let body = job_body(3, 50, 20_000);
+    let [one, two] = [deployment.entry_addrs[0], deployment.entry_addrs[1]];
+    for round in 0..4 {
+        deployment
+            .platform_faults(r#"{"lose_write_replies": 1}"#)
+            .await;
+        let key = format!("landing {round}");
+        let (first, second) = (
+            submit_by_key(one, &key, &body),
+            submit_by_key(two, &key, &body),
+        );
+        let (first, second) = (first.await.expect("first"), second.await.expect("second"));
+        assert_whole(&first, 3);
+        assert_eq!(first.body, second.body);
+    }
+    assert_eq!(deployment.assert_no_double_start().await, 12);
+}
+
+/// The platform is down. A client with a key of its own hears at once that its request did not
+/// run and when to come back; one with a ticket is served as ever.
+#[tokio::test]
+async fn with_the_platform_down_keys_wait_and_tickets_go_on() {
+    let deployment = Deployment::start(Layout::default()).await;
+    let body = job_body(2, 10, 10_000);
+    let ticket = deployment.ticket(0).await;
+    deployment.platform_faults(r#"{"down": true}"#).await;
+    let entry = deployment.entry_addrs[0];
+    let reply = submit_by_key(entry, "fresh", &body).await.expect("reply");
+    assert_eq!(
+        (reply.status.as_u16(), reply.reason()),
+        (503, "store_unavailable")
+    );
+    assert_ne!(reply.header("rattanslip-retry-after-ms"), "");
+    assert_whole(&deployment.submit(0, &ticket, &body).await, 2);
+    deployment.platform_faults("{}").await;
+    let reply = submit_by_key(entry, "fresh", &body).await.expect("reply");
+    assert_whole(&reply, 2);
+    assert_eq!(deployment.assert_no_double_start().await, 4);
+}
+
+/// One of 200 shares can't be reckoned. The whole job fails at once, with the truth for each
+/// task, and those that had not started never do.
+#[tokio::test]
+async fn one_failing_task_of_200_fails_the_job_at_once_with_the_truth_for_each() {
+    let deployment = Deployment::start(Layout::default()).await;
+    let mut job: serde_json::Value =
+        serde_json::from_str(&job_body(200, 300, 60_000)).expect("job");
+    job["tasks"][20]["input"] = "broken".into();
+    let ticket = deployment.ticket(0).await;
+    let reply = deployment.submit(0, &ticket, &job.to_string()).await;
+    assert_eq!(
+        (reply.verdict(), reply.reason()),
+        ("may-have-run", "task_failed")
+    );
+    let json = reply.json();
+    let tasks = json["tasks"].as_array().expect("tasks");
+    let count = |verdict: &str| tasks.iter().filter(|t| t["verdict"] == verdict).count();
+    assert_eq!((tasks.len(), count("failed")), (200, 1));
+    let not_run = count("not-run");
+    assert!(not_run >= 150, "{not_run}");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let started = deployment.assert_no_double_start().await;
+    assert!(
+        started + not_run <= 200,
+        "{started} started, {not_run} not run"
+    );
+}
+
+/// A thousand clients cancel at once. Queued tasks never start, running ones are told to stop,
+/// and every cancellation gets its final answer at once.
+#[tokio::test]
+async fn a_wave_of_a_thousand_cancellations_starts_nothing_more() {
+    let deployment = Deployment::start(Layout::default()).await;
+    let entry = deployment.entry_addrs[0];
+    let body = job_body(1, 3_000, 60_000);
+    let mut tickets = Vec::new();
+    for _ in 0..10 {
+        let reply = request("POST", entry, "/v1/tickets?count=100", &[], "").await;
+        let json = reply.json();
+        let granted = json["tickets"].as_array().expect("tickets").clone();
+        tickets.extend(
+            granted
+                .iter()
+                .map(|t| t.as_str().expect("ticket").to_owned()),
+        );
+    }
+    for ticket in &tickets {
+        let headers = [("rattanslip-ticket", ticket.as_str())];
+        let reply = request("POST", entry, "/v1/jobs?wait_ms=0", &headers, &body).await;
+        assert_eq!(reply.verdict(), "running", "{}", reply.body);
+    }
+    let cancellations: Vec<_> = tickets
+        .iter()
+        .map(|ticket| {
+            let path = format!("/v1/jobs/{ticket}");
+            tokio::spawn(async move { request("DELETE", entry, &path, &[], "").await })
+        })
+        .collect();
+    let mut not_run = 0;
+    for cancellation in cancellations {
+        let reply = cancellation.await.expect("cancellation");
+        assert!(["not-run", "may-have-run", "done"].contains(&reply.verdict()));
+        if reply.verdict() == "not-run" {
+            assert_eq!(reply.reason(), "cancelled");
+            not_run += 1;
+        }
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let started = deployment.assert_no_double_start().await;
+    println!("{not_run} of 1000 cancelled before their start, {started} started");
+    assert!(started + not_run <= 1_000);
+    assert!(not_run > 800, "{not_run}");
+    let fresh = deployment.ticket(1).await;
+    let reply = deployment.submit(1, &fresh, &job_body(4, 10, 20_000)).await;
+    assert_whole(&reply, 4);
+}
+
+/// A client's single request that must not be repeated is sent twice by the balancer.
+#[tokio::test]
+async fn a_post_doubled_by_the_balancer_runs_once() {
+    let deployment = Deployment::start(Layout::default()).await;
+    let path = format!("/v1/requests/{SERVICE}");
+    let ticket = deployment.ticket(0).await;
+    let headers = [("rattanslip-ticket", ticket.as_str())];
+    let (first, second) = tokio::join!(
+        request(
+            "POST",
+            deployment.entry_addrs[0],
+            &path,
+            &headers,
+            "50 paid"
+        ),
+        request(
+            "POST",
+            deployment.entry_addrs[1],
+            &path,
+            &headers,
+            "50 paid"
+        ),
+    );
+    assert_eq!(
+        (first.body.as_str(), second.body.as_str()),
+        ("paid", "paid")
+    );
+    assert_eq!(deployment.assert_no_double_start().await, 1);
+}
