Planned stop: a leaving home moves its tickets, answers and unfinished jobs to a successor

Now the leaving agent asks entries for successors, freezes each home, offers its records to one successor until it is known whether they arrived, and passes requests on until entries know. Ruled out: finishing the jobs and moving only answers (jobs longer than the stop limit would be cut); a second successor after an offer of unknown outcome (two processes with one identity). A ticket of another home is 'may have run, home_lost', not 'forged': a process at the address of a replaced one can't know.

--- a/src/agent/agent_handle.rs
+++ b/src/agent/agent_handle.rs
@@ -3,11 +3,23 @@
 use {
     super::{
         home_loop::HomeInput,
+        home_routes::{HomeRoute, HomeRoutes},
+        home_starter::HomeStarter,
         runner_loop::{RunnerInput, RunnerSnapshot},
     },
-    crate::core::{home::HomeEvent, runner::RunnerEvent, ticket::TicketGrant, time::Instant},
-    crate::ports::TimerService,
-    std::sync::{Arc, Mutex, PoisonError},
+    crate::{
+        core::{
+            home::HomeEvent,
+            runner::RunnerEvent,
+            ticket::{AgentId, TicketGrant},
+            time::Instant,
+        },
+        ports::TimerService,
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+    },
     tokio::sync::{Notify, mpsc, oneshot},
 };
 
@@ -17,6 +29,11 @@
 /// Sends to the loops of home and runner.
 #[derive(Debug)]
 pub(crate) struct AgentHandle {
+    pub(crate) id: AgentId,
+    pub(crate) homes: HomeRoutes,
+    pub(crate) starter: HomeStarter,
+    /// Where entries say that this agent's homes could move.
+    pub(crate) successors: Mutex<Vec<SocketAddr>>,
     pub(crate) home: mpsc::UnboundedSender<HomeInput>,
     pub(crate) runner: mpsc::UnboundedSender<RunnerInput>,
     pub(crate) timer: Arc<dyn TimerService>,
@@ -90,13 +107,40 @@
         grant.await.ok()?
     }
 
-    /// Jobs at this home that have not ended.
+    /// Homes of stopped processes that this one answers for.
+    pub(crate) fn adopted(&self) -> Vec<AgentId> {
+        let mut homes = self.homes.here();
+        homes.retain(|home| *home != self.id);
+        homes
+    }
+
+    /// An entry named agents that could take over this one's homes.
+    pub(crate) fn note_successors(&self, successors: &[SocketAddr]) {
+        if !successors.is_empty() {
+            successors.clone_into(&mut self.lock_successors());
+        }
+    }
+
+    /// Agents that could take over this one's homes.
+    pub(crate) fn successors(&self) -> Vec<SocketAddr> {
+        self.lock_successors().clone()
+    }
+
+    fn lock_successors(&self) -> std::sync::MutexGuard<'_, Vec<SocketAddr>> {
+        self.successors
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Jobs at the homes of this process that have not ended.
     pub(crate) async fn jobs_running(&self) -> usize {
-        let (reply, count) = oneshot::channel();
-        if self.home.send(HomeInput::RunningCount(reply)).is_err() {
-            return 0;
+        let mut total = 0;
+        for home in self.homes.here() {
+            if let Some(HomeRoute::Here(inputs)) = self.homes.route(home) {
+                total += running_at(&inputs).await;
+            }
         }
-        count.await.unwrap_or(0)
+        total
     }
 
     /// Whether a backend server is there.
@@ -112,3 +156,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+async fn running_at(home: &mpsc::UnboundedSender<HomeInput>) -> usize {
+    let (reply, count) = oneshot::channel();
+    if home.send(HomeInput::RunningCount(reply)).is_err() {
+        return 0;
+    }
+    count.await.unwrap_or(0)
+}
--- a/src/agent/announcer.rs
+++ b/src/agent/announcer.rs
@@ -68,7 +68,9 @@
                 self.take_reply(sent_at, &reply);
                 "answered"
             }
-            Ok(Ok(PeerReply::Job(_) | PeerReply::Unsupported)) => "unsupported",
+            Ok(Ok(PeerReply::Job(_) | PeerReply::Adopted | PeerReply::Unsupported)) => {
+                "unsupported"
+            }
             Ok(Err(_)) => "unreachable",
             Err(_) => "timed_out",
         };
@@ -86,11 +88,13 @@
             free_slots: snapshot.free_slots,
             leaving: snapshot.leaving,
             config_version: snapshot.config_version,
+            adopted: self.agent.adopted(),
             grant: self.agent.grant(GRANT_TICKETS).await,
         }
     }
 
     fn take_reply(&self, sent_at: Instant, reply: &AnnouncementReply) {
+        self.agent.note_successors(&reply.successors);
         self.agent.tell_runner(RunnerEvent::PermitRenewed {
             sent_at,
             config_version: reply.config_version,
--- /dev/null
+++ b/src/agent/hand_over.rs
@@ -0,0 +1,142 @@
+//! A leaving agent's homes on their way to a successor.
+
+use {
+    super::{AgentHandle, home_loop::HomeInput, home_routes::Adoption},
+    crate::{
+        core::{
+            home::HomeRecords,
+            message::{PeerReply, PeerRequest},
+            ticket::AgentId,
+            time::Instant,
+        },
+        ports::PeerError,
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        sync::{oneshot, watch},
+        time::{sleep, timeout},
+    },
+};
+
+/// How long to wait for an entry to name successors, in milliseconds.
+const SUCCESSORS_WAIT_MS: u64 = 2_000;
+/// Pause between looks and between offers, in milliseconds.
+const PAUSE_MS: u64 = 20;
+/// Time after which an offer is repeated, in milliseconds.
+const OFFER_TIMEOUT_MS: u64 = 5_000;
+
+impl AgentHandle {
+    /// Goes on with a home that leaves elsewhere; `false` if this process is leaving, too.
+    pub(crate) fn adopt(self: &Arc<Self>, records: HomeRecords) -> bool {
+        let home = records.home;
+        let adoption = self.homes.adopt(home, || {
+            let (inputs, running) = self.starter.start_adopted(records);
+            let agent = Arc::clone(self);
+            tokio::spawn(async move {
+                // Ends when the home's tickets are over, or when it has moved on.
+                if running.await.is_ok() && agent.homes.here().contains(&home) {
+                    agent.homes.forget(home);
+                }
+            });
+            inputs
+        });
+        if adoption == Adoption::New {
+            log::info!(home:? = home; "took over a leaving home");
+            self.announce_now.notify_one();
+        }
+        adoption != Adoption::Refused
+    }
+
+    /// Moves all homes of this process to a successor, as far as one is found before `until`.
+    pub(crate) async fn hand_over_homes(self: &Arc<Self>, until: Instant) {
+        self.homes.stop_adopting();
+        let successors = self.await_successors(until).await;
+        for home in self.homes.here() {
+            self.hand_over(home, &successors, until).await;
+        }
+        // Entries learn at once that this process answers for nobody any more.
+        self.announce_now.notify_one();
+    }
+
+    async fn await_successors(&self, until: Instant) -> Vec<SocketAddr> {
+        let until = until.min(self.timer.now().plus_ms(SUCCESSORS_WAIT_MS));
+        loop {
+            let successors = self.successors();
+            if !successors.is_empty() || self.timer.now() >= until {
+                return successors;
+            }
+            sleep(Duration::from_millis(PAUSE_MS)).await;
+        }
+    }
+
+    async fn hand_over(self: &Arc<Self>, home: AgentId, successors: &[SocketAddr], until: Instant) {
+        if successors.is_empty() {
+            log::warn!(home:? = home; "no successor: its jobs end here");
+            return;
+        }
+        let Some((inputs, moved)) = self.homes.start_move(home) else {
+            return;
+        };
+        let (reply, records) = oneshot::channel();
+        if inputs.send(HomeInput::HandOver(reply)).is_err() {
+            return;
+        }
+        let Ok(records) = records.await else {
+            return;
+        };
+        for successor in successors {
+            match self.offer(*successor, &records, until).await {
+                Offer::Taken => return self.finish_move(home, *successor, &moved),
+                Offer::Refused => {}
+                Offer::Unknown => {
+                    log::warn!(home:? = home, successor:% = successor; "hand-over without a reply");
+                    return;
+                }
+            }
+        }
+        log::warn!(home:? = home; "no successor took over: its jobs end here");
+        let (inputs, _) = self.starter.start_adopted(*records);
+        self.homes.set_here(home, inputs);
+    }
+
+    fn finish_move(
+        &self,
+        home: AgentId,
+        successor: SocketAddr,
+        moved: &watch::Sender<Option<SocketAddr>>,
+    ) {
+        log::info!(home:? = home, successor:% = successor; "home handed over");
+        moved.send_replace(Some(successor));
+    }
+
+    /// Offers the records to one successor until it is known whether it has them.
+    ///
+    /// Guards against two processes that run the same jobs: once an offer may have arrived, no
+    /// other successor is asked and this process doesn't go on with the home either. Repeating
+    /// the offer to the same one is harmless.
+    async fn offer(&self, to: SocketAddr, records: &HomeRecords, until: Instant) -> Offer {
+        let mut may_have_arrived = false;
+        loop {
+            let request = PeerRequest::Adopt(Box::new(records.clone()));
+            let call = self.starter.network.call(to, request);
+            match timeout(Duration::from_millis(OFFER_TIMEOUT_MS), call).await {
+                Ok(Ok(PeerReply::Adopted)) => return Offer::Taken,
+                Ok(Ok(_)) => return Offer::Refused,
+                Ok(Err(PeerError::Unreachable(_))) if !may_have_arrived => return Offer::Refused,
+                Ok(Err(_)) | Err(_) => may_have_arrived = true,
+            }
+            if self.timer.now() >= until {
+                return Offer::Unknown;
+            }
+            sleep(Duration::from_millis(PAUSE_MS)).await;
+        }
+    }
+}
+
+/// What became of an offer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Offer {
+    Taken,
+    Refused,
+    Unknown,
+}
--- a/src/agent/home_loop.rs
+++ b/src/agent/home_loop.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         core::{
-            home::{Home, HomeAction, HomeEvent, WaiterId},
+            home::{Home, HomeAction, HomeEvent, HomeRecords, WaiterId},
             job::JobStatus,
             message::HomeFrame,
             ticket::{AgentId, TicketGrant},
@@ -34,6 +34,8 @@
     },
     /// A request for tickets to announce.
     Grant(u32, oneshot::Sender<Option<TicketGrant>>),
+    /// A planned stop: give everything away and end.
+    HandOver(oneshot::Sender<Box<HomeRecords>>),
     /// A question how many jobs run.
     RunningCount(oneshot::Sender<usize>),
 }
@@ -41,6 +43,8 @@
 /// The home machine with its sessions and waiters.
 pub(crate) struct HomeLoop {
     pub(crate) home: Home,
+    /// Whether another process had this home before; it grants no tickets, so it ends.
+    pub(crate) adopted: bool,
     pub(crate) network: Arc<dyn PeerNetwork>,
     pub(crate) timer: Arc<dyn TimerService>,
     pub(crate) metrics: Arc<dyn Metrics>,
@@ -48,17 +52,19 @@
     pub(crate) waiters: BTreeMap<WaiterId, oneshot::Sender<JobStatus>>,
     pub(crate) sessions: BTreeMap<AgentId, (u64, mpsc::UnboundedSender<HomeFrame>)>,
     pub(crate) next_waiter: u64,
+    pub(crate) ended: bool,
 }
 
 impl HomeLoop {
-    /// Runs until the process ends.
+    /// Runs until the process ends, or the home moves or is over.
     pub(crate) async fn run(mut self, mut received: mpsc::UnboundedReceiver<HomeInput>) {
         let mut ticks = self.timer.subscribe(TICK_MS);
-        loop {
+        while !self.ended {
             tokio::select! {
                 Some(input) = received.recv() => self.take(input),
                 Some(_) = ticks.recv() => {
                     self.feed(HomeEvent::Tick);
+                    self.ended = self.adopted && self.home.is_over();
                     self.metrics.set(Gauge::JobsRunning, self.home.running_count() as u64);
                 }
                 else => return,
@@ -89,6 +95,14 @@
             HomeInput::Grant(count, reply) => {
                 let _ = reply.send(self.home.grant(self.timer.now(), count));
             }
+            HomeInput::HandOver(reply) => {
+                let (records, actions) = self.home.hand_over(self.timer.now());
+                for action in actions {
+                    self.carry_out(action);
+                }
+                let _ = reply.send(Box::new(records));
+                self.ended = true;
+            }
             HomeInput::RunningCount(reply) => {
                 let _ = reply.send(self.home.running_count());
             }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,7 +2,10 @@
 
 mod agent_handle;
 mod announcer;
+mod hand_over;
 mod home_loop;
+mod home_routes;
+mod home_starter;
 mod peer_handler;
 mod run;
 mod runner_loop;
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        AgentHandle, announcer::Announcer, home_loop::HomeLoop, peer_handler::AgentPeerHandler,
-        runner_loop::RunnerLoop,
+        AgentHandle, announcer::Announcer, home_routes::HomeRoutes, home_starter::HomeStarter,
+        peer_handler::AgentPeerHandler, runner_loop::RunnerLoop,
     },
     crate::{
         adapters::{
@@ -14,12 +14,11 @@
             timer::TokioTimer,
         },
         cli::{RunError, stop_signal},
-        conf::{AgentSettings, PlacementSetting},
+        conf::AgentSettings,
         core::{
-            home::{Home, HomeSettings},
-            placement::{MostFree, Placement, RandomWorker},
+            home::HomeSettings,
             runner::{Runner, RunnerSettings},
-            ticket::{AgentId, GrantSecret},
+            ticket::AgentId,
         },
         ports::{Metrics, PeerNetwork, TimerService},
     },
@@ -38,6 +37,10 @@
 const KEEP_OUTCOME_MS: u64 = 120_000;
 /// Pause between looks at what is left to do before a stop, in milliseconds.
 const DRAIN_POLL_MS: u64 = 20;
+/// For how long a stopping agent passes requests on to its successor, in milliseconds.
+const LINGER_MS: u64 = 1_500;
+/// For how long a stopping runner keeps outcomes that no home fetches, in milliseconds.
+const FETCH_LIMIT_MS: u64 = 3_000;
 
 /// Runs an agent until SIGTERM or SIGINT; work under way is finished first.
 pub(crate) async fn run_agent(settings: AgentSettings) -> Result<(), RunError> {
@@ -89,27 +92,21 @@
     network: &Arc<dyn PeerNetwork>,
     backend: &Arc<HttpBackend>,
 ) -> Arc<AgentHandle> {
-    let (home_inputs, home_received) = mpsc::unbounded_channel();
-    let (runner_inputs, runner_received) = mpsc::unbounded_channel();
-    let home = HomeLoop {
-        home: Home::new(
-            id,
-            GrantSecret::new(rand::rng().random()),
-            HomeSettings {
-                ticket_ttl_ms: settings.ticket_ttl_ms,
-                answers_limit_bytes: settings.answers_limit_bytes,
-                runner_lost_after_ms: settings.runner_lost_after_ms,
-            },
-            placement(settings.placement),
-        ),
+    let starter = HomeStarter {
         network: Arc::clone(network),
         timer: Arc::clone(timer),
         metrics: Arc::clone(metrics),
-        inputs: home_inputs.clone(),
-        waiters: BTreeMap::new(),
-        sessions: BTreeMap::new(),
-        next_waiter: 0,
+        settings: HomeSettings {
+            ticket_ttl_ms: settings.ticket_ttl_ms,
+            answers_limit_bytes: settings.answers_limit_bytes,
+            runner_lost_after_ms: settings.runner_lost_after_ms,
+        },
+        placement: settings.placement,
     };
+    let home_inputs = starter.start_own(id);
+    let homes = HomeRoutes::default();
+    homes.set_here(id, home_inputs.clone());
+    let (runner_inputs, runner_received) = mpsc::unbounded_channel();
     let runner_settings = RunnerSettings {
         keep_outcome_ms: KEEP_OUTCOME_MS,
     };
@@ -122,9 +119,12 @@
         sessions: BTreeMap::new(),
         next_session: 0,
     };
-    tokio::spawn(home.run(home_received));
     tokio::spawn(runner.run(runner_received));
     Arc::new(AgentHandle {
+        id,
+        homes,
+        starter,
+        successors: Mutex::new(Vec::new()),
         home: home_inputs,
         runner: runner_inputs,
         timer: Arc::clone(timer),
@@ -134,33 +134,56 @@
     })
 }
 
-fn placement(setting: PlacementSetting) -> Box<dyn Placement> {
-    let seed = rand::rng().random();
-    match setting {
-        PlacementSetting::MostFree => Box::new(MostFree::new(seed)),
-        PlacementSetting::Random => Box::new(RandomWorker::new(seed)),
-    }
-}
-
-/// Waits until nothing runs here any more, or the limit is reached.
-async fn drain(agent: &AgentHandle, timer: &dyn TimerService, limit_ms: u64) {
+/// Moves the homes to a successor, then waits until nothing runs here any more and what ran has
+/// been fetched, or the limit is reached.
+///
+/// Requests for the moved homes that still come here are passed on meanwhile, and for
+/// `LINGER_MS` after, until every entry has heard of the successor.
+async fn drain(agent: &Arc<AgentHandle>, timer: &dyn TimerService, limit_ms: u64) {
     let started_at = timer.now();
     agent.leave();
+    agent.hand_over_homes(started_at.plus_ms(limit_ms)).await;
+    let moved_at = timer.now();
+    let mut idle_since = None;
     let mut ticks = timer.subscribe(DRAIN_POLL_MS);
     while ticks.recv().await.is_some() {
-        let running = agent
-            .snapshot()
-            .await
-            .map_or(0, |snapshot| snapshot.running);
-        let jobs = agent.jobs_running().await;
-        let waited_ms = timer.now().millis_since(started_at);
-        if running == 0 && jobs == 0 {
-            log::info!(waited_ms; "all work under way is finished");
-            return;
+        let now = timer.now();
+        let left = work_left(agent).await;
+        let waited_ms = now.millis_since(started_at);
+        if left.is_idle() {
+            let idle_ms = now.millis_since(*idle_since.get_or_insert(now));
+            let fetched = left.unfetched == 0 || idle_ms >= FETCH_LIMIT_MS;
+            if fetched && now.millis_since(moved_at) >= LINGER_MS {
+                log::info!(waited_ms; "all work under way is finished");
+                return;
+            }
         }
         if waited_ms >= limit_ms {
-            log::warn!(running, jobs, waited_ms; "stop limit reached with work under way");
+            log::warn!(running = left.running, jobs = left.jobs, waited_ms; "stop limit reached with work under way");
             return;
         }
     }
 }
+
+/// What a stop still waits for.
+#[derive(Debug)]
+struct WorkLeft {
+    running: u16,
+    jobs: usize,
+    unfetched: usize,
+}
+
+impl WorkLeft {
+    const fn is_idle(&self) -> bool {
+        self.running == 0 && self.jobs == 0
+    }
+}
+
+async fn work_left(agent: &AgentHandle) -> WorkLeft {
+    let snapshot = agent.snapshot().await;
+    WorkLeft {
+        running: snapshot.as_ref().map_or(0, |snapshot| snapshot.running),
+        unfetched: snapshot.map_or(0, |snapshot| snapshot.unfetched),
+        jobs: agent.jobs_running().await,
+    }
+}
--- a/src/agent/runner_loop.rs
+++ b/src/agent/runner_loop.rs
@@ -23,6 +23,8 @@
     pub(crate) slots: u16,
     pub(crate) free_slots: u16,
     pub(crate) running: u16,
+    /// Outcomes that their homes have not acknowledged.
+    pub(crate) unfetched: usize,
     pub(crate) leaving: bool,
     pub(crate) config_version: u64,
 }
@@ -86,6 +88,7 @@
             slots: self.runner.slots(),
             free_slots: self.runner.free_slots(),
             running: self.runner.running_count(),
+            unfetched: self.runner.unfetched_count(),
             leaving: self.runner.is_leaving(),
             config_version: self.runner.config_version(),
         }
--- a/src/core/directory/directory.rs
+++ b/src/core/directory/directory.rs
@@ -41,6 +41,8 @@
     agents: BTreeMap<AgentId, AgentView>,
     by_worker: BTreeMap<String, AgentId>,
     replaced: BTreeMap<AgentId, Instant>,
+    /// Homes of stopped processes, each with the agent that answers for it now.
+    adopted: BTreeMap<AgentId, AgentId>,
 }
 
 impl Directory {
@@ -58,6 +60,9 @@
             self.agents.remove(&previous);
             self.replaced.insert(previous, now);
         }
+        self.adopted.retain(|_, successor| *successor != agent);
+        let adopted = announcement.adopted.iter().map(|home| (*home, agent));
+        self.adopted.extend(adopted);
         let view = AgentView {
             announcement,
             heard_at: now,
@@ -75,12 +80,16 @@
             }
             keep
         });
+        let agents = &self.agents;
+        self.adopted
+            .retain(|_, successor| agents.contains_key(successor));
         self.replaced
             .retain(|_, since| now.millis_since(*since) < FORGET_AFTER_MS * 20);
     }
 
     /// Where a home is.
     pub(crate) fn locate(&self, home: AgentId) -> HomeLocation {
+        let home = self.adopted.get(&home).copied().unwrap_or(home);
         if let Some(view) = self.agents.get(&home) {
             return HomeLocation::At(view.announcement.peer_addr);
         }
--- a/src/core/directory/tests.rs
+++ b/src/core/directory/tests.rs
@@ -16,6 +16,7 @@
         free_slots: 8,
         leaving: false,
         config_version: 1,
+        adopted: Vec::new(),
         grant: None,
     }
 }
--- a/src/core/home/answer_store.rs
+++ b/src/core/home/answer_store.rs
@@ -45,6 +45,24 @@
         dropped
     }
 
+    /// The newest jobs whose answers fit into this many bytes, oldest first.
+    pub(crate) fn newest_within(&self, limit_bytes: usize) -> Vec<JobKey> {
+        let mut total_bytes = 0;
+        let mut newest: Vec<JobKey> = self
+            .order
+            .iter()
+            .rev()
+            .filter_map(|key| self.bytes.get(*key).map(|bytes| (*key, *bytes)))
+            .take_while(|(_, bytes)| {
+                total_bytes += bytes;
+                total_bytes <= limit_bytes
+            })
+            .map(|(key, _)| key)
+            .collect();
+        newest.reverse();
+        newest
+    }
+
     /// Frees the share of a job whose record is dropped.
     pub(crate) fn forget(&mut self, key: JobKey) {
         self.release(key);
--- a/src/core/home/home.rs
+++ b/src/core/home/home.rs
@@ -165,6 +165,7 @@
     ) {
         match self.ring.state(&ticket) {
             TicketState::Forged => self.refuse(waiter, NotRunReason::TicketForged, 0),
+            TicketState::Foreign => self.reply_foreign(waiter),
             TicketState::Expired => self.reply_expired(waiter),
             TicketState::Used(key) => {
                 let digest = spec.digest();
@@ -194,6 +195,7 @@
     ) {
         match self.ring.state(&ticket) {
             TicketState::Forged => self.refuse(waiter, NotRunReason::TicketForged, 0),
+            TicketState::Foreign => self.reply_foreign(waiter),
             TicketState::Expired => self.reply_expired(waiter),
             TicketState::Unused => self.reply(waiter, JobStatus::Unknown),
             TicketState::Used(key) => self.attach(now, waiter, key, candidates, wait_ms),
@@ -203,6 +205,7 @@
     fn on_cancel(&mut self, now: Instant, waiter: WaiterId, ticket: Ticket) {
         match self.ring.state(&ticket) {
             TicketState::Forged => self.refuse(waiter, NotRunReason::TicketForged, 0),
+            TicketState::Foreign => self.reply_foreign(waiter),
             TicketState::Expired => self.reply_expired(waiter),
             TicketState::Unused => {
                 let key = self.cancel_unused(ticket);
@@ -225,7 +228,7 @@
             digest: [0; 32],
             state: JobState::Cancelled,
         });
-        self.ring.record(&ticket, key);
+        self.ring.record(&ticket.id, key);
         key
     }
 
@@ -245,7 +248,7 @@
             digest,
             state: JobState::Running(Box::new(job)),
         });
-        self.ring.record(&ticket, key);
+        self.ring.record(&ticket.id, key);
         self.timers.insert((deadline, Timer::Deadline(key)));
         self.waiting.push_back(key);
         key
@@ -384,6 +387,13 @@
         self.reply(waiter, JobStatus::Refused(verdict));
     }
 
+    /// Guards against a false "not run": a process that took the place of a ticket's home, at the
+    /// same address, knows nothing of what ran there.
+    fn reply_foreign(&mut self, waiter: WaiterId) {
+        let verdict = Verdict::may_have_run(MayHaveRunReason::HomeLost);
+        self.reply(waiter, JobStatus::Refused(verdict));
+    }
+
     pub(super) fn reply(&mut self, waiter: WaiterId, status: JobStatus) {
         self.actions.push(HomeAction::Reply { waiter, status });
     }
--- a/src/core/home/job_record.rs
+++ b/src/core/home/job_record.rs
@@ -9,11 +9,12 @@
         time::Instant,
         verdict::{MayHaveRunReason, NotRunReason},
     },
+    serde::{Deserialize, Serialize},
     std::{collections::VecDeque, sync::Arc},
 };
 
 /// Where a task stands.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum TaskState {
     /// Waits for a runner.
     Queued,
@@ -49,7 +50,7 @@
     pub(crate) queued: VecDeque<u16>,
     pub(crate) attempts: Vec<u8>,
     /// Why an earlier try of a repeatable task may have run, if one may.
-    earlier: Vec<Option<MayHaveRunReason>>,
+    pub(super) earlier: Vec<Option<MayHaveRunReason>>,
     pub(crate) ended: u16,
     pub(crate) waiters: Vec<WaiterId>,
 }
@@ -86,6 +87,23 @@
         }
     }
 
+    /// Sets where each task stands, as another process recorded it.
+    pub(super) fn restore_tasks(&mut self, tasks: Vec<TaskState>) {
+        self.queued = tasks
+            .iter()
+            .zip(0u16..)
+            .filter(|(state, _)| matches!(state, TaskState::Queued))
+            .map(|(_, index)| index)
+            .collect();
+        let ended = tasks.len() - self.queued.len();
+        let started = tasks
+            .iter()
+            .filter(|state| matches!(state, TaskState::Started { .. }))
+            .count();
+        self.ended = u16::try_from(ended - started).unwrap_or(u16::MAX);
+        self.tasks = tasks;
+    }
+
     /// How far the job is.
     pub(crate) fn progress(&self) -> JobStatus {
         JobStatus::Running {
--- a/src/core/home/mod.rs
+++ b/src/core/home/mod.rs
@@ -2,9 +2,11 @@
 
 mod answer_store;
 mod dispatch;
+mod hand_over;
 mod home;
 mod home_event;
 mod job_record;
+mod records;
 mod runner_link;
 mod sessions;
 mod settle;
@@ -16,4 +18,5 @@
 pub(crate) use {
     home::{Home, HomeSettings},
     home_event::{HomeAction, HomeEvent, WaiterId},
+    records::HomeRecords,
 };
--- a/src/core/home/settle.rs
+++ b/src/core/home/settle.rs
@@ -128,7 +128,12 @@
             Verdict::Done => "done",
             Verdict::NotRun { .. } | Verdict::MayHaveRun { .. } => verdict.reason(),
         }));
-        for old in self.answers.keep(key, &answer) {
+        self.keep_answer(key, &answer);
+    }
+
+    /// Keeps an answer for resubmissions, at the cost of the oldest ones.
+    pub(super) fn keep_answer(&mut self, key: JobKey, answer: &JobAnswer) {
+        for old in self.answers.keep(key, answer) {
             if let Some(record) = self.jobs.get_mut(old)
                 && matches!(record.state, JobState::Ended(_))
             {
--- a/src/core/home/tests/faults.rs
+++ b/src/core/home/tests/faults.rs
@@ -188,6 +188,47 @@
     assert_eq!(outcome, TaskOutcome::MayHaveRun { reason });
 }
 
+/// An agent is stopped in the middle of a job whose tasks run, wait and have ended. Its successor
+/// must neither start them again nor forget one, and ask the runners before it decides; a ticket
+/// that was granted before and is used later runs once.
+#[test]
+fn a_home_that_moves_starts_nothing_twice_and_loses_no_answer() {
+    let mut world = World::new(2, 2);
+    let tickets = world.tickets(3);
+    let ended = world.submit(tickets[0], job(1, false, 9_000), 9_000);
+    world.deliver_all();
+    world.finish(0, 3);
+    world.finish(1, 3);
+    world.deliver_all();
+    let told = world.submit(tickets[1], job(6, false, 9_000), 9_000);
+    world.deliver_all();
+    world.finish(0, 3);
+    world.hand_over();
+    let progress = world.reply(told).clone();
+    assert!(matches!(progress, JobStatus::Running { total: 6, .. }));
+    let again = world.submit(tickets[1], job(6, false, 9_000), 9_000);
+    let late = world.submit(tickets[0], job(1, false, 9_000), 0);
+    let fresh = world.submit(tickets[2], job(1, false, 9_000), 9_000);
+    world.run_out(4_000);
+    assert_eq!(world.answer(again).verdict, Verdict::Done);
+    assert_eq!(world.answer(fresh).verdict, Verdict::Done);
+    assert_eq!(world.answer(late), world.answer(ended));
+    assert_eq!(world.starts.len(), 8);
+    assert!(world.starts.values().all(|count| *count == 1));
+}
+
+/// An agent is replaced at the same address; an entry that hasn't heard yet asks the new process
+/// for a job of the old one. "Forged, not run" would be false: the job may have run.
+#[test]
+fn a_ticket_of_another_home_is_not_called_not_run() {
+    let mut world = World::new(1, 2);
+    let mut ticket = world.tickets(1)[0];
+    ticket.id.home.0 += 1;
+    let waiter = world.submit(ticket, job(1, false, 5_000), 5_000);
+    let lost = Verdict::may_have_run(MayHaveRunReason::HomeLost);
+    assert_eq!(world.reply(waiter), &JobStatus::Refused(lost));
+}
+
 /// A worker is in a zone that is out, and no other serves the job. The client gets "not run", and
 /// with it a time to come back: without one its program takes the refusal for one that lasts.
 #[test]
--- a/src/core/home/tests/interleavings.rs
+++ b/src/core/home/tests/interleavings.rs
@@ -38,6 +38,7 @@
     CloseAtRunner { session: usize },
     Finish { node: usize, kind: u8 },
     Restart { node: usize },
+    HandOver,
     Zone { node: usize, open: bool },
     Advance { ms: u64 },
 }
@@ -54,6 +55,7 @@
         2 => session.prop_map(|session| Step::CloseAtRunner { session }),
         8 => (0..NODES, 0..12_u8).prop_map(|(node, kind)| Step::Finish { node, kind }),
         1 => (0..NODES).prop_map(|node| Step::Restart { node }),
+        1 => Just(Step::HandOver),
         1 => (0..NODES, any::<bool>()).prop_map(|(node, open)| Step::Zone { node, open }),
         4 => prop_oneof![1..100_u64, 100..4_000_u64].prop_map(|ms| Step::Advance { ms }),
     ]
@@ -101,6 +103,7 @@
         Step::CloseAtRunner { session: number } => world.close_at_runner(session(number, world)),
         Step::Finish { node, kind } => world.finish(node, kind),
         Step::Restart { node } => world.restart_runner(node),
+        Step::HandOver => world.hand_over(),
         Step::Zone { node, open } => world.set_zone(node, open),
         Step::Advance { ms } => world.advance(ms),
     }
--- a/src/core/home/tests/world.rs
+++ b/src/core/home/tests/world.rs
@@ -390,6 +390,23 @@
         self.nodes[node] = self.boot(slots);
     }
 
+    /// The home stops as planned and another process goes on with its records. The old one's
+    /// sessions are gone, but what it had sent may still arrive.
+    pub(super) fn hand_over(&mut self) {
+        let (records, actions) = self.home.hand_over(self.now());
+        for action in actions {
+            if let HomeAction::Reply { waiter, status } = action {
+                self.replies.entry(waiter).or_default().push(status);
+            }
+        }
+        let placement = Box::new(MostFree::new(12));
+        self.home = Home::adopt(self.now(), records, home_settings(), placement);
+        for session in &mut self.sessions {
+            session.home_lost = true;
+        }
+        self.feed(HomeEvent::Tick);
+    }
+
     /// Opens or closes the zone of a runner.
     pub(super) fn set_zone(&mut self, node: usize, open: bool) {
         self.nodes[node].version += 1;
--- a/src/core/home/ticket_ring.rs
+++ b/src/core/home/ticket_ring.rs
@@ -1,6 +1,7 @@
 //! Which tickets have been used, by generation.
 
 use {
+    super::records::GenerationRecord,
     crate::core::{
         ticket::{AgentId, GrantSecret, Ticket, TicketGrant, TicketId},
         time::Instant,
@@ -19,6 +20,8 @@
 pub(crate) enum TicketState {
     /// This home never granted it.
     Forged,
+    /// Another home granted it.
+    Foreign,
     /// Its generation has been dropped; whether it ran is not known any more.
     Expired,
     /// Granted and not used.
@@ -74,9 +77,61 @@
         self.secret.grant(self.home, generation, count)
     }
 
+    /// The secret behind the granted tickets.
+    pub(super) const fn secret(&self) -> &GrantSecret {
+        &self.secret
+    }
+
+    /// Number of the next grant.
+    pub(super) const fn next_generation(&self) -> u32 {
+        self.next_generation
+    }
+
+    /// The generations that are still good, oldest first.
+    pub(super) fn generations(&self, now: Instant) -> Vec<GenerationRecord> {
+        self.generations
+            .iter()
+            .map(|(number, generation)| GenerationRecord {
+                number: *number,
+                age_ms: now.millis_since(generation.granted_at),
+                closed: generation.closed,
+            })
+            .collect()
+    }
+
+    /// Takes over the generations of another process. One that is older than this process is
+    /// kept for longer, which costs memory and nothing else: its records are kept with it.
+    pub(super) fn restore(
+        &mut self,
+        now: Instant,
+        next_generation: u32,
+        generations: &[GenerationRecord],
+    ) {
+        self.next_generation = next_generation;
+        self.generations = generations
+            .iter()
+            .map(|record| {
+                let generation = Generation {
+                    granted_at: now.minus_ms(record.age_ms),
+                    closed: record.closed,
+                    jobs: BTreeMap::new(),
+                };
+                (record.number, generation)
+            })
+            .collect();
+    }
+
+    /// Whether no ticket is good any more.
+    pub(super) fn is_empty(&self) -> bool {
+        self.generations.is_empty()
+    }
+
     /// What is known of a ticket.
     pub(crate) fn state(&self, ticket: &Ticket) -> TicketState {
-        if ticket.id.home != self.home || !self.secret.verifies(ticket) {
+        if ticket.id.home != self.home {
+            return TicketState::Foreign;
+        }
+        if !self.secret.verifies(ticket) {
             return TicketState::Forged;
         }
         self.state_of(&ticket.id)
@@ -95,9 +150,9 @@
     }
 
     /// Records that a ticket is used for a job.
-    pub(crate) fn record(&mut self, ticket: &Ticket, key: JobKey) {
-        if let Some(generation) = self.generations.get_mut(&ticket.id.generation) {
-            generation.jobs.insert(ticket.id.counter, key);
+    pub(crate) fn record(&mut self, ticket: &TicketId, key: JobKey) {
+        if let Some(generation) = self.generations.get_mut(&ticket.generation) {
+            generation.jobs.insert(ticket.counter, key);
         }
     }
 
--- a/src/core/message/announcement.rs
+++ b/src/core/message/announcement.rs
@@ -27,6 +27,8 @@
     pub(crate) leaving: bool,
     /// Version of the configuration that the agent holds.
     pub(crate) config_version: u64,
+    /// Homes of stopped processes whose tickets this agent answers for.
+    pub(crate) adopted: Vec<AgentId>,
     /// Tickets that the receiving entry may hand out.
     pub(crate) grant: Option<TicketGrant>,
 }
@@ -47,6 +49,8 @@
 pub(crate) struct AnnouncementReply {
     /// The entries on the roster.
     pub(crate) roster: Vec<PeerEntry>,
+    /// For a leaving agent: where its homes could move, empty otherwise.
+    pub(crate) successors: Vec<SocketAddr>,
     /// Version of the configuration in force at the entry.
     pub(crate) config_version: u64,
     /// Whether the agent's availability zone is open in that version.
--- a/src/core/message/peer_call.rs
+++ b/src/core/message/peer_call.rs
@@ -3,6 +3,7 @@
 use {
     super::{Announcement, AnnouncementReply},
     crate::core::{
+        home::HomeRecords,
         job::{JobSpec, JobStatus},
         ticket::{AgentId, Ticket},
     },
@@ -52,6 +53,8 @@
         /// For how long to hold the reply while the job runs.
         wait_ms: u64,
     },
+    /// Leaving home to its successor: go on with this. Idempotent under the home's identity.
+    Adopt(Box<HomeRecords>),
     /// Entry to home: start nothing more of this job.
     Cancel {
         /// The job's identity.
@@ -66,6 +69,8 @@
     Announced(AnnouncementReply),
     /// To [`PeerRequest::Submit`], [`PeerRequest::Poll`] and [`PeerRequest::Cancel`].
     Job(JobStatus),
+    /// To [`PeerRequest::Adopt`]: the successor answers for the home's tickets from now on.
+    Adopted,
     /// The receiver has no part that takes this request.
     Unsupported,
 }
--- a/src/core/runner/runner.rs
+++ b/src/core/runner/runner.rs
@@ -72,6 +72,11 @@
         u16::try_from(count).unwrap_or(u16::MAX)
     }
 
+    /// Outcomes that their homes have not acknowledged.
+    pub(crate) fn unfetched_count(&self) -> usize {
+        self.links.values().map(|link| link.ended.len()).sum()
+    }
+
     /// Whether new work is refused for good.
     pub(crate) const fn is_leaving(&self) -> bool {
         self.leaving
--- a/src/core/ticket/ticket_grant.rs
+++ b/src/core/ticket/ticket_grant.rs
@@ -34,7 +34,7 @@
 }
 
 /// The secret from which a home derives the keys of all its grants.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct GrantSecret([u8; 32]);
 
 impl GrantSecret {
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -12,15 +12,20 @@
         },
         ports::TimerService,
     },
-    rand::{RngExt, SeedableRng},
+    rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_chacha::ChaCha8Rng,
-    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
 };
 
 /// For how long a runner may start tasks after an announcement, in milliseconds.
 const PERMIT_MS: u64 = 3_000;
 /// Age of the last reading of the head row up to which permits are granted, in milliseconds.
 const HEAD_FRESH_MS: u64 = 2_000;
+/// Successors named to a leaving agent.
+const MAX_SUCCESSORS: usize = 3;
 
 /// The configuration in force at this entry.
 #[derive(Debug, Clone)]
@@ -50,6 +55,25 @@
     inner: Mutex<Inner>,
 }
 
+impl Inner {
+    /// Agents that could take over the homes of a leaving one, in an order of chance.
+    fn successors_of(&mut self, now: Instant, announcement: &Announcement) -> Vec<SocketAddr> {
+        if !announcement.leaving {
+            return Vec::new();
+        }
+        let mut successors: Vec<SocketAddr> = self
+            .directory
+            .alive(now)
+            .map(|view| &view.announcement)
+            .filter(|other| !other.leaving && other.worker != announcement.worker)
+            .map(|other| other.peer_addr)
+            .collect();
+        successors.shuffle(&mut self.rng);
+        successors.truncate(MAX_SUCCESSORS);
+        successors
+    }
+}
+
 impl EntryState {
     /// An entry that knows nobody yet.
     pub(crate) fn new(me: PeerEntry, timer: Arc<dyn TimerService>, seed: u64) -> Self {
@@ -79,6 +103,7 @@
             Some(grant) => inner.tickets.receive(now, grant),
             None => inner.tickets.forget(announcement.agent),
         }
+        let successors = inner.successors_of(now, &announcement);
         inner.directory.announce(now, announcement);
         let head_is_fresh = inner
             .head_read_at
@@ -86,6 +111,7 @@
         let in_force = inner.in_force.as_ref();
         AnnouncementReply {
             roster: vec![self.me.clone()],
+            successors,
             config_version: in_force.map_or(0, |in_force| in_force.head.version),
             zone_open: in_force.is_some_and(|in_force| in_force.document.zone_is_open(&zone)),
             permit_ms: if head_is_fresh { PERMIT_MS } else { 0 },
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -162,7 +162,9 @@
         };
         match self.network.call(addr, request).await {
             Ok(PeerReply::Job(status)) => Ok(report(status)),
-            Ok(PeerReply::Announced(_) | PeerReply::Unsupported) => Err(home_unreachable()),
+            Ok(PeerReply::Announced(_) | PeerReply::Adopted | PeerReply::Unsupported) => {
+                Err(home_unreachable())
+            }
             Err(PeerError::Unreachable(_) | PeerError::Lost(_)) => Err(home_unreachable()),
         }
     }
--- a/src/entry/peer_handler.rs
+++ b/src/entry/peer_handler.rs
@@ -23,9 +23,10 @@
             PeerRequest::Announce(announcement) => {
                 PeerReply::Announced(self.state.announce(announcement))
             }
-            PeerRequest::Submit(_) | PeerRequest::Poll { .. } | PeerRequest::Cancel { .. } => {
-                PeerReply::Unsupported
-            }
+            PeerRequest::Submit(_)
+            | PeerRequest::Poll { .. }
+            | PeerRequest::Adopt(_)
+            | PeerRequest::Cancel { .. } => PeerReply::Unsupported,
         }
     }
 
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -7,5 +7,6 @@
 
 mod once;
 mod path;
+mod planned_stop;
 mod programs;
 mod support;
--- /dev/null
+++ b/tests/processes/planned_stop.rs
@@ -0,0 +1,144 @@
+//! Planned stops: SIGTERM in the middle of work.
+
+use {
+    super::support::{Deployment, Layout, Reply, eventually, get, job_body, try_request},
+    std::{net::SocketAddr, time::Duration},
+    tokio::task::JoinHandle,
+};
+
+const LIMIT: Duration = Duration::from_secs(20);
+/// The agents' `stop_limit_ms` in these tests, and some room for a busy machine.
+const STOP_LIMIT: Duration = Duration::from_secs(25);
+
+fn submit_in_background(entry: SocketAddr, ticket: &str, body: &str) -> JoinHandle<Reply> {
+    let (ticket, body) = (ticket.to_owned(), body.to_owned());
+    tokio::spawn(async move {
+        let headers = [("rattanslip-ticket", ticket.as_str())];
+        try_request("POST", entry, "/v1/jobs", &headers, &body)
+            .await
+            .expect("reply")
+    })
+}
+
+async fn wait_for_starts(deployment: &Deployment, count: usize) {
+    eventually("tasks have started", LIMIT, || async {
+        deployment.starts().await.len() >= count
+    })
+    .await;
+}
+
+/// The worker whose agent is home of the only job that runs.
+async fn home_of_running(deployment: &Deployment) -> usize {
+    for (number, worker) in deployment.workers.iter().enumerate() {
+        let metrics = get(worker.agent_http, "/metrics").await.body;
+        if metrics.contains("rattanslip_jobs_running 1") {
+            return number;
+        }
+    }
+    panic!("no home runs a job");
+}
+
+/// A worker is drained for a kernel update while its agent is home of a job of many seconds. The
+/// job's records move to another agent: the client gets its whole answer, also when it asks again
+/// later through the other entry, and no task starts twice. A ticket that the leaving home had
+/// granted and nobody had used still works, once.
+#[tokio::test]
+async fn a_stopped_home_hands_its_jobs_and_tickets_to_a_successor() {
+    let mut deployment = Deployment::start(Layout::default()).await;
+    let body = job_body(30, 1_000, 60_000);
+    let ticket = deployment.ticket(0).await;
+    let first = submit_in_background(deployment.entry_addrs[0], &ticket, &body);
+    wait_for_starts(&deployment, 12).await;
+    let home = home_of_running(&deployment).await;
+    let unused = ticket_of_same_home(&deployment, &ticket).await;
+
+    deployment.workers[home].agent.terminate();
+    let status = deployment.workers[home].agent.wait(STOP_LIMIT).await;
+    assert!(status.success(), "{status}");
+    let first = first.await.expect("first");
+    assert_eq!(first.verdict(), "done", "{}", first.body);
+    assert_eq!(first.outputs().len(), 30);
+    for entry in [1, 0] {
+        let again = deployment.submit(entry, &ticket, &body).await;
+        assert_eq!(again.body, first.body);
+    }
+    let small = job_body(2, 10, 10_000);
+    for entry in [0, 1] {
+        let late = deployment.submit(entry, &unused, &small).await;
+        assert_eq!(late.verdict(), "done", "{}", late.body);
+    }
+    assert_eq!(deployment.assert_no_double_start().await, 32);
+}
+
+/// Tickets begin with their home's identity, so those of one home share their first letters.
+async fn ticket_of_same_home(deployment: &Deployment, ticket: &str) -> String {
+    for _ in 0..200 {
+        let other = deployment.ticket(0).await;
+        if other[..12] == ticket[..12] {
+            return other;
+        }
+    }
+    panic!("no other ticket of the home of {ticket}");
+}
+
+/// Homes are drained one after the other: records that were handed over once are handed over again.
+#[tokio::test]
+async fn records_survive_one_stop_after_another() {
+    let mut deployment = Deployment::start(Layout::default()).await;
+    let body = job_body(6, 50, 20_000);
+    let mut jobs = Vec::new();
+    for entry in [0, 1, 0, 1, 0, 1] {
+        let ticket = deployment.ticket(entry).await;
+        let reply = deployment.submit(entry, &ticket, &body).await;
+        assert_eq!(reply.verdict(), "done", "{}", reply.body);
+        jobs.push((ticket, reply.body));
+    }
+    for number in [0, 1] {
+        deployment.workers[number].agent.terminate();
+        let status = deployment.workers[number].agent.wait(STOP_LIMIT).await;
+        assert!(status.success(), "{status}");
+    }
+    for (ticket, answer) in &jobs {
+        for entry in [0, 1] {
+            assert_eq!(&deployment.submit(entry, ticket, &body).await.body, answer);
+        }
+    }
+    assert_eq!(deployment.assert_no_double_start().await, 36);
+}
+
+/// A worker's agent is stopped while its backend server runs tasks of another home. They finish,
+/// their outcomes arrive, and only then the agent is gone.
+#[tokio::test]
+async fn a_stopped_runner_finishes_its_tasks() {
+    let mut deployment = Deployment::start(Layout::default()).await;
+    let body = job_body(12, 2_000, 60_000);
+    let ticket = deployment.ticket(0).await;
+    let first = submit_in_background(deployment.entry_addrs[0], &ticket, &body);
+    wait_for_starts(&deployment, 12).await;
+    let runner = (home_of_running(&deployment).await + 1) % 3;
+    deployment.workers[runner].agent.terminate();
+    let status = deployment.workers[runner].agent.wait(STOP_LIMIT).await;
+    assert!(status.success(), "{status}");
+    let first = first.await.expect("first");
+    assert_eq!(first.verdict(), "done", "{}", first.body);
+    assert_eq!(deployment.assert_no_double_start().await, 12);
+}
+
+/// An entry is stopped while a client waits for a long job: the client still gets its answer on
+/// the connection it has, and then the entry is gone.
+#[tokio::test]
+async fn a_stopped_entry_answers_the_requests_it_has() {
+    let mut deployment = Deployment::start(Layout::default()).await;
+    let body = job_body(12, 2_000, 60_000);
+    let ticket = deployment.ticket(0).await;
+    let first = submit_in_background(deployment.entry_addrs[0], &ticket, &body);
+    wait_for_starts(&deployment, 12).await;
+    deployment.entries[0].terminate();
+    let first = first.await.expect("first");
+    assert_eq!(first.verdict(), "done", "{}", first.body);
+    let status = deployment.entries[0].wait(STOP_LIMIT).await;
+    assert!(status.success(), "{status}");
+    let again = deployment.submit(1, &ticket, &body).await;
+    assert_eq!(again.body, first.body);
+    assert_eq!(deployment.assert_no_double_start().await, 12);
+}
