--- a/src/cli/commands/run.rs
+++ b/src/cli/commands/run.rs
@@ -22,7 +22,7 @@
         return hash_token::hash_token();
     }
     let as_json = args.json;
-    let client = OperatorClient::new(args.entry, args.token.as_deref(), as_json)?;
+    let client = OperatorClient::new(args.entry, args.token.as_deref())?.printing_refusals(as_json);
     match args.command {
         OperatorCommand::Check { .. } | OperatorCommand::HashToken => Ok(()),
         OperatorCommand::Diff(args) => config::diff(&client, &args.change(), as_json).await,
--- a/src/cli/operator_client.rs
+++ b/src/cli/operator_client.rs
@@ -18,12 +18,8 @@
 }
 
 impl OperatorClient {
-    /// A client of this entry; with `as_json` refusals are printed as the entry sent them.
-    pub(crate) fn new(
-        entry: Option<SocketAddr>,
-        token: Option<&str>,
-        as_json: bool,
-    ) -> Result<Self, RunError> {
+    /// A client of this entry.
+    pub(crate) fn new(entry: Option<SocketAddr>, token: Option<&str>) -> Result<Self, RunError> {
         let entry = entry.ok_or_else(|| {
             RunError::Usage("name an entry with --entry or RATTANSLIP_ENTRY".to_owned())
         })?;
@@ -31,10 +27,18 @@
             client: HttpClient::new(),
             entry,
             authorization: token.map(|token| format!("Bearer {token}")),
-            prints_refusals: as_json,
+            prints_refusals: false,
         })
     }
 
+    /// The same client, which also prints refusals as the entry sent them if asked to.
+    pub(crate) fn printing_refusals(self, prints_refusals: bool) -> Self {
+        Self {
+            prints_refusals,
+            ..self
+        }
+    }
+
     /// Sends a request and returns whatever the entry replies.
     pub(crate) async fn send(
         &self,
--- a/src/entry/config_tests/races.rs
+++ b/src/entry/config_tests/races.rs
@@ -65,14 +65,18 @@
 }
 
 /// Runs the steps and returns each change by its number, which is also the value it writes.
-async fn run(platform: &Arc<FakePlatform>, steps: Vec<Step>) -> BTreeMap<u32, Asked> {
+async fn run(
+    platform: &Arc<FakePlatform>,
+    fault_percent: u32,
+    steps: Vec<Step>,
+) -> BTreeMap<u32, Asked> {
     let ops = operator("ops", &SECTIONS);
     let mut entries = [start(platform), start(platform), start(platform)];
     entries[0]
         .apply(&ops, &change([0; 4], 0))
         .await
         .expect("no faults yet");
-    platform.set_fault_percent(15);
+    platform.set_fault_percent(fault_percent);
     let mut running = Vec::new();
     let mut asked = BTreeMap::new();
     for (number, step) in (1_u32..).zip(steps) {
@@ -221,25 +225,28 @@
     let mut counts = BTreeMap::<&'static str, usize>::new();
     let counted = std::cell::RefCell::new(&mut counts);
     runner
-        .run(&(any::<u64>(), steps()), |(seed, steps)| {
-            in_virtual_time(async {
-                let platform = FakePlatform::new(seed);
-                let asked = run(&platform, steps).await;
-                let (versions, head) = read_back(&platform).await;
-                check_history(&versions, &head);
-                assert!(head.version >= FIRST);
-                for (number, change) in &asked {
-                    check_answer(&versions, *number, change);
-                    let kind = match &change.answer {
-                        None => "killed",
-                        Some(Ok(_)) => "accepted",
-                        Some(Err(error)) => error.as_str(),
-                    };
-                    *counted.borrow_mut().entry(kind).or_default() += 1;
-                }
-            });
-            Ok(())
-        })
+        .run(
+            &(any::<u64>(), 0_u32..80, steps()),
+            |(seed, fault_percent, steps)| {
+                in_virtual_time(async {
+                    let platform = FakePlatform::new(seed);
+                    let asked = run(&platform, fault_percent, steps).await;
+                    let (versions, head) = read_back(&platform).await;
+                    check_history(&versions, &head);
+                    assert!(head.version >= FIRST);
+                    for (number, change) in &asked {
+                        check_answer(&versions, *number, change);
+                        let kind = match &change.answer {
+                            None => "killed",
+                            Some(Ok(_)) => "accepted",
+                            Some(Err(error)) => error.as_str(),
+                        };
+                        *counted.borrow_mut().entry(kind).or_default() += 1;
+                    }
+                });
+                Ok(())
+            },
+        )
         .expect("every answer is true");
     for kind in [
         "accepted",
