--- a/src/cli/operator_client.rs
+++ b/src/cli/operator_client.rs
@@ -1,9 +1,9 @@
 //! Calls to an entry from the command line.
 
 use {
-    super::RunError,
+    super::{RunError, commands::describe_conflicts},
     crate::adapters::http::{HttpClient, HttpReply},
-    http::Method,
+    http::{Method, StatusCode},
     serde_json::Value,
     std::net::SocketAddr,
 };
@@ -14,6 +14,7 @@
     client: HttpClient,
     entry: SocketAddr,
     authorization: Option<String>,
+    prints_refusals: bool,
 }
 
 impl OperatorClient {
@@ -26,9 +27,18 @@
             client: HttpClient::new(),
             entry,
             authorization: token.map(|token| format!("Bearer {token}")),
+            prints_refusals: false,
         })
     }
 
+    /// The same client, which also prints refusals as the entry sent them if asked to.
+    pub(crate) fn printing_refusals(self, prints_refusals: bool) -> Self {
+        Self {
+            prints_refusals,
+            ..self
+        }
+    }
+
     /// Sends a request and returns whatever the entry replies.
     pub(crate) async fn send(
         &self,
@@ -60,7 +70,15 @@
         if reply.status.is_success() {
             return Ok(value);
         }
-        Err(RunError::Refused(describe_refusal(&reply, &value)))
+        if self.prints_refusals {
+            println!("{value}");
+        }
+        let description = describe_refusal(&reply, &value);
+        Err(match (reply.status, value["detail"].is_array()) {
+            (StatusCode::BAD_REQUEST, true) => RunError::BadDocument(description),
+            (StatusCode::GATEWAY_TIMEOUT, _) => RunError::Failed(description),
+            _ => RunError::Refused(description),
+        })
     }
 }
 
@@ -71,7 +89,9 @@
         let line = &fault["line"];
         let field = fault["field"].as_str().unwrap_or_default();
         let message = fault["message"].as_str().unwrap_or_default();
-        lines.push(format!("line {line}: {field}: {message}"));
+        let separator = if field.is_empty() { "" } else { ": " };
+        lines.push(format!("line {line}: {field}{separator}{message}"));
     }
+    lines.extend(describe_conflicts(&value["detail"]));
     lines.join("\n")
 }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,6 +6,7 @@
 )]
 
 mod once;
+mod config;
 mod path;
 mod planned_stop;
 mod programs;
