--- a/src/agent/announcer.rs
+++ b/src/agent/announcer.rs
@@ -127,11 +127,13 @@
             leaving: snapshot.leaving,
             config_version: snapshot.config_version,
             roster_digest: self.roster_digest,
+            adopted: self.agent.adopted(),
             grant: self.agent.grant(GRANT_TICKETS).await,
         }
     }
 
     fn take_reply(&mut self, sent_at: Instant, reply: AnnouncementReply) -> Outcome {
+        self.agent.note_successors(&reply.successors);
         self.agent.tell_runner(RunnerEvent::PermitRenewed {
             sent_at,
             config_version: reply.config_version,
--- a/src/core/directory/directory.rs
+++ b/src/core/directory/directory.rs
@@ -51,6 +51,8 @@
     replaced: BTreeMap<AgentId, Instant>,
     /// The short numbers by which other entries name agents.
     reported: BTreeMap<(AgentId, u32), AgentId>,
+    /// Homes of stopped processes, each with the agent that answers for it now.
+    adopted: BTreeMap<AgentId, AgentId>,
 }
 
 impl Directory {
@@ -108,6 +110,9 @@
         } else {
             known.and_then(|view| view.direct_at)
         };
+        self.adopted.retain(|_, successor| *successor != agent);
+        let adopted = announcement.adopted.iter().map(|home| (*home, agent));
+        self.adopted.extend(adopted);
         let view = AgentView {
             announcement,
             heard_at: now,
@@ -126,12 +131,6 @@
     /// announcing itself for longer than its last words can be under way is there after all.
     fn may_be_there(&mut self, now: Instant, announcement: &Announcement, direct: bool) -> bool {
         let agent = announcement.agent;
-        if let Some(since) = self.replaced.get(&agent) {
-            if !direct || now.millis_since(*since) < LATE_MS {
-                return false;
-            }
-            self.replaced.remove(&agent);
-        }
         let holder = self
             .by_worker
             .get(&announcement.worker)
@@ -140,6 +139,12 @@
         let holder_is_here = holder
             .and_then(|holder| holder.direct_at)
             .is_some_and(|at| now.millis_since(at) < ALIVE_MS);
+        if let Some(since) = self.replaced.get(&agent) {
+            if holder_is_here || !direct || now.millis_since(*since) < LATE_MS {
+                return false;
+            }
+            self.replaced.remove(&agent);
+        }
         direct || !holder_is_here
     }
 
@@ -153,6 +158,9 @@
             }
             keep
         });
+        let agents = &self.agents;
+        self.adopted
+            .retain(|_, successor| agents.contains_key(successor));
         self.replaced
             .retain(|_, since| now.millis_since(*since) < FORGET_AFTER_MS * 20);
         let agents = &self.agents;
@@ -161,6 +169,7 @@
 
     /// Where a home is.
     pub(crate) fn locate(&self, home: AgentId) -> HomeLocation {
+        let home = self.adopted.get(&home).copied().unwrap_or(home);
         if let Some(view) = self.agents.get(&home) {
             return HomeLocation::At(view.announcement.peer_addr);
         }
--- a/src/core/directory/tests.rs
+++ b/src/core/directory/tests.rs
@@ -22,6 +22,7 @@
         leaving: false,
         config_version: 1,
         roster_digest: 0,
+        adopted: Vec::new(),
         grant: None,
     }
 }
--- a/src/core/message/announcement.rs
+++ b/src/core/message/announcement.rs
@@ -31,6 +31,8 @@
     pub(crate) config_version: u64,
     /// Digest of the roster that the agent holds, zero for none.
     pub(crate) roster_digest: u64,
+    /// Homes of stopped processes whose tickets this agent answers for.
+    pub(crate) adopted: Vec<AgentId>,
     /// Tickets that the receiving entry may hand out.
     pub(crate) grant: Option<TicketGrant>,
 }
@@ -43,6 +45,10 @@
         hasher.update(self.peer_addr.to_string().as_bytes());
         hasher.update(&self.slots.to_le_bytes());
         hasher.update(&[u8::from(self.leaving)]);
+        hasher.update(&(self.adopted.len() as u64).to_le_bytes());
+        for home in &self.adopted {
+            hasher.update(&home.0.to_le_bytes());
+        }
         for text in self.services.iter().chain([&self.availability_zone]) {
             hasher.update(&(text.len() as u64).to_le_bytes());
             hasher.update(text.as_bytes());
@@ -79,6 +85,8 @@
 pub(crate) struct AnnouncementReply {
     /// The entries to announce to, unless the agent holds this roster already.
     pub(crate) roster: Option<Vec<PeerEntry>>,
+    /// For a leaving agent: where its homes could move, empty otherwise.
+    pub(crate) successors: Vec<SocketAddr>,
     /// Version of the configuration in force at the entry.
     pub(crate) config_version: u64,
     /// Whether the agent's availability zone is open in that version.
--- a/src/core/message/peer_call.rs
+++ b/src/core/message/peer_call.rs
@@ -4,6 +4,7 @@
     super::{Announcement, AnnouncementReply, Digest, DigestReply, GateNotice},
     crate::core::{
         config::Head,
+        home::HomeRecords,
         job::{JobSpec, JobStatus},
         ticket::{AgentId, Ticket},
     },
@@ -59,6 +60,8 @@
         /// For how long to hold the reply while the job runs.
         wait_ms: u64,
     },
+    /// Leaving home to its successor: go on with this. Idempotent under the home's identity.
+    Adopt(Box<HomeRecords>),
     /// Entry to home: start nothing more of this job.
     Cancel {
         /// The job's identity.
@@ -79,6 +82,8 @@
     Configuration(Option<(Head, String)>),
     /// To [`PeerRequest::Gate`].
     Noted,
+    /// To [`PeerRequest::Adopt`]: the successor answers for the home's tickets from now on.
+    Adopted,
     /// The receiver has no part that takes this request.
     Unsupported,
 }
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -14,15 +14,19 @@
         },
         ports::TimerService,
     },
-    rand::{RngExt, SeedableRng},
+    rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_chacha::ChaCha8Rng,
     std::{
         collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
     tokio::sync::Notify,
 };
 
+/// Successors named to a leaving agent.
+const MAX_SUCCESSORS: usize = 3;
+
 /// The configuration in force at this entry.
 #[derive(Debug, Clone)]
 pub(crate) struct InForce {
@@ -60,6 +64,25 @@
     inner: Mutex<Inner>,
 }
 
+impl Inner {
+    /// Agents that could take over the homes of a leaving one, in an order of chance.
+    fn successors_of(&mut self, now: Instant, announcement: &Announcement) -> Vec<SocketAddr> {
+        if !announcement.leaving {
+            return Vec::new();
+        }
+        let mut successors: Vec<SocketAddr> = self
+            .directory
+            .alive(now)
+            .map(|view| &view.announcement)
+            .filter(|other| !other.leaving && other.worker != announcement.worker)
+            .map(|other| other.peer_addr)
+            .collect();
+        successors.shuffle(&mut self.rng);
+        successors.truncate(MAX_SUCCESSORS);
+        successors
+    }
+}
+
 impl EntryState {
     /// An entry that knows nobody yet.
     pub(crate) fn new(
@@ -99,6 +122,7 @@
             Some(grant) => inner.tickets.receive(now, grant),
             None => inner.tickets.forget(announcement.agent),
         }
+        let successors = inner.successors_of(now, &announcement);
         let (config_version, zone_open) = inner.verdict_on(&announcement);
         let may_grant = zone_open
             && inner
@@ -111,6 +135,7 @@
         }
         AnnouncementReply {
             roster: (!roster_is_held).then_some(roster),
+            successors,
             config_version,
             zone_open,
             permit_ms: if may_grant { PERMIT_MS } else { 0 },
--- a/src/entry/peer_handler.rs
+++ b/src/entry/peer_handler.rs
@@ -31,6 +31,7 @@
             PeerRequest::Gate(_)
             | PeerRequest::Submit(_)
             | PeerRequest::Poll { .. }
+            | PeerRequest::Adopt(_)
             | PeerRequest::Cancel { .. } => PeerReply::Unsupported,
         }
     }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,6 +6,8 @@
 )]
 
 mod config;
+mod once;
 mod path;
+mod planned_stop;
 mod programs;
 mod support;
