--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,6 +6,7 @@
 )]
 
 mod config;
+mod gate;
 mod once;
 mod path;
 mod planned_stop;
--- a/tests/processes/support/deployment.rs
+++ b/tests/processes/support/deployment.rs
@@ -38,6 +38,12 @@
     pub entry_settings: String,
     /// Addresses that entries reach agents at, by worker name; for proxies.
     pub peer_addrs: BTreeMap<String, (SocketAddr, SocketAddr)>,
+    /// Where the platform listens, if a proxy has to know before.
+    pub platform_addr: Option<SocketAddr>,
+    /// Addresses that single entries reach the platform at; for proxies.
+    pub entry_platforms: BTreeMap<usize, SocketAddr>,
+    /// Where single entries listen for peers and where peers reach them; for proxies.
+    pub entry_peer_addrs: BTreeMap<usize, (SocketAddr, SocketAddr)>,
 }
 
 impl Default for Layout {
@@ -49,6 +55,9 @@
             agent_settings: String::new(),
             entry_settings: String::new(),
             peer_addrs: BTreeMap::new(),
+            platform_addr: None,
+            entry_platforms: BTreeMap::new(),
+            entry_peer_addrs: BTreeMap::new(),
         }
     }
 }
@@ -99,7 +108,7 @@
         let folder =
             std::env::temp_dir().join(format!("rattanslip-test-{}-{number}", std::process::id()));
         fs::create_dir_all(&folder).expect("folder");
-        let platform_addr = free_addr();
+        let platform_addr = layout.platform_addr.unwrap_or_else(free_addr);
         let platform = Process::start(
             env!("CARGO_BIN_EXE_rattanslip-standin"),
             &["platform", "--listen", &platform_addr.to_string()],
@@ -157,21 +166,33 @@
     /// Adds an entry that is started at once.
     pub fn add_entry(&mut self) {
         let number = self.entries.len();
-        let (client, peer) = (free_addr(), free_addr());
-        let process = self.start_entry(number, client, peer);
+        let client = free_addr();
+        let (listen, reached_at) = self
+            .layout
+            .entry_peer_addrs
+            .get(&number)
+            .copied()
+            .unwrap_or_else(|| {
+                let addr = free_addr();
+                (addr, addr)
+            });
+        let process = self.start_entry(number, client, listen);
         self.entries.push(process);
         self.entry_addrs.push(client);
-        self.entry_peers.push(peer);
+        self.entry_peers.push(reached_at);
     }
 
     /// Starts an entry's process at these addresses.
     pub fn start_entry(&self, number: usize, client: SocketAddr, peer: SocketAddr) -> Process {
+        let platform = self.layout.entry_platforms.get(&number);
+        let reached_at = self.layout.entry_peer_addrs.get(&number);
         let settings = format!(
             "name = \"entry-{number}\"\navailability_zone = \"{}\"\nclient_listen = \"{client}\"\n\
-             peer_listen = \"{peer}\"\nplatform = \"{}\"\n{}\n[operators.tester]\n\
+             peer_listen = \"{peer}\"\npeer_addr = \"{}\"\nplatform = \"{}\"\n{}\n[operators.tester]\n\
              token_blake3 = \"{}\"\nsections = [\"capacity\", \"services\", \"zones\", \"quotas\"]\n",
             ZONES[0],
-            self.platform_addr,
+            reached_at.map_or(peer, |(_, reached_at)| *reached_at),
+            platform.unwrap_or(&self.platform_addr),
             self.layout.entry_settings,
             blake3::hash(TOKEN.as_bytes()).to_hex(),
         );
--- /dev/null
+++ b/tests/processes/support/load.rs
@@ -0,0 +1,131 @@
+//! A steady stream of short requests, and what the backend servers and the platform saw of it.
+
+use {
+    super::{Deployment, Reply, SERVICE, TOKEN, get, request, try_request},
+    serde_json::Value,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{task::JoinHandle, time::sleep},
+};
+
+/// Clients of each entry, each with one request at a time.
+const CLIENTS: usize = 4;
+/// Pause of a client between its requests.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Patience of a client with one request.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// Milliseconds since 1970, as the backend servers record starts.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("after 1970");
+    u64::try_from(since.as_millis()).expect("small")
+}
+
+/// Takes a zone out; an error if the entry gave no reply.
+pub async fn zone_out(entry: SocketAddr, zone: &str) -> Result<Reply, String> {
+    let authorization = format!("Bearer {TOKEN}");
+    let headers = [("authorization", authorization.as_str())];
+    try_request(
+        "POST",
+        entry,
+        &format!("/v1/zones/{zone}/out"),
+        &headers,
+        "",
+    )
+    .await
+}
+
+/// Clients that send repeatable requests until they are stopped.
+#[derive(Debug)]
+pub struct Load {
+    done: Arc<AtomicUsize>,
+    stop: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    /// Starts clients of these entries.
+    pub fn start(deployment: &Deployment, entries: &[usize]) -> Self {
+        let (done, stop) = (Arc::default(), Arc::default());
+        let clients = entries
+            .iter()
+            .flat_map(|entry| [deployment.entry_addrs[*entry]; CLIENTS])
+            .map(|entry| tokio::spawn(run(entry, Arc::clone(&done), Arc::clone(&stop))))
+            .collect();
+        Self {
+            done,
+            stop,
+            clients,
+        }
+    }
+
+    /// Requests answered as done so far.
+    pub fn done(&self) -> usize {
+        self.done.load(Ordering::SeqCst)
+    }
+
+    /// Ends the clients.
+    pub async fn stop(self) {
+        self.stop.store(true, Ordering::SeqCst);
+        for client in self.clients {
+            client.await.expect("client");
+        }
+    }
+}
+
+async fn run(entry: SocketAddr, done: Arc<AtomicUsize>, stop: Arc<AtomicBool>) {
+    let path = format!("/v1/requests/{SERVICE}?repeatable=true&deadline_ms=2000");
+    while !stop.load(Ordering::SeqCst) {
+        let exchange = try_request("POST", entry, &path, &[], "10 x");
+        let reply = tokio::time::timeout(PATIENCE, exchange).await;
+        if matches!(&reply, Ok(Ok(reply)) if reply.status == 200) {
+            done.fetch_add(1, Ordering::SeqCst);
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+impl Deployment {
+    /// When a worker's backend server last started a task, zero if it never did.
+    pub async fn last_start_ms(&self, worker: usize) -> u64 {
+        let reply = get(self.workers[worker].backend_addr, "/starts").await;
+        let starts = reply.json();
+        let starts = starts.as_array().expect("starts");
+        let times = starts
+            .iter()
+            .filter_map(|start| start["at_unix_ms"].as_u64());
+        times.max().unwrap_or(0)
+    }
+
+    /// Whether the platform's table has this row, whatever its faults.
+    pub async fn platform_row(&self, key: &str) -> bool {
+        let reply = get(self.platform_addr, &format!("/table/rows/{key}")).await;
+        reply.status == 200
+    }
+
+    /// The entries that have a row on the roster, by name.
+    pub async fn roster(&self) -> Vec<String> {
+        let reply = get(self.platform_addr, "/table/scan/entries-").await;
+        let rows = reply.json();
+        let values = rows.as_array().expect("rows").iter();
+        values
+            .filter_map(|row| serde_json::from_str(row["value"].as_str()?).ok())
+            .filter_map(|row: Value| Some(row["entry"]["name"].as_str()?.to_owned()))
+            .collect()
+    }
+
+    /// Calls that the platform has seen.
+    pub async fn platform_calls(&self) -> u64 {
+        let calls = request("GET", self.platform_addr, "/calls", &[], "").await;
+        let calls = calls.json();
+        calls["reads"].as_u64().unwrap_or(0) + calls["writes"].as_u64().unwrap_or(0)
+    }
+}
--- a/tests/processes/support/mod.rs
+++ b/tests/processes/support/mod.rs
@@ -8,12 +8,14 @@
 
 mod deployment;
 mod http;
+mod load;
 mod process;
 mod proxy;
 
 pub use {
     deployment::{Deployment, Layout, SERVICE, TOKEN, WorkerHandle, free_addr, job_body},
     http::{Reply, get, request, try_request},
+    load::{Load, unix_ms, zone_out},
     process::Process,
     proxy::Proxy,
 };
