--- /dev/null
+++ b/src/adapters/backend/tests.rs
@@ -0,0 +1,137 @@
+//! Tests of the connections to the backend server.
+
+use {
+    super::HttpBackend,
+    crate::{
+        core::{
+            gate::SharedPermit,
+            job::{TaskOutcome, TaskRef},
+            message::StartFrame,
+            ticket::{AgentId, TicketId},
+            time::Instant,
+            verdict::NotRunReason,
+        },
+        ports::{BackendServer, TimerService},
+    },
+    std::sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        sync::mpsc,
+    },
+};
+
+/// A clock that the test moves.
+#[derive(Debug, Default)]
+struct HandClock(AtomicU64);
+
+impl TimerService for HandClock {
+    fn now(&self) -> Instant {
+        Instant::from_millis(self.0.load(Ordering::SeqCst))
+    }
+
+    fn subscribe(&self, _period_ms: u64) -> mpsc::Receiver<Instant> {
+        mpsc::channel(1).1
+    }
+}
+
+/// A backend server that answers "done" and keeps what it read.
+#[derive(Debug)]
+struct Server {
+    connections: Arc<AtomicU64>,
+    read: Arc<Mutex<Vec<u8>>>,
+}
+
+async fn backend(permit: &Arc<SharedPermit>, clock: &Arc<HandClock>) -> (HttpBackend, Server) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listen");
+    let addr = listener.local_addr().expect("address");
+    let server = Server {
+        connections: Arc::default(),
+        read: Arc::default(),
+    };
+    let (connections, read) = (Arc::clone(&server.connections), Arc::clone(&server.read));
+    tokio::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            connections.fetch_add(1, Ordering::SeqCst);
+            let read = Arc::clone(&read);
+            tokio::spawn(async move {
+                let mut buffer = [0; 4_096];
+                while let Ok(bytes @ 1..) = socket.read(&mut buffer).await {
+                    read.lock().expect("lock").extend(&buffer[..bytes]);
+                    let reply = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
+                    socket.write_all(reply).await.expect("write");
+                }
+            });
+        }
+    });
+    let timer = Arc::clone(clock) as Arc<dyn TimerService>;
+    let backend = HttpBackend::new(4, Arc::clone(permit), timer);
+    backend.set_addr(addr);
+    (backend, server)
+}
+
+fn start(index: u16) -> StartFrame {
+    let id = TicketId {
+        home: AgentId(1),
+        generation: 1,
+        counter: 1,
+    };
+    StartFrame {
+        task: TaskRef { ticket: id, index },
+        service: "crew-share".to_owned(),
+        input: "share".to_owned(),
+        deadline_ms: 10_000,
+        memory_mb: 0,
+        accelerators: 0,
+    }
+}
+
+fn done() -> TaskOutcome {
+    TaskOutcome::Done {
+        output: "done".to_owned(),
+    }
+}
+
+/// A runner takes a start under a permit and is frozen before its bytes are written; meanwhile
+/// the zone is taken out. When it goes on, an operator sees a task start in a closed zone. The
+/// clock jumps here as it does over a freeze; not one byte may go out, and "not run" is true.
+#[tokio::test]
+async fn a_request_whose_permit_ended_before_the_write_sends_no_byte() {
+    let (permit, clock) = (
+        Arc::new(SharedPermit::default()),
+        Arc::new(HandClock::default()),
+    );
+    let (backend, server) = backend(&permit, &clock).await;
+    permit.set_until(Instant::from_millis(3_000));
+    assert_eq!(backend.run(start(0)).await, done());
+    let before = server.read.lock().expect("lock").len();
+
+    clock.0.store(3_000, Ordering::SeqCst);
+    for (index, connections) in [(1, 1), (2, 2)] {
+        let outcome = backend.run(start(index)).await;
+        let reason = NotRunReason::NoPermit;
+        assert_eq!(outcome, TaskOutcome::NotRun { reason });
+        assert_eq!(server.read.lock().expect("lock").len(), before);
+        assert_eq!(server.connections.load(Ordering::SeqCst), connections);
+    }
+
+    permit.set_until(Instant::from_millis(6_000));
+    assert_eq!(backend.run(start(3)).await, done());
+}
+
+#[tokio::test]
+async fn a_connection_is_used_again() {
+    let (permit, clock) = (
+        Arc::new(SharedPermit::default()),
+        Arc::new(HandClock::default()),
+    );
+    permit.set_until(Instant::from_millis(3_000));
+    let (backend, server) = backend(&permit, &clock).await;
+    for index in 0..5 {
+        assert_eq!(backend.run(start(index)).await, done());
+    }
+    assert_eq!(server.connections.load(Ordering::SeqCst), 1);
+}
--- a/src/core/directory/directory.rs
+++ b/src/core/directory/directory.rs
@@ -30,6 +30,18 @@
     pub(crate) statement: u64,
     /// Fingerprint of the announcement.
     pub(crate) fingerprint: u8,
+    /// When a call to it last failed.
+    failed_at: Option<Instant>,
+}
+
+impl AgentView {
+    /// Whether it was heard lately, and since the last call to it failed.
+    fn is_there(&self, now: Instant) -> bool {
+        now.millis_since(self.heard_at) < ALIVE_MS
+            && self
+                .failed_at
+                .is_none_or(|failed_at| failed_at < self.heard_at)
+    }
 }
 
 /// Where a ticket's home is.
@@ -110,6 +122,7 @@
         } else {
             known.and_then(|view| view.direct_at)
         };
+        let failed_at = known.and_then(|view| view.failed_at);
         self.adopted.retain(|_, successor| *successor != agent);
         let adopted = announcement.adopted.iter().map(|home| (*home, agent));
         self.adopted.extend(adopted);
@@ -119,6 +132,7 @@
             direct_at,
             statement,
             fingerprint,
+            failed_at,
         };
         self.agents.insert(agent, view);
         is_new
@@ -181,9 +195,17 @@
 
     /// Agents that announced themselves lately.
     pub(crate) fn alive(&self, now: Instant) -> impl Iterator<Item = &AgentView> {
-        self.agents
-            .values()
-            .filter(move |view| now.millis_since(view.heard_at) < ALIVE_MS)
+        self.agents.values().filter(move |view| view.is_there(now))
+    }
+
+    /// A call to an agent failed: it gets no new work until it is heard again.
+    ///
+    /// Guards against a rack that is lost at once: until its silence was noticed, every second
+    /// job would get a home there, and its client would wait for one that is gone.
+    pub(crate) fn call_failed(&mut self, now: Instant, agent: AgentId) {
+        if let Some(view) = self.agents.get_mut(&agent) {
+            view.failed_at = Some(now);
+        }
     }
 
     /// Agents that announced themselves here after `since`, or never lately if it is `None`.
@@ -210,9 +232,9 @@
 
     /// Whether an agent may be handed new jobs or tasks.
     pub(crate) fn takes_work(&self, now: Instant, agent: AgentId) -> bool {
-        self.agents.get(&agent).is_some_and(|view| {
-            !view.announcement.leaving && now.millis_since(view.heard_at) < ALIVE_MS
-        })
+        self.agents
+            .get(&agent)
+            .is_some_and(|view| !view.announcement.leaving && view.is_there(now))
     }
 
     /// Whether the configuration lets tasks start at an agent.
--- a/src/core/directory/tests.rs
+++ b/src/core/directory/tests.rs
@@ -129,3 +129,15 @@
     assert!(directory.takes_work(Instant::from_millis(20), AgentId(2)));
     assert_eq!(directory.locate(AgentId(1)), HomeLocation::Unknown);
 }
+
+/// A rack is lost. Calls to its agents fail long before their silence counts, and clients would
+/// go on being sent there; what is heard of them afterwards clears the suspicion.
+#[test]
+fn an_agent_that_a_call_failed_to_gets_no_new_work_until_it_is_heard_again() {
+    let mut directory = Directory::default();
+    directory.announce(Instant::from_millis(0), announcement(1, "w01"));
+    directory.call_failed(Instant::from_millis(100), AgentId(1));
+    assert!(!directory.takes_work(Instant::from_millis(200), AgentId(1)));
+    directory.announce(Instant::from_millis(1_000), announcement(1, "w01"));
+    assert!(directory.takes_work(Instant::from_millis(1_100), AgentId(1)));
+}
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -209,6 +209,12 @@
         self.lock().directory.locate(home)
     }
 
+    /// A call to an agent failed.
+    pub(crate) fn call_failed(&self, agent: AgentId) {
+        let now = self.timer.now();
+        self.lock().directory.call_failed(now, agent);
+    }
+
     /// The service's declaration, if the configuration in force has it.
     pub(crate) fn service(&self, name: &str) -> Result<Service, NotRunReason> {
         let inner = self.lock();
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -163,7 +163,10 @@
         match self.network.call(addr, request).await {
             Ok(PeerReply::Job(status)) => Ok(report(status)),
             Ok(_) => Err(home_unreachable()),
-            Err(PeerError::Unreachable(_) | PeerError::Lost(_)) => Err(home_unreachable()),
+            Err(PeerError::Unreachable(_) | PeerError::Lost(_)) => {
+                self.state.call_failed(ticket.id.home);
+                Err(home_unreachable())
+            }
         }
     }
 
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -7,6 +7,7 @@
 
 mod config;
 mod gate;
+mod membership;
 mod once;
 mod path;
 mod planned_stop;
--- /dev/null
+++ b/tests/processes/membership.rs
@@ -0,0 +1,217 @@
+//! Who is there, over real processes: every way of leaving, coming back, and entries that go.
+
+use {
+    super::support::{Deployment, Layout, Load, eventually, unix_ms},
+    serde_json::json,
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+/// The worker that leaves.
+const WORKER: usize = 1;
+/// Time after leaving from which it may get no new work, in milliseconds.
+const LAST_START_MS: u64 = 7_000;
+/// For how long the load goes on after that.
+const WATCH_MS: u64 = 1_500;
+/// Room for anything that should take a few seconds.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// A way in which a worker leaves, and comes back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Signal,
+    OwnWord,
+    Configuration,
+    Silence,
+    Kill,
+}
+
+impl Way {
+    async fn leave(self, deployment: &mut Deployment) {
+        match self {
+            Self::Signal => deployment.workers[WORKER].agent.terminate(),
+            Self::OwnWord => {
+                let faults = r#"{"leaving": true}"#;
+                deployment.backend_faults(WORKER, faults).await;
+            }
+            Self::Configuration => {
+                let text = deployment.document();
+                let text = without_worker(&text);
+                apply(deployment, &text).await;
+            }
+            Self::Silence => {
+                deployment
+                    .backend_faults(WORKER, r#"{"silent": true}"#)
+                    .await
+            }
+            Self::Kill => deployment.workers[WORKER].agent.kill(),
+        }
+    }
+
+    async fn come_back(self, deployment: &mut Deployment) {
+        match self {
+            Self::Signal | Self::Kill => {
+                deployment.workers[WORKER] = deployment.start_worker(WORKER);
+            }
+            Self::Configuration => {
+                let text = deployment.document();
+                apply(deployment, &text).await;
+            }
+            Self::OwnWord | Self::Silence => deployment.backend_faults(WORKER, "{}").await,
+        }
+    }
+}
+
+async fn apply(deployment: &Deployment, text: &str) {
+    let version = deployment.operate(0, "GET", "/v1/config", "").await.json()["version"].clone();
+    let body = json!({ "text": text, "based_on": version }).to_string();
+    let reply = deployment.operate(0, "POST", "/v1/config", &body).await;
+    assert_eq!(reply.status, 200, "{}", reply.body);
+}
+
+fn without_worker(text: &str) -> String {
+    let header = format!("[capacity.workers.w{:02}]", WORKER + 1);
+    let start = text.find(&header).expect("the worker's table");
+    let end = text[start + 1..].find('[').expect("another table") + start + 1;
+    format!("{}{}", &text[..start], &text[end..])
+}
+
+/// Leaves, watches that no new work comes, comes back, and waits for work.
+async fn leaves_and_returns(way: Way) {
+    let mut deployment = Deployment::start(Layout::default()).await;
+    let load = Load::start(&deployment, &[0, 1]);
+    eventually("the worker works", LIMIT, || async {
+        deployment.last_start_ms(WORKER).await > 0
+    })
+    .await;
+    let left_ms = unix_ms();
+    way.leave(&mut deployment).await;
+    sleep(Duration::from_millis(LAST_START_MS + WATCH_MS)).await;
+    let late_ms = deployment
+        .last_start_ms(WORKER)
+        .await
+        .saturating_sub(left_ms);
+    println!("{way:?}: last start {late_ms} ms after leaving");
+    assert!(late_ms < LAST_START_MS, "{late_ms} ms");
+
+    let back_ms = unix_ms();
+    way.come_back(&mut deployment).await;
+    eventually("the worker works again", LIMIT, || async {
+        deployment.last_start_ms(WORKER).await > back_ms
+    })
+    .await;
+    let first_ms = deployment.last_start_ms(WORKER).await - back_ms;
+    println!("{way:?}: work again at most {first_ms} ms after coming back");
+    load.stop().await;
+}
+
+/// Names each way and the story that it stands for.
+macro_rules! ways {
+    ($($(#[$doc:meta])* $name:ident: $way:expr;)+) => {$(
+        $(#[$doc])*
+        #[tokio::test]
+        async fn $name() {
+            leaves_and_returns($way).await;
+        }
+    )+};
+}
+
+ways! {
+    /// An operator stops the agent as planned. Work sent there afterwards would be refused one
+    /// by one, so its leaving is pushed to an entry and passed on.
+    a_worker_that_leaves_by_signal_gets_no_new_work: Way::Signal;
+    /// The backend server says that it leaves, while its agent stays.
+    a_worker_that_leaves_by_its_own_word_gets_no_new_work: Way::OwnWord;
+    /// The hardware team takes the worker out of the configuration; nobody tells its host.
+    a_worker_that_leaves_by_configuration_gets_no_new_work: Way::Configuration;
+    /// The backend server says nothing any more, though it would still run what it gets.
+    a_worker_that_leaves_by_silence_gets_no_new_work: Way::Silence;
+    /// The agent's process dies without a word.
+    a_worker_whose_agent_is_killed_gets_no_new_work: Way::Kill;
+}
+
+/// An entry is killed. Agents that announced to it turn to another one before their permits end,
+/// and work goes on without a gap; its successor at the same address takes its place.
+#[tokio::test]
+async fn a_killed_entry_stops_nothing_and_its_successor_takes_its_place() {
+    let mut deployment = Deployment::start(Layout::default()).await;
+    let load = Load::start(&deployment, &[0]);
+    deployment.entries[1].kill();
+    for second in 0..6 {
+        let before = load.done();
+        sleep(Duration::from_millis(1_000)).await;
+        assert!(load.done() > before, "no answer in second {second}");
+    }
+    assert_eq!(deployment.roster().await, ["entry-0", "entry-1"]);
+    let (client, peer) = (deployment.entry_addrs[1], deployment.entry_peers[1]);
+    deployment.entries[1] = deployment.start_entry(1, client, peer);
+    deployment.wait_for_workers(3).await;
+    eventually("one row for each entry", LIMIT, || async {
+        deployment.roster().await == ["entry-0", "entry-1"]
+    })
+    .await;
+    load.stop().await;
+}
+
+/// An entry's host is lost for good. Its row goes once it can't grant permits any more; an entry
+/// that stops as planned takes its row along at once.
+#[tokio::test]
+async fn entries_that_go_leave_the_roster() {
+    let layout = Layout {
+        entries: 3,
+        entry_settings: "outage_limit_ms = 10000".to_owned(),
+        ..Layout::default()
+    };
+    let mut deployment = Deployment::start(layout).await;
+    let killed_ms = unix_ms();
+    deployment.entries[2].kill();
+    deployment.entries[1].terminate();
+    let status = deployment.entries[1].wait(LIMIT).await;
+    assert!(status.success(), "{status}");
+    assert!(!deployment.roster().await.contains(&"entry-1".to_owned()));
+    eventually("the lost entry's row is gone", LIMIT, || async {
+        deployment.roster().await == ["entry-0"]
+    })
+    .await;
+    println!(
+        "a lost entry's row is gone after {} ms",
+        unix_ms() - killed_ms
+    );
+    assert!(
+        unix_ms() - killed_ms >= 10_000,
+        "it might still have granted permits"
+    );
+}
+
+/// A rack loses power and comes back: three agents at once. The other workers go on, and those
+/// that return get work again.
+#[tokio::test]
+async fn a_rack_that_goes_at_once_and_returns_is_ordinary() {
+    let layout = Layout {
+        workers: 6,
+        ..Layout::default()
+    };
+    let mut deployment = Deployment::start(layout).await;
+    let load = Load::start(&deployment, &[0, 1]);
+    for worker in 0..3 {
+        deployment.workers[worker].agent.kill();
+        deployment.workers[worker].backend.kill();
+    }
+    for second in 0..5 {
+        let before = load.done();
+        sleep(Duration::from_millis(1_000)).await;
+        assert!(load.done() > before, "no answer in second {second}");
+    }
+    for worker in 0..3 {
+        deployment.workers[worker] = deployment.start_worker(worker);
+    }
+    let back_ms = unix_ms();
+    for worker in 0..3 {
+        eventually("a returned worker works", LIMIT, || async {
+            deployment.last_start_ms(worker).await > back_ms
+        })
+        .await;
+    }
+    println!("a rack is back at work after {} ms", unix_ms() - back_ms);
+    load.stop().await;
+}
--- a/tests/processes/support/load.rs
+++ b/tests/processes/support/load.rs
@@ -94,9 +94,12 @@
 }
 
 impl Deployment {
-    /// When a worker's backend server last started a task, zero if it never did.
+    /// When a worker's backend server last started a task; zero if it never did or isn't there.
     pub async fn last_start_ms(&self, worker: usize) -> u64 {
-        let reply = get(self.workers[worker].backend_addr, "/starts").await;
+        let backend = self.workers[worker].backend_addr;
+        let Ok(reply) = try_request("GET", backend, "/starts", &[], "").await else {
+            return 0;
+        };
         let starts = reply.json();
         let starts = starts.as_array().expect("starts");
         let times = starts
@@ -111,15 +114,17 @@
         reply.status == 200
     }
 
-    /// The entries that have a row on the roster, by name.
+    /// The entries that have a row on the roster, in the order of their names.
     pub async fn roster(&self) -> Vec<String> {
         let reply = get(self.platform_addr, "/table/scan/entries-").await;
         let rows = reply.json();
         let values = rows.as_array().expect("rows").iter();
-        values
+        let mut names: Vec<String> = values
             .filter_map(|row| serde_json::from_str(row["value"].as_str()?).ok())
             .filter_map(|row: Value| Some(row["entry"]["name"].as_str()?.to_owned()))
-            .collect()
+            .collect();
+        names.sort();
+        names
     }
 
     /// Calls that the platform has seen.
