--- a/scripts/slopelib/control.py
+++ b/scripts/slopelib/control.py
@@ -119,7 +119,8 @@
         quiet = [all_agents(agents) for _ in range(1)][0]
         time.sleep(WINDOW_S)
         quiet = rate(quiet, all_agents(agents))
-        deployment.load(tasks=200, jobs_per_s=40, duration_ms=3000)
+        found = deployment.load(tasks=200, jobs_per_s=40, duration_ms=3000)
+        assert found["verdicts"].keys() == {"done"}, found
         busy_until = metrics(entry.client).get("rattanslip_agents_alive")
         for after_s in (1.0, *(WINDOW_S for _ in range(runs - 1)), 12.0):
             time.sleep(after_s if after_s != WINDOW_S else 0.0)
--- a/scripts/slopelib/deployment.py
+++ b/scripts/slopelib/deployment.py
@@ -280,11 +280,11 @@
         return reply.get("rattanslip-verdict", "none")
 
     def load(self, tasks, jobs_per_s, duration_ms, work_ms=0, entry=0):
-        """Runs rattanslip-load to its end and returns what it found."""
+        """Runs a steady stream of jobs to its end and returns what it found."""
         command = [
-            f"{BIN}/rattanslip-load", "--entry", self.entries[entry].client, "--service", SERVICE,
+            f"{BIN}/rattanslip-standin", "jobs", "--entry", self.entries[entry].client, "--service", SERVICE,
             "--tasks", str(tasks), "--jobs-per-s", str(jobs_per_s), "--duration-ms", str(duration_ms),
-            "--min-run-ms", str(work_ms), "--max-run-ms", str(work_ms), "--json",
+            "--work-ms", str(work_ms),
         ]  # fmt: skip
-        found = subprocess.run(command, text=True, capture_output=True, check=False)
+        found = subprocess.run(command, text=True, capture_output=True, check=True)
         return json.loads(found.stdout.splitlines()[-1])
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -13,7 +13,7 @@
 
 pub(crate) use {
     agent_api::{AgentApi, BackendBody, serve_agent_api},
-    answer::{REASON_HEADER, VERDICT_HEADER},
+    answer::{NEXT_TICKET_HEADER, REASON_HEADER, VERDICT_HEADER},
     client::{HttpClient, HttpReply},
     client_api::{IDEMPOTENCY_KEY_HEADER, TICKET_HEADER},
     entry_api::{EntryApi, serve_entry_api},
--- a/src/adapters/peer/h2_client.rs
+++ b/src/adapters/peer/h2_client.rs
@@ -2,6 +2,8 @@
 
 use {
     super::{
+        activity::{Activity, OpenStream},
+        awaited_tasks::AwaitedTasks,
         codec::{encode, encode_into},
         counted_socket::CountedSocket,
         frame_stream::{FrameReader, send_all},
@@ -38,47 +40,77 @@
 pub(crate) const MAX_STREAMS: u32 = 100_000;
 /// Time to connect, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 500;
+/// Time after which an idle session ends and an unused connection closes, in milliseconds.
+const IDLE_CLOSE_MS: u64 = 10_000;
 /// Frames held for a slow reader of a session.
 const SESSION_BUFFER_FRAMES: usize = 1_024;
 
-type Slot = Arc<Mutex<Option<SendRequest<Bytes>>>>;
+type Slot = Arc<Mutex<Option<Connection>>>;
+
+/// An open connection.
+#[derive(Debug, Clone)]
+struct Connection {
+    sender: SendRequest<Bytes>,
+    activity: Arc<Activity>,
+}
+
+/// A stream just opened on a connection.
+struct Stream {
+    response: h2::client::ResponseFuture,
+    body: SendStream<Bytes>,
+    activity: Arc<Activity>,
+    open: OpenStream,
+}
 
 /// Peers over h2.
 #[derive(Debug)]
 pub(crate) struct H2Client {
     connections: Mutex<BTreeMap<SocketAddr, Slot>>,
     metrics: Arc<dyn Metrics>,
+    idle_close: Duration,
 }
 
 impl H2Client {
     /// A client without connections.
     pub(crate) fn new(metrics: Arc<dyn Metrics>) -> Self {
+        Self::with_idle_close(metrics, Duration::from_millis(IDLE_CLOSE_MS))
+    }
+
+    /// A client that closes sessions and connections after being idle for `idle_close`.
+    pub(super) fn with_idle_close(metrics: Arc<dyn Metrics>, idle_close: Duration) -> Self {
         Self {
+            idle_close,
             connections: Mutex::new(BTreeMap::new()),
             metrics,
         }
     }
 
     /// The connection to an address, opened if there is none that works.
-    async fn connection(&self, to: SocketAddr) -> Result<SendRequest<Bytes>, PeerError> {
+    async fn connection(&self, to: SocketAddr) -> Result<(Connection, OpenStream), PeerError> {
         let slot = Arc::clone(self.connections.lock().await.entry(to).or_default());
         let mut slot = slot.lock().await;
-        if let Some(sender) = slot.as_ref()
-            && let Ok(ready) = sender.clone().ready().await
+        if let Some(connection) = slot.clone()
+            && let Some(open) = connection.activity.open_stream()
+            && let Ok(connection) = connection.ready().await
         {
-            return Ok(ready);
+            return Ok((connection, open));
         }
         *slot = None;
-        let sender = self.connect(to).await?;
-        let ready = sender
+        let connection = self
+            .connect(to)
+            .await?
             .ready()
             .await
             .map_err(|error| PeerError::Unreachable(error.to_string()))?;
-        *slot = Some(ready.clone());
-        Ok(ready)
+        *slot = Some(connection.clone());
+        let open = connection
+            .activity
+            .open_stream()
+            .ok_or_else(|| PeerError::Unreachable("connection closed".to_owned()))?;
+        Ok((connection, open))
     }
 
-    async fn connect(&self, to: SocketAddr) -> Result<SendRequest<Bytes>, PeerError> {
+    async fn connect(&self, to: SocketAddr) -> Result<Connection, PeerError> {
         let connecting = async {
             let socket = TcpStream::connect(to)
                 .await
@@ -100,6 +132,8 @@
                 .map_err(PeerError::Unreachable)?;
         let pings = connection.ping_pong();
         let metrics = Arc::clone(&self.metrics);
+        let activity = Arc::new(Activity::new(self.idle_close));
+        let watched = Arc::clone(&activity);
         tokio::spawn(async move {
             let Some(pings) = pings else {
                 return;
@@ -107,25 +141,39 @@
             // Dropping the connection fails every stream on it.
             let cause = tokio::select! {
                 _ = connection => "closed",
-                cause = until_silent(pings) => cause,
+                cause = until_silent(pings, &watched) => cause,
+                () = watched.until_unused() => "unused",
             };
             metrics.count(Counter::PeerLosses, cause);
         });
-        Ok(sender)
+        Ok(Connection { sender, activity })
     }
 
-    async fn open_stream(
-        &self,
-        to: SocketAddr,
-        path: &str,
-    ) -> Result<(h2::client::ResponseFuture, SendStream<Bytes>), PeerError> {
+    async fn open_stream(&self, to: SocketAddr, path: &str) -> Result<Stream, PeerError> {
         let request = Request::post(format!("http://{to}{path}"))
             .body(())
             .map_err(|error| PeerError::Unreachable(error.to_string()))?;
-        let mut connection = self.connection(to).await?;
-        connection
+        let (mut connection, open) = self.connection(to).await?;
+        let (response, body) = connection
+            .sender
             .send_request(request, false)
-            .map_err(|error| PeerError::Unreachable(error.to_string()))
+            .map_err(|error| PeerError::Unreachable(error.to_string()))?;
+        Ok(Stream {
+            response,
+            body,
+            activity: connection.activity,
+            open,
+        })
+    }
+}
+
+impl Connection {
+    /// The connection once it takes another stream.
+    async fn ready(self) -> Result<Self, h2::Error> {
+        Ok(Self {
+            sender: self.sender.ready().await?,
+            activity: self.activity,
+        })
     }
 }
 
@@ -137,9 +185,10 @@
 impl PeerNetwork for H2Client {
     async fn call(&self, to: SocketAddr, request: PeerRequest) -> Result<PeerReply, PeerError> {
         let body = encode(&request).map_err(|error| PeerError::Unreachable(error.to_string()))?;
-        let (response, mut stream) = self.open_stream(to, CALL_PATH).await?;
-        send_all(&mut stream, body, true).await.map_err(lost)?;
-        let response = response.await.map_err(lost)?;
+        let mut stream = self.open_stream(to, CALL_PATH).await?;
+        let _awaited = stream.activity.await_reply();
+        send_all(&mut stream.body, body, true).await.map_err(lost)?;
+        let response = stream.response.await.map_err(lost)?;
         let mut reader = FrameReader::new(response.into_body());
         reader.next().await.map_err(lost)
     }
@@ -152,26 +201,37 @@
     ) -> Result<SessionIo, PeerError> {
         let hello = encode(&HomeFrame::Hello { home, epoch })
             .map_err(|error| PeerError::Unreachable(error.to_string()))?;
-        let (response, mut stream) = self.open_stream(to, SESSION_PATH).await?;
-        send_all(&mut stream, hello, false).await.map_err(lost)?;
-        let response = response.await.map_err(lost)?;
+        let mut stream = self.open_stream(to, SESSION_PATH).await?;
+        let awaited = Arc::new(AwaitedTasks::new(stream.activity, stream.open));
+        send_all(&mut stream.body, hello, false)
+            .await
+            .map_err(lost)?;
+        let response = stream.response.await.map_err(lost)?;
         let (outgoing, frames) = mpsc::unbounded_channel();
         let (sender, incoming) = mpsc::channel(SESSION_BUFFER_FRAMES);
-        tokio::spawn(write_frames(stream, frames));
-        tokio::spawn(read_frames(response.into_body(), sender));
+        tokio::spawn(write_frames(stream.body, frames, Arc::clone(&awaited)));
+        tokio::spawn(read_frames(response.into_body(), sender, awaited));
         Ok(SessionIo { outgoing, incoming })
     }
 }
 
-/// Writes frames until the session is dropped; frames that wait are sent together.
+/// Writes frames until the session is dropped or idle; frames that wait are sent together.
+///
+/// An idle session ends as if it were lost, and is opened anew when its home needs it again.
 async fn write_frames(
     mut stream: SendStream<Bytes>,
     mut frames: mpsc::UnboundedReceiver<HomeFrame>,
+    awaited: Arc<AwaitedTasks>,
 ) {
-    while let Some(frame) = frames.recv().await {
+    loop {
+        let mut next = match awaited.activity().before_idle(frames.recv()).await {
+            Some(Some(frame)) => Some(frame),
+            None if !awaited.is_empty() => continue,
+            Some(None) | None => break,
+        };
         let mut buffer = BytesMut::new();
-        let mut next = Some(frame);
         while let Some(frame) = next {
+            awaited.sending(&frame);
             if encode_into(&mut buffer, &frame).is_err() {
                 return;
             }
@@ -181,11 +241,18 @@
             return;
         }
     }
+    // A stream that broke needs no end.
+    let _ = stream.send_data(Bytes::new(), true);
 }
 
-async fn read_frames(stream: RecvStream, frames: mpsc::Sender<RunnerFrame>) {
+async fn read_frames(
+    stream: RecvStream,
+    frames: mpsc::Sender<RunnerFrame>,
+    awaited: Arc<AwaitedTasks>,
+) {
     let mut reader = FrameReader::new(stream);
     while let Ok(frame) = reader.next().await {
+        awaited.received(&frame);
         if frames.send(frame).await.is_err() {
             return;
         }
--- a/src/adapters/peer/h2_server.rs
+++ b/src/adapters/peer/h2_server.rs
@@ -8,7 +8,7 @@
         h2_client::{
             CALL_PATH, CONNECTION_WINDOW_BYTES, MAX_STREAMS, SESSION_PATH, STREAM_WINDOW_BYTES,
         },
-        liveness::until_silent,
+        liveness::until_abandoned,
     },
     crate::{
         core::message::{HomeFrame, PeerReply, PeerRequest, RunnerFrame},
@@ -94,7 +94,7 @@
     };
     tokio::select! {
         () = accept => {}
-        _ = until_silent(pings) => {}
+        _ = until_abandoned(pings) => {}
     }
 }
 
--- a/src/adapters/peer/mod.rs
+++ b/src/adapters/peer/mod.rs
@@ -1,5 +1,7 @@
 //! h2 streams with bincode between the system's own processes.
 
+mod activity;
+mod awaited_tasks;
 mod codec;
 mod counted_socket;
 mod frame_stream;
@@ -7,6 +9,9 @@
 mod h2_server;
 mod liveness;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use {
     h2_client::H2Client,
     h2_server::{PeerHandler, RunnerSession, serve_peers},
--- a/src/cli/args/mod.rs
+++ b/src/cli/args/mod.rs
@@ -9,5 +9,5 @@
     load_args::LoadArgs,
     operator_args::{CheckKind, OperatorArgs, OperatorCommand, ZoneCommand},
     service_args::{AgentArgs, EntryArgs},
-    standin_args::{AgentsArgs, BackendArgs, PlatformArgs, StandinArgs, StandinCommand},
+    standin_args::{AgentsArgs, BackendArgs, JobsArgs, PlatformArgs, StandinArgs, StandinCommand},
 };
--- a/src/cli/args/standin_args.rs
+++ b/src/cli/args/standin_args.rs
@@ -23,6 +23,8 @@
     Backend(BackendArgs),
     /// Many agents in one process, each with its own address, to measure slopes with
     Agents(AgentsArgs),
+    /// Clients that send a steady stream of equal jobs
+    Jobs(JobsArgs),
 }
 
 /// Arguments of the platform's stand-in.
@@ -81,3 +83,29 @@
     #[arg(long = "setting", value_name = "LINE")]
     pub(crate) settings: Vec<String>,
 }
+
+/// Arguments of a steady stream of equal jobs.
+#[derive(Debug, clap::Args)]
+pub(crate) struct JobsArgs {
+    /// Client address of an entry
+    #[arg(long, value_name = "ADDR")]
+    pub(crate) entry: SocketAddr,
+    /// The service
+    #[arg(long)]
+    pub(crate) service: String,
+    /// Jobs a second, evenly spaced
+    #[arg(long)]
+    pub(crate) jobs_per_s: f64,
+    /// Tasks of each job
+    #[arg(long)]
+    pub(crate) tasks: u16,
+    /// How long each task works
+    #[arg(long, default_value_t = 0)]
+    pub(crate) work_ms: u32,
+    /// Deadline of each job
+    #[arg(long, default_value_t = 10_000)]
+    pub(crate) deadline_ms: u64,
+    /// How long to send
+    #[arg(long)]
+    pub(crate) duration_ms: u64,
+}
--- a/src/cli/mains.rs
+++ b/src/cli/mains.rs
@@ -13,7 +13,7 @@
         conf::{AgentSettings, EntrySettings, load_settings},
         entry::run_entry,
         load::run_load,
-        standin::{run_agents, run_backend, run_platform},
+        standin::{run_agents, run_backend, run_jobs, run_platform},
     },
     clap::Parser,
     std::{future::Future, process::ExitCode},
@@ -64,6 +64,7 @@
             StandinCommand::Platform(args) => run_platform(args).await,
             StandinCommand::Backend(args) => run_backend(args).await,
             StandinCommand::Agents(args) => run_agents(args).await,
+            StandinCommand::Jobs(args) => run_jobs(args).await,
         }
     }))
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,7 +9,7 @@
 mod signals;
 
 pub(crate) use {
-    args::{AgentsArgs, BackendArgs, LoadArgs, PlatformArgs},
+    args::{AgentsArgs, BackendArgs, JobsArgs, LoadArgs, PlatformArgs},
     errors::RunError,
     signals::stop_signal,
 };
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,7 +2,8 @@
 
 mod agents;
 mod backend;
+mod jobs;
 mod platform;
 mod platform_store;
 
-pub(crate) use {agents::run_agents, backend::run_backend, platform::run_platform};
+pub(crate) use {agents::run_agents, backend::run_backend, jobs::run_jobs, platform::run_platform};
