--- a/scripts/slopelib/control.py
+++ b/scripts/slopelib/control.py
@@ -116,28 +116,27 @@
         deployment.await_agents(count)
         time.sleep(SETTLE_S)
         pairs = count * count
-        quiet = [all_agents(agents) for _ in range(1)][0]
+        quiet = all_agents(agents)
         time.sleep(WINDOW_S)
         quiet = rate(quiet, all_agents(agents))
         found = deployment.load(tasks=200, jobs_per_s=40, duration_ms=3000)
         assert found["verdicts"].keys() == {"done"}, found
-        busy_until = metrics(entry.client).get("rattanslip_agents_alive")
         for after_s in (1.0, *(WINDOW_S for _ in range(runs - 1)), 12.0):
             time.sleep(after_s if after_s != WINDOW_S else 0.0)
             before = all_agents(agents)
             time.sleep(WINDOW_S)
             samples.append(rate(before, all_agents(agents)))
-        assert busy_until == count
+        assert metrics(entry.client)["rattanslip_agents_alive"] == count
     rows = [
         [label, number(s["cores"]), number(s["sent"]), number(s["writes"]),
-         number((s["cores"] - quiet["cores"]) / pairs), number((s["sent"] - quiet["sent"]) / pairs)]
+         *(number((s[key] - quiet[key]) / pairs) for key in ("cores", "sent", "rss_kb"))]
         for label, s in [("before any job", quiet)]
         + [(f"window {index + 1} after jobs", s) for index, s in enumerate(samples[:-1])]
         + [("12 s later", samples[-1])]
     ]  # fmt: skip
     print_table(
         f"Idle sessions of {count} agents, {pairs} pairs of home and runner (--only sessions)",
-        ["when", "cores", "sent bytes/s", "writes/s", "cores for each pair", "sent bytes/s for each pair"],
+        ["when", "cores", "sent bytes/s", "writes/s", "cores for each pair", "sent bytes/s for each pair", "KB for each pair, both ends"],
         rows,
     )
     return {"quiet": quiet, "after": samples, "pairs": pairs}
@@ -145,7 +144,7 @@
 
 def all_agents(agents):
     """Processor time of the process and the traffic of all agents in it."""
-    total = {"at": time.monotonic(), "cores": agents.cpu_s(), "sent": 0.0, "writes": 0.0}
+    total = {"at": time.monotonic(), "cores": agents.cpu_s(), "rss_kb": agents.rss_kb(), "sent": 0.0, "writes": 0.0}
     first = agents.first_ip.split(".")
     for index in range(agents.count):
         position = int(first[2]) * 256 + int(first[3]) + index
@@ -159,4 +158,5 @@
 def rate(before, after):
     """Rates between two moments."""
     elapsed = after["at"] - before["at"]
-    return {key: (after[key] - before[key]) / elapsed for key in ("cores", "sent", "writes")}
+    rates = {key: (after[key] - before[key]) / elapsed for key in ("cores", "sent", "writes")}
+    return rates | {"rss_kb": after["rss_kb"]}
