--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -7,7 +7,9 @@
 
 PIDS=()
 BACKEND_ARGS=()
-PORT=$((20000 + RANDOM % 20000))
+# Below the range from which the system picks the near ends of connections: a port that is free
+# when it is picked must not be one of those by the time that a program listens.
+PORT=$((10000 + RANDOM % 20000))
 
 # Sets REPLY to the next port on which nothing listens.
 free_port() {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,7 +9,7 @@
 mod signals;
 
 pub(crate) use {
-    args::{AgentsArgs, BackendArgs, LoadArgs, PlatformArgs, Shape, ZonedBackend},
+    args::{AgentsArgs, BackendArgs, JobsArgs, LoadArgs, PlatformArgs, Shape, ZonedBackend},
     errors::RunError,
     operator_client::OperatorClient,
     signals::stop_signal,
