Home: a status of an earlier start never speaks for a later one

A runner's refusal overtook its answer to the home's query; the home had started the task anew when 'never started' arrived, took it for the new start and started the task elsewhere as well. Reports now carry the epoch of the start that was asked after. The same mix-up in the peer adapter let pings stop on a session whose task had been started anew.

--- a/src/adapters/peer/awaited_tasks.rs
+++ b/src/adapters/peer/awaited_tasks.rs
@@ -7,7 +7,7 @@
         message::{HomeFrame, RunnerFrame, TaskStatus},
     },
     std::{
-        collections::BTreeSet,
+        collections::BTreeMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
 };
@@ -15,7 +15,8 @@
 #[derive(Debug)]
 struct Inner {
     welcomed: bool,
-    tasks: BTreeSet<TaskRef>,
+    /// Started on this session (`None`), or asked after as started on that epoch.
+    tasks: BTreeMap<TaskRef, Option<u64>>,
     awaited: Option<AwaitedReply>,
 }
 
@@ -36,7 +37,7 @@
     pub(crate) fn new(activity: Arc<Activity>, stream: OpenStream) -> Self {
         let inner = Inner {
             welcomed: false,
-            tasks: BTreeSet::new(),
+            tasks: BTreeMap::new(),
             awaited: Some(activity.await_reply()),
         };
         Self {
@@ -51,9 +52,12 @@
         let mut inner = self.lock();
         match frame {
             HomeFrame::Start(start) => {
-                inner.tasks.insert(start.task);
+                inner.tasks.insert(start.task, None);
+            }
+            HomeFrame::Query { tasks } => {
+                let asked = tasks.iter().map(|(task, epoch)| (*task, Some(*epoch)));
+                inner.tasks.extend(asked);
             }
-            HomeFrame::Query { tasks } => inner.tasks.extend(tasks.iter().map(|(task, _)| *task)),
             HomeFrame::Hello { .. } | HomeFrame::Cancel { .. } | HomeFrame::Ack { .. } => {}
         }
         self.tell(&mut inner);
@@ -68,9 +72,11 @@
                 inner.tasks.remove(task);
             }
             RunnerFrame::Statuses { tasks } => {
-                for (task, status) in tasks {
-                    if !matches!(status, TaskStatus::Running) {
-                        inner.tasks.remove(task);
+                for report in tasks {
+                    let asked = inner.tasks.get(&report.task) == Some(&Some(report.epoch));
+                    // A task that was started anew since is awaited whatever became of the first.
+                    if asked && !matches!(report.status, TaskStatus::Running) {
+                        inner.tasks.remove(&report.task);
                     }
                 }
             }
--- a/src/adapters/peer/tests.rs
+++ b/src/adapters/peer/tests.rs
@@ -11,7 +11,10 @@
         adapters::metrics::OtelMetrics,
         core::{
             job::{TaskOutcome, TaskRef},
-            message::{HomeFrame, PeerReply, PeerRequest, RunnerFrame, StartFrame, TaskStatus},
+            message::{
+                HomeFrame, PeerReply, PeerRequest, RunnerFrame, StartFrame, StatusReport,
+                TaskStatus,
+            },
             ticket::{AgentId, TicketId},
         },
         ports::PeerNetwork,
@@ -82,7 +85,11 @@
 
 fn statuses(index: u16, status: TaskStatus) -> RunnerFrame {
     RunnerFrame::Statuses {
-        tasks: vec![(task(index), status)],
+        tasks: vec![StatusReport {
+            task: task(index),
+            epoch: 1,
+            status,
+        }],
     }
 }
 
@@ -131,6 +138,11 @@
         [Came(welcome()), Sent(query(0)), Came(statuses(0, TaskStatus::Ended(done())))] => false;
     a_task_that_never_started_is_not:
         [Came(welcome()), Sent(query(0)), Came(statuses(0, TaskStatus::NeverStarted))] => false;
+    a_task_started_anew_is_awaited_whatever_became_of_its_first_start:
+        [
+            Came(welcome()), Sent(query(0)), Came(outcome(0)), Sent(start(0)),
+            Came(statuses(0, TaskStatus::NeverStarted))
+        ] => true;
 }
 
 /// A runner that welcomes its session and then never says anything.
--- a/src/core/home/sessions.rs
+++ b/src/core/home/sessions.rs
@@ -4,7 +4,7 @@
     super::{Home, HomeAction, runner_link::LinkState, ticket_ring::TicketState},
     crate::core::{
         job::{TaskOutcome, TaskRef},
-        message::{HomeFrame, RunnerFrame, TaskStatus},
+        message::{HomeFrame, RunnerFrame, StatusReport, TaskStatus},
         ticket::AgentId,
         time::Instant,
         verdict::{MayHaveRunReason, NotRunReason},
@@ -39,8 +39,8 @@
                 self.on_outcome(now, runner, task, outcome);
             }
             RunnerFrame::Statuses { tasks } => {
-                for (task, status) in tasks {
-                    self.on_status(now, runner, task, status);
+                for report in tasks {
+                    self.on_status(now, runner, report);
                 }
             }
         }
@@ -68,8 +68,20 @@
         });
     }
 
-    fn on_status(&mut self, now: Instant, runner: AgentId, task: TaskRef, status: TaskStatus) {
-        let outcome = match status {
+    /// Takes in what became of a start that the home asked after.
+    ///
+    /// Guards against a second start: the refusal of the first one may arrive ahead of this
+    /// report, and the task be started anew by then. The report's epoch tells which start it
+    /// speaks of, since only starts of earlier sessions are asked after.
+    fn on_status(&mut self, now: Instant, runner: AgentId, report: StatusReport) {
+        let outstanding = self
+            .links
+            .get(&runner)
+            .and_then(|link| link.outstanding.get(&report.task));
+        if outstanding != Some(&report.epoch) {
+            return;
+        }
+        let outcome = match report.status {
             TaskStatus::Running => return,
             TaskStatus::Ended(outcome) => outcome,
             TaskStatus::NeverStarted => TaskOutcome::NotRun {
@@ -79,7 +91,7 @@
                 reason: MayHaveRunReason::RunnerLost,
             },
         };
-        self.on_outcome(now, runner, task, outcome);
+        self.on_outcome(now, runner, report.task, outcome);
     }
 
     fn on_outcome(&mut self, now: Instant, runner: AgentId, task: TaskRef, outcome: TaskOutcome) {
--- a/src/core/home/tests/faults.rs
+++ b/src/core/home/tests/faults.rs
@@ -245,3 +245,39 @@
     assert_eq!(verdict.reason(), "no_permit");
     assert!(verdict.retry_after_ms() > 0, "{verdict:?}");
 }
+
+/// A session breaks and a new one is opened while the backend server refuses a task. The home
+/// asks what became of it, hears of the refusal first and starts the task anew on the same
+/// runner. Then the answer to its question arrives, "never started", which speaks of the first
+/// start: the home takes it for the second one and starts the task elsewhere as well. The share
+/// is paid twice.
+#[test]
+fn a_late_status_of_an_earlier_start_does_not_start_a_task_twice() {
+    let mut world = World::new(2, 1);
+    let ticket = world.tickets(1)[0];
+    let waiter = world.submit(ticket, job(1, false, 20_000), 20_000);
+    let (first, other, second) = (0, 1, 2);
+    // Only the first runner welcomes the home, so the task starts there.
+    world.deliver_to_runner(first);
+    world.deliver_to_home(first);
+    world.deliver_to_runner(first);
+    world.break_session(first);
+    // The hello arrives; the refusal goes out on the new session, behind the welcome.
+    world.deliver_to_runner(second);
+    world.finish(0, 2);
+    world.deliver_to_home(second);
+    // The question arrives, and its answer is under way behind the refusal.
+    world.deliver_to_runner(second);
+    world.deliver_to_home(second);
+    world.advance(300);
+    world.deliver_to_runner(second);
+    assert_eq!(world.starts.values().sum::<u32>(), 1, "started anew");
+    world.deliver_to_home(second);
+    // The other runner welcomes the home and could take a task that waits.
+    world.deliver_to_runner(other);
+    world.deliver_to_home(other);
+    world.deliver_to_runner(other);
+    world.run_out(10_000);
+    assert_eq!(world.starts.values().sum::<u32>(), 1);
+    assert_eq!(world.answer(waiter).verdict, Verdict::Done);
+}
--- a/src/core/message/session_frame.rs
+++ b/src/core/message/session_frame.rs
@@ -76,10 +76,21 @@
     /// Answers [`HomeFrame::Query`].
     Statuses {
         /// The tasks asked for.
-        tasks: Vec<(TaskRef, TaskStatus)>,
+        tasks: Vec<StatusReport>,
     },
 }
 
+/// What a runner knows of one start of a task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StatusReport {
+    /// The task.
+    pub(crate) task: TaskRef,
+    /// Epoch of the session that the start asked after was sent on.
+    pub(crate) epoch: u64,
+    /// What became of that start.
+    pub(crate) status: TaskStatus,
+}
+
 /// What a runner knows of a task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum TaskStatus {
--- a/src/core/runner/runner.rs
+++ b/src/core/runner/runner.rs
@@ -8,7 +8,7 @@
     crate::core::{
         gate::Permit,
         job::{TaskOutcome, TaskRef},
-        message::{HomeFrame, RunnerFrame, StartFrame, TaskStatus},
+        message::{HomeFrame, RunnerFrame, StartFrame, StatusReport, TaskStatus},
         ticket::AgentId,
         time::Instant,
         verdict::NotRunReason,
@@ -286,7 +286,11 @@
         link.used_at = now;
         let statuses = tasks
             .into_iter()
-            .map(|(task, epoch)| (task, link.status(task, epoch)))
+            .map(|(task, epoch)| StatusReport {
+                task,
+                epoch,
+                status: link.status(task, epoch),
+            })
             .collect();
         vec![RunnerAction::Send {
             session,
--- a/src/core/runner/tests.rs
+++ b/src/core/runner/tests.rs
@@ -78,7 +78,7 @@
         Some(RunnerAction::Send {
             frame: RunnerFrame::Statuses { mut tasks },
             ..
-        }) => tasks.remove(0).1,
+        }) => tasks.remove(0).status,
         other => panic!("no statuses but {other:?}"),
     }
 }
