Entry: a home that never replies can't hold a client; tests of crossed, truncated and lost replies

Cause: a call had no time limit of its own; a home whose loop hangs behind a connection that answers pings held the client's request past its deadline (unit test seen failing: no report in 60 s). Now a call is lost 1.5 s after the wait it asked for. A submission that is sent again carries the time that is left.

--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -13,13 +13,16 @@
         ports::{Counter, Metrics, PeerError, PeerNetwork, TimerService},
     },
     std::{sync::Arc, time::Duration},
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// Longest wait of one call to a home; between calls the runners are named anew.
 const CALL_WAIT_MS: u64 = 1_000;
 /// Pause before a home is called again after a failure.
 const RECALL_PAUSE_MS: u64 = 50;
+/// Time beyond the wait asked for after which a call counts as lost: its connection answers pings,
+/// but the home behind it does not reply.
+const CALL_GRACE_MS: u64 = 1_500;
 /// Time after which a home that can't be reached is reported to the client.
 const HOME_UNREACHABLE_MS: u64 = 2_000;
 /// When the client should ask again after that.
@@ -100,7 +103,12 @@
         loop {
             let waited_ms = self.waited_ms(started_at);
             let call_wait_ms = wait_ms.saturating_sub(waited_ms).min(CALL_WAIT_MS);
-            let request = self.follow_request(ticket, spec.as_ref(), &service, call_wait_ms);
+            let mut request = self.follow_request(ticket, spec.as_ref(), &service, call_wait_ms);
+            if let PeerRequest::Submit(submission) = &mut request {
+                // A submission that is sent again has that much less time left.
+                let left_ms = submission.spec.deadline_ms.saturating_sub(waited_ms);
+                submission.spec.deadline_ms = left_ms.max(1);
+            }
             match self.call_home(ticket, request).await {
                 Ok(JobReport::Running { ended, total }) => {
                     failing_since = None;
@@ -160,12 +168,12 @@
             }
             HomeLocation::Unknown => return Err(home_unreachable()),
         };
-        match self.network.call(addr, request).await {
-            Ok(PeerReply::Job(status)) => Ok(report(status)),
-            Ok(PeerReply::Announced(_) | PeerReply::Adopted | PeerReply::Unsupported) => {
-                Err(home_unreachable())
-            }
-            Err(PeerError::Unreachable(_) | PeerError::Lost(_)) => Err(home_unreachable()),
+        let limit = Duration::from_millis(CALL_WAIT_MS + CALL_GRACE_MS);
+        match timeout(limit, self.network.call(addr, request)).await {
+            Ok(Ok(PeerReply::Job(status))) => Ok(report(status)),
+            Ok(Ok(PeerReply::Announced(_) | PeerReply::Adopted | PeerReply::Unsupported))
+            | Ok(Err(PeerError::Unreachable(_) | PeerError::Lost(_)))
+            | Err(_) => Err(home_unreachable()),
         }
     }
 
--- /dev/null
+++ b/src/entry/jobs_tests.rs
@@ -0,0 +1,260 @@
+//! Tests of how an entry follows a job, with a home that answers late, crossed or broken.
+
+#![allow(
+    clippy::expect_used,
+    clippy::panic,
+    reason = "a test that cannot be set up must fail loudly"
+)]
+
+use {
+    super::{EntryState, JobReport, Jobs},
+    crate::{
+        core::{
+            job::{JobAnswer, JobSpec, JobStatus, TaskOutcome, TaskSpec},
+            message::{Announcement, PeerEntry, PeerReply, PeerRequest},
+            ticket::{AgentId, GrantSecret, Ticket, TicketGrant},
+            time::Instant,
+            verdict::{MayHaveRunReason, Verdict},
+        },
+        ports::{Counter, Gauge, Metrics, PeerError, PeerNetwork, SessionIo, TimerService},
+    },
+    async_trait::async_trait,
+    std::{
+        collections::VecDeque,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::sync::mpsc,
+};
+
+const HOME: AgentId = AgentId(7);
+
+/// What the home, or the connection to it, does with one call.
+#[derive(Debug, Clone)]
+enum Behaviour {
+    Reply(JobStatus),
+    Lost,
+    Mute,
+}
+
+/// A network on which each call behaves as told; the last behaviour stays.
+#[derive(Debug)]
+struct ScriptedNetwork {
+    script: Mutex<VecDeque<Behaviour>>,
+    calls: Mutex<Vec<PeerRequest>>,
+}
+
+#[async_trait]
+impl PeerNetwork for ScriptedNetwork {
+    async fn call(&self, _to: SocketAddr, request: PeerRequest) -> Result<PeerReply, PeerError> {
+        self.calls
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(request);
+        let behaviour = {
+            let mut script = self.script.lock().unwrap_or_else(PoisonError::into_inner);
+            if script.len() > 1 {
+                script.pop_front()
+            } else {
+                script.front().cloned()
+            }
+        };
+        match behaviour {
+            Some(Behaviour::Reply(status)) => Ok(PeerReply::Job(status)),
+            Some(Behaviour::Lost) => Err(PeerError::Lost("cut".to_owned())),
+            Some(Behaviour::Mute) | None => std::future::pending().await,
+        }
+    }
+
+    async fn open_session(
+        &self,
+        _: SocketAddr,
+        _: AgentId,
+        _: u64,
+    ) -> Result<SessionIo, PeerError> {
+        Err(PeerError::Unreachable("no sessions here".to_owned()))
+    }
+}
+
+/// Tokio's clock, so that a test can pass time without waiting.
+#[derive(Debug)]
+struct PausedTimer(tokio::time::Instant);
+
+impl TimerService for PausedTimer {
+    fn now(&self) -> Instant {
+        let micros = self.0.elapsed().as_micros();
+        Instant::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    fn subscribe(&self, _: u64) -> mpsc::Receiver<Instant> {
+        mpsc::channel(1).1
+    }
+}
+
+#[derive(Debug)]
+struct NoMetrics;
+
+impl Metrics for NoMetrics {
+    fn count(&self, _: Counter, _: &'static str) {}
+
+    fn add(&self, _: Counter, _: &'static str, _: u64) {}
+
+    fn set(&self, _: Gauge, _: u64) {}
+
+    fn render(&self) -> String {
+        String::new()
+    }
+}
+
+fn grant() -> TicketGrant {
+    GrantSecret::new([5; 32]).grant(HOME, 0, 8)
+}
+
+fn jobs(script: Vec<Behaviour>) -> (Jobs, Arc<ScriptedNetwork>) {
+    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
+    let me = PeerEntry {
+        entry: AgentId(1),
+        name: "entry".to_owned(),
+        peer_addr: addr,
+    };
+    let timer = Arc::new(PausedTimer(tokio::time::Instant::now()));
+    let state = Arc::new(EntryState::new(me, timer.clone(), 1));
+    state.announce(Announcement {
+        agent: HOME,
+        worker: "w01".to_owned(),
+        availability_zone: "grindavik".to_owned(),
+        peer_addr: addr,
+        services: Vec::new(),
+        slots: 1,
+        free_slots: 1,
+        leaving: false,
+        config_version: 0,
+        adopted: Vec::new(),
+        grant: Some(grant()),
+    });
+    let network = Arc::new(ScriptedNetwork {
+        script: Mutex::new(script.into()),
+        calls: Mutex::new(Vec::new()),
+    });
+    let jobs = Jobs {
+        state,
+        network: network.clone(),
+        timer,
+        metrics: Arc::new(NoMetrics),
+    };
+    (jobs, network)
+}
+
+fn spec(tasks: usize) -> JobSpec {
+    let task = TaskSpec {
+        input: "share".to_owned(),
+        declared_run_ms: 0,
+        memory_mb: 0,
+        accelerators: 0,
+    };
+    JobSpec {
+        service: "crew-share".to_owned(),
+        team: String::new(),
+        deadline_ms: 10_000,
+        repeatable: false,
+        tasks: vec![task; tasks],
+    }
+}
+
+fn answer(ticket: Ticket, tasks: usize) -> JobAnswer {
+    let outcomes = (0..tasks)
+        .map(|index| TaskOutcome::Done {
+            output: format!("share {index}"),
+        })
+        .collect();
+    JobAnswer::new(ticket.id, Verdict::Done, outcomes)
+}
+
+fn ended(answer: JobAnswer) -> Behaviour {
+    Behaviour::Reply(JobStatus::Ended(Arc::new(answer)))
+}
+
+fn verdict_of(report: &JobReport) -> Verdict {
+    match report {
+        JobReport::Ended(answer) => answer.verdict,
+        JobReport::Verdict(verdict) => *verdict,
+        other => panic!("no verdict but {other:?}"),
+    }
+}
+
+fn truncated(ticket: Ticket) -> JobAnswer {
+    let mut answer = answer(ticket, 3);
+    answer.outcomes.pop();
+    answer
+}
+
+fn altered(ticket: Ticket) -> JobAnswer {
+    let mut answer = answer(ticket, 3);
+    answer.outcomes.swap(0, 1);
+    answer
+}
+
+/// A bank gets an answer that is another job's, or lacks a task, or has tasks exchanged on the way:
+/// it would pay the wrong share. Each must be found and reported as "may have run", never handed on.
+macro_rules! corrupt_answer_cases {
+    ($($name:ident: $answer:expr;)+) => {
+        $(
+            #[tokio::test]
+            async fn $name() {
+                let ticket = grant().ticket(0);
+                let make: fn(Ticket) -> JobAnswer = $answer;
+                let (jobs, _) = jobs(vec![ended(make(ticket))]);
+                let report = jobs.submit(ticket, spec(3), 5_000).await;
+                assert_eq!(verdict_of(&report).reason(), MayHaveRunReason::AnswerCorrupt.as_str());
+            }
+        )+
+    };
+}
+
+corrupt_answer_cases! {
+    a_crossed_answer_is_found: |_| answer(grant().ticket(1), 3);
+    a_truncated_answer_is_found: truncated;
+    an_answer_with_a_task_too_few_is_found: |ticket| answer(ticket, 2);
+    an_answer_with_exchanged_tasks_is_found: altered;
+}
+
+/// The first call's connection breaks after the submission arrived. The entry must call again
+/// under the same ticket, and then only ask after the job.
+#[tokio::test]
+async fn a_lost_call_is_made_again_under_the_same_ticket() {
+    let ticket = grant().ticket(0);
+    let running = JobStatus::Running { ended: 1, total: 3 };
+    let script = vec![
+        Behaviour::Lost,
+        Behaviour::Reply(running),
+        ended(answer(ticket, 3)),
+    ];
+    let (jobs, network) = jobs(script);
+    let report = jobs.submit(ticket, spec(3), 5_000).await;
+    assert_eq!(verdict_of(&report), Verdict::Done);
+    let calls = network.calls.lock().unwrap_or_else(PoisonError::into_inner);
+    let submitted =
+        |call: &PeerRequest| matches!(call, PeerRequest::Submit(s) if s.ticket == ticket);
+    assert!(submitted(&calls[0]) && submitted(&calls[1]));
+    let deadline_ms = |call: &PeerRequest| match call {
+        PeerRequest::Submit(submission) => submission.spec.deadline_ms,
+        _ => 0,
+    };
+    assert!(deadline_ms(&calls[1]) < deadline_ms(&calls[0]));
+    assert!(matches!(&calls[2], PeerRequest::Poll { ticket: asked, .. } if *asked == ticket));
+}
+
+/// A home's loop hangs while its connection still answers pings. The client's request would hang
+/// with it, past its deadline and for good; it must hear "may have run" and when to ask again.
+#[tokio::test(start_paused = true)]
+async fn a_home_that_never_replies_does_not_hold_the_client() {
+    let ticket = grant().ticket(0);
+    let (jobs, _) = jobs(vec![Behaviour::Mute]);
+    let report = tokio::time::timeout(Duration::from_secs(60), jobs.submit(ticket, spec(1), 4_000))
+        .await
+        .expect("a report");
+    let verdict = verdict_of(&report);
+    assert_eq!(verdict.reason(), MayHaveRunReason::HomeUnreachable.as_str());
+    assert!(verdict.retry_after_ms() > 0);
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,6 +12,8 @@
 
 #[cfg(test)]
 mod config_tests;
+#[cfg(test)]
+mod jobs_tests;
 
 pub(crate) use {
     apply_error::ApplyError,
