--- a/src/core/home/tests.rs
+++ b/src/core/home/tests.rs
@@ -10,6 +10,3 @@
 mod interleavings;
 mod memory;
 mod world;
-
-/// Held by tests that use or measure much memory, so that none is measured together with another.
-static MEMORY_IN_USE: std::sync::Mutex<()> = std::sync::Mutex::new(());
--- a/src/core/home/tests/interleavings.rs
+++ b/src/core/home/tests/interleavings.rs
@@ -1,10 +1,7 @@
 //! Random interleavings of everything that can happen, against a naive model in one map.
 
 use {
-    super::{
-        MEMORY_IN_USE,
-        world::{World, job},
-    },
+    super::world::{World, job},
     crate::core::{
         home::WaiterId,
         job::{JobAnswer, JobStatus, TaskOutcome, TaskRef},
@@ -15,10 +12,7 @@
         prelude::*,
         test_runner::{RngSeed, TestCaseResult},
     },
-    std::{
-        collections::BTreeMap,
-        sync::{Arc, PoisonError},
-    },
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 const TICKETS: usize = 5;
@@ -211,7 +205,6 @@
     /// cancellations and deadlines cross in an order that nobody thought of.
     #[test]
     fn any_interleaving_keeps_the_promises(steps in prop::collection::vec(step(), 1..160)) {
-        let _alone = MEMORY_IN_USE.lock().unwrap_or_else(PoisonError::into_inner);
         let mut world = World::new(NODES, 2);
         let tickets = world.tickets(u32::try_from(TICKETS).unwrap_or(0));
         let mut model = Model::default();
--- a/tests/processes/planned_stop.rs
+++ b/tests/processes/planned_stop.rs
@@ -2,7 +2,10 @@
 
 use {
     super::support::{Deployment, Layout, Reply, eventually, get, job_body, try_request},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     tokio::task::JoinHandle,
 };
 
@@ -27,6 +30,16 @@
     .await;
 }
 
+/// Asks an agent to stop and waits for its end.
+async fn stop_agent(deployment: &mut Deployment, number: usize) {
+    let started_at = Instant::now();
+    let agent = &mut deployment.workers[number].agent;
+    agent.terminate();
+    let status = agent.wait(STOP_LIMIT).await;
+    println!("agent {number} stopped in {:?}", started_at.elapsed());
+    assert!(status.success(), "{status}");
+}
+
 /// The worker whose agent is home of the only job that runs.
 async fn home_of_running(deployment: &Deployment) -> usize {
     for (number, worker) in deployment.workers.iter().enumerate() {
@@ -52,9 +65,7 @@
     let home = home_of_running(&deployment).await;
     let unused = ticket_of_same_home(&deployment, &ticket).await;
 
-    deployment.workers[home].agent.terminate();
-    let status = deployment.workers[home].agent.wait(STOP_LIMIT).await;
-    assert!(status.success(), "{status}");
+    stop_agent(&mut deployment, home).await;
     let first = first.await.expect("first");
     assert_eq!(first.verdict(), "done", "{}", first.body);
     assert_eq!(first.outputs().len(), 30);
@@ -94,9 +105,7 @@
         jobs.push((ticket, reply.body));
     }
     for number in [0, 1] {
-        deployment.workers[number].agent.terminate();
-        let status = deployment.workers[number].agent.wait(STOP_LIMIT).await;
-        assert!(status.success(), "{status}");
+        stop_agent(&mut deployment, number).await;
     }
     for (ticket, answer) in &jobs {
         for entry in [0, 1] {
@@ -116,9 +125,7 @@
     let first = submit_in_background(deployment.entry_addrs[0], &ticket, &body);
     wait_for_starts(&deployment, 12).await;
     let runner = (home_of_running(&deployment).await + 1) % 3;
-    deployment.workers[runner].agent.terminate();
-    let status = deployment.workers[runner].agent.wait(STOP_LIMIT).await;
-    assert!(status.success(), "{status}");
+    stop_agent(&mut deployment, runner).await;
     let first = first.await.expect("first");
     assert_eq!(first.verdict(), "done", "{}", first.body);
     assert_eq!(deployment.assert_no_double_start().await, 12);
