--- a/src/core/directory/directory.rs
+++ b/src/core/directory/directory.rs
@@ -198,7 +198,7 @@
         self.agents.values().filter(move |view| view.is_there(now))
     }
 
-    /// A call to an agent failed: it gets no new work until it is heard again.
+    /// A call to an agent failed: it gets no new work until it answers or is heard again.
     ///
     /// Guards against a rack that is lost at once: until its silence was noticed, every second
     /// job would get a home there, and its client would wait for one that is gone.
@@ -208,6 +208,13 @@
         }
     }
 
+    /// A call to an agent was answered.
+    pub(crate) fn call_answered(&mut self, agent: AgentId) {
+        if let Some(view) = self.agents.get_mut(&agent) {
+            view.failed_at = None;
+        }
+    }
+
     /// Agents that announced themselves here after `since`, or never lately if it is `None`.
     pub(crate) fn heard_here(
         &self,
--- a/src/core/directory/tests.rs
+++ b/src/core/directory/tests.rs
@@ -140,4 +140,7 @@
     assert!(!directory.takes_work(Instant::from_millis(200), AgentId(1)));
     directory.announce(Instant::from_millis(1_000), announcement(1, "w01"));
     assert!(directory.takes_work(Instant::from_millis(1_100), AgentId(1)));
+    directory.call_failed(Instant::from_millis(1_200), AgentId(1));
+    directory.call_answered(AgentId(1));
+    assert!(directory.takes_work(Instant::from_millis(1_300), AgentId(1)));
 }
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -215,6 +215,11 @@
         self.lock().directory.call_failed(now, agent);
     }
 
+    /// A call to an agent was answered.
+    pub(crate) fn call_answered(&self, agent: AgentId) {
+        self.lock().directory.call_answered(agent);
+    }
+
     /// The service's declaration, if the configuration in force has it.
     pub(crate) fn service(&self, name: &str) -> Result<Service, NotRunReason> {
         let inner = self.lock();
