--- a/tests/processes/once.rs
+++ b/tests/processes/once.rs
@@ -343,8 +343,9 @@
 async fn one_failing_task_of_200_fails_the_job_at_once_with_the_truth_for_each() {
     let deployment = Deployment::start(Layout::default()).await;
     let mut job: serde_json::Value =
-        serde_json::from_str(&job_body(200, 300, 60_000)).expect("job");
-    job["tasks"][20]["input"] = "broken".into();
+        serde_json::from_str(&job_body(200, 10_000, 60_000)).expect("job");
+    // The others that start run for so long that no slot is free again before the failure is known.
+    job["tasks"][3]["input"] = "broken".into();
     let ticket = deployment.ticket(0).await;
     let reply = deployment.submit(0, &ticket, &job.to_string()).await;
     assert_eq!(
@@ -356,7 +357,7 @@
     let count = |verdict: &str| tasks.iter().filter(|t| t["verdict"] == verdict).count();
     assert_eq!((tasks.len(), count("failed")), (200, 1));
     let not_run = count("not-run");
-    assert!(not_run >= 150, "{not_run}");
+    assert!(not_run >= 180, "{not_run}");
     tokio::time::sleep(Duration::from_secs(1)).await;
     let started = deployment.assert_no_double_start().await;
     assert!(
