--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -5,8 +5,10 @@
     reason = "a test that can't be set up must fail loudly"
 )]
 
+mod once;
 mod config;
 mod operators;
 mod path;
+mod planned_stop;
 mod programs;
 mod support;
