--- a/src/cli/commands/workers.rs
+++ b/src/cli/commands/workers.rs
@@ -11,7 +11,7 @@
     std::collections::BTreeSet,
 };
 
-/// Lists workers as the entry sees them, then declared ones that it doesn't see.
+/// Lists workers as the entry sees them, and declared ones that it doesn't see, by name.
 pub(crate) async fn list(client: &OperatorClient, as_json: bool) -> Result<(), RunError> {
     let mut workers = client
         .json(Method::GET, "/v1/workers", String::new())
@@ -24,6 +24,7 @@
     let absent = absent_workers(&workers, &document);
     if let Some(workers) = workers.as_array_mut() {
         workers.extend(absent);
+        workers.sort_by_key(|worker| worker["worker"].as_str().unwrap_or_default().to_owned());
     }
     if as_json {
         println!("{workers}");
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -5,8 +5,8 @@
     reason = "a test that can't be set up must fail loudly"
 )]
 
-mod once;
 mod config;
+mod once;
 mod operators;
 mod path;
 mod planned_stop;
