--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -7,6 +7,7 @@
 
 mod config;
 mod once;
+mod operators;
 mod path;
 mod planned_stop;
 mod programs;
