--- a/tests/processes/support/deployment.rs
+++ b/tests/processes/support/deployment.rs
@@ -1,17 +1,9 @@
 //! One deployment of real processes on loopback.
 
 use {
-    super::{Process, Reply, eventually, get, request},
+    super::{Process, Reply, eventually, free_addr, get, request},
     serde_json::{Value, json},
-    std::{
-        collections::BTreeMap,
-        fmt::Write,
-        fs,
-        net::{SocketAddr, TcpListener},
-        path::PathBuf,
-        sync::atomic::{AtomicU32, Ordering},
-        time::Duration,
-    },
+    std::{collections::BTreeMap, fmt::Write, fs, net::SocketAddr, path::PathBuf, time::Duration},
 };
 
 /// The service of every deployment.
@@ -78,27 +70,6 @@
     folder: PathBuf,
 }
 
-/// Ports below the range from which the system picks the near ends of connections.
-const PORTS: std::ops::Range<u32> = 10_000..32_000;
-
-/// A port on which nothing listens now, and that no outgoing connection can take.
-///
-/// Guards against "address in use": a port from the system's own range, free when it was picked,
-/// may be the near end of some other test's connection by the time that the program listens.
-/// Each test process counts up from a place of its own.
-pub fn free_addr() -> SocketAddr {
-    static PICKED: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let number = PICKED.fetch_add(1, Ordering::SeqCst);
-        let offset = std::process::id().wrapping_mul(7_919).wrapping_add(number);
-        let port = PORTS.start + offset % (PORTS.end - PORTS.start);
-        let addr = SocketAddr::from(([127, 0, 0, 1], u16::try_from(port).expect("port")));
-        if TcpListener::bind(addr).is_ok() {
-            return addr;
-        }
-    }
-}
-
 /// A job of `tasks` tasks of `work_ms` each; task N answers "share N".
 pub fn job_body(tasks: usize, work_ms: u64, deadline_ms: u64) -> String {
     let tasks: Vec<Value> = (0..tasks)
@@ -110,8 +81,8 @@
 impl Deployment {
     /// Starts everything, applies a configuration and waits until all workers are seen.
     pub async fn start(layout: Layout) -> Self {
-        static NUMBER: AtomicU32 = AtomicU32::new(0);
-        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
         let folder =
             std::env::temp_dir().join(format!("rattanslip-test-{}-{number}", std::process::id()));
         fs::create_dir_all(&folder).expect("folder");
