--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -5,6 +5,9 @@
     reason = "a test that can't be set up must fail loudly"
 )]
 
+mod config;
+mod once;
 mod path;
+mod planned_stop;
 mod programs;
 mod support;
