--- a/scripts/slopelib/deployment.py
+++ b/scripts/slopelib/deployment.py
@@ -181,8 +181,8 @@
         return subprocess.run(command, env=environment, text=True, capture_output=True, check=True)
 
     def apply(self, workers, slots=8, note=0):
-        """Puts a document with that many workers in force."""
-        lines = [f"# change {note}"]
+        """Puts a document with that many workers in force; each `note` makes another one."""
+        lines = []
         for number, zone in enumerate(ZONES):
             lines.append(f'[zones.{zone}]\nregion = "region-{number // 4}"\nstate = "open"')
         for number in range(workers):
@@ -193,12 +193,13 @@
         zones = ", ".join(f'"{zone}"' for zone in ZONES)
         lines.append(
             f"[services.{SERVICE}]\navailability_zones = [{zones}]\ndefault_deadline_ms = 10000\n"
-            f"repeatable = false\nmemory_mb = 16\nmax_tasks = 200\n"
+            f"repeatable = false\nmemory_mb = {16 + note}\nmax_tasks = 200\n"
         )
         path = f"{self.work}/document.toml"
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines))
-        self.operator("apply", path)
+        held = json.loads(http_call(self.entries[0].client, "GET", "/v1/config")[2])["version"]
+        self.operator("apply", "--based-on", str(held), path)
         for entry in self.entries:
             eventually("configuration", lambda: metrics(entry.client).get("rattanslip_config_version", 0) > note)
 
