--- a/scripts/slopelib/deployment.py
+++ b/scripts/slopelib/deployment.py
@@ -181,7 +181,7 @@
         return subprocess.run(command, env=environment, text=True, capture_output=True, check=True)
 
     def apply(self, workers, slots=8, note=0):
-        """Puts a document with that many workers in force."""
+        """Puts a document with that many workers in force, over version `note`."""
         lines = [f"# change {note}"]
         for number, zone in enumerate(ZONES):
             lines.append(f'[zones.{zone}]\nregion = "region-{number // 4}"\nstate = "open"')
@@ -198,7 +198,7 @@
         path = f"{self.work}/document.toml"
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines))
-        self.operator("apply", path)
+        self.operator("apply", "--based-on", str(note), path)
         for entry in self.entries:
             eventually("configuration", lambda: metrics(entry.client).get("rattanslip_config_version", 0) > note)
 
--- a/tests/processes/config.rs
+++ b/tests/processes/config.rs
@@ -284,6 +284,26 @@
     in_force_everywhere(&deployment, 2).await;
 }
 
+/// An operator's shell is closed in the middle of a change, while the platform is slow. The
+/// entry must not leave the change half way, with a write under way that nobody settles: it goes
+/// on to the end, counts the outcome and holds what came of it.
+#[tokio::test]
+async fn a_change_goes_on_to_its_end_when_the_operator_hangs_up() {
+    let deployment = deployment().await;
+    let change = body(&out(&deployment.document(), "keflavik"), 1);
+    deployment.platform_faults(r#"{"slow_ms": 500}"#).await;
+    let limit = Duration::from_millis(700);
+    let cut = tokio::time::timeout(limit, apply(&deployment, 0, "night-shift", &change)).await;
+    assert!(cut.is_err(), "answered before the operator hung up");
+    eventually("the change is counted as accepted", LIMIT, || async {
+        let metrics = get(deployment.entry_addrs[0], "/metrics").await.body;
+        metrics.contains("rattanslip_config_changes_total{reason=\"accepted\"} 2")
+    })
+    .await;
+    deployment.platform_faults("{}").await;
+    in_force_everywhere(&deployment, 2).await;
+}
+
 /// Hosts keep nothing, and all processes of the system are replaced. The configuration, its
 /// history and who changed what are as they were.
 #[tokio::test]
