Late binding: homes ask full runners for slots, runners offer them to the longest wait

A home with waiting tasks and no free slot in sight registers its demand with a few runners; a runner holds a freed slot for the demand that has waited longest. Reports of free slots say which starts they know of. Tasks that certainly did not run are retried until the deadline.

--- a/src/agent/home_loop.rs
+++ b/src/agent/home_loop.rs
@@ -133,6 +133,11 @@
                 }
             }
             HomeAction::CountRetry(reason) => self.metrics.count(Counter::Retries, reason),
+            HomeAction::CountWasted { kind, messages } => {
+                for _ in 0..messages {
+                    self.metrics.count(Counter::WastedMessages, kind);
+                }
+            }
             HomeAction::CountEnd(reason) => self.metrics.count(Counter::Jobs, reason),
         }
     }
--- /dev/null
+++ b/src/core/demand/demand_queue.rs
@@ -0,0 +1,112 @@
+//! The demands of homes at one runner, and the slots held for them.
+
+use {
+    crate::core::{ticket::AgentId, time::Instant},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// For how long an offered slot is held for its home, in milliseconds.
+///
+/// Guards against homes that die or fall silent with an offer under way: the slot would stay
+/// empty for good. A start that comes later is taken like any other.
+const HOLD_MS: u64 = 100;
+
+#[derive(Debug, Clone, Copy)]
+struct Demand {
+    since: Instant,
+    tasks: u16,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Hold {
+    slots: u16,
+    until: Instant,
+}
+
+/// Who waits for a slot here, longest wait first.
+#[derive(Debug, Default)]
+pub(crate) struct DemandQueue {
+    demands: BTreeMap<AgentId, Demand>,
+    order: BTreeSet<(Instant, AgentId)>,
+    holds: BTreeMap<AgentId, Hold>,
+    held: u16,
+}
+
+impl DemandQueue {
+    /// Sets how many tasks a home waits with, the longest since `since`.
+    pub(crate) fn set(&mut self, home: AgentId, since: Instant, tasks: u16) {
+        self.withdraw(home);
+        if tasks > 0 {
+            self.demands.insert(home, Demand { since, tasks });
+            self.order.insert((since, home));
+        }
+    }
+
+    fn withdraw(&mut self, home: AgentId) {
+        if let Some(demand) = self.demands.remove(&home) {
+            self.order.remove(&(demand.since, home));
+        }
+    }
+
+    /// Drops all demands of a home and the slots held for it.
+    pub(crate) fn forget(&mut self, home: AgentId) {
+        self.withdraw(home);
+        if let Some(hold) = self.holds.remove(&home) {
+            self.held -= hold.slots;
+        }
+    }
+
+    /// Holds one slot for the home that has waited longest, and names it.
+    pub(crate) fn offer(&mut self, now: Instant) -> Option<AgentId> {
+        let (since, home) = *self.order.first()?;
+        let demand = self.demands.get_mut(&home)?;
+        demand.tasks -= 1;
+        if demand.tasks == 0 {
+            self.demands.remove(&home);
+            self.order.remove(&(since, home));
+        }
+        let hold = self.holds.entry(home).or_insert(Hold {
+            slots: 0,
+            until: now,
+        });
+        hold.slots += 1;
+        hold.until = now.plus_ms(HOLD_MS);
+        self.held += 1;
+        Some(home)
+    }
+
+    /// Takes one slot held for a home; false if none is.
+    pub(crate) fn take_hold(&mut self, home: AgentId) -> bool {
+        let Some(hold) = self.holds.get_mut(&home) else {
+            return false;
+        };
+        hold.slots -= 1;
+        self.held -= 1;
+        if hold.slots == 0 {
+            self.holds.remove(&home);
+        }
+        true
+    }
+
+    /// Gives back slots whose homes did not use them in time.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        let held = &mut self.held;
+        self.holds.retain(|_, hold| {
+            let keep = now < hold.until;
+            if !keep {
+                *held -= hold.slots;
+            }
+            keep
+        });
+    }
+
+    /// Slots held for all homes.
+    pub(crate) const fn held(&self) -> u16 {
+        self.held
+    }
+
+    /// Slots held for one home.
+    pub(crate) fn held_for(&self, home: AgentId) -> u16 {
+        self.holds.get(&home).map_or(0, |hold| hold.slots)
+    }
+}
--- /dev/null
+++ b/src/core/home/demand.rs
@@ -0,0 +1,141 @@
+//! How a home asks runners for slots when it knows of none that is free.
+
+use {
+    super::{
+        Home, HomeAction,
+        job_record::{JobRecord, JobState, RunningJob},
+        runner_link::RunnerLink,
+        ticket_ring::JobKey,
+    },
+    crate::core::{message::HomeFrame, ticket::AgentId, time::Instant},
+};
+
+/// Runners asked on behalf of a single task.
+///
+/// Each further one shortens the wait for the first offer, and costs a withdrawal.
+const MIN_FANOUT: usize = 3;
+/// Time without an offer after which a demand no longer counts and further runners are asked.
+///
+/// Guards against asking only runners that can't start anything, as those of a zone that is out:
+/// the task would wait for them for good.
+const ASK_MORE_AFTER_MS: u64 = 100;
+/// Jobs looked at, oldest first, when the demand is reckoned.
+const JOBS_COUNTED: usize = 32;
+/// Messages of a withdrawn demand, or of an offer that is handed back.
+const MESSAGES_WITHDRAWN: u16 = 2;
+
+impl Home {
+    /// Tells runners how many tasks wait for their slots, or that none does any more.
+    pub(super) fn update_demands(&mut self, now: Instant) {
+        let Some((since, waiting)) = self.waiting_tasks() else {
+            self.withdraw_demands();
+            return;
+        };
+        let chosen = self.runners_to_ask(now, waiting);
+        let Some(tasks) = waiting.checked_div(chosen.len()).map(|tasks| tasks.max(1)) else {
+            return;
+        };
+        let tasks = u16::try_from(tasks).unwrap_or(u16::MAX);
+        for runner in chosen {
+            let Some(link) = self.links.get_mut(&runner) else {
+                continue;
+            };
+            link.demanded = tasks;
+            link.demanded_at = now;
+            self.actions.push(HomeAction::Send {
+                runner,
+                epoch: link.epoch,
+                frame: HomeFrame::Demand {
+                    tasks,
+                    waited_ms: now.millis_since(since),
+                },
+            });
+        }
+    }
+
+    /// Since when the oldest job waits, and how many tasks wait in the first jobs.
+    fn waiting_tasks(&self) -> Option<(Instant, usize)> {
+        let mut jobs = self
+            .waiting
+            .iter()
+            .filter_map(|key| self.running_job(*key))
+            .filter(|job| !job.queued.is_empty())
+            .take(JOBS_COUNTED)
+            .peekable();
+        let since = jobs.peek()?.submitted_at;
+        Some((since, jobs.map(|job| job.queued.len()).sum()))
+    }
+
+    pub(super) fn running_job(&self, key: JobKey) -> Option<&RunningJob> {
+        match self.jobs.get(key) {
+            Some(JobRecord {
+                state: JobState::Running(job),
+                ..
+            }) => Some(job),
+            _ => None,
+        }
+    }
+
+    /// Runners of the oldest job that haven't been asked, those unheard for longest first: their
+    /// slots are the likeliest to have become free.
+    fn runners_to_ask(&self, now: Instant, waiting: usize) -> Vec<AgentId> {
+        let Some(job) = self
+            .waiting
+            .iter()
+            .find_map(|key| self.running_job(*key).filter(|job| !job.queued.is_empty()))
+        else {
+            return Vec::new();
+        };
+        let usable = |runner: &AgentId| {
+            self.links
+                .get(runner)
+                .filter(|link| link.is_usable(now) && link.free_slots() == 0)
+        };
+        let mut unasked: Vec<(Instant, AgentId)> = Vec::new();
+        let mut asked = 0;
+        for runner in &job.candidates {
+            match usable(runner) {
+                Some(link) if link.demanded > 0 => {
+                    let waited_ms = now.millis_since(link.demanded_at);
+                    asked += usize::from(waited_ms < ASK_MORE_AFTER_MS);
+                }
+                Some(link) => unasked.push((link.heard_at, *runner)),
+                None => {}
+            }
+        }
+        unasked.sort_unstable();
+        let wanted = waiting.max(MIN_FANOUT).saturating_sub(asked);
+        unasked.truncate(wanted);
+        unasked.into_iter().map(|(_, runner)| runner).collect()
+    }
+
+    fn withdraw_demands(&mut self) {
+        for (runner, link) in &mut self.links {
+            let RunnerLink {
+                demanded, offered, ..
+            } = link;
+            if *demanded == 0 && *offered == 0 {
+                continue;
+            }
+            let kind = if *offered > 0 {
+                "offer_unused"
+            } else {
+                "demand_withdrawn"
+            };
+            *demanded = 0;
+            *offered = 0;
+            self.actions.push(HomeAction::Send {
+                runner: *runner,
+                epoch: link.epoch,
+                frame: HomeFrame::Demand {
+                    tasks: 0,
+                    waited_ms: 0,
+                },
+            });
+            self.actions.push(HomeAction::CountWasted {
+                kind,
+                messages: MESSAGES_WITHDRAWN,
+            });
+        }
+    }
+}
--- a/src/core/home/dispatch.rs
+++ b/src/core/home/dispatch.rs
@@ -8,20 +8,16 @@
         ticket_ring::JobKey,
     },
     crate::core::{job::TaskRef, message::HomeFrame, ticket::AgentId, time::Instant},
-    std::collections::{BTreeSet, VecDeque},
 };
 
+/// Jobs that can't be placed which one event looks at.
+const UNPLACED_JOBS: usize = 8;
+
 impl Home {
-    /// Opens sessions to runners that waiting jobs could use or that hold tasks.
+    /// Opens sessions to runners that jobs could use or that hold tasks.
     pub(super) fn open_sessions(&mut self, now: Instant) {
-        let mut wanted: BTreeSet<AgentId> = BTreeSet::new();
-        for key in &self.waiting {
-            if let Some(JobState::Running(job)) = self.jobs.get(*key).map(|record| &record.state) {
-                wanted.extend(&job.candidates);
-            }
-        }
         for (runner, link) in &mut self.links {
-            if !wanted.contains(runner) && link.outstanding.is_empty() {
+            if !link.is_wanted(now) {
                 continue;
             }
             if let Some(epoch) = link.next_epoch(now) {
@@ -35,14 +31,21 @@
     }
 
     /// Starts queued tasks, oldest job first, while placement finds runners for them.
+    ///
+    /// Only so many jobs that can't be placed are looked at, so that an event costs the same
+    /// however many jobs wait.
     pub(super) fn dispatch(&mut self, now: Instant) {
-        let mut still_waiting = VecDeque::new();
-        while let Some(key) = self.waiting.pop_front() {
+        let mut unplaced = Vec::new();
+        while unplaced.len() < UNPLACED_JOBS
+            && let Some(key) = self.waiting.pop_front()
+        {
             if self.dispatch_job(now, key) {
-                still_waiting.push_back(key);
+                unplaced.push(key);
             }
         }
-        self.waiting = still_waiting;
+        for key in unplaced.into_iter().rev() {
+            self.waiting.push_front(key);
+        }
     }
 
     /// Starts what it can of one job; true if tasks are left in its queue.
--- a/src/core/home/home.rs
+++ b/src/core/home/home.rs
@@ -134,6 +134,7 @@
         }
         self.open_sessions(now);
         self.dispatch(now);
+        self.update_demands(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -144,6 +145,7 @@
                 .entry(candidate.runner)
                 .or_insert_with(|| RunnerLink::new(now, candidate));
             link.peer_addr = candidate.peer_addr;
+            link.want_session(now);
         }
     }
 
--- a/src/core/home/home_event.rs
+++ b/src/core/home/home_event.rs
@@ -99,6 +99,13 @@
     },
     /// Count a retry of a task by the reason of its refusal.
     CountRetry(&'static str),
+    /// Count messages that served no start, by what they were.
+    CountWasted {
+        /// What they were.
+        kind: &'static str,
+        /// How many.
+        messages: u16,
+    },
     /// Count a job's end by its verdict's reason.
     CountEnd(&'static str),
 }
--- a/src/core/home/job_record.rs
+++ b/src/core/home/job_record.rs
@@ -41,6 +41,7 @@
 #[derive(Debug)]
 pub(crate) struct RunningJob {
     pub(crate) spec: JobSpec,
+    pub(crate) submitted_at: Instant,
     pub(crate) deadline: Instant,
     pub(crate) candidates: Vec<AgentId>,
     pub(crate) tasks: Vec<TaskState>,
@@ -63,6 +64,7 @@
     pub(crate) fn new(now: Instant, spec: JobSpec, candidates: Vec<AgentId>) -> Self {
         let count = u16::try_from(spec.tasks.len()).unwrap_or(u16::MAX);
         Self {
+            submitted_at: now,
             deadline: now.plus_ms(spec.deadline_ms),
             candidates,
             tasks: vec![TaskState::Queued; usize::from(count)],
--- a/src/core/home/mod.rs
+++ b/src/core/home/mod.rs
@@ -1,6 +1,7 @@
 //! The home of jobs: deduplicates, fans out, gathers and answers.
 
 mod answer_store;
+mod demand;
 mod dispatch;
 mod home;
 mod home_event;
--- a/src/core/home/runner_link.rs
+++ b/src/core/home/runner_link.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::core::{
-        job::TaskRef, message::Candidate, placement::RunnerView, ticket::AgentId, time::Instant,
+        job::TaskRef,
+        message::{Candidate, FreeSlots},
+        placement::RunnerView,
+        ticket::AgentId,
+        time::Instant,
     },
     std::{collections::BTreeMap, net::SocketAddr},
 };
@@ -12,6 +16,9 @@
 /// Pause after a refusal that isn't about slots, in milliseconds.
 const REFUSAL_PAUSE_MS: u64 = 250;
 
+/// For how long after a job that could use a runner its session is reopened, in milliseconds.
+const SESSION_WANTED_MS: u64 = 30_000;
+
 /// Where the session to a runner stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LinkState {
@@ -37,9 +44,18 @@
     pub(crate) silent_since: Option<Instant>,
     /// Tasks there, with the epoch that they were started on.
     pub(crate) outstanding: BTreeMap<TaskRef, u64>,
-    free_slots: u16,
-    heard_at: Instant,
+    /// Tasks that wait for a slot there, as last told to it.
+    pub(crate) demanded: u16,
+    /// When it was told so.
+    pub(crate) demanded_at: Instant,
+    /// Offered slots not yet used.
+    pub(crate) offered: u16,
+    free: FreeSlots,
+    /// Starts sent on the newest session.
+    starts_sent: u32,
+    pub(crate) heard_at: Instant,
     paused_until: Instant,
+    wanted_until: Instant,
 }
 
 impl RunnerLink {
@@ -51,18 +67,43 @@
             epoch: 0,
             silent_since: None,
             outstanding: BTreeMap::new(),
-            free_slots: candidate.free_slots,
+            demanded: 0,
+            demanded_at: Instant::default(),
+            offered: 0,
+            free: FreeSlots {
+                slots: candidate.free_slots,
+                starts_seen: 0,
+            },
+            starts_sent: 0,
             heard_at: now,
             paused_until: Instant::default(),
+            wanted_until: now,
         }
     }
 
     /// Takes in how many slots the runner has free.
-    pub(crate) fn report_free(&mut self, now: Instant, free_slots: u16) {
-        self.free_slots = free_slots;
+    pub(crate) fn report_free(&mut self, now: Instant, free: FreeSlots) {
+        self.free = free;
         self.heard_at = now;
     }
 
+    /// Takes in that a slot is held there for this home.
+    pub(crate) fn take_offer(&mut self, now: Instant, free: FreeSlots) {
+        self.report_free(now, free);
+        self.offered += 1;
+        self.demanded = self.demanded.saturating_sub(1);
+    }
+
+    /// Slots that can be counted on: starts under way to the runner are taken off.
+    ///
+    /// Guards against counting a slot twice: a report that crosses a start on the way doesn't
+    /// know of it, and the next start would be refused.
+    pub(crate) fn free_slots(&self) -> u16 {
+        let under_way = self.starts_sent.saturating_sub(self.free.starts_seen);
+        let under_way = u16::try_from(under_way).unwrap_or(u16::MAX);
+        self.free.slots.saturating_sub(under_way)
+    }
+
     /// Leaves the runner alone for a while.
     pub(crate) fn pause(&mut self, now: Instant) {
         self.paused_until = now.plus_ms(REFUSAL_PAUSE_MS);
@@ -71,7 +112,8 @@
     /// Notes that a task was sent there.
     pub(crate) fn note_start(&mut self, task: TaskRef) {
         self.outstanding.insert(task, self.epoch);
-        self.free_slots = self.free_slots.saturating_sub(1);
+        self.starts_sent += 1;
+        self.offered = self.offered.saturating_sub(1);
     }
 
     /// Whether tasks can be sent there now.
@@ -79,10 +121,20 @@
         self.state == LinkState::Open && now >= self.paused_until
     }
 
+    /// A job that the runner could take tasks of was submitted or asked after.
+    pub(crate) fn want_session(&mut self, now: Instant) {
+        self.wanted_until = now.plus_ms(SESSION_WANTED_MS);
+    }
+
+    /// Whether a session is of use.
+    pub(crate) fn is_wanted(&self, now: Instant) -> bool {
+        now < self.wanted_until || !self.outstanding.is_empty()
+    }
+
     /// What placement sees.
     pub(crate) fn view(&self) -> RunnerView {
         RunnerView {
-            free_slots: self.free_slots,
+            free_slots: self.free_slots(),
             outstanding: u16::try_from(self.outstanding.len()).unwrap_or(u16::MAX),
             heard_at: self.heard_at,
         }
@@ -105,6 +157,9 @@
         match self.state {
             LinkState::Closed { retry_at } if now >= retry_at => {
                 self.epoch += 1;
+                self.starts_sent = 0;
+                self.demanded = 0;
+                self.offered = 0;
                 self.state = LinkState::Opening;
                 Some(self.epoch)
             }
--- a/src/core/home/sessions.rs
+++ b/src/core/home/sessions.rs
@@ -4,7 +4,7 @@
     super::{Home, HomeAction, runner_link::LinkState, ticket_ring::TicketState},
     crate::core::{
         job::{TaskOutcome, TaskRef},
-        message::{HomeFrame, RunnerFrame, TaskStatus},
+        message::{FreeSlots, HomeFrame, RunnerFrame, TaskStatus},
         ticket::AgentId,
         time::Instant,
         verdict::{MayHaveRunReason, NotRunReason},
@@ -28,16 +28,17 @@
         match frame {
             RunnerFrame::Welcome {
                 runner: actual,
-                free_slots,
-            } => self.on_welcome(now, runner, actual, free_slots),
+                free,
+            } => self.on_welcome(now, runner, actual, free),
             RunnerFrame::Outcome {
                 task,
                 outcome,
-                free_slots,
+                free,
             } => {
-                link.report_free(now, free_slots);
+                link.report_free(now, free);
                 self.on_outcome(now, runner, task, outcome);
             }
+            RunnerFrame::Offer { free } => link.take_offer(now, free),
             RunnerFrame::Statuses { tasks } => {
                 for (task, status) in tasks {
                     self.on_status(now, runner, task, status);
@@ -46,7 +47,7 @@
         }
     }
 
-    fn on_welcome(&mut self, now: Instant, runner: AgentId, actual: AgentId, free_slots: u16) {
+    fn on_welcome(&mut self, now: Instant, runner: AgentId, actual: AgentId, free: FreeSlots) {
         if runner != actual {
             self.lose_runner(now, runner);
             return;
@@ -56,7 +57,7 @@
         };
         link.state = LinkState::Open;
         link.silent_since = None;
-        link.report_free(now, free_slots);
+        link.report_free(now, free);
         if link.outstanding.is_empty() {
             return;
         }
--- a/src/core/home/settle.rs
+++ b/src/core/home/settle.rs
@@ -15,7 +15,8 @@
     std::sync::Arc,
 };
 
-/// Starts of one task, after which a home gives it up.
+/// Starts of one task that may have run, or that its backend server refused, after which a home
+/// gives it up.
 const MAX_ATTEMPTS: u8 = 8;
 
 impl Home {
@@ -31,9 +32,10 @@
         let attempts = job.attempts[usize::from(index)];
         let retry = match &outcome {
             TaskOutcome::NotRun {
-                reason: NotRunReason::SlotsFull,
-            } => Some(NotRunReason::SlotsFull.as_str()),
-            TaskOutcome::NotRun { reason } if attempts < MAX_ATTEMPTS => Some(reason.as_str()),
+                reason: NotRunReason::BackendRefused,
+            } if attempts >= MAX_ATTEMPTS => None,
+            // Nothing ran, and the task isn't at fault: another runner may take it until the deadline.
+            TaskOutcome::NotRun { reason } => Some(reason.as_str()),
             TaskOutcome::MayHaveRun { reason }
                 if job.spec.repeatable && attempts < MAX_ATTEMPTS =>
             {
--- a/src/core/message/mod.rs
+++ b/src/core/message/mod.rs
@@ -7,5 +7,5 @@
 pub(crate) use {
     announcement::{Announcement, AnnouncementReply, PeerEntry},
     peer_call::{Candidate, PeerReply, PeerRequest, Submission},
-    session_frame::{HomeFrame, RunnerFrame, StartFrame, TaskStatus},
+    session_frame::{FreeSlots, HomeFrame, RunnerFrame, StartFrame, TaskStatus},
 };
--- a/src/core/message/session_frame.rs
+++ b/src/core/message/session_frame.rs
@@ -25,6 +25,15 @@
     pub(crate) accelerators: u16,
 }
 
+/// Slots of a runner as one home may count on them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct FreeSlots {
+    /// Slots without a task that aren't held for another home.
+    pub(crate) slots: u16,
+    /// Starts taken in on this session so far: later ones are not yet part of `slots`.
+    pub(crate) starts_seen: u32,
+}
+
 /// From home to runner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum HomeFrame {
@@ -47,6 +56,13 @@
         /// Each task with the epoch of the session it was started on.
         tasks: Vec<(TaskRef, u64)>,
     },
+    /// Tasks wait for a slot; replaces what this home asked for before.
+    Demand {
+        /// How many; zero withdraws the demand and gives offered slots back.
+        tasks: u16,
+        /// For how long the oldest has waited.
+        waited_ms: u64,
+    },
     /// These outcomes have arrived and need not be kept.
     Ack {
         /// The tasks.
@@ -62,7 +78,7 @@
         /// The runner's process; another one than expected means that the expected one is gone.
         runner: AgentId,
         /// Slots free now.
-        free_slots: u16,
+        free: FreeSlots,
     },
     /// How a task ended, or that it was refused.
     Outcome {
@@ -71,7 +87,12 @@
         /// Its end.
         outcome: TaskOutcome,
         /// Slots free now.
-        free_slots: u16,
+        free: FreeSlots,
+    },
+    /// A slot became free and is held for this home for a moment.
+    Offer {
+        /// Slots free now, with those held.
+        free: FreeSlots,
     },
     /// Answers [`HomeFrame::Query`].
     Statuses {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! can drive the code that ships.
 
 pub(crate) mod config;
+pub(crate) mod demand;
 pub(crate) mod directory;
 pub(crate) mod gate;
 pub(crate) mod home;
--- a/src/core/placement/most_free.rs
+++ b/src/core/placement/most_free.rs
@@ -23,20 +23,17 @@
 }
 
 impl Placement for MostFree {
-    fn choose(&mut self, now: Instant, views: &[RunnerView]) -> Option<usize> {
-        let best = views.iter().map(|view| view.usable_slots(now)).max()?;
+    fn choose(&mut self, _now: Instant, views: &[RunnerView]) -> Option<usize> {
+        let best = views.iter().map(|view| view.free_slots).max()?;
         if best == 0 {
             return None;
         }
-        let ties = views
-            .iter()
-            .filter(|view| view.usable_slots(now) == best)
-            .count();
+        let ties = views.iter().filter(|view| view.free_slots == best).count();
         let pick = self.rng.random_range(0..ties);
         views
             .iter()
             .enumerate()
-            .filter(|(_, view)| view.usable_slots(now) == best)
+            .filter(|(_, view)| view.free_slots == best)
             .nth(pick)
             .map(|(position, _)| position)
     }
--- a/src/core/placement/tests.rs
+++ b/src/core/placement/tests.rs
@@ -30,5 +30,5 @@
     no_runner_no_choice: at 1_000 [] => None;
     most_free_wins: at 1_000 [view(1, 0), view(5, 0), view(2, 0)] => Some(1);
     full_runners_wait: at 1_000 [view(0, 3), view(0, 0)] => None;
-    stale_full_runner_without_own_tasks_is_tried: at 1_050 [view(0, 3), view(0, 0)] => Some(1);
+    a_full_runner_is_not_probed_however_old_its_report: at 9_000 [view(0, 3), view(0, 0)] => None;
 }
--- a/src/core/runner/home_link.rs
+++ b/src/core/runner/home_link.rs
@@ -22,6 +22,8 @@
 pub(crate) struct HomeLink {
     /// Highest epoch seen; starts on lower ones are refused.
     pub(crate) epoch: u64,
+    /// Starts taken in on the session of that epoch.
+    pub(crate) starts_seen: u32,
     /// The session of that epoch, while it is open.
     pub(crate) session: Option<SessionId>,
     /// Running tasks with the epoch they were started on.
--- a/src/core/runner/runner.rs
+++ b/src/core/runner/runner.rs
@@ -6,9 +6,10 @@
         home_link::{HomeLink, KeptOutcome},
     },
     crate::core::{
+        demand::DemandQueue,
         gate::Permit,
         job::{TaskOutcome, TaskRef},
-        message::{HomeFrame, RunnerFrame, StartFrame, TaskStatus},
+        message::{FreeSlots, HomeFrame, RunnerFrame, StartFrame, TaskStatus},
         ticket::AgentId,
         time::Instant,
         verdict::NotRunReason,
@@ -32,13 +33,14 @@
     services: Vec<String>,
     slots: u16,
     leaving: bool,
+    demands: DemandQueue,
     links: BTreeMap<AgentId, HomeLink>,
     sessions: BTreeMap<SessionId, (AgentId, u64)>,
 }
 
 impl Runner {
     /// A runner without a backend server and without a permit.
-    pub(crate) const fn new(id: AgentId, settings: RunnerSettings) -> Self {
+    pub(crate) fn new(id: AgentId, settings: RunnerSettings) -> Self {
         Self {
             id,
             settings,
@@ -46,6 +48,7 @@
             services: Vec::new(),
             slots: 0,
             leaving: false,
+            demands: DemandQueue::default(),
             links: BTreeMap::new(),
             sessions: BTreeMap::new(),
         }
@@ -61,9 +64,37 @@
         self.slots
     }
 
-    /// Slots without a running task.
+    /// Slots without a running task that aren't held for a home.
     pub(crate) fn free_slots(&self) -> u16 {
-        self.slots.saturating_sub(self.running_count())
+        self.slots
+            .saturating_sub(self.running_count())
+            .saturating_sub(self.demands.held())
+    }
+
+    /// Slots that one home may count on.
+    fn free_for(&self, home: AgentId) -> FreeSlots {
+        FreeSlots {
+            slots: self.free_slots() + self.demands.held_for(home),
+            starts_seen: self.links.get(&home).map_or(0, |link| link.starts_seen),
+        }
+    }
+
+    /// Offers free slots to the homes that have waited longest, while tasks may start here.
+    fn offer_slots(&mut self, now: Instant, actions: &mut Vec<RunnerAction>) {
+        if self.leaving || self.services.is_empty() || !self.permit.is_valid(now) {
+            return;
+        }
+        while self.free_slots() > 0
+            && let Some(home) = self.demands.offer(now)
+        {
+            let Some(session) = self.links.get(&home).and_then(|link| link.session) else {
+                self.demands.forget(home);
+                continue;
+            };
+            let free = self.free_for(home);
+            let frame = RunnerFrame::Offer { free };
+            actions.push(RunnerAction::Send { session, frame });
+        }
     }
 
     /// Tasks that run now.
@@ -84,6 +115,12 @@
 
     /// Takes in one event and says what to do about it.
     pub(crate) fn handle(&mut self, now: Instant, event: RunnerEvent) -> Vec<RunnerAction> {
+        let mut actions = self.react(now, event);
+        self.offer_slots(now, &mut actions);
+        actions
+    }
+
+    fn react(&mut self, now: Instant, event: RunnerEvent) -> Vec<RunnerAction> {
         match event {
             RunnerEvent::Frame { session, frame } => self.on_frame(now, session, frame),
             RunnerEvent::SessionClosed { session } => self.on_session_closed(session),
@@ -112,6 +149,7 @@
                 Vec::new()
             }
             RunnerEvent::Tick => {
+                self.demands.expire(now);
                 let keep_ms = self.settings.keep_outcome_ms;
                 for link in self.links.values_mut() {
                     link.drop_old_outcomes(now, keep_ms);
@@ -137,6 +175,7 @@
             HomeFrame::Hello { .. } => Vec::new(),
             HomeFrame::Start(start) => self.on_start(now, session, home, epoch, start),
             HomeFrame::Cancel { task } => self.on_cancel(home, task),
+            HomeFrame::Demand { tasks, waited_ms } => self.on_demand(now, home, tasks, waited_ms),
             HomeFrame::Query { tasks } => self.on_query(now, session, home, tasks),
             HomeFrame::Ack { tasks } => {
                 let link = self.links.entry(home).or_default();
@@ -160,7 +199,9 @@
             return vec![RunnerAction::Close(session)];
         }
         link.epoch = epoch;
+        link.starts_seen = 0;
         link.used_at = now;
+        self.demands.forget(home);
         let replaced = link.session.replace(session);
         self.sessions.insert(session, (home, epoch));
         let mut actions = Vec::new();
@@ -172,7 +213,7 @@
             session,
             frame: RunnerFrame::Welcome {
                 runner: self.id,
-                free_slots: self.free_slots(),
+                free: self.free_for(home),
             },
         });
         actions
@@ -187,10 +228,12 @@
         start: StartFrame,
     ) -> Vec<RunnerAction> {
         let task = start.task;
-        if let Some(reason) = self.refusal(now, home, epoch, &start) {
+        self.links.entry(home).or_default().starts_seen += 1;
+        let held = self.demands.take_hold(home);
+        if let Some(reason) = self.refusal(now, home, epoch, &start, held) {
             return vec![
                 RunnerAction::CountRefusal(reason),
-                self.outcome_frame(session, task, TaskOutcome::NotRun { reason }),
+                self.outcome_frame(session, home, task, TaskOutcome::NotRun { reason }),
             ];
         }
         let link = self.links.entry(home).or_default();
@@ -209,6 +252,7 @@
         home: AgentId,
         epoch: u64,
         start: &StartFrame,
+        held: bool,
     ) -> Option<NotRunReason> {
         let newest = self.links.get(&home).map_or(0, |link| link.epoch);
         if epoch < newest {
@@ -223,7 +267,7 @@
         if !self.permit.is_valid(now) {
             return Some(NotRunReason::NoPermit);
         }
-        if self.free_slots() == 0 {
+        if !held && self.free_slots() == 0 {
             return Some(NotRunReason::SlotsFull);
         }
         None
@@ -241,6 +285,21 @@
         }
     }
 
+    fn on_demand(
+        &mut self,
+        now: Instant,
+        home: AgentId,
+        tasks: u16,
+        waited_ms: u64,
+    ) -> Vec<RunnerAction> {
+        if tasks == 0 {
+            self.demands.forget(home);
+        } else {
+            self.demands.set(home, now.minus_ms(waited_ms), tasks);
+        }
+        Vec::new()
+    }
+
     fn on_query(
         &mut self,
         now: Instant,
@@ -266,6 +325,7 @@
             && link.session == Some(session)
         {
             link.session = None;
+            self.demands.forget(home);
         }
         Vec::new()
     }
@@ -296,12 +356,18 @@
         let Some(session) = link.session else {
             return Vec::new();
         };
-        vec![self.outcome_frame(session, task, outcome)]
+        // Those who wait come first: what is left is what this home may count on.
+        let mut actions = Vec::new();
+        self.offer_slots(now, &mut actions);
+        let outcome = self.outcome_frame(session, task.ticket.home, task, outcome);
+        actions.push(outcome);
+        actions
     }
 
     fn outcome_frame(
         &self,
         session: SessionId,
+        home: AgentId,
         task: TaskRef,
         outcome: TaskOutcome,
     ) -> RunnerAction {
@@ -310,7 +376,7 @@
             frame: RunnerFrame::Outcome {
                 task,
                 outcome,
-                free_slots: self.free_slots(),
+                free: self.free_for(home),
             },
         }
     }
--- a/src/core/time/instant.rs
+++ b/src/core/time/instant.rs
@@ -25,6 +25,11 @@
         Self::from_micros(self.micros.saturating_add(millis.saturating_mul(1_000)))
     }
 
+    /// This instant moved `millis` milliseconds into the past, at most to the process's start.
+    pub(crate) const fn minus_ms(self, millis: u64) -> Self {
+        Self::from_micros(self.micros.saturating_sub(millis.saturating_mul(1_000)))
+    }
+
     /// Whole milliseconds from `earlier` to this instant, zero if `earlier` is later.
     pub(crate) const fn millis_since(self, earlier: Self) -> u64 {
         self.micros_since(earlier) / 1_000
--- a/src/load/probe.rs
+++ b/src/load/probe.rs
@@ -7,7 +7,7 @@
     },
     http::Method,
     serde::Deserialize,
-    std::net::SocketAddr,
+    std::{collections::BTreeMap, net::SocketAddr},
 };
 
 /// Length of one tick of `/proc/PID/stat`, in microseconds: Linux counts 100 a second.
@@ -62,33 +62,76 @@
     Ok(starts)
 }
 
-/// Messages between homes and runners that served no start, since the agents' beginning.
-pub(crate) async fn read_wasted_messages(client: &HttpClient, agents: &[SocketAddr]) -> u64 {
-    let mut wasted = 0;
+/// Counters of interest, in Prometheus's text format, with the names they are reported under.
+const COUNTERS: [(&str, &str); 5] = [
+    ("rattanslip_refusals_total{", "refusal"),
+    ("rattanslip_wasted_messages_total{", WASTED),
+    ("rattanslip_retries_total{", "retry"),
+    ("rattanslip_ejections_total{", "ejection"),
+    ("rattanslip_hedges_total{", "hedge"),
+];
+/// Name of the counter of wasted messages.
+const WASTED: &str = "wasted";
+/// The counter of starts refused by runners.
+const REFUSAL_PREFIX: &str = "refusal ";
+
+/// Values of the agents' counters since their beginning, by name and reason.
+pub(crate) type Counters = BTreeMap<String, u64>;
+
+/// Reads the agents' counters and adds them up.
+pub(crate) async fn read_counters(client: &HttpClient, agents: &[SocketAddr]) -> Counters {
+    let mut counters = Counters::new();
     for agent in agents {
         if let Ok(reply) = client
             .send(Method::GET, *agent, "/metrics", &[], String::new())
             .await
         {
-            wasted += wasted_in(&reply.text());
+            for line in reply.text().lines() {
+                add_line(&mut counters, line);
+            }
+        }
+    }
+    counters
+}
+
+fn add_line(counters: &mut Counters, line: &str) {
+    for (prefix, name) in COUNTERS {
+        let reason = line
+            .strip_prefix(prefix)
+            .and_then(|rest| rest.split_once("reason=\""))
+            .and_then(|(_, rest)| rest.split_once('"'));
+        let value = line.rsplit(' ').next().and_then(|v| v.parse::<f64>().ok());
+        if let (Some((reason, _)), Some(value)) = (reason, value) {
+            *counters.entry(format!("{name} {reason}")).or_default() += value as u64;
         }
     }
-    wasted
 }
 
-fn wasted_in(metrics: &str) -> u64 {
-    let refusals = sum_of(metrics, "rattanslip_refusals_total{");
-    let others = sum_of(metrics, "rattanslip_wasted_messages_total{");
-    refusals * MESSAGES_OF_REFUSAL + others
+/// What was counted between two readings.
+pub(crate) fn counted_since(before: &Counters, after: &Counters) -> Counters {
+    after
+        .iter()
+        .map(|(name, value)| {
+            let earlier = before.get(name).copied().unwrap_or(0);
+            (name.clone(), value.saturating_sub(earlier))
+        })
+        .filter(|(_, value)| *value > 0)
+        .collect()
 }
 
-fn sum_of(metrics: &str, prefix: &str) -> u64 {
-    metrics
-        .lines()
-        .filter(|line| line.starts_with(prefix))
-        .filter_map(|line| line.rsplit(' ').next())
-        .filter_map(|value| value.parse::<f64>().ok())
-        .map(|value| value as u64)
+/// Messages between homes and runners that served no start.
+pub(crate) fn wasted_messages(counters: &Counters) -> u64 {
+    counters
+        .iter()
+        .map(|(name, value)| {
+            if name.starts_with(REFUSAL_PREFIX) {
+                value * MESSAGES_OF_REFUSAL
+            } else if name.starts_with(WASTED) {
+                *value
+            } else {
+                0
+            }
+        })
         .sum()
 }
 
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -1,7 +1,10 @@
 //! What the load tool prints.
 
 use {
-    super::findings::{Findings, SLOWDOWN_UNIT},
+    super::{
+        findings::{Findings, SLOWDOWN_UNIT},
+        probe::{Counters, wasted_messages},
+    },
     hdrhistogram::Histogram,
     serde_json::{Value, json},
 };
@@ -12,10 +15,10 @@
 const BAR_WIDTH: f64 = 50.0;
 
 /// What the run cost besides time.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub(crate) struct Costs {
-    /// Messages between homes and runners that served no start.
-    pub(crate) wasted_messages: u64,
+    /// The agents' counters.
+    pub(crate) counters: Counters,
     /// Processor time of the entries.
     pub(crate) entry_cpu_us: u64,
     /// Processor time of the agents.
@@ -39,7 +42,7 @@
 }
 
 /// Everything as JSON.
-pub(crate) fn json_report(findings: &Findings, costs: Costs) -> Value {
+pub(crate) fn json_report(findings: &Findings, costs: &Costs) -> Value {
     json!({
         "jobs": findings.jobs,
         "done": findings.done,
@@ -59,7 +62,7 @@
         "goodput_ratio": round(findings.goodput_ratio),
         "zone_work_ratio": findings.zone_work_ratio.map(round),
         "zone_out_last_start_ms": findings.zone_out_last_start_ms,
-        "wasted_messages_per_task": per_task(findings, costs.wasted_messages),
+        "wasted_messages_per_task": per_task(findings, wasted_messages(&costs.counters)),
         "double_starts": findings.double_starts,
         "lost": findings.lost,
         "partial": findings.partial,
@@ -69,11 +72,12 @@
             "agent": per_task(findings, costs.agent_cpu_us),
         },
         "verdicts": findings.verdicts,
+        "counters": costs.counters,
     })
 }
 
 /// A table and a histogram for people.
-pub(crate) fn print_table(findings: &Findings, costs: Costs) {
+pub(crate) fn print_table(findings: &Findings, costs: &Costs) {
     for (name, value) in json_report(findings, costs)
         .as_object()
         .into_iter()
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -4,7 +4,7 @@
     super::{
         exchange::{JobResult, LoadClient},
         findings::{Findings, RunTimes},
-        probe::{cpu_us, read_starts, read_wasted_messages},
+        probe::{counted_since, cpu_us, read_counters, read_starts},
         report::{Costs, json_report, print_table},
         schedule::{PlannedJob, plan},
         ticket_pool::TicketPool,
@@ -53,7 +53,7 @@
     tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
     let after = read_costs(&client).await;
     let costs = Costs {
-        wasted_messages: after.wasted_messages.saturating_sub(before.wasted_messages),
+        counters: counted_since(&before.counters, &after.counters),
         entry_cpu_us: after.entry_cpu_us.saturating_sub(before.entry_cpu_us),
         agent_cpu_us: after.agent_cpu_us.saturating_sub(before.agent_cpu_us),
     };
@@ -65,9 +65,9 @@
     };
     let findings = Findings::new(&client.args, times, &plan, &results, &starts)?;
     if client.args.json {
-        println!("{}", json_report(&findings, costs));
+        println!("{}", json_report(&findings, &costs));
     } else {
-        print_table(&findings, costs);
+        print_table(&findings, &costs);
     }
     if findings.partial > 0 {
         let message = format!("{} answers were not whole", findings.partial);
@@ -78,7 +78,7 @@
 
 async fn read_costs(client: &LoadClient) -> Costs {
     Costs {
-        wasted_messages: read_wasted_messages(&client.http, &client.args.agents).await,
+        counters: read_counters(&client.http, &client.args.agents).await,
         entry_cpu_us: cpu_us(&client.args.entry_pids),
         agent_cpu_us: cpu_us(&client.args.agent_pids),
     }
--- a/src/ports/metrics.rs
+++ b/src/ports/metrics.rs
@@ -11,6 +11,8 @@
         Retries => "rattanslip.retries",
         /// Jobs ended at their home, by verdict reason.
         Jobs => "rattanslip.jobs",
+        /// Messages between homes and runners that served no start, by kind.
+        WastedMessages => "rattanslip.wasted_messages",
         /// Tasks handed to the backend server.
         Starts => "rattanslip.starts",
         /// Answers given to clients, by verdict.
