--- a/src/core/home/demand.rs
+++ b/src/core/home/demand.rs
@@ -4,7 +4,6 @@
     super::{
         Home, HomeAction,
         job_record::{JobRecord, JobState, RunningJob},
-        runner_link::RunnerLink,
         ticket_ring::JobKey,
     },
     crate::core::{message::HomeFrame, ticket::AgentId, time::Instant},
@@ -76,8 +75,8 @@
         }
     }
 
-    /// Runners of the oldest job that haven't been asked, those unheard for longest first: their
-    /// slots are the likeliest to have become free.
+    /// Runners of the oldest job that haven't been asked: own ones first, then those unheard for
+    /// longest, whose slots are the likeliest to have become free.
     fn runners_to_ask(&self, now: Instant, waiting: usize) -> Vec<AgentId> {
         let Some(job) = self
             .waiting
@@ -91,7 +90,7 @@
                 .get(runner)
                 .filter(|link| link.is_usable(now) && link.free_slots() == 0)
         };
-        let mut unasked: Vec<(Instant, AgentId)> = Vec::new();
+        let mut unasked: Vec<(bool, Instant, AgentId)> = Vec::new();
         let mut asked = 0;
         for runner in &job.candidates {
             match usable(runner) {
@@ -99,31 +98,28 @@
                     let waited_ms = now.millis_since(link.demanded_at);
                     asked += usize::from(waited_ms < ASK_MORE_AFTER_MS);
                 }
-                Some(link) => unasked.push((link.heard_at, *runner)),
+                Some(link) => unasked.push((!link.own, link.heard_at, *runner)),
                 None => {}
             }
         }
         unasked.sort_unstable();
         let wanted = waiting.max(MIN_FANOUT).saturating_sub(asked);
         unasked.truncate(wanted);
-        unasked.into_iter().map(|(_, runner)| runner).collect()
+        unasked.into_iter().map(|(_, _, runner)| runner).collect()
     }
 
     fn withdraw_demands(&mut self) {
         for (runner, link) in &mut self.links {
-            let RunnerLink {
-                demanded, offered, ..
-            } = link;
-            if *demanded == 0 && *offered == 0 {
+            let offered = link.offered();
+            if link.demanded == 0 && offered == 0 {
                 continue;
             }
-            let kind = if *offered > 0 {
+            let kind = if offered > 0 {
                 "offer_unused"
             } else {
                 "demand_withdrawn"
             };
-            *demanded = 0;
-            *offered = 0;
+            link.withdraw();
             self.actions.push(HomeAction::Send {
                 runner: *runner,
                 epoch: link.epoch,
--- a/src/core/home/runner_link.rs
+++ b/src/core/home/runner_link.rs
@@ -37,6 +37,8 @@
 #[derive(Debug)]
 pub(crate) struct RunnerLink {
     pub(crate) peer_addr: SocketAddr,
+    /// This home looks to the runner first.
+    pub(crate) own: bool,
     pub(crate) state: LinkState,
     /// Epoch of the newest session, zero before the first.
     pub(crate) epoch: u64,
@@ -48,8 +50,6 @@
     pub(crate) demanded: u16,
     /// When it was told so.
     pub(crate) demanded_at: Instant,
-    /// Offered slots not yet used.
-    pub(crate) offered: u16,
     free: FreeSlots,
     /// Starts sent on the newest session.
     starts_sent: u32,
@@ -63,15 +63,16 @@
     pub(crate) fn new(now: Instant, candidate: &Candidate) -> Self {
         Self {
             peer_addr: candidate.peer_addr,
+            own: candidate.own,
             state: LinkState::Closed { retry_at: now },
             epoch: 0,
             silent_since: None,
             outstanding: BTreeMap::new(),
             demanded: 0,
             demanded_at: Instant::default(),
-            offered: 0,
             free: FreeSlots {
                 slots: candidate.free_slots,
+                held: 0,
                 starts_seen: 0,
             },
             starts_sent: 0,
@@ -90,7 +91,6 @@
     /// Takes in that a slot is held there for this home.
     pub(crate) fn take_offer(&mut self, now: Instant, free: FreeSlots) {
         self.report_free(now, free);
-        self.offered += 1;
         self.demanded = self.demanded.saturating_sub(1);
     }
 
@@ -99,9 +99,25 @@
     /// Guards against counting a slot twice: a report that crosses a start on the way doesn't
     /// know of it, and the next start would be refused.
     pub(crate) fn free_slots(&self) -> u16 {
+        self.free.slots.saturating_sub(self.under_way())
+    }
+
+    /// Slots held there for this home that no start is under way to.
+    pub(crate) fn offered(&self) -> u16 {
+        self.free.held.saturating_sub(self.under_way())
+    }
+
+    /// Gives back what is held there, and asks for nothing more.
+    pub(crate) fn withdraw(&mut self) {
+        self.demanded = 0;
+        self.free.slots -= self.free.held;
+        self.free.held = 0;
+    }
+
+    /// Starts that the runner had not seen when it last reported.
+    fn under_way(&self) -> u16 {
         let under_way = self.starts_sent.saturating_sub(self.free.starts_seen);
-        let under_way = u16::try_from(under_way).unwrap_or(u16::MAX);
-        self.free.slots.saturating_sub(under_way)
+        u16::try_from(under_way).unwrap_or(u16::MAX)
     }
 
     /// Leaves the runner alone for a while.
@@ -113,7 +129,6 @@
     pub(crate) fn note_start(&mut self, task: TaskRef) {
         self.outstanding.insert(task, self.epoch);
         self.starts_sent += 1;
-        self.offered = self.offered.saturating_sub(1);
     }
 
     /// Whether tasks can be sent there now.
@@ -134,6 +149,7 @@
     /// What placement sees.
     pub(crate) fn view(&self) -> RunnerView {
         RunnerView {
+            own: self.own,
             free_slots: self.free_slots(),
             outstanding: u16::try_from(self.outstanding.len()).unwrap_or(u16::MAX),
             heard_at: self.heard_at,
@@ -153,13 +169,18 @@
     }
 
     /// The next epoch to open, if a session is wanted and may be opened now.
-    pub(crate) fn next_epoch(&mut self, now: Instant) -> Option<u64> {
+    ///
+    /// `last_epoch` counts the sessions of the whole home. Guards against a runner that refuses
+    /// its home for good: a link that was given up and met anew goes on counting where the runner
+    /// last saw it, so its sessions are newer than those that the runner remembers.
+    pub(crate) fn next_epoch(&mut self, now: Instant, last_epoch: &mut u64) -> Option<u64> {
         match self.state {
             LinkState::Closed { retry_at } if now >= retry_at => {
-                self.epoch += 1;
+                *last_epoch += 1;
+                self.epoch = *last_epoch;
                 self.starts_sent = 0;
                 self.demanded = 0;
-                self.offered = 0;
+                self.free.held = 0;
                 self.state = LinkState::Opening;
                 Some(self.epoch)
             }
--- a/src/core/home/settle.rs
+++ b/src/core/home/settle.rs
@@ -15,9 +15,10 @@
     std::sync::Arc,
 };
 
-/// Starts of one task that may have run, or that its backend server refused, after which a home
-/// gives it up.
+/// Starts of one task, but for those that met full slots, after which a home gives it up.
 const MAX_ATTEMPTS: u8 = 8;
+/// When to come back after no runner took a task, in milliseconds.
+const NOT_TAKEN_RETRY_AFTER_MS: u64 = 1_000;
 
 impl Home {
     /// Takes in the end of one start of a task: retries it, ends it, or fails the job.
@@ -32,10 +33,9 @@
         let attempts = job.attempts[usize::from(index)];
         let retry = match &outcome {
             TaskOutcome::NotRun {
-                reason: NotRunReason::BackendRefused,
-            } if attempts >= MAX_ATTEMPTS => None,
-            // Nothing ran, and the task isn't at fault: another runner may take it until the deadline.
-            TaskOutcome::NotRun { reason } => Some(reason.as_str()),
+                reason: NotRunReason::SlotsFull,
+            } => Some(NotRunReason::SlotsFull.as_str()),
+            TaskOutcome::NotRun { reason } if attempts < MAX_ATTEMPTS => Some(reason.as_str()),
             TaskOutcome::MayHaveRun { reason }
                 if job.spec.repeatable && attempts < MAX_ATTEMPTS =>
             {
@@ -45,7 +45,11 @@
         };
         if let Some(reason) = retry {
             let was_queued = !job.queued.is_empty();
-            job.requeue(index);
+            if retry == Some(NotRunReason::SlotsFull.as_str()) {
+                // Full slots say nothing of the task: that try doesn't count.
+                job.attempts[usize::from(index)] = attempts.saturating_sub(1);
+            }
+            job.requeue(index, &outcome);
             if !was_queued {
                 self.waiting.push_front(key);
             }
@@ -53,11 +57,16 @@
             return;
         }
         let failed = !matches!(outcome, TaskOutcome::Done { .. });
+        let retry_after_ms = match outcome {
+            TaskOutcome::NotRun { .. } => NOT_TAKEN_RETRY_AFTER_MS,
+            _ => 0,
+        };
         if !job.end_task(index, outcome) {
             return;
         }
         if failed {
-            self.fail_job(key, NotRunReason::JobFailed, MayHaveRunReason::JobFailed, 0);
+            let reasons = (NotRunReason::JobFailed, MayHaveRunReason::JobFailed);
+            self.fail_job(key, reasons.0, reasons.1, retry_after_ms);
         } else if job.is_complete() {
             self.end_job(key, Verdict::Done);
         }
@@ -158,8 +167,6 @@
             retry_after_ms,
         };
     }
-    Verdict::MayHaveRun {
-        reason: first_fault.unwrap_or(may_have_run),
-        retry_after_ms,
-    }
+    // The answer is final: asking again can't change it.
+    Verdict::may_have_run(first_fault.unwrap_or(may_have_run))
 }
--- a/src/core/message/session_frame.rs
+++ b/src/core/message/session_frame.rs
@@ -30,6 +30,8 @@
 pub(crate) struct FreeSlots {
     /// Slots without a task that aren't held for another home.
     pub(crate) slots: u16,
+    /// Those of them that are held for this home.
+    pub(crate) held: u16,
     /// Starts taken in on this session so far: later ones are not yet part of `slots`.
     pub(crate) starts_seen: u32,
 }
--- a/src/core/placement/runner_view.rs
+++ b/src/core/placement/runner_view.rs
@@ -5,6 +5,8 @@
 /// A runner as seen by one home.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct RunnerView {
+    /// This home looks to the runner first.
+    pub(crate) own: bool,
     /// Slots that the runner last reported free, less what was started there since.
     pub(crate) free_slots: u16,
     /// Tasks of this home that run there.
--- a/src/core/runner/runner.rs
+++ b/src/core/runner/runner.rs
@@ -34,7 +34,7 @@
     slots: u16,
     leaving: bool,
     demands: DemandQueue,
-    links: BTreeMap<AgentId, HomeLink>,
+    pub(super) links: BTreeMap<AgentId, HomeLink>,
     sessions: BTreeMap<SessionId, (AgentId, u64)>,
 }
 
@@ -73,8 +73,10 @@
 
     /// Slots that one home may count on.
     fn free_for(&self, home: AgentId) -> FreeSlots {
+        let held = self.demands.held_for(home);
         FreeSlots {
-            slots: self.free_slots() + self.demands.held_for(home),
+            slots: self.free_slots() + held,
+            held,
             starts_seen: self.links.get(&home).map_or(0, |link| link.starts_seen),
         }
     }
@@ -123,7 +125,7 @@
     fn react(&mut self, now: Instant, event: RunnerEvent) -> Vec<RunnerAction> {
         match event {
             RunnerEvent::Frame { session, frame } => self.on_frame(now, session, frame),
-            RunnerEvent::SessionClosed { session } => self.on_session_closed(session),
+            RunnerEvent::SessionClosed { session } => self.on_session_closed(now, session),
             RunnerEvent::Finished { task, outcome } => self.on_finished(now, task, outcome),
             RunnerEvent::BackendUp { services, slots } => {
                 self.services = services;
@@ -154,6 +156,7 @@
                 for link in self.links.values_mut() {
                     link.drop_old_outcomes(now, keep_ms);
                 }
+                self.links.retain(|_, link| !link.is_idle(now, keep_ms));
                 Vec::new()
             }
         }
@@ -178,9 +181,8 @@
             HomeFrame::Demand { tasks, waited_ms } => self.on_demand(now, home, tasks, waited_ms),
             HomeFrame::Query { tasks } => self.on_query(now, session, home, tasks),
             HomeFrame::Ack { tasks } => {
-                let link = self.links.entry(home).or_default();
-                for task in tasks {
-                    link.ended.remove(&task);
+                if let Some(link) = self.links.get_mut(&home) {
+                    link.ended.retain(|task, _| !tasks.contains(task));
                 }
                 Vec::new()
             }
@@ -194,7 +196,10 @@
         home: AgentId,
         epoch: u64,
     ) -> Vec<RunnerAction> {
-        let link = self.links.entry(home).or_default();
+        let link = self
+            .links
+            .entry(home)
+            .or_insert_with(|| HomeLink::new(epoch));
         if epoch <= link.epoch {
             return vec![RunnerAction::Close(session)];
         }
@@ -228,7 +233,12 @@
         start: StartFrame,
     ) -> Vec<RunnerAction> {
         let task = start.task;
-        self.links.entry(home).or_default().starts_seen += 1;
+        if let Some(link) = self.links.get_mut(&home) {
+            link.starts_seen += 1;
+        }
+        if let Some(actions) = self.repeated_start(session, home, task) {
+            return actions;
+        }
         let held = self.demands.take_hold(home);
         if let Some(reason) = self.refusal(now, home, epoch, &start, held) {
             return vec![
@@ -236,15 +246,37 @@
                 self.outcome_frame(session, home, task, TaskOutcome::NotRun { reason }),
             ];
         }
-        let link = self.links.entry(home).or_default();
+        let Some(link) = self.links.get_mut(&home) else {
+            return vec![RunnerAction::Close(session)];
+        };
         link.used_at = now;
-        if link.running.contains_key(&task) || link.ended.contains_key(&task) {
-            return Vec::new();
-        }
         link.running.insert(task, epoch);
         vec![RunnerAction::Run(start)]
     }
 
+    /// What to do about a start of a task that is known here.
+    ///
+    /// Guards against a second start, and against a home that waits for nothing: it may have
+    /// given this runner up and offer a repeatable task anew, while the outcome is still kept.
+    fn repeated_start(
+        &self,
+        session: SessionId,
+        home: AgentId,
+        task: TaskRef,
+    ) -> Option<Vec<RunnerAction>> {
+        let link = self.links.get(&home)?;
+        if link.running.contains_key(&task) {
+            return Some(Vec::new());
+        }
+        let kept = link.ended.get(&task)?;
+        Some(vec![self.outcome_frame(
+            session,
+            home,
+            task,
+            kept.outcome.clone(),
+        )])
+    }
+
     /// Why this start can't be taken, if it can't.
     fn refusal(
         &self,
@@ -307,7 +339,9 @@
         home: AgentId,
         tasks: Vec<(TaskRef, u64)>,
     ) -> Vec<RunnerAction> {
-        let link = self.links.entry(home).or_default();
+        let Some(link) = self.links.get_mut(&home) else {
+            return vec![RunnerAction::Close(session)];
+        };
         link.used_at = now;
         let statuses = tasks
             .into_iter()
@@ -319,12 +353,13 @@
         }]
     }
 
-    fn on_session_closed(&mut self, session: SessionId) -> Vec<RunnerAction> {
+    fn on_session_closed(&mut self, now: Instant, session: SessionId) -> Vec<RunnerAction> {
         if let Some((home, _)) = self.sessions.remove(&session)
             && let Some(link) = self.links.get_mut(&home)
             && link.session == Some(session)
         {
             link.session = None;
+            link.used_at = now;
             self.demands.forget(home);
         }
         Vec::new()
@@ -356,12 +391,13 @@
         let Some(session) = link.session else {
             return Vec::new();
         };
-        // Those who wait come first: what is left is what this home may count on.
-        let mut actions = Vec::new();
-        self.offer_slots(now, &mut actions);
+        // Slots are held for those who wait before the home is told what it may count on; it
+        // hears of the outcome first, because a failure may leave it without use for an offer.
+        let mut offers = Vec::new();
+        self.offer_slots(now, &mut offers);
         let outcome = self.outcome_frame(session, task.ticket.home, task, outcome);
-        actions.push(outcome);
-        actions
+        offers.insert(0, outcome);
+        offers
     }
 
     fn outcome_frame(
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -6,6 +6,7 @@
             config::{Document, Head, Service},
             directory::{Directory, HomeLocation},
             message::{Announcement, AnnouncementReply, Candidate, PeerEntry},
+            placement::{active_homes, own_runners},
             ticket::{AgentId, Ticket, TicketOffice},
             time::Instant,
             verdict::NotRunReason,
@@ -125,6 +126,9 @@
         } = &mut *inner;
         let mut homes = tickets.homes(now);
         homes.retain(|home| directory.takes_work(now, *home));
+        let mut spare = homes.clone();
+        let mut homes = active_homes(homes);
+        spare.retain(|home| !homes.contains(home));
         let mut minted = Vec::with_capacity(count);
         while minted.len() < count && !homes.is_empty() {
             let pick = rng.random_range(0..homes.len());
@@ -132,6 +136,9 @@
                 Some(ticket) => minted.push(ticket),
                 None => {
                     homes.swap_remove(pick);
+                    if homes.is_empty() {
+                        homes.append(&mut spare);
+                    }
                 }
             }
         }
@@ -158,8 +165,8 @@
             .ok_or(NotRunReason::UnknownService)
     }
 
-    /// Runners that could take tasks of a service now.
-    pub(crate) fn candidates(&self, name: &str) -> Vec<Candidate> {
+    /// Runners that could take tasks of a service now, with those that a home looks to first.
+    pub(crate) fn candidates(&self, name: &str, home: AgentId) -> Vec<Candidate> {
         let now = self.timer.now();
         let inner = self.lock();
         let Some(in_force) = &inner.in_force else {
@@ -168,9 +175,17 @@
         let Some(service) = in_force.document.services.get(name) else {
             return Vec::new();
         };
-        inner
+        let mut candidates = inner
             .directory
-            .candidates(now, &in_force.document, name, service)
+            .candidates(now, &in_force.document, name, service);
+        let mut homes = inner.tickets.homes(now);
+        homes.retain(|home| inner.directory.takes_work(now, *home));
+        let runners = candidates.iter().map(|c| c.runner).collect();
+        let own = own_runners(home, &active_homes(homes), runners);
+        for candidate in &mut candidates {
+            candidate.own = own.contains(&candidate.runner);
+        }
+        candidates
     }
 
     /// The listed agents with their silence in milliseconds.
