Deadline-aware admission, ejection by outcome; a late reply no longer starts a task twice

Admission: a home learns how fast its queue drains and how long tasks run, and refuses at once what would wait for more than half of the time it can wait; the refusal uses the ticket up. Ejection: three failures or six slow tasks in a row; probation by one task at a time; at most one in three runners.

--- /dev/null
+++ b/src/core/admission/mod.rs
@@ -0,0 +1,12 @@
+//! Whether a home takes a job in, by the wait that it has learnt to expect.
+
+mod admission;
+mod drain_rate;
+
+#[cfg(test)]
+mod tests;
+
+pub(crate) use {
+    admission::{Admission, Offer, Overload},
+    drain_rate::DrainRate,
+};
--- /dev/null
+++ b/src/core/admission/tests.rs
@@ -0,0 +1,121 @@
+//! Tests of the admission decision, and of the drain rate against a naive version.
+
+use {
+    super::{Admission, DrainRate, Offer, Overload},
+    crate::core::time::Instant,
+    proptest::prelude::{any, prop_assert, proptest},
+};
+
+/// An admission that has seen 100 starts a second while tasks waited.
+fn at_100_a_second() -> Admission {
+    let mut admission = Admission::new(3);
+    for step in 0..200 {
+        admission.note(Instant::from_millis(step * 10), 1, true);
+    }
+    admission
+}
+
+const fn offer(waiting: usize, tasks: usize, deadline_ms: u64) -> Offer {
+    Offer {
+        waiting,
+        tasks,
+        deadline_ms,
+        run_ms: 200,
+    }
+}
+
+macro_rules! admission_cases {
+    ($($name:ident: $waiting:literal waiting, $tasks:literal tasks, $deadline_ms:literal ms => $admitted:literal;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let verdict = at_100_a_second().judge(offer($waiting, $tasks, $deadline_ms));
+                assert_eq!(verdict.is_ok(), $admitted, "{verdict:?}");
+            }
+        )+
+    };
+}
+
+admission_cases! {
+    an_empty_queue_admits_whatever_the_deadline: 0 waiting, 200 tasks, 100 ms => true;
+    a_wait_well_below_the_deadline_is_admitted: 50 waiting, 10 tasks, 2_000 ms => true;
+    a_wait_close_to_the_deadline_is_refused: 150 waiting, 10 tasks, 2_000 ms => false;
+    the_jobs_own_tasks_count: 10 waiting, 150 tasks, 2_000 ms => false;
+    a_deadline_shorter_than_a_run_is_refused: 1 waiting, 1 tasks, 100 ms => false;
+}
+
+/// A burst is refused; all clients come back when the queue is expected to have drained. Without
+/// jitter they would come back together.
+#[test]
+fn refused_clients_come_back_after_the_excess_has_drained_and_not_together() {
+    let mut admission = at_100_a_second();
+    let mut times: Vec<u64> = (0..50)
+        .filter_map(|_| admission.judge(offer(1_000, 1, 2_000)).err())
+        .map(|Overload { retry_after_ms }| retry_after_ms)
+        .collect();
+    assert_eq!(times.len(), 50);
+    assert!(
+        times.iter().all(|ms| (6_800..=11_500).contains(ms)),
+        "{times:?}"
+    );
+    times.sort_unstable();
+    times.dedup();
+    assert!(times.len() > 40, "{times:?}");
+}
+
+/// A thousand jobs of long tasks come at once: slots fill, and then nothing starts for seconds.
+/// That is no reason to refuse the rest.
+#[test]
+fn long_tasks_that_fill_all_slots_are_no_overload_yet() {
+    let mut admission = Admission::new(3);
+    for step in 0..200 {
+        admission.note(Instant::from_millis(step * 10), 0, true);
+    }
+    assert!(admission.judge(offer(100, 1, 5_000)).is_ok());
+}
+
+#[test]
+fn nothing_is_refused_before_the_rate_is_learnt() {
+    assert!(Admission::new(1).judge(offer(1_000, 1, 300)).is_ok());
+}
+
+proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..proptest::test_runner::Config::default()
+    })]
+
+    /// The naive version sums over the whole history with each start's weight by its age.
+    #[test]
+    fn drain_rate_agrees_with_a_weighted_history(
+        steps in proptest::collection::vec((1..200u64, 0..5usize, any::<bool>()), 1..80)
+    ) {
+        let mut rate = DrainRate::default();
+        let mut history: Vec<(f64, f64)> = Vec::new();
+        let mut now = Instant::from_millis(1_000);
+        let mut waiting_before = false;
+        for (passed_ms, starts, waiting) in steps {
+            now = now.plus_ms(passed_ms);
+            rate.note(now, starts, waiting);
+            if waiting_before {
+                history.push((passed_ms as f64 * 1_000.0, starts as f64));
+            }
+            waiting_before = waiting;
+        }
+        let mut age_us = 0.0;
+        let (mut starts, mut queued_us) = (0.0, 0.0);
+        for (passed_us, started) in history.iter().rev() {
+            let weight = (-age_us / 4_000_000.0f64).exp();
+            starts += started * weight;
+            queued_us += passed_us * weight;
+            age_us += passed_us;
+        }
+        match rate.per_s() {
+            None => prop_assert!(queued_us < 200_001.0 || starts < 5.001 && queued_us < 3_500_001.0),
+            Some(per_s) => {
+                prop_assert!((per_s - starts / queued_us * 1_000_000.0).abs() < 0.001);
+            }
+        }
+    }
+}
--- a/src/core/home/demand.rs
+++ b/src/core/home/demand.rs
@@ -1,11 +1,7 @@
 //! How a home asks runners for slots when it knows of none that is free.
 
 use {
-    super::{
-        Home, HomeAction,
-        job_record::{JobRecord, JobState, RunningJob},
-        ticket_ring::JobKey,
-    },
+    super::{Home, HomeAction},
     crate::core::{message::HomeFrame, ticket::AgentId, time::Instant},
 };
 
@@ -25,11 +21,18 @@
 
 impl Home {
     /// Tells runners how many tasks wait for their slots, or that none does any more.
-    pub(super) fn update_demands(&mut self, now: Instant) {
+    ///
+    /// Returns whether tasks wait.
+    pub(super) fn update_demands(&mut self, now: Instant) -> bool {
         let Some((since, waiting)) = self.waiting_tasks() else {
             self.withdraw_demands();
-            return;
+            return false;
         };
+        self.ask_runners(now, since, waiting);
+        true
+    }
+
+    fn ask_runners(&mut self, now: Instant, since: Instant, waiting: usize) {
         let chosen = self.runners_to_ask(now, waiting);
         let Some(tasks) = waiting.checked_div(chosen.len()).map(|tasks| tasks.max(1)) else {
             return;
@@ -65,16 +68,6 @@
         Some((since, jobs.map(|job| job.queued.len()).sum()))
     }
 
-    pub(super) fn running_job(&self, key: JobKey) -> Option<&RunningJob> {
-        match self.jobs.get(key) {
-            Some(JobRecord {
-                state: JobState::Running(job),
-                ..
-            }) => Some(job),
-            _ => None,
-        }
-    }
-
     /// Runners of the oldest job that haven't been asked: own ones first, then those unheard for
     /// longest, whose slots are the likeliest to have become free.
     fn runners_to_ask(&self, now: Instant, waiting: usize) -> Vec<AgentId> {
--- a/src/core/home/dispatch.rs
+++ b/src/core/home/dispatch.rs
@@ -7,9 +7,17 @@
         runner_link::RunnerLink,
         ticket_ring::JobKey,
     },
-    crate::core::{job::TaskRef, message::HomeFrame, ticket::AgentId, time::Instant},
+    crate::core::{
+        job::TaskRef,
+        message::HomeFrame,
+        ticket::AgentId,
+        time::Instant,
+        verdict::{MayHaveRunReason, NotRunReason},
+    },
 };
 
+/// When to come back after a job was given up in the queue, in milliseconds.
+const TOO_LATE_RETRY_AFTER_MS: u64 = 500;
 /// Jobs that can't be placed which one event looks at.
 const UNPLACED_JOBS: usize = 8;
 
@@ -30,6 +38,18 @@
         }
     }
 
+    /// Starts what can be started, and asks for slots for the rest.
+    pub(super) fn place_tasks(&mut self, now: Instant) {
+        let earlier = self.actions.len();
+        self.dispatch(now);
+        let starts = self.actions[earlier..]
+            .iter()
+            .filter(|action| action.is_start())
+            .count();
+        let waiting = self.update_demands(now);
+        self.admission.note(now, starts, waiting);
+    }
+
     /// Starts queued tasks, oldest job first, while placement finds runners for them.
     ///
     /// Only so many jobs that can't be placed are looked at, so that an event costs the same
@@ -48,8 +68,25 @@
         }
     }
 
+    /// Whether none of a job's tasks has started and there is no time left to run one.
+    ///
+    /// Guards against work for nothing: a job admitted in hope of a shorter wait would hold slots
+    /// until its deadline, and its client gives it up then. It is told so now.
+    fn is_too_late(&self, now: Instant, key: JobKey) -> bool {
+        self.running_job(key).is_some_and(|job| {
+            let left_ms = job.deadline.millis_since(now);
+            let run_ms = self.run_times.quantile_ms(&job.spec.service, 0.5);
+            job.queued.len() == job.tasks.len() && run_ms.is_some_and(|run_ms| left_ms < run_ms)
+        })
+    }
+
     /// Starts what it can of one job; true if tasks are left in its queue.
     fn dispatch_job(&mut self, now: Instant, key: JobKey) -> bool {
+        if self.is_too_late(now, key) {
+            let reasons = (NotRunReason::Overloaded, MayHaveRunReason::DeadlinePassed);
+            self.fail_job(key, reasons.0, reasons.1, TOO_LATE_RETRY_AFTER_MS);
+            return false;
+        }
         let Some(JobRecord {
             ticket,
             state: JobState::Running(job),
@@ -90,7 +127,7 @@
             job.tasks[usize::from(index)] = TaskState::Started { runner };
             let attempts = &mut job.attempts[usize::from(index)];
             *attempts = attempts.saturating_add(1);
-            link.note_start(task);
+            link.note_start(now, task);
             self.actions.push(HomeAction::Send {
                 runner,
                 epoch: link.epoch,
--- a/src/core/home/home.rs
+++ b/src/core/home/home.rs
@@ -5,13 +5,15 @@
         HomeAction, HomeEvent, WaiterId,
         answer_store::AnswerStore,
         job_record::{JobRecord, JobState, RunningJob},
-        runner_link::{RunnerLink, RunnerLinks},
+        runner_link::RunnerLinks,
         ticket_ring::{JobKey, TicketRing, TicketState},
     },
     crate::core::{
+        admission::Admission,
         job::{JobSpec, JobStatus},
         message::Candidate,
         placement::Placement,
+        run_times::RunTimes,
         ticket::{AgentId, GrantSecret, Ticket, TicketGrant},
         time::Instant,
         verdict::{MayHaveRunReason, NotRunReason, Verdict},
@@ -62,6 +64,8 @@
     pub(super) last_epoch: u64,
     ticked_at: Option<Instant>,
     pub(super) placement: Box<dyn Placement>,
+    pub(super) admission: Admission,
+    pub(super) run_times: RunTimes,
     pub(super) leaving: bool,
     pub(super) actions: Vec<HomeAction>,
 }
@@ -85,6 +89,8 @@
             last_epoch: 0,
             ticked_at: None,
             placement,
+            admission: Admission::new(id.0),
+            run_times: RunTimes::default(),
             leaving: false,
             actions: Vec::new(),
             settings,
@@ -140,23 +146,10 @@
             HomeEvent::Tick => self.on_tick(now),
         }
         self.open_sessions(now);
-        self.dispatch(now);
-        self.update_demands(now);
+        self.place_tasks(now);
         std::mem::take(&mut self.actions)
     }
 
-    fn meet(&mut self, now: Instant, candidates: &[Candidate]) {
-        for candidate in candidates {
-            let link = self
-                .links
-                .entry(candidate.runner)
-                .or_insert_with(|| RunnerLink::new(now, candidate));
-            link.peer_addr = candidate.peer_addr;
-            link.own = candidate.own;
-            link.want_session(now);
-        }
-    }
-
     fn on_submit(
         &mut self,
         now: Instant,
@@ -168,6 +161,7 @@
     ) {
         match self.ring.state(&ticket) {
             TicketState::Forged => self.refuse(waiter, NotRunReason::TicketForged, 0),
+            TicketState::Foreign => self.reply_foreign(waiter),
             TicketState::Expired => self.reply_expired(waiter),
             TicketState::Used(key) => {
                 let digest = spec.digest();
@@ -181,7 +175,11 @@
                 self.refuse(waiter, NotRunReason::Leaving, LEAVING_RETRY_AFTER_MS);
             }
             TicketState::Unused => {
+                let verdict = self.judge(&spec);
                 let key = self.start_job(now, ticket, spec, candidates);
+                if let Err(overload) = verdict {
+                    self.end_refused(key, overload);
+                }
                 self.attach(now, waiter, key, &[], wait_ms);
             }
         }
@@ -197,6 +195,7 @@
     ) {
         match self.ring.state(&ticket) {
             TicketState::Forged => self.refuse(waiter, NotRunReason::TicketForged, 0),
+            TicketState::Foreign => self.reply_foreign(waiter),
             TicketState::Expired => self.reply_expired(waiter),
             TicketState::Unused => self.reply(waiter, JobStatus::Unknown),
             TicketState::Used(key) => self.attach(now, waiter, key, candidates, wait_ms),
@@ -206,6 +205,7 @@
     fn on_cancel(&mut self, now: Instant, waiter: WaiterId, ticket: Ticket) {
         match self.ring.state(&ticket) {
             TicketState::Forged => self.refuse(waiter, NotRunReason::TicketForged, 0),
+            TicketState::Foreign => self.reply_foreign(waiter),
             TicketState::Expired => self.reply_expired(waiter),
             TicketState::Unused => {
                 let key = self.cancel_unused(ticket);
@@ -228,7 +228,7 @@
             digest: [0; 32],
             state: JobState::Cancelled,
         });
-        self.ring.record(&ticket, key);
+        self.ring.record(&ticket.id, key);
         key
     }
 
@@ -248,7 +248,7 @@
             digest,
             state: JobState::Running(Box::new(job)),
         });
-        self.ring.record(&ticket, key);
+        self.ring.record(&ticket.id, key);
         self.timers.insert((deadline, Timer::Deadline(key)));
         self.waiting.push_back(key);
         key
@@ -387,6 +387,13 @@
         self.reply(waiter, JobStatus::Refused(verdict));
     }
 
+    /// Guards against a false "not run": a process that took the place of a ticket's home, at the
+    /// same address, knows nothing of what ran there.
+    fn reply_foreign(&mut self, waiter: WaiterId) {
+        let verdict = Verdict::may_have_run(MayHaveRunReason::HomeLost);
+        self.reply(waiter, JobStatus::Refused(verdict));
+    }
+
     pub(super) fn reply(&mut self, waiter: WaiterId, status: JobStatus) {
         self.actions.push(HomeAction::Reply { waiter, status });
     }
--- a/src/core/home/home_event.rs
+++ b/src/core/home/home_event.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::core::{
+        ejection::EjectionReason,
         job::{JobSpec, JobStatus},
         message::{Candidate, HomeFrame, RunnerFrame},
         ticket::{AgentId, Ticket},
@@ -69,6 +70,19 @@
     Tick,
 }
 
+impl HomeAction {
+    /// Whether this hands a task to a runner.
+    pub(crate) const fn is_start(&self) -> bool {
+        matches!(
+            self,
+            Self::Send {
+                frame: HomeFrame::Start(_),
+                ..
+            }
+        )
+    }
+}
+
 /// What the home wants done.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum HomeAction {
@@ -106,6 +120,8 @@
         /// How many.
         messages: u16,
     },
+    /// Count a runner that is left alone from now on.
+    CountEjection(EjectionReason),
     /// Count a job's end by its verdict's reason.
     CountEnd(&'static str),
 }
--- a/src/core/home/mod.rs
+++ b/src/core/home/mod.rs
@@ -3,9 +3,12 @@
 mod answer_store;
 mod demand;
 mod dispatch;
+mod hand_over;
 mod home;
 mod home_event;
+mod intake;
 mod job_record;
+mod records;
 mod runner_link;
 mod sessions;
 mod settle;
@@ -17,4 +20,5 @@
 pub(crate) use {
     home::{Home, HomeSettings},
     home_event::{HomeAction, HomeEvent, WaiterId},
+    records::HomeRecords,
 };
--- a/src/core/home/runner_link.rs
+++ b/src/core/home/runner_link.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::core::{
+        ejection::RunnerHealth,
         job::TaskRef,
         message::{Candidate, FreeSlots},
         placement::RunnerView,
@@ -37,6 +38,8 @@
 #[derive(Debug)]
 pub(crate) struct RunnerLink {
     pub(crate) peer_addr: SocketAddr,
+    /// What became of the tasks that it was given.
+    pub(crate) health: RunnerHealth,
     /// This home looks to the runner first.
     pub(crate) own: bool,
     pub(crate) state: LinkState,
@@ -46,6 +49,7 @@
     pub(crate) silent_since: Option<Instant>,
     /// Tasks there, with the epoch that they were started on.
     pub(crate) outstanding: BTreeMap<TaskRef, u64>,
+    started_at: BTreeMap<TaskRef, Instant>,
     /// Tasks that wait for a slot there, as last told to it.
     pub(crate) demanded: u16,
     /// When it was told so.
@@ -63,11 +67,13 @@
     pub(crate) fn new(now: Instant, candidate: &Candidate) -> Self {
         Self {
             peer_addr: candidate.peer_addr,
+            health: RunnerHealth::default(),
             own: candidate.own,
             state: LinkState::Closed { retry_at: now },
             epoch: 0,
             silent_since: None,
             outstanding: BTreeMap::new(),
+            started_at: BTreeMap::new(),
             demanded: 0,
             demanded_at: Instant::default(),
             free: FreeSlots {
@@ -126,14 +132,16 @@
     }
 
     /// Notes that a task was sent there.
-    pub(crate) fn note_start(&mut self, task: TaskRef) {
+    pub(crate) fn note_start(&mut self, now: Instant, task: TaskRef) {
         self.outstanding.insert(task, self.epoch);
+        self.started_at.insert(task, now);
         self.starts_sent += 1;
     }
 
     /// Whether tasks can be sent there now.
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
-        self.state == LinkState::Open && now >= self.paused_until
+        let under_limit = self.outstanding.len() < usize::from(self.health.most_tasks(now));
+        self.state == LinkState::Open && now >= self.paused_until && under_limit
     }
 
     /// A job that the runner could take tasks of was submitted or asked after.
@@ -146,6 +154,13 @@
         now < self.wanted_until || !self.outstanding.is_empty()
     }
 
+    /// Forgets a task that has ended there; how long it took, if it was there.
+    pub(crate) fn end_task(&mut self, now: Instant, task: &TaskRef) -> Option<u64> {
+        self.outstanding.remove(task)?;
+        let started_at = self.started_at.remove(task).unwrap_or(now);
+        Some(now.millis_since(started_at))
+    }
+
     /// What placement sees.
     pub(crate) fn view(&self) -> RunnerView {
         RunnerView {
--- a/src/core/home/sessions.rs
+++ b/src/core/home/sessions.rs
@@ -69,7 +69,19 @@
         });
     }
 
+    /// Takes in what a runner knows of a start on an earlier session.
+    ///
+    /// Guards against a second start: a refusal may cross the question on the way, and the task
+    /// may be started there again before the reply comes. That reply speaks of the first start
+    /// only; taken for the second, "never started" would send the running task elsewhere.
     fn on_status(&mut self, now: Instant, runner: AgentId, task: TaskRef, status: TaskStatus) {
+        let asked_after = self.links.get(&runner).is_some_and(|link| {
+            let started_on = link.outstanding.get(&task);
+            started_on.is_some_and(|epoch| *epoch < link.epoch)
+        });
+        if !asked_after {
+            return;
+        }
         let outcome = match status {
             TaskStatus::Running => return,
             TaskStatus::Ended(outcome) => outcome,
@@ -87,9 +99,9 @@
         let Some(link) = self.links.get_mut(&runner) else {
             return;
         };
-        if link.outstanding.remove(&task).is_none() {
+        let Some(ran_ms) = link.end_task(now, &task) else {
             return;
-        }
+        };
         if let TaskOutcome::NotRun { reason } = &outcome {
             if *reason != NotRunReason::SlotsFull {
                 link.pause(now);
@@ -104,6 +116,7 @@
         let TicketState::Used(key) = self.ring.state_of(&task.ticket) else {
             return;
         };
+        self.learn(now, runner, key, &outcome, ran_ms);
         self.settle_task(key, task.index, outcome);
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,14 +3,17 @@
 //! Each machine takes (now, event) and returns actions, so another clock and network
 //! can drive the code that ships.
 
+pub(crate) mod admission;
 pub(crate) mod config;
 pub(crate) mod demand;
 pub(crate) mod directory;
+pub(crate) mod ejection;
 pub(crate) mod gate;
 pub(crate) mod home;
 pub(crate) mod job;
 pub(crate) mod message;
 pub(crate) mod placement;
+pub(crate) mod run_times;
 pub(crate) mod runner;
 pub(crate) mod ticket;
 pub(crate) mod time;
--- /dev/null
+++ b/src/core/run_times/tests.rs
@@ -0,0 +1,55 @@
+//! Tests of learnt run times, against a sorted list.
+
+use {
+    super::RunTimes,
+    proptest::prelude::{prop_assert, proptest},
+};
+
+/// Declared times are off by ten times; after a few runs they no longer count.
+#[test]
+fn a_declared_time_holds_only_until_runs_are_known() {
+    let mut times = RunTimes::default();
+    assert_eq!(times.expected_ms("rent-index", 5_000), 5_000);
+    for _ in 0..20 {
+        times.record("rent-index", 500);
+    }
+    assert_eq!(times.expected_ms("rent-index", 5_000), 501);
+    assert_eq!(times.expected_ms("crew-share", 70), 70);
+}
+
+#[test]
+fn old_runs_fade() {
+    let mut times = RunTimes::default();
+    for _ in 0..1_000 {
+        times.record("rent-index", 1_000);
+    }
+    for _ in 0..20 {
+        times.record("rent-index", 50);
+    }
+    assert_eq!(times.expected_ms("rent-index", 0), 50);
+}
+
+proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(8),
+        failure_persistence: None,
+        ..proptest::test_runner::Config::default()
+    })]
+
+    #[test]
+    fn quantiles_agree_with_a_sorted_list(
+        runs in proptest::collection::vec(1..20_000u64, 20..900),
+        quantile in 0.01..0.99f64,
+    ) {
+        let mut times = RunTimes::default();
+        for run_ms in &runs {
+            times.record("s", *run_ms);
+        }
+        let mut sorted = runs;
+        sorted.sort_unstable();
+        let rank = (quantile * sorted.len() as f64).ceil() as usize;
+        let wanted = sorted[rank.max(1) - 1] as f64;
+        let found = times.quantile_ms("s", quantile).unwrap_or(0) as f64;
+        prop_assert!((found - wanted).abs() <= wanted * 0.01 + 1.0, "{found} {wanted}");
+    }
+}
--- a/src/core/time/instant.rs
+++ b/src/core/time/instant.rs
@@ -25,7 +25,7 @@
         Self::from_micros(self.micros.saturating_add(millis.saturating_mul(1_000)))
     }
 
-    /// This instant moved `millis` milliseconds into the past, at most to the process's start.
+    /// This instant moved `millis` milliseconds into the past, not before the process's start.
     pub(crate) const fn minus_ms(self, millis: u64) -> Self {
         Self::from_micros(self.micros.saturating_sub(millis.saturating_mul(1_000)))
     }
--- a/src/ports/metrics.rs
+++ b/src/ports/metrics.rs
@@ -11,6 +11,8 @@
         Retries => "rattanslip.retries",
         /// Jobs ended at their home, by verdict reason.
         Jobs => "rattanslip.jobs",
+        /// Runners that a home leaves alone, by reason.
+        Ejections => "rattanslip.ejections",
         /// Messages between homes and runners that served no start, by kind.
         WastedMessages => "rattanslip.wasted_messages",
         /// Tasks handed to the backend server.
@@ -19,6 +21,8 @@
         Answers => "rattanslip.answers",
         /// Calls to the platform's store, by kind and outcome.
         StoreCalls => "rattanslip.store_calls",
+        /// Changes of the configuration, by outcome.
+        ConfigChanges => "rattanslip.config_changes",
         /// Announcements, by outcome.
         Announcements => "rattanslip.announcements",
         /// Connections and sessions to peers that were lost, by cause.
