--- a/src/agent/home_loop.rs
+++ b/src/agent/home_loop.rs
@@ -162,6 +162,14 @@
                 }
             }
             HomeAction::CountRetry(reason) => self.metrics.count(Counter::Retries, reason),
+            HomeAction::CountWasted { kind, messages } => {
+                for _ in 0..messages {
+                    self.metrics.count(Counter::WastedMessages, kind);
+                }
+            }
+            HomeAction::CountEjection(reason) => {
+                self.metrics.count(Counter::Ejections, reason.as_str());
+            }
             HomeAction::CountEnd(reason) => self.metrics.count(Counter::Jobs, reason),
         }
     }
--- /dev/null
+++ b/src/core/home/intake.rs
@@ -0,0 +1,150 @@
+//! What a home takes in: which runners there are, and whether a job would be done in time.
+
+use {
+    super::{
+        Home, HomeAction,
+        job_record::{JobRecord, JobState, RunningJob},
+        runner_link::RunnerLink,
+        ticket_ring::JobKey,
+    },
+    crate::core::{
+        admission::{Offer, Overload},
+        ejection::TaskEnd,
+        job::{JobSpec, TaskOutcome},
+        message::Candidate,
+        ticket::AgentId,
+        time::Instant,
+        verdict::{MayHaveRunReason, NotRunReason},
+    },
+};
+
+/// Share of tasks that take less; what takes longer is slow.
+const SLOW_QUANTILE: f64 = 0.9;
+/// At most one in so many runners is left alone.
+const LEFT_ALONE_SHARE: usize = 3;
+
+impl Home {
+    /// Takes in which runners an entry names.
+    pub(super) fn meet(&mut self, now: Instant, candidates: &[Candidate]) {
+        for candidate in candidates {
+            let link = self
+                .links
+                .entry(candidate.runner)
+                .or_insert_with(|| RunnerLink::new(now, candidate));
+            link.peer_addr = candidate.peer_addr;
+            link.own = candidate.own;
+            link.want_session(now);
+        }
+    }
+
+    /// Learns from the end of a task.
+    pub(super) fn learn(
+        &mut self,
+        now: Instant,
+        runner: AgentId,
+        key: JobKey,
+        outcome: &TaskOutcome,
+        ran_ms: u64,
+    ) {
+        if let Some(JobRecord {
+            state: JobState::Running(job),
+            ..
+        }) = self.jobs.get(key)
+        {
+            let service = &job.spec.service;
+            let slow_ms = self.run_times.quantile_ms(service, SLOW_QUANTILE);
+            let Some(end) = task_end(outcome, ran_ms, slow_ms) else {
+                return;
+            };
+            // Slow runners must not teach what is slow.
+            if end != TaskEnd::Failed && self.is_trusted(now, runner) {
+                self.run_times.record(service, ran_ms);
+            }
+            self.note_end(now, runner, end);
+        }
+    }
+
+    fn is_trusted(&self, now: Instant, runner: AgentId) -> bool {
+        self.links
+            .get(&runner)
+            .is_some_and(|link| link.health.most_tasks(now) > 1)
+    }
+
+    /// Leaves a runner alone whose tasks end badly, unless most others are left alone already:
+    /// then the tasks are at fault, or something that they share.
+    fn note_end(&mut self, now: Instant, runner: AgentId, end: TaskEnd) {
+        let alone = self
+            .links
+            .values()
+            .filter(|link| link.health.is_left_alone(now))
+            .count();
+        let may_eject = (alone + 1) * LEFT_ALONE_SHARE <= self.links.len();
+        if let Some(link) = self.links.get_mut(&runner)
+            && (may_eject || end == TaskEnd::Good)
+            && let Some(reason) = link.health.note(now, end)
+        {
+            self.actions.push(HomeAction::CountEjection(reason));
+        }
+    }
+
+    /// Decides whether a new job is taken in.
+    pub(super) fn judge(&mut self, spec: &JobSpec) -> Result<(), Overload> {
+        let declared_ms = spec.tasks.iter().map(|task| task.declared_run_ms).min();
+        let declared_ms = u64::from(declared_ms.unwrap_or(0));
+        let offer = Offer {
+            waiting: self.waiting_count(),
+            tasks: spec.tasks.len(),
+            deadline_ms: spec.deadline_ms,
+            run_ms: self.run_times.expected_ms(&spec.service, declared_ms),
+        };
+        self.admission.judge(offer)
+    }
+
+    /// Ends a job that was not taken in.
+    ///
+    /// Guards against a copy of the submission that comes later, through another entry, when there
+    /// is room again: the client was told "not run" and may have sent the job under another
+    /// ticket. This ticket is used up, and so every copy is answered alike.
+    pub(super) fn end_refused(&mut self, key: JobKey, overload: Overload) {
+        let reasons = (NotRunReason::Overloaded, MayHaveRunReason::DeadlinePassed);
+        self.fail_job(key, reasons.0, reasons.1, overload.retry_after_ms);
+    }
+
+    /// Tasks that wait.
+    fn waiting_count(&self) -> usize {
+        self.waiting
+            .iter()
+            .filter_map(|key| self.running_job(*key))
+            .map(|job| job.queued.len())
+            .sum()
+    }
+
+    /// The job under this key, while it runs.
+    pub(super) fn running_job(&self, key: JobKey) -> Option<&RunningJob> {
+        match self.jobs.get(key) {
+            Some(JobRecord {
+                state: JobState::Running(job),
+                ..
+            }) => Some(job),
+            _ => None,
+        }
+    }
+}
+
+/// What a task's end says about its runner, if it says anything.
+fn task_end(outcome: &TaskOutcome, ran_ms: u64, slow_ms: Option<u64>) -> Option<TaskEnd> {
+    match outcome {
+        TaskOutcome::Done { .. } if slow_ms.is_some_and(|slow_ms| ran_ms > slow_ms) => {
+            Some(TaskEnd::Slow)
+        }
+        TaskOutcome::Done { .. } => Some(TaskEnd::Good),
+        TaskOutcome::Failed { .. }
+        | TaskOutcome::MayHaveRun {
+            reason: MayHaveRunReason::BackendLost,
+        }
+        | TaskOutcome::NotRun {
+            reason: NotRunReason::BackendDown | NotRunReason::BackendRefused,
+        } => Some(TaskEnd::Failed),
+        TaskOutcome::NotRun { .. } | TaskOutcome::MayHaveRun { .. } => None,
+    }
+}
--- a/src/core/home/mod.rs
+++ b/src/core/home/mod.rs
@@ -1,10 +1,12 @@
 //! The home of jobs: deduplicates, fans out, gathers and answers.
 
 mod answer_store;
+mod demand;
 mod dispatch;
 mod hand_over;
 mod home;
 mod home_event;
+mod intake;
 mod job_record;
 mod records;
 mod runner_link;
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Which runner gets the next task.
 
+mod home_share;
 mod most_free;
 mod placement;
 mod random_worker;
@@ -9,5 +10,9 @@
 mod tests;
 
 pub(crate) use {
-    most_free::MostFree, placement::Placement, random_worker::RandomWorker, runner_view::RunnerView,
+    home_share::{active_homes, own_runners},
+    most_free::MostFree,
+    placement::Placement,
+    random_worker::RandomWorker,
+    runner_view::RunnerView,
 };
--- a/src/core/placement/most_free.rs
+++ b/src/core/placement/most_free.rs
@@ -8,6 +8,8 @@
 };
 
 /// Takes the runner with most free slots, ties broken at random so that homes don't agree on one.
+///
+/// Own runners come first: what is free there is known best, and other homes look there last.
 #[derive(Debug)]
 pub(crate) struct MostFree {
     rng: ChaCha8Rng,
@@ -22,21 +24,19 @@
     }
 }
 
+/// Greater is better.
+const fn merit(view: &RunnerView) -> (bool, u16) {
+    (view.own, view.free_slots)
+}
+
 impl Placement for MostFree {
-    fn choose(&mut self, now: Instant, views: &[RunnerView]) -> Option<usize> {
-        let best = views.iter().map(|view| view.usable_slots(now)).max()?;
-        if best == 0 {
-            return None;
-        }
-        let ties = views
-            .iter()
-            .filter(|view| view.usable_slots(now) == best)
-            .count();
+    fn choose(&mut self, _now: Instant, views: &[RunnerView]) -> Option<usize> {
+        let free = || views.iter().enumerate().filter(|(_, v)| v.free_slots > 0);
+        let best = free().map(|(_, view)| merit(view)).max()?;
+        let ties = free().filter(|(_, view)| merit(view) == best).count();
         let pick = self.rng.random_range(0..ties);
-        views
-            .iter()
-            .enumerate()
-            .filter(|(_, view)| view.usable_slots(now) == best)
+        free()
+            .filter(|(_, view)| merit(view) == best)
             .nth(pick)
             .map(|(position, _)| position)
     }
