--- a/src/cli/commands/config.rs
+++ b/src/cli/commands/config.rs
@@ -107,7 +107,8 @@
             if change["version"] == head["version"] {
                 let author = change["author"].as_str().unwrap_or_default();
                 let time = time_of(change);
-                println!("{:>7}  {section:<9}  {time:<20}  {author}", head["version"]);
+                let version = head["version"].as_u64().unwrap_or_default();
+                println!("{version:>7}  {section:<9}  {time:<20}  {author}");
             }
         }
     }
--- a/src/cli/commands/workers.rs
+++ b/src/cli/commands/workers.rs
@@ -79,7 +79,7 @@
         "{:<12} {:<14} {:>5} {:>5} {:>9}  {state}",
         worker["worker"].as_str().unwrap_or_default(),
         worker["availability_zone"].as_str().unwrap_or_default(),
-        worker["slots"],
+        number(&worker["slots"]),
         number(&worker["free_slots"]),
         number(&worker["silent_ms"]),
     )
--- a/tests/processes/config.rs
+++ b/tests/processes/config.rs
@@ -170,6 +170,26 @@
     assert_eq!(newest(&deployment, 0).await, 2);
 }
 
+/// The hardware team keeps its section in a file of its own. Applied with the version that the
+/// section was made from, it changes that section and leaves alone those that it doesn't hold.
+#[tokio::test]
+async fn a_document_of_one_section_changes_that_section_alone() {
+    let deployment = deployment().await;
+    let text = deployment.document();
+    let start = text.find("[capacity").expect("capacity");
+    let end = text.find("[services").expect("services");
+    let capacity = text[start..end].replace("262144", "131072");
+    let change = |section: &str| json!({ "text": capacity, "based_on": { section: 1 } });
+    let reply = apply(&deployment, 0, "hardware", &change("capacity").to_string()).await;
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    assert_eq!(reply.json()["sections"], json!(["capacity"]));
+    let held = shown(&deployment, 0).await["text"].clone();
+    let held = held.as_str().expect("text");
+    assert_eq!(held, text.replace("262144", "131072"));
+    let reply = apply(&deployment, 0, "hardware", &change("capacty").to_string()).await;
+    assert_eq!(reply.status, 400, "{}", reply.body);
+}
+
 /// An operator's token covers some sections. A change of another section is refused, whole.
 #[tokio::test]
 async fn nobody_changes_a_section_that_is_not_theirs() {
--- a/tests/processes/operators.rs
+++ b/tests/processes/operators.rs
@@ -1,12 +1,12 @@
 //! The operator's commands through the real program: what they print and how they exit.
 
 use {
-    super::support::{Deployment, Layout, TOKEN, eventually, try_request},
+    super::support::{Deployment, Layout, TOKEN, eventually, get, try_request},
     serde_json::Value,
     std::{
         fs,
         path::PathBuf,
-        process::{Command, Output},
+        process::{Child, Command, Output, Stdio},
         time::Duration,
     },
 };
@@ -30,12 +30,25 @@
         }
     }
 
-    fn run(&self, token: &str, args: &[&str]) -> Output {
-        Command::new(env!("CARGO_BIN_EXE_rattanslip"))
+    fn command(&self, token: &str, args: &[&str]) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_rattanslip"));
+        command
             .env("RATTANSLIP_ENTRY", &self.entry)
             .env("RATTANSLIP_TOKEN", token)
-            .args(args)
-            .output()
+            .args(args);
+        command
+    }
+
+    fn run(&self, token: &str, args: &[&str]) -> Output {
+        self.command(token, args).output().expect("program")
+    }
+
+    /// Starts a command that the test waits for later.
+    fn start(&self, token: &str, args: &[&str]) -> Child {
+        self.command(token, args)
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
             .expect("program")
     }
 
@@ -264,3 +277,45 @@
     .await;
     shell.expect(0, TOKEN, &["apply", &edited]);
 }
+
+/// The platform makes a write, loses its reply and goes down. Nobody can know yet whether the
+/// change was accepted, and the operator must not hear that it was or that it wasn't. Once the
+/// platform is back, the history tells, and applying the same file again changes nothing.
+#[tokio::test]
+async fn an_unknown_outcome_is_said_so_and_settled_by_applying_again() {
+    let deployment = deployment().await;
+    let shell = Shell::of(&deployment, "unknown");
+    let shown = shell.expect(0, TOKEN, &["show"]);
+    let edited = shell.file("edited.toml", &format!("{shown}{ORDERED}"));
+    let before = writes(&deployment).await;
+    deployment
+        .platform_faults(r#"{"lose_write_replies": 2}"#)
+        .await;
+    let applying = shell.start(TOKEN, &["apply", &edited]);
+    // The object's reply is lost first, then the transaction's.
+    eventually("the head has moved", Duration::from_secs(30), || async {
+        writes(&deployment).await == before + 2
+    })
+    .await;
+    deployment.platform_faults(r#"{"down": true}"#).await;
+    let output = applying.wait_with_output().expect("output");
+    let told = String::from_utf8(output.stderr).expect("text");
+    assert_eq!(output.status.code(), Some(1), "{told}");
+    assert!(told.contains("version 2 may have been accepted"), "{told}");
+    deployment.platform_faults("{}").await;
+    assert_eq!(
+        shell.expect(0, TOKEN, &["apply", &edited]),
+        "unchanged: version 2\n"
+    );
+    let history = shell.expect(0, TOKEN, &["history"]);
+    assert_eq!(
+        history.matches("\n      2  capacity").count(),
+        1,
+        "{history}"
+    );
+}
+
+async fn writes(deployment: &Deployment) -> u64 {
+    let calls = get(deployment.platform_addr, "/calls").await.json();
+    calls["writes"].as_u64().expect("count")
+}
