--- a/scripts/slopelib/planned.py
+++ b/scripts/slopelib/planned.py
@@ -65,9 +65,13 @@
     at_entries = time.monotonic() - since
 
     def every_agent_has_it():
-        _, _, text = http_call(deployment.entries[-1].client, "GET", "/v1/workers")
-        held = [worker["config_version"] for worker in json.loads(text)]
-        return len(held) == count and min(held) >= version
+        held = {}
+        for entry in deployment.entries:
+            _, _, text = http_call(entry.client, "GET", "/v1/workers")
+            for worker in json.loads(text):
+                name = worker["worker"]
+                held[name] = max(held.get(name, 0), worker["config_version"])
+        return len(held) == count and min(held.values()) >= version
 
     eventually("version at every agent", every_agent_has_it)
     return {"run": run, "entries_s": at_entries, "agents_s": time.monotonic() - since}
