--- a/src/core/message/mod.rs
+++ b/src/core/message/mod.rs
@@ -9,5 +9,5 @@
     announcement::{Announcement, AnnouncementReply, PeerEntry, roster_digest},
     digest::{AgentBeat, AgentReport, Closing, Digest, DigestReply, GateNotice, GateStatus},
     peer_call::{Candidate, PeerReply, PeerRequest, Submission},
-    session_frame::{HomeFrame, RunnerFrame, StartFrame, StatusReport, TaskStatus},
+    session_frame::{FreeSlots, HomeFrame, RunnerFrame, StartFrame, StatusReport, TaskStatus},
 };
--- a/src/core/message/peer_call.rs
+++ b/src/core/message/peer_call.rs
@@ -23,6 +23,8 @@
     pub(crate) slots: u16,
     /// Slots free when it last announced.
     pub(crate) free_slots: u16,
+    /// The home looks to it first: its other homes look elsewhere first.
+    pub(crate) own: bool,
 }
 
 /// A job handed to its home.
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -141,7 +141,7 @@
     ) -> PeerRequest {
         let candidates = service
             .as_ref()
-            .map(|service| self.state.candidates(service))
+            .map(|service| self.state.candidates(service, ticket.id.home))
             .unwrap_or_default();
         match spec {
             Some(spec) => PeerRequest::Submit(Box::new(Submission {
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -9,6 +9,7 @@
 mod gate;
 mod membership;
 mod once;
+mod operators;
 mod path;
 mod planned_stop;
 mod programs;
--- a/tests/processes/support/mod.rs
+++ b/tests/processes/support/mod.rs
@@ -9,13 +9,15 @@
 mod deployment;
 mod http;
 mod load;
+mod port;
 mod process;
 mod proxy;
 
 pub use {
-    deployment::{Deployment, Layout, SERVICE, TOKEN, WorkerHandle, free_addr, job_body},
+    deployment::{Deployment, Layout, SERVICE, TOKEN, WorkerHandle, job_body},
     http::{Reply, get, request, try_request},
     load::{Load, unix_ms, zone_out},
+    port::free_addr,
     process::Process,
     proxy::Proxy,
 };
