Platform budget: shares by the number of entries, urgent calls first, pauses with jitter

Cause: nothing but habits kept the entries' calls to the platform within what it takes, and after an outage all waiting keys went out at once. Calls over the share are not sent and say so; a quarter of the share is kept for roster, head and operators. The head is read even when the roster's rows can't be written. Model of the zone gate split by concern.

--- /dev/null
+++ b/src/adapters/platform/budgeted_store.rs
@@ -0,0 +1,73 @@
+//! The platform's service within this entry's budget.
+
+use {
+    crate::{
+        core::store_budget::{CallKind, StoreBudget, Urgency},
+        ports::{
+            Counter, Metrics, ObjectStore, Row, StoreError, Table, TimerService, Transaction,
+            TransactionOutcome,
+        },
+    },
+    async_trait::async_trait,
+    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+/// Refuses calls that are over the budget; nothing is sent then, so that is what the error says.
+#[derive(Debug)]
+pub(crate) struct BudgetedStore<S> {
+    pub(crate) store: Arc<S>,
+    pub(crate) budget: Arc<Mutex<StoreBudget>>,
+    pub(crate) urgency: Urgency,
+    pub(crate) timer: Arc<dyn TimerService>,
+    pub(crate) metrics: Arc<dyn Metrics>,
+}
+
+impl<S> BudgetedStore<S> {
+    fn lock(&self) -> MutexGuard<'_, StoreBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn within<T>(
+        &self,
+        kind: CallKind,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let admitted = self.lock().admit(self.timer.now(), kind, self.urgency);
+        if let Err(refusal) = admitted {
+            self.metrics.count(Counter::StoreCalls, refusal.as_str());
+            return Err(StoreError::Unavailable(refusal.as_str().to_owned()));
+        }
+        let result = call.await;
+        self.lock().ended(self.timer.now(), result.is_ok());
+        result
+    }
+}
+
+#[async_trait]
+impl<S: Table> Table for BudgetedStore<S> {
+    async fn get(&self, key: &str) -> Result<Option<Row>, StoreError> {
+        self.within(CallKind::Read, self.store.get(key)).await
+    }
+
+    async fn scan(&self, prefix: &str) -> Result<Vec<Row>, StoreError> {
+        self.within(CallKind::Read, self.store.scan(prefix)).await
+    }
+
+    async fn transact(&self, transaction: Transaction) -> Result<TransactionOutcome, StoreError> {
+        let call = self.store.transact(transaction);
+        self.within(CallKind::Write, call).await
+    }
+}
+
+#[async_trait]
+impl<S: ObjectStore> ObjectStore for BudgetedStore<S> {
+    async fn get_object(&self, name: &str) -> Result<Option<String>, StoreError> {
+        self.within(CallKind::Read, self.store.get_object(name))
+            .await
+    }
+
+    async fn put_object(&self, name: &str, body: String) -> Result<(), StoreError> {
+        let call = self.store.put_object(name, body);
+        self.within(CallKind::Write, call).await
+    }
+}
--- a/src/adapters/platform/mod.rs
+++ b/src/adapters/platform/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's table and object store over HTTP with JSON.
 
+mod budgeted_store;
 mod http_store;
 
-pub(crate) use http_store::HttpStore;
+pub(crate) use {budgeted_store::BudgetedStore, http_store::HttpStore};
--- a/src/conf/entry_settings.rs
+++ b/src/conf/entry_settings.rs
@@ -35,6 +35,10 @@
     pub(crate) platform_timeout_ms: u64,
     /// Pause between readings of the configuration's head row.
     pub(crate) head_poll_ms: u64,
+    /// Reads a second that all entries together may ask of the platform.
+    pub(crate) platform_reads_per_s: u64,
+    /// Writes a second that all entries together may ask of the platform.
+    pub(crate) platform_writes_per_s: u64,
     /// For how long permits may be granted while the platform can't be reached.
     pub(crate) outage_limit_ms: u64,
     /// Largest body of a client's request.
@@ -60,6 +64,8 @@
             platform: reader.socket_addr("platform"),
             platform_timeout_ms: reader.number("platform_timeout_ms", 10..=60_000, Some(1_500)),
             head_poll_ms: reader.number("head_poll_ms", 50..=2_000, Some(500)),
+            platform_reads_per_s: reader.number("platform_reads_per_s", 50..=100_000, Some(1_500)),
+            platform_writes_per_s: reader.number("platform_writes_per_s", 20..=10_000, Some(300)),
             outage_limit_ms: reader.number("outage_limit_ms", 10_000..=86_400_000, Some(3_600_000)),
             max_body_bytes: reader.number("max_body_bytes", 1_024..=16_777_216, Some(4_194_304)),
             max_deadline_ms: reader.number("max_deadline_ms", 1_000..=120_000, Some(60_000)),
--- /dev/null
+++ b/src/core/gate/tests/steps.rs
@@ -0,0 +1,113 @@
+//! What can happen, one step at a time.
+
+use proptest::prelude::*;
+
+/// One thing that happens. Messages are split where something can come between: a reading into
+/// scan and head, a change into its write and its reply, a digest into question, answer, arrival.
+#[derive(Debug, Clone)]
+pub(super) enum Step {
+    Advance {
+        ms: u64,
+    },
+    Poll {
+        entry: usize,
+    },
+    Ask {
+        from: usize,
+        to: usize,
+    },
+    Change {
+        entry: usize,
+        open: bool,
+    },
+    Progress {
+        message: usize,
+    },
+    Lose {
+        message: usize,
+    },
+    SetDown {
+        down: bool,
+    },
+    Cut {
+        entry: usize,
+        cut: bool,
+    },
+    Pause {
+        entry: usize,
+        paused: bool,
+    },
+    Kill {
+        entry: usize,
+    },
+    Join,
+    Remove {
+        entry: usize,
+    },
+    /// Its row is written again; `answered` if the reply arrives.
+    Refresh {
+        entry: usize,
+        answered: bool,
+    },
+    /// A reading without delay.
+    PollNow {
+        entry: usize,
+    },
+    /// A question and its answer without delay.
+    AskNow {
+        from: usize,
+        to: usize,
+    },
+    /// A change that takes effect without delay; its writer may be gone right after.
+    ChangeNow {
+        entry: usize,
+        open: bool,
+    },
+    /// Everybody reads the platform and asks everybody, without delay.
+    Settle,
+}
+
+/// Any steps in any order.
+pub(super) fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        6 => (50_u64..1_200).prop_map(|ms| Step::Advance { ms }),
+        4 => (1_500_u64..5_000).prop_map(|ms| Step::Advance { ms }),
+        1 => (20_000_u64..40_000).prop_map(|ms| Step::Advance { ms }),
+        4 => (0_usize..4).prop_map(|entry| Step::Poll { entry }),
+        6 => (0_usize..4, 0_usize..4).prop_map(|(from, to)| Step::Ask { from, to }),
+        5 => (0_usize..4, prop::bool::weighted(0.2)).prop_map(|(entry, open)| Step::Change { entry, open }),
+        14 => (0_usize..8).prop_map(|message| Step::Progress { message }),
+        2 => (0_usize..8).prop_map(|message| Step::Lose { message }),
+        2 => prop::bool::weighted(0.3).prop_map(|down| Step::SetDown { down }),
+        1 => (0_usize..4, any::<bool>()).prop_map(|(entry, cut)| Step::Cut { entry, cut }),
+        1 => (0_usize..4, any::<bool>()).prop_map(|(entry, paused)| Step::Pause { entry, paused }),
+        1 => (0_usize..4).prop_map(|entry| Step::Kill { entry }),
+        3 => (0_usize..4, any::<bool>())
+            .prop_map(|(entry, answered)| Step::Refresh { entry, answered }),
+        6 => (0_usize..4).prop_map(|entry| Step::PollNow { entry }),
+        6 => (0_usize..4, 0_usize..4).prop_map(|(from, to)| Step::AskNow { from, to }),
+        6 => (0_usize..4, prop::bool::weighted(0.2)).prop_map(|(entry, open)| Step::ChangeNow { entry, open }),
+        4 => Just(Step::Join),
+        2 => (0_usize..4).prop_map(|entry| Step::Remove { entry }),
+        2 => Just(Step::Settle),
+    ];
+    prop::collection::vec(step, 1..100)
+}
+
+/// Steps without delays between them, for stories in which entries come, go and are cut off.
+pub(super) fn turnover() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        5 => (500_u64..4_000).prop_map(|ms| Step::Advance { ms }),
+        1 => (0_usize..3, any::<bool>())
+            .prop_map(|(entry, answered)| Step::Refresh { entry, answered }),
+        4 => (0_usize..3).prop_map(|entry| Step::PollNow { entry }),
+        2 => (0_usize..3, 0_usize..3).prop_map(|(from, to)| Step::AskNow { from, to }),
+        3 => (0_usize..3).prop_map(|entry| Step::ChangeNow { entry, open: false }),
+        1 => (0_usize..3).prop_map(|entry| Step::Cut { entry, cut: true }),
+        1 => Just(Step::SetDown { down: true }),
+        1 => Just(Step::SetDown { down: false }),
+        3 => Just(Step::Join),
+        3 => (0_usize..3).prop_map(|entry| Step::Remove { entry }),
+    ];
+    prop::collection::vec(step, 4..16)
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) mod roster;
 pub(crate) mod run_times;
 pub(crate) mod runner;
+pub(crate) mod store_budget;
 pub(crate) mod ticket;
 pub(crate) mod time;
 pub(crate) mod verdict;
--- /dev/null
+++ b/src/core/store_budget/tests.rs
@@ -0,0 +1,95 @@
+//! Tests of the platform budget.
+
+use {
+    super::{CallKind, StoreBudget, StoreRates, Urgency, store_budget::BudgetRefusal},
+    crate::core::time::Instant,
+    proptest::{prelude::*, test_runner::RngSeed},
+    std::collections::BTreeSet,
+};
+
+const RATES: StoreRates = StoreRates {
+    reads_per_s: 1_000,
+    writes_per_s: 200,
+};
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever is asked for and whenever, in any stretch of time an entry makes no more calls
+    /// than its share and one second's burst.
+    #[test]
+    fn an_entry_never_exceeds_its_share(
+        pauses_us in prop::collection::vec(0_u64..20_000, 1..2_000),
+        entries in 1_u64..20,
+    ) {
+        let mut budget = StoreBudget::new(RATES, entries, 1);
+        let mut now_us = 0;
+        let mut writes = 0;
+        for pause_us in pauses_us {
+            now_us += pause_us;
+            let now = Instant::from_micros(now_us);
+            writes += u64::from(budget.admit(now, CallKind::Write, Urgency::Urgent).is_ok());
+            let share = RATES.writes_per_s / entries;
+            prop_assert!(writes <= share + share * now_us / 1_000_000 + 1);
+        }
+    }
+}
+
+/// Clients send keys as fast as they can. The roster's beat and the head's reading must still get
+/// through, or the entry would lose its permits to its own clients.
+#[test]
+fn bulk_calls_leave_a_quarter_to_urgent_ones() {
+    let mut budget = StoreBudget::new(RATES, 2, 1);
+    let admitted = (0..1_000)
+        .filter(|_| budget.admit(at(0), CallKind::Read, Urgency::Bulk).is_ok())
+        .count();
+    assert_eq!(admitted, 375);
+    assert_eq!(
+        budget.admit(at(0), CallKind::Read, Urgency::Bulk),
+        Err(BudgetRefusal::Reads)
+    );
+    assert!(budget.admit(at(0), CallKind::Read, Urgency::Urgent).is_ok());
+}
+
+/// The store is back after an outage. Entries that had paused must not come back together.
+#[test]
+fn pauses_grow_end_at_different_times_and_end_with_a_success() {
+    let ends: BTreeSet<u64> = (0..20)
+        .map(|seed| {
+            let mut budget = StoreBudget::new(RATES, 20, seed);
+            for _ in 0..12 {
+                budget.ended(at(0), false);
+            }
+            (0..3_000)
+                .find(|ms| budget.admit(at(*ms), CallKind::Read, Urgency::Bulk).is_ok())
+                .expect("every pause ends")
+        })
+        .collect();
+    assert!(ends.len() > 10, "{ends:?}");
+    assert!(
+        ends.iter().all(|end| (1_000..=2_000).contains(end)),
+        "{ends:?}"
+    );
+
+    let mut budget = StoreBudget::new(RATES, 2, 1);
+    budget.ended(at(0), false);
+    budget.ended(at(0), false);
+    assert!(budget.admit(at(0), CallKind::Read, Urgency::Bulk).is_ok());
+    budget.ended(at(0), false);
+    assert_eq!(
+        budget.admit(at(0), CallKind::Read, Urgency::Bulk),
+        Err(BudgetRefusal::Pausing)
+    );
+    assert!(budget.admit(at(0), CallKind::Read, Urgency::Urgent).is_ok());
+    budget.ended(at(1), true);
+    assert!(budget.admit(at(1), CallKind::Read, Urgency::Bulk).is_ok());
+}
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -142,6 +142,13 @@
         inner.roster.others(inner.me.entry).cloned().collect()
     }
 
+    /// How many entries there are, this one included; `None` until the roster was read.
+    pub(crate) fn entry_count(&self) -> Option<u64> {
+        let inner = self.lock();
+        let count = inner.roster.others(inner.me.entry).count() as u64 + 1;
+        inner.gate.knows_roster().then_some(count)
+    }
+
     /// What to tell another entry now.
     pub(crate) fn digest_for(&self, peer: AgentId) -> (Digest, Telling) {
         let now = self.timer.now();
--- a/src/entry/roster_keeper.rs
+++ b/src/entry/roster_keeper.rs
@@ -52,8 +52,20 @@
         }
     }
 
+    /// One round of calls. The head is read whatever became of the roster's rows: permits rest
+    /// on it, and a store may take reads while it takes no writes.
     async fn call_platform(&mut self) -> Result<(), StoreError> {
         let now = self.timer.now();
+        let stands = self.stand_on_roster(now).await;
+        let is_survey_due = self.is_registered && is_due(now, self.surveyed_at, SURVEY_MS);
+        // A survey reads the head, too.
+        if is_survey_due && self.survey().await.is_ok() {
+            return stands;
+        }
+        stands.and(self.keeper.refresh().await)
+    }
+
+    async fn stand_on_roster(&mut self, now: Instant) -> Result<(), StoreError> {
         if !self.is_registered {
             self.register().await?;
         }
@@ -61,10 +73,7 @@
         if is_due(now, self.beat_at, beat_ms) {
             self.beat().await?;
         }
-        if is_due(now, self.surveyed_at, SURVEY_MS) {
-            self.survey().await?;
-        }
-        self.keeper.refresh().await
+        Ok(())
     }
 
     async fn register(&mut self) -> Result<(), StoreError> {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -12,22 +12,73 @@
             http::{EntryApi, serve_entry_api},
             metrics::OtelMetrics,
             peer::{H2Client, serve_peers},
-            platform::HttpStore,
+            platform::{BudgetedStore, HttpStore},
             timer::TokioTimer,
         },
         cli::{RunError, stop_signal},
         conf::EntrySettings,
-        core::{message::PeerEntry, ticket::AgentId},
+        core::{
+            message::PeerEntry,
+            store_budget::{StoreBudget, StoreRates, Urgency},
+            ticket::AgentId,
+        },
         ports::{Gauge, Metrics, PeerNetwork, TimerService},
     },
     rand::RngExt,
-    std::sync::{Arc, Mutex},
+    std::sync::{Arc, Mutex, PoisonError},
     tokio::net::TcpListener,
 };
 
 /// Period of housekeeping, in milliseconds.
 const HOUSEKEEPING_MS: u64 = 500;
 
+/// Entries assumed until the roster has been read.
+const ENTRIES_ASSUMED: u64 = 4;
+
+/// The platform and this entry's share of it.
+#[derive(Debug)]
+struct Platform {
+    store: Arc<HttpStore>,
+    budget: Arc<Mutex<StoreBudget>>,
+    timer: Arc<dyn TimerService>,
+    metrics: Arc<dyn Metrics>,
+}
+
+impl Platform {
+    fn new(
+        settings: &EntrySettings,
+        timer: &Arc<dyn TimerService>,
+        metrics: &Arc<dyn Metrics>,
+    ) -> Self {
+        let rates = StoreRates {
+            reads_per_s: settings.platform_reads_per_s,
+            writes_per_s: settings.platform_writes_per_s,
+        };
+        let budget = StoreBudget::new(rates, ENTRIES_ASSUMED, rand::rng().random());
+        Self {
+            store: Arc::new(HttpStore::new(
+                settings.platform,
+                settings.platform_timeout_ms,
+                Arc::clone(metrics),
+            )),
+            budget: Arc::new(Mutex::new(budget)),
+            timer: Arc::clone(timer),
+            metrics: Arc::clone(metrics),
+        }
+    }
+
+    /// The store for calls of this urgency, within the one budget.
+    fn store(&self, urgency: Urgency) -> Arc<BudgetedStore<HttpStore>> {
+        Arc::new(BudgetedStore {
+            store: Arc::clone(&self.store),
+            budget: Arc::clone(&self.budget),
+            urgency,
+            timer: Arc::clone(&self.timer),
+            metrics: Arc::clone(&self.metrics),
+        })
+    }
+}
+
 /// Runs an entry until SIGTERM or SIGINT; requests under way are answered first.
 pub(crate) async fn run_entry(settings: EntrySettings) -> Result<(), RunError> {
     let metrics: Arc<dyn Metrics> = Arc::new(OtelMetrics::new().map_err(RunError::metrics)?);
@@ -46,11 +97,8 @@
         settings.outage_limit_ms,
         rand::rng().random(),
     ));
-    let store = Arc::new(HttpStore::new(
-        settings.platform,
-        settings.platform_timeout_ms,
-        Arc::clone(&metrics),
-    ));
+    let platform = Platform::new(&settings, &timer, &metrics);
+    let store = platform.store(Urgency::Urgent);
     let keeper = Arc::new(ConfigKeeper {
         state: Arc::clone(&state),
         table: store.clone(),
@@ -89,10 +137,11 @@
         Arc::clone(&state),
         Arc::clone(&timer),
         Arc::clone(&metrics),
+        Arc::clone(&platform.budget),
     ));
     let claims = Arc::new(Claims::new(
         Arc::clone(&state),
-        store.clone(),
+        platform.store(Urgency::Bulk),
         Arc::clone(&timer),
     ));
     tokio::spawn(Arc::clone(&claims).run());
@@ -123,10 +172,17 @@
     state: Arc<EntryState>,
     timer: Arc<dyn TimerService>,
     metrics: Arc<dyn Metrics>,
+    budget: Arc<Mutex<StoreBudget>>,
 ) {
     let mut ticks = timer.subscribe(HOUSEKEEPING_MS);
     while ticks.recv().await.is_some() {
         let alive = state.expire();
+        if let Some(entries) = state.entry_count() {
+            budget
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .set_entries(timer.now(), entries);
+        }
         metrics.set(Gauge::AgentsAlive, alive as u64);
         let version = state.in_force().map_or(0, |held| held.head.version);
         metrics.set(Gauge::ConfigVersion, version);
