--- a/src/core/home/mod.rs
+++ b/src/core/home/mod.rs
@@ -11,6 +11,7 @@
 mod sessions;
 mod settle;
 mod ticket_ring;
+mod ticks;
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/core/home/ticks.rs
@@ -0,0 +1,105 @@
+//! What the home does as time passes.
+
+use {
+    super::{
+        Home, WaiterId,
+        home::Timer,
+        job_record::{JobRecord, JobState},
+        ticket_ring::JobKey,
+    },
+    crate::core::{
+        ticket::AgentId,
+        time::Instant,
+        verdict::{MayHaveRunReason, NotRunReason},
+    },
+};
+
+/// When to come back after a deadline passed, in milliseconds.
+const DEADLINE_RETRY_AFTER_MS: u64 = 1_000;
+/// Time between ticks from which on this process must have been paused, in milliseconds.
+const PAUSED_AFTER_MS: u64 = 1_000;
+
+impl Home {
+    pub(super) fn on_tick(&mut self, now: Instant) {
+        self.excuse_own_pause(now);
+        self.fire_timers(now);
+        self.lose_silent_runners(now);
+        self.drop_expired(now);
+    }
+
+    /// Guards against blaming runners for this process's own pause: when it wakes, sessions look
+    /// silent for as long as it slept, although nobody tried to reach them. That time is taken off.
+    fn excuse_own_pause(&mut self, now: Instant) {
+        let slept_ms = self
+            .ticked_at
+            .replace(now)
+            .map_or(0, |ticked_at| now.millis_since(ticked_at));
+        if slept_ms < PAUSED_AFTER_MS {
+            return;
+        }
+        for link in self.links.values_mut() {
+            if let Some(since) = &mut link.silent_since {
+                *since = since.plus_ms(slept_ms).min(now);
+            }
+        }
+    }
+
+    fn fire_timers(&mut self, now: Instant) {
+        while let Some((due, timer)) = self.timers.first().copied() {
+            if due > now {
+                break;
+            }
+            self.timers.pop_first();
+            match timer {
+                Timer::Deadline(key) => self.fail_job(
+                    key,
+                    NotRunReason::DeadlinePassed,
+                    MayHaveRunReason::DeadlinePassed,
+                    DEADLINE_RETRY_AFTER_MS,
+                ),
+                Timer::Wait(key, waiter) => self.end_wait(key, waiter),
+            }
+        }
+    }
+
+    fn lose_silent_runners(&mut self, now: Instant) {
+        let lost_after_ms = self.settings.runner_lost_after_ms;
+        let lost: Vec<AgentId> = self
+            .links
+            .iter()
+            .filter(|(_, link)| {
+                link.silent_since
+                    .is_some_and(|since| now.millis_since(since) >= lost_after_ms)
+            })
+            .map(|(runner, _)| *runner)
+            .collect();
+        for runner in lost {
+            self.lose_runner(now, runner);
+        }
+    }
+
+    fn drop_expired(&mut self, now: Instant) {
+        let jobs = &self.jobs;
+        let is_running = |key| {
+            jobs.get(key)
+                .is_some_and(|record| matches!(record.state, JobState::Running(_)))
+        };
+        for key in self.ring.drop_expired(now, is_running) {
+            self.jobs.remove(key);
+            self.answers.forget(key);
+        }
+    }
+
+    fn end_wait(&mut self, key: JobKey, waiter: WaiterId) {
+        if let Some(JobRecord {
+            state: JobState::Running(job),
+            ..
+        }) = self.jobs.get_mut(key)
+            && let Some(position) = job.waiters.iter().position(|w| *w == waiter)
+        {
+            job.waiters.swap_remove(position);
+            let status = job.progress();
+            self.reply(waiter, status);
+        }
+    }
+}
