--- /dev/null
+++ b/src/core/admission/admission.rs
@@ -0,0 +1,93 @@
+//! The admission decision.
+
+use {
+    super::DrainRate,
+    crate::core::time::Instant,
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+};
+
+/// Share of the time a job can wait that its expected wait may take.
+///
+/// What is admitted late is run for nothing: the rest is room for waits and run times that turn
+/// out longer than learnt. Slots stay busy with a far shorter queue.
+const WAIT_SHARE: f64 = 0.5;
+/// Most tasks that wait at one home.
+const MAX_WAITING_TASKS: usize = 50_000;
+/// Shortest time after which a refused client is asked to come back, in milliseconds.
+const LEAST_RETRY_AFTER_MS: f64 = 100.0;
+/// Longest time after which a refused client is asked to come back, in milliseconds.
+const MOST_RETRY_AFTER_MS: f64 = 30_000.0;
+/// The time to come back is drawn from this much around the reckoned one, so that refused clients
+/// don't come back together.
+const JITTER: (f64, f64) = (0.75, 1.25);
+
+/// A job as admission sees it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Offer {
+    /// Tasks that wait already.
+    pub(crate) waiting: usize,
+    /// Tasks of the job.
+    pub(crate) tasks: usize,
+    /// Time until its deadline.
+    pub(crate) deadline_ms: u64,
+    /// Time that one of its tasks is expected to run.
+    pub(crate) run_ms: u64,
+}
+
+/// A refusal: the job would not be done in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Overload {
+    /// When the queue is expected to be short enough, jittered.
+    pub(crate) retry_after_ms: u64,
+}
+
+/// Takes in jobs that can be done in time, refuses the others at once.
+#[derive(Debug)]
+pub(crate) struct Admission {
+    drain: DrainRate,
+    rng: ChaCha8Rng,
+}
+
+impl Admission {
+    /// Knows nothing yet and so admits everything; draws from this seed.
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            drain: DrainRate::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Notes what was started since the last note, and whether tasks wait now.
+    pub(crate) fn note(&mut self, now: Instant, starts: usize, waiting: bool) {
+        self.drain.note(now, starts, waiting);
+    }
+
+    /// Decides on a job.
+    pub(crate) fn judge(&mut self, offer: Offer) -> Result<(), Overload> {
+        if offer.waiting == 0 {
+            return Ok(());
+        }
+        let Some(per_s) = self.drain.per_s() else {
+            if offer.waiting <= MAX_WAITING_TASKS {
+                return Ok(());
+            }
+            return Err(self.overload(LEAST_RETRY_AFTER_MS));
+        };
+        let ahead = (offer.waiting + offer.tasks) as f64;
+        let wait_ms = ahead / per_s * 1_000.0;
+        let can_wait_ms = offer.deadline_ms.saturating_sub(offer.run_ms) as f64 * WAIT_SHARE;
+        if wait_ms <= can_wait_ms && offer.waiting <= MAX_WAITING_TASKS {
+            return Ok(());
+        }
+        Err(self.overload(wait_ms - can_wait_ms))
+    }
+
+    fn overload(&mut self, excess_ms: f64) -> Overload {
+        let reckoned_ms = excess_ms.clamp(LEAST_RETRY_AFTER_MS, MOST_RETRY_AFTER_MS);
+        let jitter = self.rng.random_range(JITTER.0..JITTER.1);
+        Overload {
+            retry_after_ms: (reckoned_ms * jitter) as u64,
+        }
+    }
+}
--- a/src/core/home/hand_over.rs
+++ b/src/core/home/hand_over.rs
@@ -134,6 +134,7 @@
             peer_addr: moved.peer_addr,
             slots: 0,
             free_slots: 0,
+            own: false,
         };
         let mut link = RunnerLink::new(now, &candidate);
         link.outstanding = moved.outstanding.into_iter().collect();
--- a/src/core/home/settle.rs
+++ b/src/core/home/settle.rs
@@ -16,7 +16,7 @@
     std::sync::Arc,
 };
 
-/// Starts of one task, after which a home gives it up.
+/// Starts of one task, but for those that met full slots, after which a home gives it up.
 const MAX_ATTEMPTS: u8 = 8;
 /// Time after a job's first refusal from which on it may be given up: a permit's length, in which
 /// every runner that may start tasks at all has heard from an entry, in milliseconds.
@@ -59,7 +59,12 @@
         };
         if let Some(reason) = retry {
             let was_queued = !job.queued.is_empty();
-            job.refused_since.get_or_insert(now);
+            if reason == NotRunReason::SlotsFull.as_str() {
+                // Full slots say nothing of the task: that try doesn't count.
+                job.attempts[usize::from(index)] = attempts.saturating_sub(1);
+            } else {
+                job.refused_since.get_or_insert(now);
+            }
             job.requeue(index, &outcome);
             if !was_queued {
                 self.waiting.push_front(key);
--- a/src/core/home/tests/faults.rs
+++ b/src/core/home/tests/faults.rs
@@ -300,3 +300,37 @@
     assert_eq!(world.starts.values().sum::<u32>(), 1);
     assert_eq!(world.answer(waiter).verdict, Verdict::Done);
 }
+
+/// A share is paid twice. A session breaks, and on the new one the home asks what became of the
+/// task; a refusal by the backend server crosses that question, and the task is started there
+/// again. Then the reply comes: "never started". It means the first start, and the home takes it
+/// for the second and starts the running task elsewhere.
+#[test]
+fn a_reply_about_an_earlier_start_says_nothing_of_a_later_one() {
+    let mut world = World::new(2, 1);
+    let ticket = world.tickets(1)[0];
+    let waiter = world.submit(ticket, job(1, false, 5_000), 5_000);
+    let hello_welcome_start = [0, 0, 0];
+    world.deliver_to_runner(hello_welcome_start[0]);
+    world.deliver_to_home(hello_welcome_start[1]);
+    world.deliver_to_runner(hello_welcome_start[2]);
+    world.break_session(0);
+    let renewed = world.session_count() - 1;
+    world.deliver_to_runner(renewed);
+    world.finish(0, 2);
+    world.finish(1, 2);
+    world.deliver_to_home(renewed);
+    world.deliver_to_home(renewed);
+    world.advance(250);
+    world.deliver_to_runner(renewed);
+    world.deliver_to_runner(renewed);
+    assert_eq!(world.starts.values().sum::<u32>(), 1, "started again");
+    world.deliver_to_runner(1);
+    world.deliver_to_home(1);
+    world.deliver_all();
+    world.deliver_all();
+    assert_eq!(world.starts.values().sum::<u32>(), 1);
+    world.run_out(4_000);
+    assert_eq!(world.answer(waiter).verdict, Verdict::Done);
+    assert_eq!(world.starts.values().sum::<u32>(), 1);
+}
--- a/src/core/home/tests/world.rs
+++ b/src/core/home/tests/world.rs
@@ -150,6 +150,7 @@
                 peer_addr: addr(number),
                 slots: node.runner.slots(),
                 free_slots: node.runner.free_slots(),
+                own: number == 0,
             })
             .collect()
     }
@@ -220,7 +221,10 @@
                 HomeAction::Reply { waiter, status } => {
                     self.replies.entry(waiter).or_default().push(status);
                 }
-                HomeAction::CountRetry(_) | HomeAction::CountEnd(_) => {}
+                HomeAction::CountRetry(_)
+                | HomeAction::CountEnd(_)
+                | HomeAction::CountEjection(_)
+                | HomeAction::CountWasted { .. } => {}
             }
         }
     }
