--- a/src/core/directory/directory.rs
+++ b/src/core/directory/directory.rs
@@ -134,6 +134,7 @@
                 peer_addr: view.announcement.peer_addr,
                 slots: view.announcement.slots,
                 free_slots: view.announcement.free_slots,
+                own: false,
             })
             .collect();
         candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.free_slots));
--- a/src/core/home/dispatch.rs
+++ b/src/core/home/dispatch.rs
@@ -7,21 +7,25 @@
         runner_link::RunnerLink,
         ticket_ring::JobKey,
     },
-    crate::core::{job::TaskRef, message::HomeFrame, ticket::AgentId, time::Instant},
-    std::collections::{BTreeSet, VecDeque},
+    crate::core::{
+        job::TaskRef,
+        message::HomeFrame,
+        ticket::AgentId,
+        time::Instant,
+        verdict::{MayHaveRunReason, NotRunReason},
+    },
 };
 
+/// When to come back after a job was given up in the queue, in milliseconds.
+const TOO_LATE_RETRY_AFTER_MS: u64 = 500;
+/// Jobs that can't be placed which one event looks at.
+const UNPLACED_JOBS: usize = 8;
+
 impl Home {
-    /// Opens sessions to runners that waiting jobs could use or that hold tasks.
+    /// Opens sessions to runners that jobs could use or that hold tasks.
     pub(super) fn open_sessions(&mut self, now: Instant) {
-        let mut wanted: BTreeSet<AgentId> = BTreeSet::new();
-        for key in &self.waiting {
-            if let Some(JobState::Running(job)) = self.jobs.get(*key).map(|record| &record.state) {
-                wanted.extend(&job.candidates);
-            }
-        }
         for (runner, link) in &mut self.links {
-            if !wanted.contains(runner) && link.outstanding.is_empty() {
+            if !link.is_wanted(now) {
                 continue;
             }
             if let Some(epoch) = link.next_epoch(now, &mut self.last_epoch) {
@@ -34,19 +38,55 @@
         }
     }
 
+    /// Starts what can be started, and asks for slots for the rest.
+    pub(super) fn place_tasks(&mut self, now: Instant) {
+        let earlier = self.actions.len();
+        self.dispatch(now);
+        let starts = self.actions[earlier..]
+            .iter()
+            .filter(|action| action.is_start())
+            .count();
+        let waiting = self.update_demands(now);
+        self.admission.note(now, starts, waiting);
+    }
+
     /// Starts queued tasks, oldest job first, while placement finds runners for them.
+    ///
+    /// Only so many jobs that can't be placed are looked at, so that an event costs the same
+    /// however many jobs wait.
     pub(super) fn dispatch(&mut self, now: Instant) {
-        let mut still_waiting = VecDeque::new();
-        while let Some(key) = self.waiting.pop_front() {
+        let mut unplaced = Vec::new();
+        while unplaced.len() < UNPLACED_JOBS
+            && let Some(key) = self.waiting.pop_front()
+        {
             if self.dispatch_job(now, key) {
-                still_waiting.push_back(key);
+                unplaced.push(key);
             }
         }
-        self.waiting = still_waiting;
+        for key in unplaced.into_iter().rev() {
+            self.waiting.push_front(key);
+        }
+    }
+
+    /// Whether none of a job's tasks has started and there is no time left to run one.
+    ///
+    /// Guards against work for nothing: a job admitted in hope of a shorter wait would hold slots
+    /// until its deadline, and its client gives it up then. It is told so now.
+    fn is_too_late(&self, now: Instant, key: JobKey) -> bool {
+        self.running_job(key).is_some_and(|job| {
+            let left_ms = job.deadline.millis_since(now);
+            let run_ms = self.run_times.quantile_ms(&job.spec.service, 0.5);
+            job.queued.len() == job.tasks.len() && run_ms.is_some_and(|run_ms| left_ms < run_ms)
+        })
     }
 
     /// Starts what it can of one job; true if tasks are left in its queue.
     fn dispatch_job(&mut self, now: Instant, key: JobKey) -> bool {
+        if self.is_too_late(now, key) {
+            let reasons = (NotRunReason::Overloaded, MayHaveRunReason::DeadlinePassed);
+            self.fail_job(key, reasons.0, reasons.1, TOO_LATE_RETRY_AFTER_MS);
+            return false;
+        }
         let Some(JobRecord {
             ticket,
             state: JobState::Running(job),
@@ -87,7 +127,7 @@
             job.tasks[usize::from(index)] = TaskState::Started { runner };
             let attempts = &mut job.attempts[usize::from(index)];
             *attempts = attempts.saturating_add(1);
-            link.note_start(task);
+            link.note_start(now, task);
             self.actions.push(HomeAction::Send {
                 runner,
                 epoch: link.epoch,
--- a/src/core/home/home.rs
+++ b/src/core/home/home.rs
@@ -5,13 +5,15 @@
         HomeAction, HomeEvent, WaiterId,
         answer_store::AnswerStore,
         job_record::{JobRecord, JobState, RunningJob},
-        runner_link::{RunnerLink, RunnerLinks},
+        runner_link::RunnerLinks,
         ticket_ring::{JobKey, TicketRing, TicketState},
     },
     crate::core::{
+        admission::Admission,
         job::{JobSpec, JobStatus},
         message::Candidate,
         placement::Placement,
+        run_times::RunTimes,
         ticket::{AgentId, GrantSecret, Ticket, TicketGrant},
         time::Instant,
         verdict::{MayHaveRunReason, NotRunReason, Verdict},
@@ -62,6 +64,8 @@
     pub(super) last_epoch: u64,
     ticked_at: Option<Instant>,
     pub(super) placement: Box<dyn Placement>,
+    pub(super) admission: Admission,
+    pub(super) run_times: RunTimes,
     pub(super) leaving: bool,
     pub(super) actions: Vec<HomeAction>,
 }
@@ -85,6 +89,8 @@
             last_epoch: 0,
             ticked_at: None,
             placement,
+            admission: Admission::new(id.0),
+            run_times: RunTimes::default(),
             leaving: false,
             actions: Vec::new(),
             settings,
@@ -140,20 +146,10 @@
             HomeEvent::Tick => self.on_tick(now),
         }
         self.open_sessions(now);
-        self.dispatch(now);
+        self.place_tasks(now);
         std::mem::take(&mut self.actions)
     }
 
-    fn meet(&mut self, now: Instant, candidates: &[Candidate]) {
-        for candidate in candidates {
-            let link = self
-                .links
-                .entry(candidate.runner)
-                .or_insert_with(|| RunnerLink::new(now, candidate));
-            link.peer_addr = candidate.peer_addr;
-        }
-    }
-
     fn on_submit(
         &mut self,
         now: Instant,
@@ -179,7 +175,11 @@
                 self.refuse(waiter, NotRunReason::Leaving, LEAVING_RETRY_AFTER_MS);
             }
             TicketState::Unused => {
+                let verdict = self.judge(&spec);
                 let key = self.start_job(now, ticket, spec, candidates);
+                if let Err(overload) = verdict {
+                    self.end_refused(key, overload);
+                }
                 self.attach(now, waiter, key, &[], wait_ms);
             }
         }
--- a/src/ports/metrics.rs
+++ b/src/ports/metrics.rs
@@ -11,6 +11,10 @@
         Retries => "rattanslip.retries",
         /// Jobs ended at their home, by verdict reason.
         Jobs => "rattanslip.jobs",
+        /// Runners that a home leaves alone, by reason.
+        Ejections => "rattanslip.ejections",
+        /// Messages between homes and runners that served no start, by kind.
+        WastedMessages => "rattanslip.wasted_messages",
         /// Tasks handed to the backend server.
         Starts => "rattanslip.starts",
         /// Answers given to clients, by verdict.
