--- a/scripts/slopelib/work.py
+++ b/scripts/slopelib/work.py
@@ -88,7 +88,7 @@
             samples.append({"run": run} | growth(deployment, entry, agent))
     keys = [key for key in samples[0] if key != "run"]
     rows = [[key, spread([s[key] for s in samples])] for key in keys]
-    print_table("Memory, KB (--only memory)", ["what", "mean (spread)"], rows)
+    print_table("Memory, KB, and the cost of what is kept (--only memory)", ["what", "mean (spread)"], rows)
     return samples
 
 
@@ -102,8 +102,16 @@
         grown[f"home, {name}"] = (agent.rss_kb() - before[0]) / count
         grown[f"entry, {name}"] = (entry.rss_kb() - before[1]) / count
 
+    def idle_cores():
+        time.sleep(0.5)
+        before, at = agent.cpu_s(), time.monotonic()
+        time.sleep(1.5)
+        return (agent.cpu_s() - before) / (time.monotonic() - at)
+
     small = deployment.load
-    measure("each ended job of 1 task", 1200, lambda: small(1, 800, 1500))
+    idle_before = idle_cores()
+    measure("each ended job of 1 task", 6000, lambda: small(1, 3000, 2000))
+    grown["home, idle cores for each 1,000 kept jobs"] = (idle_cores() - idle_before) / 6
     measure("each ended task of jobs of 200", 24_000, lambda: small(200, 80, 1500))
     queued = 200
 
--- a/src/core/home/hand_over.rs
+++ b/src/core/home/hand_over.rs
@@ -117,6 +117,7 @@
         self.ring.record(&job.ticket, key);
         match &self.jobs[key].state {
             JobState::Running(running) => {
+                self.running += 1;
                 self.timers.insert((running.deadline, Timer::Deadline(key)));
                 self.waiting.push_back(key);
             }
--- a/src/core/home/home.rs
+++ b/src/core/home/home.rs
@@ -56,6 +56,8 @@
     pub(super) settings: HomeSettings,
     pub(super) ring: TicketRing,
     pub(super) jobs: SlotMap<JobKey, JobRecord>,
+    /// How many of the jobs run; most are kept only for their answers.
+    pub(super) running: usize,
     pub(super) waiting: VecDeque<JobKey>,
     pub(super) answers: AnswerStore,
     pub(super) links: RunnerLinks,
@@ -82,6 +84,7 @@
             id,
             ring: TicketRing::new(id, secret, settings.ticket_ttl_ms),
             jobs: SlotMap::with_key(),
+            running: 0,
             waiting: VecDeque::new(),
             answers: AnswerStore::new(settings.answers_limit_bytes),
             links: RunnerLinks::new(),
@@ -107,10 +110,14 @@
 
     /// Jobs that have not ended.
     pub(crate) fn running_count(&self) -> usize {
-        self.jobs
-            .values()
-            .filter(|record| matches!(record.state, JobState::Running(_)))
-            .count()
+        debug_assert_eq!(
+            self.running,
+            self.jobs
+                .values()
+                .filter(|record| matches!(record.state, JobState::Running(_)))
+                .count()
+        );
+        self.running
     }
 
     /// Takes in one event and says what to do about it.
@@ -249,6 +256,7 @@
             state: JobState::Running(Box::new(job)),
         });
         self.ring.record(&ticket.id, key);
+        self.running += 1;
         self.timers.insert((deadline, Timer::Deadline(key)));
         self.waiting.push_back(key);
         key
--- a/src/core/home/settle.rs
+++ b/src/core/home/settle.rs
@@ -141,6 +141,7 @@
         self.timers.remove(&(job.deadline, Timer::Deadline(key)));
         let answer = Arc::new(JobAnswer::new(record.ticket, verdict, outcomes));
         record.state = JobState::Ended(Arc::clone(&answer));
+        self.running -= 1;
         for waiter in waiters {
             self.reply(waiter, JobStatus::Ended(Arc::clone(&answer)));
         }
--- a/src/core/home/tests/world.rs
+++ b/src/core/home/tests/world.rs
@@ -445,6 +445,8 @@
             self.advance(50);
         }
         self.deliver_all();
+        // Compares its count with its records.
+        let _ = self.home.running_count();
     }
 
     fn deliver_live(&mut self) {
