--- a/scripts/slopelib/candidates.py
+++ b/scripts/slopelib/candidates.py
@@ -5,9 +5,10 @@
 from .deployment import Deployment, Usage
 from .fit import line, number, print_table, spread
 
-# Each home opens sessions to its candidates, all in one process here: more would pass the limit
+# Each home opens sessions to its candidates, all in one process here: more runners would pass the limit
 # of open files.
-RUNNERS = (10, 40, 90)
+RUNNERS = (10, 90, 400)
+FULL_LIST = 90
 PLANNED_RUNNERS = 1500
 TASKS = 10
 JOBS_PER_S = 60
@@ -63,11 +64,13 @@
     rows = []
     for key, title in KEYS.items():
         cells = [spread([s[key] for s in samples if s["runners"] == count]) for count in RUNNERS]
-        slope, at_zero, residual = line([(s["runners"], s[key]) for s in samples])
+        # The list of runners is full from 96 on, so the line is that of larger deployments.
+        points = [(s["runners"], s[key]) for s in samples if s["runners"] >= FULL_LIST]
+        slope, at_zero, residual = line(points)
         at_size = at_zero + slope * PLANNED_RUNNERS
         rows.append([title, *cells, *map(number, (slope, at_zero, residual, at_size))])
     others = {v: n for s in samples for v, n in s["verdicts"].items() if v != "done"}
     header = [f"jobs of {TASKS}, other verdicts: {others or 'none'}"]
     header += [f"{count} runners" for count in RUNNERS]
-    header += ["slope for each runner", "at zero", "residual", f"at {PLANNED_RUNNERS}"]
+    header += ["slope from 90 on", "at zero", "residual", f"at {PLANNED_RUNNERS}"]
     print_table("A job against the runners that could take it (--only candidates)", header, rows)
--- a/src/core/placement/home_share.rs
+++ b/src/core/placement/home_share.rs
@@ -14,7 +14,7 @@
 const SPREAD: u64 = 0xbf58_476d_1ce4_e5b9;
 
 /// A total order of agents that every entry reckons alike, unrelated to zones and names.
-fn rank(agent: AgentId) -> (u64, AgentId) {
+pub(super) fn rank(agent: AgentId) -> (u64, AgentId) {
     let spread = (agent.0 ^ (agent.0 >> 30)).wrapping_mul(SPREAD);
     (spread ^ (spread >> 27), agent)
 }
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -5,6 +5,7 @@
 mod placement;
 mod random_worker;
 mod runner_view;
+mod shortlist;
 
 #[cfg(test)]
 mod tests;
@@ -15,4 +16,5 @@
     placement::Placement,
     random_worker::RandomWorker,
     runner_view::RunnerView,
+    shortlist::shortlist,
 };
--- a/src/core/placement/tests.rs
+++ b/src/core/placement/tests.rs
@@ -1,8 +1,12 @@
 //! Tests of the placement policies.
 
 use {
-    super::{MostFree, Placement, RunnerView, active_homes, own_runners},
-    crate::core::{ticket::AgentId, time::Instant},
+    super::{MostFree, Placement, RunnerView, active_homes, own_runners, shortlist},
+    crate::core::{message::Candidate, ticket::AgentId, time::Instant},
+    std::{
+        collections::BTreeSet,
+        net::{Ipv4Addr, SocketAddr},
+    },
 };
 
 fn view(free_slots: u16, outstanding: u16) -> RunnerView {
@@ -55,3 +59,57 @@
     owned.sort_unstable();
     assert_eq!(owned, agents);
 }
+
+/// Runners 0 to `count`, of which each tenth is full; the home's own ones are marked.
+fn candidates(count: u64, own: &[AgentId]) -> Vec<Candidate> {
+    (0..count)
+        .map(|number| Candidate {
+            runner: AgentId(number),
+            peer_addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            slots: 8,
+            free_slots: if number % 10 == 0 { 0 } else { 8 },
+            own: own.contains(&AgentId(number)),
+        })
+        .collect()
+}
+
+fn names(candidates: &[Candidate]) -> BTreeSet<AgentId> {
+    candidates
+        .iter()
+        .map(|candidate| candidate.runner)
+        .collect()
+}
+
+macro_rules! shortlist_cases {
+    ($($name:ident: $count:literal runners => $expected:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let named = shortlist(AgentId(1), candidates($count, &[]));
+                assert_eq!(names(&named).len(), named.len(), "each once");
+                assert_eq!(named.len(), $expected);
+            }
+        )+
+    };
+}
+
+shortlist_cases! {
+    nobody_to_name: 0 runners => 0;
+    few_runners_are_all_named: 96 runners => 96;
+    many_runners_are_cut: 200 runners => 96;
+    the_planned_size_costs_no_more: 1_500 runners => 96;
+}
+
+#[test]
+fn a_home_is_told_of_all_its_own_runners_and_of_others_than_the_next_home() {
+    let agents: Vec<AgentId> = (0..1_500).map(AgentId).collect();
+    let homes = active_homes(agents.clone());
+    let mut heard = BTreeSet::new();
+    for home in &homes {
+        let own = own_runners(*home, &homes, agents.clone());
+        let named = names(&shortlist(*home, candidates(1_500, &own)));
+        assert!(own.iter().all(|runner| named.contains(runner)));
+        heard.insert(named);
+    }
+    assert_eq!(heard.len(), homes.len(), "no two homes have the same list");
+}
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -6,7 +6,7 @@
             config::{Document, Head, Service},
             directory::{Directory, HomeLocation},
             message::{Announcement, AnnouncementReply, Candidate, PeerEntry},
-            placement::{active_homes, own_runners},
+            placement::{active_homes, own_runners, shortlist},
             ticket::{AgentId, Ticket, TicketOffice},
             time::Instant,
             verdict::NotRunReason,
@@ -211,7 +211,7 @@
         for candidate in &mut candidates {
             candidate.own = own.contains(&candidate.runner);
         }
-        candidates
+        shortlist(home, candidates)
     }
 
     /// The listed agents with their silence in milliseconds.
