--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -7,7 +7,7 @@
             directory::{DigestLog, Directory, HomeLocation},
             gate::{PERMIT_MS, ZoneGate},
             message::{Announcement, AnnouncementReply, Candidate, PeerEntry, roster_digest},
-            placement::{active_homes, own_runners},
+            placement::{active_homes, own_runners, shortlist},
             roster::Roster,
             ticket::{AgentId, Ticket, TicketOffice},
             time::Instant,
@@ -262,7 +262,7 @@
         for candidate in &mut candidates {
             candidate.own = own.contains(&candidate.runner);
         }
-        candidates
+        shortlist(home, candidates)
     }
 
     /// The listed agents with their silence in milliseconds.
