--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -7,6 +7,7 @@
 mod config_body;
 mod entry_api;
 mod job_body;
+mod known_job;
 mod operator_api;
 
 #[cfg(test)]
--- a/src/core/home/sessions.rs
+++ b/src/core/home/sessions.rs
@@ -4,7 +4,7 @@
     super::{Home, HomeAction, runner_link::LinkState, ticket_ring::TicketState},
     crate::core::{
         job::{TaskOutcome, TaskRef},
-        message::{FreeSlots, HomeFrame, RunnerFrame, TaskStatus},
+        message::{FreeSlots, HomeFrame, RunnerFrame, StatusReport, TaskStatus},
         ticket::AgentId,
         time::Instant,
         verdict::{MayHaveRunReason, NotRunReason},
@@ -40,8 +40,8 @@
             }
             RunnerFrame::Offer { free } => link.take_offer(now, free),
             RunnerFrame::Statuses { tasks } => {
-                for (task, status) in tasks {
-                    self.on_status(now, runner, task, status);
+                for report in tasks {
+                    self.on_status(now, runner, report);
                 }
             }
         }
@@ -69,20 +69,20 @@
         });
     }
 
-    /// Takes in what a runner knows of a start on an earlier session.
+    /// Takes in what became of a start that the home asked after.
     ///
-    /// Guards against a second start: a refusal may cross the question on the way, and the task
-    /// may be started there again before the reply comes. That reply speaks of the first start
-    /// only; taken for the second, "never started" would send the running task elsewhere.
-    fn on_status(&mut self, now: Instant, runner: AgentId, task: TaskRef, status: TaskStatus) {
-        let asked_after = self.links.get(&runner).is_some_and(|link| {
-            let started_on = link.outstanding.get(&task);
-            started_on.is_some_and(|epoch| *epoch < link.epoch)
-        });
-        if !asked_after {
+    /// Guards against a second start: the refusal of the first one may arrive ahead of this
+    /// report, and the task be started anew by then. The report's epoch tells which start it
+    /// speaks of, since only starts of earlier sessions are asked after.
+    fn on_status(&mut self, now: Instant, runner: AgentId, report: StatusReport) {
+        let outstanding = self
+            .links
+            .get(&runner)
+            .and_then(|link| link.outstanding.get(&report.task));
+        if outstanding != Some(&report.epoch) {
             return;
         }
-        let outcome = match status {
+        let outcome = match report.status {
             TaskStatus::Running => return,
             TaskStatus::Ended(outcome) => outcome,
             TaskStatus::NeverStarted => TaskOutcome::NotRun {
@@ -92,7 +92,7 @@
                 reason: MayHaveRunReason::RunnerLost,
             },
         };
-        self.on_outcome(now, runner, task, outcome);
+        self.on_outcome(now, runner, report.task, outcome);
     }
 
     fn on_outcome(&mut self, now: Instant, runner: AgentId, task: TaskRef, outcome: TaskOutcome) {
@@ -117,7 +117,7 @@
             return;
         };
         self.learn(now, runner, key, &outcome, ran_ms);
-        self.settle_task(key, task.index, outcome);
+        self.settle_task(now, key, task.index, outcome);
     }
 
     pub(super) fn on_session_lost(&mut self, now: Instant, runner: AgentId, epoch: u64) {
@@ -138,7 +138,7 @@
                 let outcome = TaskOutcome::MayHaveRun {
                     reason: MayHaveRunReason::RunnerLost,
                 };
-                self.settle_task(key, task.index, outcome);
+                self.settle_task(now, key, task.index, outcome);
             }
         }
         self.dispatch(now);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! can drive the code that ships.
 
 pub(crate) mod admission;
+pub(crate) mod claim;
 pub(crate) mod config;
 pub(crate) mod demand;
 pub(crate) mod directory;
--- a/src/core/runner/runner.rs
+++ b/src/core/runner/runner.rs
@@ -9,7 +9,7 @@
         demand::DemandQueue,
         gate::Permit,
         job::{TaskOutcome, TaskRef},
-        message::{FreeSlots, HomeFrame, RunnerFrame, StartFrame, TaskStatus},
+        message::{FreeSlots, HomeFrame, RunnerFrame, StartFrame, StatusReport, TaskStatus},
         ticket::AgentId,
         time::Instant,
         verdict::NotRunReason,
@@ -350,7 +350,11 @@
         link.used_at = now;
         let statuses = tasks
             .into_iter()
-            .map(|(task, epoch)| (task, link.status(task, epoch)))
+            .map(|(task, epoch)| StatusReport {
+                task,
+                epoch,
+                status: link.status(task, epoch),
+            })
             .collect();
         vec![RunnerAction::Send {
             session,
