Impossible tasks are refused; admission by the longest wait, too; fewer messages in vain

A home asks for slots only after 15 ms of waiting, and distrusts old reports of runners that aren't its own; what counts as slow lies well beyond the usual.

--- a/src/agent/peer_handler.rs
+++ b/src/agent/peer_handler.rs
@@ -118,6 +118,7 @@
             waiter,
             ticket: submission.ticket,
             spec: submission.spec,
+            impossible: submission.impossible,
             candidates: submission.candidates,
             wait_ms: submission.wait_ms,
         })),
--- a/src/core/admission/admission.rs
+++ b/src/core/admission/admission.rs
@@ -27,6 +27,8 @@
 pub(crate) struct Offer {
     /// Tasks that wait already.
     pub(crate) waiting: usize,
+    /// For how long the oldest of them has waited.
+    pub(crate) oldest_wait_ms: u64,
     /// Tasks of the job.
     pub(crate) tasks: usize,
     /// Time until its deadline.
@@ -75,7 +77,8 @@
             return Err(self.overload(LEAST_RETRY_AFTER_MS));
         };
         let ahead = (offer.waiting + offer.tasks) as f64;
-        let wait_ms = ahead / per_s * 1_000.0;
+        // Those in front have waited already: a rate that looks better is out of date.
+        let wait_ms = (ahead / per_s * 1_000.0).max(offer.oldest_wait_ms as f64);
         let can_wait_ms = offer.deadline_ms.saturating_sub(offer.run_ms) as f64 * WAIT_SHARE;
         if wait_ms <= can_wait_ms && offer.waiting <= MAX_WAITING_TASKS {
             return Ok(());
--- a/src/core/admission/mod.rs
+++ b/src/core/admission/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod drain_rate;
+mod fits;
 
 #[cfg(test)]
 mod tests;
@@ -9,4 +10,5 @@
 pub(crate) use {
     admission::{Admission, Offer, Overload},
     drain_rate::DrainRate,
+    fits::fits_somewhere,
 };
--- a/src/core/admission/tests.rs
+++ b/src/core/admission/tests.rs
@@ -18,6 +18,7 @@
 const fn offer(waiting: usize, tasks: usize, deadline_ms: u64) -> Offer {
     Offer {
         waiting,
+        oldest_wait_ms: 0,
         tasks,
         deadline_ms,
         run_ms: 200,
@@ -74,6 +75,16 @@
     assert!(admission.judge(offer(100, 1, 5_000)).is_ok());
 }
 
+/// The rate was learnt before a zone left; what waits has waited too long already.
+#[test]
+fn a_long_wait_counts_whatever_the_rate_says() {
+    let waited = Offer {
+        oldest_wait_ms: 1_200,
+        ..offer(10, 1, 2_000)
+    };
+    assert!(at_100_a_second().judge(waited).is_err());
+}
+
 #[test]
 fn nothing_is_refused_before_the_rate_is_learnt() {
     assert!(Admission::new(1).judge(offer(1_000, 1, 300)).is_ok());
--- a/src/core/ejection/runner_health.rs
+++ b/src/core/ejection/runner_health.rs
@@ -6,8 +6,8 @@
 const FAILURES: u8 = 3;
 /// Slow tasks in a row after which a runner is left alone.
 ///
-/// One task in ten is slow by definition, so a sound runner is left alone once in a million tasks.
-const SLOW_TASKS: u8 = 6;
+/// One task in a hundred is that slow elsewhere, so a sound runner is left alone once in a million.
+const SLOW_TASKS: u8 = 3;
 /// Good ends in a row by which a runner on probation is trusted again.
 const GOOD_ENDS: u8 = 3;
 /// First time for which a runner is left alone; doubled each time, in milliseconds.
@@ -20,7 +20,7 @@
 pub(crate) enum TaskEnd {
     /// Done in a usual time.
     Good,
-    /// Done, and longer than nine in ten tasks of the service take.
+    /// Done, and well beyond what nine in ten tasks of the service take.
     Slow,
     /// Failed, lost or refused by the backend server.
     Failed,
--- a/src/core/ejection/tests.rs
+++ b/src/core/ejection/tests.rs
@@ -39,8 +39,8 @@
 health_cases! {
     three_failures_in_a_row_are_enough: "fff" => Some(Failing);
     a_good_end_between_clears: "ffgff" => None;
-    six_slow_tasks_in_a_row_are_enough: "ssssss" => Some(Slow);
-    five_are_not: "sssssgsssss" => None;
+    three_slow_tasks_in_a_row_are_enough: "sss" => Some(Slow);
+    two_are_not: "ssgss" => None;
     what_ends_while_left_alone_counts_once: "ffff" => None;
 }
 
--- a/src/core/home/demand.rs
+++ b/src/core/home/demand.rs
@@ -1,7 +1,7 @@
 //! How a home asks runners for slots when it knows of none that is free.
 
 use {
-    super::{Home, HomeAction},
+    super::{Home, HomeAction, runner_link::RunnerLink},
     crate::core::{message::HomeFrame, ticket::AgentId, time::Instant},
 };
 
@@ -14,6 +14,11 @@
 /// Guards against asking only runners that can't start anything, as those of a zone that is out:
 /// the task would wait for them for good.
 const ASK_MORE_AFTER_MS: u64 = 100;
+/// Wait of the oldest task from which on runners are asked, in milliseconds.
+///
+/// A home whose own runners are busy with its tasks mostly learns of a free slot from the end of
+/// one of them within that time, and has asked for nothing.
+const ASK_AFTER_MS: u64 = 15;
 /// Jobs looked at, oldest first, when the demand is reckoned.
 const JOBS_COUNTED: usize = 32;
 /// Messages of a withdrawn demand, or of an offer that is handed back.
@@ -28,7 +33,10 @@
             self.withdraw_demands();
             return false;
         };
-        self.ask_runners(now, since, waiting);
+        let waited_ms = now.millis_since(since);
+        if waited_ms >= ASK_AFTER_MS || self.links.values().all(RunnerLink::is_unused) {
+            self.ask_runners(now, since, waiting);
+        }
         true
     }
 
@@ -81,7 +89,7 @@
         let usable = |runner: &AgentId| {
             self.links
                 .get(runner)
-                .filter(|link| link.is_usable(now) && link.free_slots() == 0)
+                .filter(|link| link.is_usable(now) && link.view(now).free_slots == 0)
         };
         let mut unasked: Vec<(bool, Instant, AgentId)> = Vec::new();
         let mut asked = 0;
--- a/src/core/home/dispatch.rs
+++ b/src/core/home/dispatch.rs
@@ -4,7 +4,6 @@
     super::{
         Home, HomeAction,
         job_record::{JobRecord, JobState, TaskState},
-        runner_link::RunnerLink,
         ticket_ring::JobKey,
     },
     crate::core::{
@@ -108,7 +107,7 @@
                 .collect();
             let views: Vec<_> = usable
                 .iter()
-                .filter_map(|runner| self.links.get(runner).map(RunnerLink::view))
+                .filter_map(|runner| self.links.get(runner).map(|link| link.view(now)))
                 .collect();
             let Some(position) = self.placement.choose(now, &views) else {
                 return true;
--- a/src/core/home/home.rs
+++ b/src/core/home/home.rs
@@ -4,6 +4,7 @@
     super::{
         HomeAction, HomeEvent, WaiterId,
         answer_store::AnswerStore,
+        intake::Turndown,
         job_record::{JobRecord, JobState, RunningJob},
         runner_link::RunnerLinks,
         ticket_ring::{JobKey, TicketRing, TicketState},
@@ -120,11 +121,13 @@
                 waiter,
                 ticket,
                 spec,
+                impossible,
                 candidates,
                 wait_ms,
             } => {
                 self.meet(now, &candidates);
-                self.on_submit(now, waiter, ticket, spec, &candidates, wait_ms);
+                let verdict = self.judge(now, &spec, impossible);
+                self.on_submit(now, waiter, ticket, (spec, verdict), &candidates, wait_ms);
             }
             HomeEvent::Poll {
                 waiter,
@@ -155,7 +158,7 @@
         now: Instant,
         waiter: WaiterId,
         ticket: Ticket,
-        spec: JobSpec,
+        (spec, verdict): (JobSpec, Result<(), Turndown>),
         candidates: &[Candidate],
         wait_ms: u64,
     ) {
@@ -175,10 +178,9 @@
                 self.refuse(waiter, NotRunReason::Leaving, LEAVING_RETRY_AFTER_MS);
             }
             TicketState::Unused => {
-                let verdict = self.judge(&spec);
                 let key = self.start_job(now, ticket, spec, candidates);
-                if let Err(overload) = verdict {
-                    self.end_refused(key, overload);
+                if let Err(turndown) = verdict {
+                    self.end_refused(key, turndown);
                 }
                 self.attach(now, waiter, key, &[], wait_ms);
             }
--- a/src/core/home/home_event.rs
+++ b/src/core/home/home_event.rs
@@ -25,6 +25,8 @@
         ticket: Ticket,
         /// The job.
         spec: JobSpec,
+        /// A task of it fits on no worker of the configuration.
+        impossible: bool,
         /// Runners that could take its tasks.
         candidates: Vec<Candidate>,
         /// For how long the reply may be held.
--- a/src/core/home/intake.rs
+++ b/src/core/home/intake.rs
@@ -18,11 +18,22 @@
     },
 };
 
-/// Share of tasks that take less; what takes longer is slow.
-const SLOW_QUANTILE: f64 = 0.9;
+/// Share of tasks that take less than what counts as usual; slow is half as much again.
+const USUAL_QUANTILE: f64 = 0.9;
+/// Least time beyond the usual that counts as slow, in milliseconds: less is noise of the host.
+const SLOW_LEAST_MS: u64 = 50;
 /// At most one in so many runners is left alone.
 const LEFT_ALONE_SHARE: usize = 3;
 
+/// Why a job is not taken in.
+#[derive(Debug)]
+pub(super) enum Turndown {
+    /// No worker of the configuration could ever hold one of its tasks.
+    Impossible,
+    /// It would not be done in time.
+    Overload(Overload),
+}
+
 impl Home {
     /// Takes in which runners an entry names.
     pub(super) fn meet(&mut self, now: Instant, candidates: &[Candidate]) {
@@ -52,7 +63,8 @@
         }) = self.jobs.get(key)
         {
             let service = &job.spec.service;
-            let slow_ms = self.run_times.quantile_ms(service, SLOW_QUANTILE);
+            let usual_ms = self.run_times.quantile_ms(service, USUAL_QUANTILE);
+            let slow_ms = usual_ms.map(|usual_ms| usual_ms + (usual_ms / 2).max(SLOW_LEAST_MS));
             let Some(end) = task_end(outcome, ran_ms, slow_ms) else {
                 return;
             };
@@ -88,16 +100,25 @@
     }
 
     /// Decides whether a new job is taken in.
-    pub(super) fn judge(&mut self, spec: &JobSpec) -> Result<(), Overload> {
+    pub(super) fn judge(
+        &mut self,
+        now: Instant,
+        spec: &JobSpec,
+        impossible: bool,
+    ) -> Result<(), Turndown> {
+        if impossible {
+            return Err(Turndown::Impossible);
+        }
         let declared_ms = spec.tasks.iter().map(|task| task.declared_run_ms).min();
         let declared_ms = u64::from(declared_ms.unwrap_or(0));
         let offer = Offer {
             waiting: self.waiting_count(),
+            oldest_wait_ms: self.oldest_wait_ms(now),
             tasks: spec.tasks.len(),
             deadline_ms: spec.deadline_ms,
             run_ms: self.run_times.expected_ms(&spec.service, declared_ms),
         };
-        self.admission.judge(offer)
+        self.admission.judge(offer).map_err(Turndown::Overload)
     }
 
     /// Ends a job that was not taken in.
@@ -105,9 +126,17 @@
     /// Guards against a copy of the submission that comes later, through another entry, when there
     /// is room again: the client was told "not run" and may have sent the job under another
     /// ticket. This ticket is used up, and so every copy is answered alike.
-    pub(super) fn end_refused(&mut self, key: JobKey, overload: Overload) {
-        let reasons = (NotRunReason::Overloaded, MayHaveRunReason::DeadlinePassed);
-        self.fail_job(key, reasons.0, reasons.1, overload.retry_after_ms);
+    pub(super) fn end_refused(&mut self, key: JobKey, turndown: Turndown) {
+        let (reason, retry_after_ms) = match turndown {
+            Turndown::Impossible => (NotRunReason::ImpossibleTask, 0),
+            Turndown::Overload(overload) => (NotRunReason::Overloaded, overload.retry_after_ms),
+        };
+        self.fail_job(
+            key,
+            reason,
+            MayHaveRunReason::DeadlinePassed,
+            retry_after_ms,
+        );
     }
 
     /// Tasks that wait.
@@ -119,6 +148,14 @@
             .sum()
     }
 
+    /// For how long the oldest job has waited.
+    fn oldest_wait_ms(&self, now: Instant) -> u64 {
+        let mut waiting = self.waiting.iter().filter_map(|key| self.running_job(*key));
+        waiting
+            .find(|job| !job.queued.is_empty())
+            .map_or(0, |job| now.millis_since(job.submitted_at))
+    }
+
     /// The job under this key, while it runs.
     pub(super) fn running_job(&self, key: JobKey) -> Option<&RunningJob> {
         match self.jobs.get(key) {
--- a/src/core/home/runner_link.rs
+++ b/src/core/home/runner_link.rs
@@ -20,6 +20,10 @@
 /// For how long after a job that could use a runner its session is reopened, in milliseconds.
 const SESSION_WANTED_MS: u64 = 30_000;
 
+/// Age of a report from which on another home has probably started something there, in
+/// milliseconds.
+const OLD_REPORT_MS: u64 = 50;
+
 /// Where the session to a runner stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LinkState {
@@ -108,6 +112,16 @@
         self.free.slots.saturating_sub(self.under_way())
     }
 
+    /// Slots that are likely to be free still.
+    ///
+    /// Another home looks first to a runner that isn't this one's own: its last report is old
+    /// news, and a start on the only slot in it would mostly be refused.
+    fn likely_free(&self, now: Instant) -> u16 {
+        let is_old = now.millis_since(self.heard_at) >= OLD_REPORT_MS;
+        self.free_slots()
+            .saturating_sub(u16::from(is_old && !self.own))
+    }
+
     /// Slots held there for this home that no start is under way to.
     pub(crate) fn offered(&self) -> u16 {
         self.free.held.saturating_sub(self.under_way())
@@ -161,11 +175,16 @@
         Some(now.millis_since(started_at))
     }
 
+    /// Whether no end of a task there can tell of a free slot.
+    pub(crate) fn is_unused(&self) -> bool {
+        self.outstanding.is_empty()
+    }
+
     /// What placement sees.
-    pub(crate) fn view(&self) -> RunnerView {
+    pub(crate) fn view(&self, now: Instant) -> RunnerView {
         RunnerView {
             own: self.own,
-            free_slots: self.free_slots(),
+            free_slots: self.likely_free(now),
             outstanding: u16::try_from(self.outstanding.len()).unwrap_or(u16::MAX),
             heard_at: self.heard_at,
         }
--- a/src/core/home/tests/world.rs
+++ b/src/core/home/tests/world.rs
@@ -166,6 +166,7 @@
             waiter,
             ticket,
             spec,
+            impossible: false,
             candidates,
             wait_ms,
         });
--- a/src/core/message/peer_call.rs
+++ b/src/core/message/peer_call.rs
@@ -33,6 +33,8 @@
     pub(crate) ticket: Ticket,
     /// The job.
     pub(crate) spec: JobSpec,
+    /// A task of it fits on no worker of the configuration.
+    pub(crate) impossible: bool,
     /// Runners that could take its tasks, best first.
     pub(crate) candidates: Vec<Candidate>,
     /// For how long to hold the reply while the job runs.
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -3,8 +3,10 @@
 use {
     crate::{
         core::{
+            admission::fits_somewhere,
             config::{Document, Head, Service},
             directory::{Directory, HomeLocation},
+            job::JobSpec,
             message::{Announcement, AnnouncementReply, Candidate, PeerEntry},
             placement::{active_homes, own_runners},
             ticket::{AgentId, Ticket, TicketOffice},
@@ -191,6 +193,13 @@
             .ok_or(NotRunReason::UnknownService)
     }
 
+    /// Whether each task fits on some worker of the configuration in force.
+    pub(crate) fn fits_somewhere(&self, spec: &JobSpec) -> bool {
+        let inner = self.lock();
+        let in_force = inner.in_force.as_ref();
+        in_force.is_none_or(|in_force| fits_somewhere(&in_force.document, spec))
+    }
+
     /// Runners that could take tasks of a service now, with those that a home looks to first.
     pub(crate) fn candidates(&self, name: &str, home: AgentId) -> Vec<Candidate> {
         let now = self.timer.now();
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -146,6 +146,7 @@
         match spec {
             Some(spec) => PeerRequest::Submit(Box::new(Submission {
                 ticket,
+                impossible: !self.state.fits_somewhere(spec),
                 spec: spec.clone(),
                 candidates,
                 wait_ms,
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -10,5 +10,6 @@
 mod operators;
 mod path;
 mod planned_stop;
+mod policy;
 mod programs;
 mod support;
--- /dev/null
+++ b/tests/processes/policy.rs
@@ -0,0 +1,65 @@
+//! The policy's promises to clients, with real processes: what is refused, and how.
+
+use {
+    super::support::{Deployment, Layout, job_body},
+    serde_json::Value,
+};
+
+/// A client declares more memory than any worker has, or an accelerator where there is none. The
+/// job would wait for a worker that never comes; its client hears so at once, and nothing runs.
+#[tokio::test]
+async fn a_task_that_fits_on_no_worker_is_refused_at_once() {
+    let deployment = Deployment::start(Layout::default()).await;
+    for (need, amount) in [("memory_mb", 100_000_000), ("accelerators", 9)] {
+        let mut job: Value = serde_json::from_str(&job_body(3, 10, 20_000)).expect("job");
+        job["tasks"][1][need] = amount.into();
+        let ticket = deployment.ticket(0).await;
+        for entry in [0, 1] {
+            let reply = deployment.submit(entry, &ticket, &job.to_string()).await;
+            assert_eq!(
+                (reply.verdict(), reply.reason()),
+                ("not-run", "impossible_task"),
+                "{}",
+                reply.body
+            );
+        }
+    }
+    assert_eq!(deployment.assert_no_double_start().await, 0);
+}
+
+/// Ten times more comes than the workers can do. What can't be done in time is refused with a
+/// time to come back and starts nowhere; what is taken in is done.
+#[tokio::test]
+async fn what_can_not_be_done_in_time_is_refused_with_a_time_to_come_back() {
+    let deployment = Deployment::start(Layout::default()).await;
+    let mut answers = Vec::new();
+    let body = job_body(8, 200, 1_500);
+    for _ in 0..40 {
+        let mut wave = Vec::new();
+        for _ in 0..10 {
+            let ticket = deployment.ticket(0).await;
+            let (body, entry) = (body.clone(), deployment.entry_addrs[0]);
+            wave.push(tokio::spawn(async move {
+                let headers = [("rattanslip-ticket", ticket.as_str())];
+                super::support::request("POST", entry, "/v1/jobs", &headers, &body).await
+            }));
+        }
+        answers.extend(wave);
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    let (mut done, mut refused) = (0, 0);
+    for answer in answers {
+        let reply = answer.await.expect("answer");
+        if reply.verdict() == "done" {
+            done += 1;
+        } else if reply.reason() == "overloaded" {
+            assert_eq!(reply.verdict(), "not-run", "{}", reply.body);
+            assert_ne!(reply.header("rattanslip-retry-after-ms"), "");
+            refused += 1;
+        }
+    }
+    println!("{done} done, {refused} refused of 400");
+    assert!(done > 0 && refused > 0, "{done} done, {refused} refused");
+    let started = deployment.assert_no_double_start().await;
+    assert!(started <= (400 - refused) * 8, "{started} started");
+}
