Home: a key whose job did not run can come back

Cause: a client with a key of its own was told 'not run' (no permit, overload, deadline) and when to come back; the key is bound to one ticket, whose answer was kept, so it heard the same for ever. Unit test seen failing. Now a submission by key of a job of which nothing ran or is under way begins anew under its ticket. Ruled out: the same for tickets (a late copy would start a job whose client was told 'not run' and has sent it under another ticket); binding the key to another ticket (a write for each refusal). The interleavings have a keyed job.

--- a/src/adapters/http/client_api.rs
+++ b/src/adapters/http/client_api.rs
@@ -14,6 +14,7 @@
             ticket::{Ticket, TicketError},
             verdict::NotRunReason,
         },
+        entry::Identity,
         ports::Counter,
     },
     poem::{
@@ -105,13 +106,13 @@
         .map_err(|error| Refusal::new(NotRunReason::BadRequest, error.to_string()))?;
     let service = known_service(api, &job.service)?;
     let spec = job_spec(api, request, job, &service)?;
-    let ticket = identity(api, request, &spec.team).await?;
+    let identity = identity(api, request, &spec.team).await?;
     let wait_ms = query
         .wait_ms
         .unwrap_or(spec.deadline_ms)
         .min(spec.deadline_ms);
-    let report = api.jobs.submit(ticket, spec, wait_ms).await;
-    Ok(job_response(ticket, &report))
+    let report = api.jobs.submit(identity, spec, wait_ms).await;
+    Ok(job_response(identity.ticket, &report))
 }
 
 /// `GET /v1/jobs/TICKET?wait_ms=N`
@@ -178,14 +179,14 @@
     let spec = job_spec(api, request, job, &service)?;
     let has_identity =
         request.header(TICKET_HEADER).is_some() || request.header(IDEMPOTENCY_KEY_HEADER).is_some();
-    let ticket = if spec.repeatable && !has_identity {
-        api.state.mint(1).pop().ok_or_else(no_tickets)?
+    let identity = if spec.repeatable && !has_identity {
+        Identity::of_ticket(api.state.mint(1).pop().ok_or_else(no_tickets)?)
     } else {
         identity(api, request, &spec.team).await?
     };
     let wait_ms = spec.deadline_ms;
-    let report = api.jobs.submit(ticket, spec, wait_ms).await;
-    Ok(request_response(ticket, &report))
+    let report = api.jobs.submit(identity, spec, wait_ms).await;
+    Ok(request_response(identity.ticket, &report))
 }
 
 async fn read_body(api: &EntryApi, body: Body) -> Result<String, Refusal> {
@@ -240,9 +241,9 @@
 }
 
 /// The ticket that the request carries, or the one that its key is bound to.
-async fn identity(api: &EntryApi, request: &Request, team: &str) -> Result<Ticket, Refusal> {
+async fn identity(api: &EntryApi, request: &Request, team: &str) -> Result<Identity, Refusal> {
     if let Some(text) = request.header(TICKET_HEADER) {
-        return parse_ticket(text);
+        return parse_ticket(text).map(Identity::of_ticket);
     }
     let Some(key) = request.header(IDEMPOTENCY_KEY_HEADER) else {
         let message = format!("send {TICKET_HEADER} or {IDEMPOTENCY_KEY_HEADER}");
@@ -252,13 +253,16 @@
         let message = format!("{IDEMPOTENCY_KEY_HEADER} has 1 to {MAX_KEY_BYTES} bytes");
         return Err(Refusal::new(NotRunReason::BadRequest, message));
     }
-    api.claims
-        .ticket_for(team, key)
-        .await
-        .map_err(|verdict| Refusal {
+    match api.claims.ticket_for(team, key).await {
+        Ok(ticket) => Ok(Identity {
+            ticket,
+            by_key: true,
+        }),
+        Err(verdict) => Err(Refusal {
             verdict,
             message: String::new(),
-        })
+        }),
+    }
 }
 
 fn parse_ticket(text: &str) -> Result<Ticket, Refusal> {
--- a/src/agent/peer_handler.rs
+++ b/src/agent/peer_handler.rs
@@ -117,6 +117,7 @@
         PeerRequest::Submit(submission) => Some(Box::new(move |waiter| HomeEvent::Submit {
             waiter,
             ticket: submission.ticket,
+            by_key: submission.by_key,
             spec: submission.spec,
             candidates: submission.candidates,
             wait_ms: submission.wait_ms,
--- a/src/core/home/home.rs
+++ b/src/core/home/home.rs
@@ -115,11 +115,15 @@
             HomeEvent::Submit {
                 waiter,
                 ticket,
+                by_key,
                 spec,
                 candidates,
                 wait_ms,
             } => {
                 self.meet(now, &candidates);
+                if by_key {
+                    self.release_not_run(&ticket, &spec);
+                }
                 self.on_submit(now, waiter, ticket, spec, &candidates, wait_ms);
             }
             HomeEvent::Poll {
--- a/src/core/home/home_event.rs
+++ b/src/core/home/home_event.rs
@@ -23,6 +23,8 @@
         waiter: WaiterId,
         /// The job's identity.
         ticket: Ticket,
+        /// Whether the client can come back only under this identity.
+        by_key: bool,
         /// The job.
         spec: JobSpec,
         /// Runners that could take its tasks.
--- a/src/core/home/intake.rs
+++ b/src/core/home/intake.rs
@@ -5,16 +5,16 @@
         Home, HomeAction,
         job_record::{JobRecord, JobState, RunningJob},
         runner_link::RunnerLink,
-        ticket_ring::JobKey,
+        ticket_ring::{JobKey, TicketState},
     },
     crate::core::{
         admission::{Offer, Overload},
         ejection::TaskEnd,
         job::{JobSpec, TaskOutcome},
         message::Candidate,
-        ticket::AgentId,
+        ticket::{AgentId, Ticket},
         time::Instant,
-        verdict::{MayHaveRunReason, NotRunReason},
+        verdict::{MayHaveRunReason, NotRunReason, Verdict},
     },
 };
 
@@ -110,6 +110,32 @@
         self.fail_job(key, reasons.0, reasons.1, overload.retry_after_ms);
     }
 
+    /// Lets a job that did not run be submitted again under its ticket.
+    ///
+    /// Guards against a key that is refused for good: its client was told "not run" and when to
+    /// come back, and can only come back with the same key, which is bound to the same ticket.
+    /// Nothing of the job ran or is under way, so it may begin as if it were new.
+    pub(super) fn release_not_run(&mut self, ticket: &Ticket, spec: &JobSpec) {
+        let TicketState::Used(key) = self.ring.state(ticket) else {
+            return;
+        };
+        let Some(record) = self.jobs.get(key) else {
+            return;
+        };
+        let JobState::Ended(answer) = &record.state else {
+            return;
+        };
+        let Verdict::NotRun { reason, .. } = answer.verdict else {
+            return;
+        };
+        if reason == NotRunReason::Cancelled || record.differs(&spec.digest()) {
+            return;
+        }
+        self.ring.release(&ticket.id);
+        self.jobs.remove(key);
+        self.answers.forget(key);
+    }
+
     /// Tasks that wait.
     fn waiting_count(&self) -> usize {
         self.waiting
--- a/src/core/home/tests/faults.rs
+++ b/src/core/home/tests/faults.rs
@@ -248,6 +248,37 @@
     assert_eq!(world.answer(waiter).verdict, Verdict::Done);
 }
 
+/// A bank's key meets a moment in which no worker can start its job, and it is told "not run" and
+/// when to come back. It comes back with the same key, which is bound to the same ticket, and is
+/// told the same as long as it tries, although there is room by now.
+#[test]
+fn a_key_that_did_not_run_can_come_back() {
+    let mut world = World::new(1, 2);
+    world.set_zone(0, false);
+    let ticket = world.tickets(1)[0];
+    let spec = job(2, false, 500);
+    let refused = world.submit_by_key(ticket, spec.clone(), 500);
+    world.deliver_all();
+    world.advance(600);
+    assert!(matches!(
+        world.answer(refused).verdict,
+        Verdict::NotRun { .. }
+    ));
+    world.set_zone(0, true);
+    let same_ticket = world.submit(ticket, spec.clone(), 500);
+    assert_eq!(
+        world.answer(same_ticket),
+        world.answer(refused),
+        "a ticket stays used up"
+    );
+    let back = world.submit_by_key(ticket, spec.clone(), 500);
+    world.run_out(3_000);
+    assert_eq!(world.answer(back).verdict, Verdict::Done);
+    let again = world.submit_by_key(ticket, spec, 500);
+    assert_eq!(world.answer(again), world.answer(back));
+    assert!(world.starts.values().all(|count| *count == 1));
+}
+
 /// A worker is in a zone that is out, and no other serves the job. The client gets "not run", and
 /// with it a time to come back: without one its program takes the refusal for one that lasts.
 #[test]
--- a/src/core/home/tests/interleavings.rs
+++ b/src/core/home/tests/interleavings.rs
@@ -65,6 +65,11 @@
     ticket % 2 == 1
 }
 
+/// Number 2 comes with a key: after "not run" it may run later, and once.
+const fn is_keyed(ticket: usize) -> bool {
+    ticket == 2
+}
+
 /// What happened, in one map: the model that the machines are compared with.
 #[derive(Debug, Default)]
 struct Model {
@@ -80,7 +85,11 @@
     };
     match step {
         Step::Submit { ticket, wait_ms } => {
-            let waiter = world.submit(tickets[ticket], spec_of(ticket), wait_ms);
+            let waiter = if is_keyed(ticket) {
+                world.submit_by_key(tickets[ticket], spec_of(ticket), wait_ms)
+            } else {
+                world.submit(tickets[ticket], spec_of(ticket), wait_ms)
+            };
             model.asked.insert(waiter, ticket);
         }
         Step::Poll { ticket, wait_ms } => {
@@ -144,6 +153,9 @@
     ticket: TicketId,
     answer: &Arc<JobAnswer>,
 ) -> TestCaseResult {
+    if is_keyed(number) && matches!(answer.verdict, Verdict::NotRun { .. }) {
+        return Ok(());
+    }
     let first = model
         .answers
         .entry(ticket)
--- a/src/core/home/tests/world.rs
+++ b/src/core/home/tests/world.rs
@@ -161,10 +161,24 @@
     }
 
     pub(super) fn submit(&mut self, ticket: Ticket, spec: JobSpec, wait_ms: u64) -> WaiterId {
+        self.submit_as(ticket, false, spec, wait_ms)
+    }
+
+    pub(super) fn submit_by_key(
+        &mut self,
+        ticket: Ticket,
+        spec: JobSpec,
+        wait_ms: u64,
+    ) -> WaiterId {
+        self.submit_as(ticket, true, spec, wait_ms)
+    }
+
+    fn submit_as(&mut self, ticket: Ticket, by_key: bool, spec: JobSpec, wait_ms: u64) -> WaiterId {
         let (waiter, candidates) = (self.waiter(), self.candidates());
         self.feed(HomeEvent::Submit {
             waiter,
             ticket,
+            by_key,
             spec,
             candidates,
             wait_ms,
--- a/src/core/home/ticket_ring.rs
+++ b/src/core/home/ticket_ring.rs
@@ -156,6 +156,13 @@
         }
     }
 
+    /// Forgets that a ticket was used. Once its generation is closed it stays used up.
+    pub(super) fn release(&mut self, ticket: &TicketId) {
+        if let Some(generation) = self.generations.get_mut(&ticket.generation) {
+            generation.jobs.remove(&ticket.counter);
+        }
+    }
+
     /// Drops the records past their time to live and returns their jobs.
     ///
     /// Guards against a lost answer when a ticket's time is over in the middle of its job: the
--- a/src/core/message/peer_call.rs
+++ b/src/core/message/peer_call.rs
@@ -31,6 +31,8 @@
 pub(crate) struct Submission {
     /// The job's identity.
     pub(crate) ticket: Ticket,
+    /// Whether the client knows the job by a key of its own and can't come back with another.
+    pub(crate) by_key: bool,
     /// The job.
     pub(crate) spec: JobSpec,
     /// Runners that could take its tasks, best first.
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -46,6 +46,25 @@
     Verdict(Verdict),
 }
 
+/// Under what a client knows its job.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Identity {
+    /// The ticket, or the one that the client's key is bound to.
+    pub(crate) ticket: Ticket,
+    /// Whether it came as a key.
+    pub(crate) by_key: bool,
+}
+
+impl Identity {
+    /// A ticket that the client holds.
+    pub(crate) const fn of_ticket(ticket: Ticket) -> Self {
+        Self {
+            ticket,
+            by_key: false,
+        }
+    }
+}
+
 /// Hands jobs to their homes.
 #[derive(Debug)]
 pub(crate) struct Jobs {
@@ -57,9 +76,15 @@
 
 impl Jobs {
     /// Submits a job under its ticket, or attaches to it, and waits for its end.
-    pub(crate) async fn submit(&self, ticket: Ticket, spec: JobSpec, wait_ms: u64) -> JobReport {
+    pub(crate) async fn submit(
+        &self,
+        identity: Identity,
+        spec: JobSpec,
+        wait_ms: u64,
+    ) -> JobReport {
+        let ticket = identity.ticket;
         let task_count = spec.tasks.len();
-        let report = self.follow(ticket, Some(spec), wait_ms).await;
+        let report = self.follow(identity, Some(spec), wait_ms).await;
         match report {
             JobReport::Ended(answer) if !answer.is_whole(&ticket.id, task_count) => {
                 corrupt_answer()
@@ -70,7 +95,10 @@
 
     /// Asks after a job and waits for its end.
     pub(crate) async fn poll(&self, ticket: Ticket, wait_ms: u64) -> JobReport {
-        match self.follow(ticket, None, wait_ms).await {
+        match self
+            .follow(Identity::of_ticket(ticket), None, wait_ms)
+            .await
+        {
             JobReport::Ended(answer) if !answer.is_whole(&ticket.id, answer.outcomes.len()) => {
                 corrupt_answer()
             }
@@ -96,14 +124,20 @@
     ///
     /// Every call is idempotent under the ticket, so a lost call is simply made again: this
     /// guards against connections that break or go silent while the job runs.
-    async fn follow(&self, ticket: Ticket, mut spec: Option<JobSpec>, wait_ms: u64) -> JobReport {
+    async fn follow(
+        &self,
+        identity: Identity,
+        mut spec: Option<JobSpec>,
+        wait_ms: u64,
+    ) -> JobReport {
+        let ticket = identity.ticket;
         let started_at = self.timer.now();
         let mut service = spec.as_ref().map(|spec| spec.service.clone());
         let mut failing_since = None;
         loop {
             let waited_ms = self.waited_ms(started_at);
             let call_wait_ms = wait_ms.saturating_sub(waited_ms).min(CALL_WAIT_MS);
-            let mut request = self.follow_request(ticket, spec.as_ref(), &service, call_wait_ms);
+            let mut request = self.follow_request(identity, spec.as_ref(), &service, call_wait_ms);
             if let PeerRequest::Submit(submission) = &mut request {
                 // A submission that is sent again has that much less time left.
                 let left_ms = submission.spec.deadline_ms.saturating_sub(waited_ms);
@@ -134,24 +168,25 @@
 
     fn follow_request(
         &self,
-        ticket: Ticket,
+        identity: Identity,
         spec: Option<&JobSpec>,
         service: &Option<String>,
         wait_ms: u64,
     ) -> PeerRequest {
         let candidates = service
             .as_ref()
-            .map(|service| self.state.candidates(service, ticket.id.home))
+            .map(|service| self.state.candidates(service, identity.ticket.id.home))
             .unwrap_or_default();
         match spec {
             Some(spec) => PeerRequest::Submit(Box::new(Submission {
-                ticket,
+                ticket: identity.ticket,
+                by_key: identity.by_key,
                 spec: spec.clone(),
                 candidates,
                 wait_ms,
             })),
             None => PeerRequest::Poll {
-                ticket,
+                ticket: identity.ticket,
                 candidates,
                 wait_ms,
             },
--- a/src/entry/jobs_tests.rs
+++ b/src/entry/jobs_tests.rs
@@ -7,7 +7,7 @@
 )]
 
 use {
-    super::{EntryState, JobReport, Jobs},
+    super::{EntryState, Identity, JobReport, Jobs},
     crate::{
         core::{
             job::{JobAnswer, JobSpec, JobStatus, TaskOutcome, TaskSpec},
@@ -205,7 +205,7 @@
                 let ticket = grant().ticket(0);
                 let make: fn(Ticket) -> JobAnswer = $answer;
                 let (jobs, _) = jobs(vec![ended(make(ticket))]);
-                let report = jobs.submit(ticket, spec(3), 5_000).await;
+                let report = jobs.submit(Identity::of_ticket(ticket), spec(3), 5_000).await;
                 assert_eq!(verdict_of(&report).reason(), MayHaveRunReason::AnswerCorrupt.as_str());
             }
         )+
@@ -231,7 +231,9 @@
         ended(answer(ticket, 3)),
     ];
     let (jobs, network) = jobs(script);
-    let report = jobs.submit(ticket, spec(3), 5_000).await;
+    let report = jobs
+        .submit(Identity::of_ticket(ticket), spec(3), 5_000)
+        .await;
     assert_eq!(verdict_of(&report), Verdict::Done);
     let calls = network.calls.lock().unwrap_or_else(PoisonError::into_inner);
     let submitted =
@@ -251,9 +253,12 @@
 async fn a_home_that_never_replies_does_not_hold_the_client() {
     let ticket = grant().ticket(0);
     let (jobs, _) = jobs(vec![Behaviour::Mute]);
-    let report = tokio::time::timeout(Duration::from_secs(60), jobs.submit(ticket, spec(1), 4_000))
-        .await
-        .expect("a report");
+    let report = tokio::time::timeout(
+        Duration::from_secs(60),
+        jobs.submit(Identity::of_ticket(ticket), spec(1), 4_000),
+    )
+    .await
+    .expect("a report");
     let verdict = verdict_of(&report);
     assert_eq!(verdict.reason(), MayHaveRunReason::HomeUnreachable.as_str());
     assert!(verdict.retry_after_ms() > 0);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,6 +22,6 @@
     config_draft::{Change, Edit, based_on_all},
     config_keeper::ConfigKeeper,
     entry_state::{EntryState, InForce},
-    jobs::{JobReport, Jobs},
+    jobs::{Identity, JobReport, Jobs},
     run::run_entry,
 };
