--- a/src/core/config/document.rs
+++ b/src/core/config/document.rs
@@ -85,6 +85,15 @@
             .is_some_and(|zone| zone.state == ZoneState::Open)
     }
 
+    /// Whether tasks may start at this worker: it is declared in this zone, and the zone is open.
+    pub(crate) fn worker_is_open(&self, worker: &str, availability_zone: &str) -> bool {
+        let declared = self
+            .workers
+            .get(worker)
+            .is_some_and(|worker| worker.availability_zone == availability_zone);
+        declared && self.zone_is_open(availability_zone)
+    }
+
     /// The availability zones in which tasks may start.
     pub(crate) fn open_zones(&self) -> impl Iterator<Item = &String> {
         self.zones
--- a/src/entry/config_change.rs
+++ b/src/entry/config_change.rs
@@ -208,13 +208,27 @@
     ) -> Result<Written, ApplyError> {
         self.put_text(&head.object, &draft.text).await?;
         let asked_at = self.timer.now();
-        let transaction = accept_transaction(head, current.row_version)?;
+        let (in_flight, roster_check) = self
+            .state
+            .begin_change(head.version, &draft.document)
+            .ok_or_else(not_known_yet)?;
+        let transaction = accept_transaction(head, current.row_version, roster_check.clone())?;
         let written = match self.table.transact(transaction).await {
             Ok(TransactionOutcome::Committed) => Written::Accepted,
+            Ok(TransactionOutcome::Conflict { key }) if key == roster_check.key => {
+                in_flight.refused();
+                return Err(not_known_yet());
+            }
             Ok(TransactionOutcome::Conflict { .. }) => Written::Raced,
-            Err(error @ StoreError::Unavailable(_)) => return Err(ApplyError::Unavailable(error)),
+            Err(error @ StoreError::Unavailable(_)) => {
+                in_flight.refused();
+                return Err(ApplyError::Unavailable(error));
+            }
             Err(StoreError::OutcomeUnknown(detail)) => self.settle(current, head, detail).await?,
         };
+        if written == Written::Raced {
+            in_flight.refused();
+        }
         if written == Written::Accepted {
             let accepted = InForce {
                 head: head.clone(),
@@ -287,6 +301,12 @@
     }
 }
 
+/// Other entries don't count this one yet, so they would not ask it what it changed.
+fn not_known_yet() -> ApplyError {
+    let detail = "not every entry on the roster knows this one yet; use another entry".to_owned();
+    ApplyError::Unavailable(StoreError::Unavailable(detail))
+}
+
 fn became_of(head: &Head, found: Option<&Head>) -> Written {
     if found == Some(head) {
         return Written::Accepted;
@@ -313,10 +333,16 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn accept_transaction(head: &Head, row_version: u64) -> Result<Transaction, ApplyError> {
+/// Guards, by the check of this entry's own row, against a change by an entry that was taken off
+/// the roster while it was paused: others would not ask it any more whether it closed a zone.
+fn accept_transaction(
+    head: &Head,
+    row_version: u64,
+    roster_check: Check,
+) -> Result<Transaction, ApplyError> {
     let value = encode_head(head)?;
     Ok(Transaction {
-        checks: vec![head_check(row_version)],
+        checks: vec![head_check(row_version), roster_check],
         puts: vec![
             head_put(value.clone()),
             Put {
--- a/src/entry/config_tests/fake_platform.rs
+++ b/src/entry/config_tests/fake_platform.rs
@@ -3,15 +3,16 @@
 use {
     super::{CallFault, FAULTS},
     crate::{
+        core::{roster::entry_key, time::Instant},
         entry::EntryState,
-        ports::{ObjectStore, Row, StoreError, Table, Transaction, TransactionOutcome},
+        ports::{Check, ObjectStore, Put, Row, StoreError, Table, Transaction, TransactionOutcome},
         standin::PlatformStore,
     },
     async_trait::async_trait,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{
-        collections::VecDeque,
+        collections::{BTreeMap, VecDeque},
         sync::{Arc, Mutex, MutexGuard},
         time::Duration,
     },
@@ -62,6 +63,25 @@
         self.inner.lock().expect("no panic before")
     }
 
+    /// Writes an entry's row, unless it is there, and lets the entry know.
+    pub(super) fn put_on_roster(&self, state: &EntryState) {
+        let row = state.roster_row();
+        let key = entry_key(row.entry.entry);
+        let value = serde_json::to_string(&row).expect("row");
+        let write = Transaction {
+            checks: vec![Check {
+                key: key.clone(),
+                version: 0,
+            }],
+            puts: vec![Put {
+                key,
+                value: Some(value),
+            }],
+        };
+        self.lock().store.transact(write);
+        state.roster_read(Instant::default(), vec![row], &BTreeMap::new());
+    }
+
     /// From now on this share of calls goes wrong.
     pub(super) fn set_fault_percent(&self, percent: u32) {
         self.lock().fault_percent = percent;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -1,7 +1,12 @@
 //! Wires an entry together and runs it until it is told to stop.
 
 use {
-    super::{Claims, ConfigKeeper, EntryState, Jobs, peer_handler::EntryPeerHandler},
+    super::{
+        Claims, ConfigKeeper, EntryState, Jobs,
+        digest_exchange::DigestExchange,
+        peer_handler::EntryPeerHandler,
+        roster_keeper::{RosterKeeper, leave_roster},
+    },
     crate::{
         adapters::{
             http::{EntryApi, serve_entry_api},
@@ -13,11 +18,11 @@
         cli::{RunError, stop_signal},
         conf::EntrySettings,
         core::{message::PeerEntry, ticket::AgentId},
-        ports::{Gauge, Metrics, TimerService},
+        ports::{Gauge, Metrics, PeerNetwork, TimerService},
     },
     rand::RngExt,
-    std::sync::Arc,
-    tokio::{net::TcpListener, sync::Mutex},
+    std::sync::{Arc, Mutex},
+    tokio::net::TcpListener,
 };
 
 /// Period of housekeeping, in milliseconds.
@@ -38,6 +43,7 @@
     let state = Arc::new(EntryState::new(
         me,
         Arc::clone(&timer),
+        settings.outage_limit_ms,
         rand::rng().random(),
     ));
     let store = Arc::new(HttpStore::new(
@@ -52,33 +58,53 @@
         timer: Arc::clone(&timer),
         metrics: Arc::clone(&metrics),
         operators: settings.operators.clone(),
-        turn: Mutex::default(),
+        turn: tokio::sync::Mutex::default(),
     });
     let handler = Arc::new(EntryPeerHandler {
         state: Arc::clone(&state),
     });
     tokio::spawn(serve_peers(peers, handler, Arc::clone(&metrics)));
-    tokio::spawn(poll_head(
-        Arc::clone(&keeper),
-        Arc::clone(&timer),
-        settings.head_poll_ms,
-    ));
+    let roster = RosterKeeper {
+        state: Arc::clone(&state),
+        keeper: Arc::clone(&keeper),
+        table: store.clone(),
+        timer: Arc::clone(&timer),
+        is_registered: false,
+        beat_at: None,
+        surveyed_at: None,
+    };
+    let roster = tokio::spawn(roster.run(settings.head_poll_ms));
+    let network: Arc<dyn PeerNetwork> = Arc::new(H2Client::new(Arc::clone(&metrics)));
+    let exchange = Arc::new(DigestExchange {
+        state: Arc::clone(&state),
+        keeper: Arc::clone(&keeper),
+        network: Arc::clone(&network),
+        timer: Arc::clone(&timer),
+        metrics: Arc::clone(&metrics),
+        under_way: Mutex::default(),
+    });
+    tokio::spawn(Arc::clone(&exchange).tell_entries());
+    tokio::spawn(exchange.tell_agents());
     tokio::spawn(keep_house(
         Arc::clone(&state),
         Arc::clone(&timer),
         Arc::clone(&metrics),
     ));
-    let claims = Arc::new(Claims::new(Arc::clone(&state), store, Arc::clone(&timer)));
+    let claims = Arc::new(Claims::new(
+        Arc::clone(&state),
+        store.clone(),
+        Arc::clone(&timer),
+    ));
     tokio::spawn(Arc::clone(&claims).run());
     let api = Arc::new(EntryApi {
         jobs: Jobs {
             state: Arc::clone(&state),
-            network: Arc::new(H2Client::new(Arc::clone(&metrics))),
+            network,
             timer,
             metrics: Arc::clone(&metrics),
         },
         claims,
-        state,
+        state: Arc::clone(&state),
         keeper,
         metrics,
         max_body_bytes: settings.max_body_bytes,
@@ -86,23 +112,13 @@
     });
     log::info!(name = settings.name.as_str(), client_listen:% = settings.client_listen; "entry started");
     serve_entry_api(settings.client_listen, api, stop_signal()).await?;
+    // A beat that is under way must not bring the rows back.
+    roster.abort();
+    leave_roster(&state, store.as_ref()).await;
     log::info!("entry stopped");
     Ok(())
 }
 
-/// Reads the head row again and again.
-async fn poll_head(keeper: Arc<ConfigKeeper>, timer: Arc<dyn TimerService>, period_ms: u64) {
-    let mut ticks = timer.subscribe(period_ms);
-    let mut reachable = true;
-    while ticks.recv().await.is_some() {
-        let result = keeper.refresh().await;
-        if result.is_ok() != reachable {
-            reachable = result.is_ok();
-            log::warn!(reachable, error:? = result.err(); "the platform's reachability changed");
-        }
-    }
-}
-
 async fn keep_house(
     state: Arc<EntryState>,
     timer: Arc<dyn TimerService>,
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -4,6 +4,7 @@
     super::platform_store::PlatformStore,
     crate::{
         cli::{PlatformArgs, RunError, stop_signal},
+        core::roster::ROSTER_PREFIX,
         ports::Transaction,
     },
     poem::{
@@ -29,7 +30,8 @@
     down: bool,
     /// Every call takes this much longer.
     slow_ms: u64,
-    /// The replies of this many writes are lost after the writes took effect.
+    /// The replies of this many writes are lost after the writes took effect; entries' writes of
+    /// their own roster rows don't count, as they come at any time.
     lose_write_replies: u32,
 }
 
@@ -135,8 +137,15 @@
     if let Err(down) = platform.begin(true).await {
         return down;
     }
+    let keys = transaction.puts.iter().map(|put| &put.key);
+    let is_roster =
+        !transaction.puts.is_empty() && keys.into_iter().all(|key| key.starts_with(ROSTER_PREFIX));
     let outcome = platform.lock().store.transact(transaction);
-    platform.finish_write(Json(outcome).into_response()).await
+    let response = Json(outcome).into_response();
+    if is_roster {
+        return response;
+    }
+    platform.finish_write(response).await
 }
 
 #[handler]
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,6 +6,8 @@
 )]
 
 mod config;
+mod gate;
+mod membership;
 mod once;
 mod operators;
 mod path;
