--- a/src/core/home/home.rs
+++ b/src/core/home/home.rs
@@ -123,12 +123,16 @@
             HomeEvent::Submit {
                 waiter,
                 ticket,
+                by_key,
                 spec,
                 impossible,
                 candidates,
                 wait_ms,
             } => {
                 self.meet(now, &candidates);
+                if by_key {
+                    self.release_not_run(&ticket, &spec);
+                }
                 let verdict = self.judge(now, &spec, impossible);
                 self.on_submit(now, waiter, ticket, (spec, verdict), &candidates, wait_ms);
             }
