--- a/tests/processes/config.rs
+++ b/tests/processes/config.rs
@@ -283,25 +283,32 @@
     assert!(metrics.contains(settled), "{metrics}");
 }
 
-/// The platform is down. A change is refused at once with a time to come back, nothing is
-/// changed, and the configuration in force stays. When the platform is back the same change lands.
+/// The platform is down, or takes 5 s for a call. A change is refused with a time to come back,
+/// nothing is changed, and the configuration in force stays. When the platform is back the same
+/// change lands.
 #[tokio::test]
 async fn while_the_platform_is_down_a_change_is_refused_and_nothing_changes() {
     let deployment = deployment().await;
     let change = body(&out(&deployment.document(), "keflavik"), 1);
-    deployment.platform_faults(r#"{"down": true}"#).await;
+    for faults in [r#"{"slow_ms": 5000}"#, r#"{"down": true}"#] {
+        deployment.platform_faults(faults).await;
+        refused_for_want_of_the_platform(&deployment, &change).await;
+    }
+    deployment.platform_faults("{}").await;
+    assert_eq!(newest(&deployment, 0).await, 1);
     let reply = apply(&deployment, 0, "night-shift", &change).await;
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    in_force_everywhere(&deployment, 2).await;
+}
+
+async fn refused_for_want_of_the_platform(deployment: &Deployment, change: &str) {
+    let reply = apply(deployment, 0, "night-shift", change).await;
     assert_eq!(
         (reply.status.as_u16(), reply.header("retry-after")),
         (503, "2")
     );
     assert_eq!(reply.json()["reason"], "store_unavailable");
-    assert_eq!(shown(&deployment, 0).await["version"], 1);
-    deployment.platform_faults("{}").await;
-    assert_eq!(newest(&deployment, 0).await, 1);
-    let reply = apply(&deployment, 0, "night-shift", &change).await;
-    assert_eq!(reply.status, 200, "{}", reply.body);
-    in_force_everywhere(&deployment, 2).await;
+    assert_eq!(shown(deployment, 0).await["version"], 1);
 }
 
 /// An operator's shell is closed in the middle of a change, while the platform is slow. The
