--- a/src/adapters/backend/http_backend.rs
+++ b/src/adapters/backend/http_backend.rs
@@ -1,24 +1,30 @@
 //! Runs tasks as HTTP requests to the backend server beside the agent.
 
 use {
+    super::gated_connection::{GatedConnection, WriteGate},
     crate::{
         core::{
+            gate::SharedPermit,
             job::{TaskOutcome, TaskRef},
             message::StartFrame,
             verdict::{MayHaveRunReason, NotRunReason},
         },
-        ports::BackendServer,
+        ports::{BackendServer, TimerService},
     },
     async_trait::async_trait,
     bytes::Bytes,
-    http::{Request, StatusCode},
+    http::{Request, StatusCode, header::HOST},
     http_body_util::{BodyExt, Full},
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
     },
-    std::{net::SocketAddr, sync::Mutex, time::Duration},
-    tokio::time::timeout,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::time::{Instant, timeout_at},
 };
 
 /// Where tasks are posted.
@@ -36,18 +42,31 @@
 #[derive(Debug)]
 pub(crate) struct HttpBackend {
     addr: Mutex<Option<SocketAddr>>,
+    permit: Arc<SharedPermit>,
+    timer: Arc<dyn TimerService>,
+    /// Open connections without a request, with where they lead.
+    idle: Mutex<Vec<(SocketAddr, GatedConnection)>>,
+    connections: usize,
+    /// For requests that start nothing.
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
 impl HttpBackend {
     /// No backend server yet; at most `connections` idle connections are kept.
-    pub(crate) fn new(connections: usize) -> Self {
+    pub(crate) fn new(
+        connections: usize,
+        permit: Arc<SharedPermit>,
+        timer: Arc<dyn TimerService>,
+    ) -> Self {
         let client = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
-            .pool_max_idle_per_host(connections)
             .build_http();
         Self {
             addr: Mutex::new(None),
+            permit,
+            timer,
+            idle: Mutex::default(),
+            connections,
             client,
         }
     }
@@ -63,37 +82,69 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    fn request(&self, path: &str, start: &StartFrame) -> Option<Request<Full<Bytes>>> {
-        let addr = (*self.lock_addr())?;
-        Request::post(format!("http://{addr}{path}"))
+    fn lock_idle(&self) -> std::sync::MutexGuard<'_, Vec<(SocketAddr, GatedConnection)>> {
+        self.idle
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn request(addr: SocketAddr, start: &StartFrame) -> Option<Request<Full<Bytes>>> {
+        Request::post(RUN_PATH)
+            .header(HOST, addr.to_string())
             .header(TASK_HEADER, start.task.to_string())
             .header(SERVICE_HEADER, &start.service)
             .body(Full::new(Bytes::from(start.input.clone())))
             .ok()
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> TaskOutcome {
-        let response = match self.client.request(request).await {
-            Ok(response) => response,
-            Err(error) if error.is_connect() => {
-                return TaskOutcome::NotRun {
-                    reason: NotRunReason::BackendDown,
-                };
+    /// A connection without a request: one that is open already, or a new one.
+    async fn connection(&self, addr: SocketAddr) -> Option<GatedConnection> {
+        loop {
+            let idle = self.lock_idle().pop();
+            let Some((leads_to, mut connection)) = idle else {
+                break;
+            };
+            if leads_to == addr && connection.is_usable().await {
+                return Some(connection);
             }
-            Err(_) => return backend_lost(),
+        }
+        let gate = WriteGate::new(Arc::clone(&self.permit), Arc::clone(&self.timer));
+        GatedConnection::open(addr, gate).await.ok()
+    }
+
+    fn keep(&self, addr: SocketAddr, connection: GatedConnection) {
+        let mut idle = self.lock_idle();
+        if idle.len() < self.connections {
+            idle.push((addr, connection));
+        }
+    }
+
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        mut connection: GatedConnection,
+        request: Request<Full<Bytes>>,
+    ) -> TaskOutcome {
+        let response = match connection.send(request).await {
+            Ok(response) => response,
+            Err(_) => return unanswered(&connection.gate(), MayHaveRunReason::BackendLost),
         };
         let status = response.status();
         let refused = response
             .headers()
             .get(NOT_RUN_HEADER)
             .is_some_and(|value| value == "1");
+        let body = response.into_body().collect().await;
+        if body.is_ok() {
+            self.keep(addr, connection);
+        }
         if refused && !status.is_success() {
-            return TaskOutcome::NotRun {
-                reason: NotRunReason::BackendRefused,
-            };
+            return not_run(NotRunReason::BackendRefused);
         }
-        let Ok(body) = response.into_body().collect().await else {
-            return backend_lost();
+        let Ok(body) = body else {
+            return TaskOutcome::MayHaveRun {
+                reason: MayHaveRunReason::BackendLost,
+            };
         };
         let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
         if status == StatusCode::OK {
@@ -104,26 +155,41 @@
     }
 }
 
-const fn backend_lost() -> TaskOutcome {
-    TaskOutcome::MayHaveRun {
-        reason: MayHaveRunReason::BackendLost,
+/// The outcome of a request that brought no answer: "not run" if none of it was written.
+fn unanswered(gate: &WriteGate, reason: MayHaveRunReason) -> TaskOutcome {
+    if !gate.refuse() {
+        return TaskOutcome::MayHaveRun { reason };
     }
+    not_run(if gate.permit_ended() {
+        NotRunReason::NoPermit
+    } else {
+        NotRunReason::BackendDown
+    })
+}
+
+const fn not_run(reason: NotRunReason) -> TaskOutcome {
+    TaskOutcome::NotRun { reason }
 }
 
 #[async_trait]
 impl BackendServer for HttpBackend {
     async fn run(&self, start: StartFrame) -> TaskOutcome {
-        let Some(request) = self.request(RUN_PATH, &start) else {
-            return TaskOutcome::NotRun {
-                reason: NotRunReason::BackendDown,
-            };
+        let addr = *self.lock_addr();
+        let Some((addr, request)) =
+            addr.and_then(|addr| Some((addr, Self::request(addr, &start)?)))
+        else {
+            return not_run(NotRunReason::BackendDown);
+        };
+        let deadline = Instant::now() + Duration::from_millis(start.deadline_ms);
+        let connection = match timeout_at(deadline, self.connection(addr)).await {
+            Ok(Some(connection)) => connection,
+            Ok(None) => return not_run(NotRunReason::BackendDown),
+            Err(_) => return not_run(NotRunReason::DeadlinePassed),
         };
-        let deadline = Duration::from_millis(start.deadline_ms);
-        match timeout(deadline, self.exchange(request)).await {
+        let gate = connection.gate();
+        match timeout_at(deadline, self.exchange(addr, connection, request)).await {
             Ok(outcome) => outcome,
-            Err(_) => TaskOutcome::MayHaveRun {
-                reason: MayHaveRunReason::DeadlinePassed,
-            },
+            Err(_) => unanswered(&gate, MayHaveRunReason::DeadlinePassed),
         }
     }
 
--- /dev/null
+++ b/src/core/directory/digest_log.rs
@@ -0,0 +1,103 @@
+//! What this entry has told the others about the agents that it hears.
+
+use {
+    super::Directory,
+    crate::core::{
+        message::{AgentBeat, AgentReport, Announcement},
+        ticket::AgentId,
+        time::Instant,
+    },
+    std::collections::BTreeMap,
+};
+
+/// What one other entry has confirmed.
+#[derive(Debug, Default)]
+struct PeerLog {
+    /// Agents heard up to here have been told.
+    told_through: Option<Instant>,
+    /// The newest statement of each agent that it has.
+    statements: BTreeMap<AgentId, u64>,
+}
+
+/// The part of a digest that is about agents.
+#[derive(Debug, Default)]
+pub(crate) struct Telling {
+    pub(crate) reports: Vec<AgentReport>,
+    pub(crate) beats: Vec<AgentBeat>,
+    /// The statements that the receiver has once it confirms.
+    statements: Vec<(AgentId, u64)>,
+    /// Up to when agents were looked at.
+    through: Instant,
+}
+
+/// Says each agent's whole announcement once to each entry, and after that only that it was heard.
+///
+/// With whole announcements every second, 1,500 agents would cost each entry about nine times
+/// the 21 KB/s that it may spend; `docs/design/membership.md` has the sums.
+#[derive(Debug, Default)]
+pub(crate) struct DigestLog {
+    next_index: u32,
+    indices: BTreeMap<AgentId, u32>,
+    peers: BTreeMap<AgentId, PeerLog>,
+}
+
+impl DigestLog {
+    /// What to tell an entry now.
+    pub(crate) fn tell(&mut self, now: Instant, peer: AgentId, directory: &Directory) -> Telling {
+        let log = self.peers.entry(peer).or_default();
+        let mut telling = Telling {
+            through: now,
+            ..Telling::default()
+        };
+        for view in directory.heard_here(now, log.told_through) {
+            let agent = view.announcement.agent;
+            let index = *self.indices.entry(agent).or_insert_with(|| {
+                self.next_index = self.next_index.wrapping_add(1);
+                self.next_index
+            });
+            if log.statements.get(&agent) == Some(&view.statement) {
+                telling.beats.push(AgentBeat {
+                    index,
+                    free_slots: view.announcement.free_slots,
+                    fingerprint: view.fingerprint,
+                });
+                continue;
+            }
+            telling.statements.push((agent, view.statement));
+            telling.reports.push(AgentReport {
+                index,
+                announcement: Announcement {
+                    grant: None,
+                    ..view.announcement.clone()
+                },
+            });
+        }
+        telling
+    }
+
+    /// The entry has what it was told, but for agents whose numbers it doesn't know.
+    pub(crate) fn confirm(&mut self, peer: AgentId, telling: &Telling, unknown: &[u32]) {
+        let log = self.peers.entry(peer).or_default();
+        log.told_through = log.told_through.max(Some(telling.through));
+        log.statements.extend(telling.statements.iter().copied());
+        if unknown.is_empty() {
+            return;
+        }
+        let indices = &self.indices;
+        log.statements.retain(|agent, _| {
+            indices
+                .get(agent)
+                .is_some_and(|index| !unknown.contains(index))
+        });
+    }
+
+    /// Drops what is about agents that are no longer listed and entries that are gone.
+    pub(crate) fn expire(&mut self, directory: &Directory, is_member: impl Fn(AgentId) -> bool) {
+        let is_listed = |agent: &AgentId| directory.lists(*agent);
+        self.indices.retain(|agent, _| is_listed(agent));
+        self.peers.retain(|peer, _| is_member(*peer));
+        for log in self.peers.values_mut() {
+            log.statements.retain(|agent, _| is_listed(agent));
+        }
+    }
+}
--- a/src/core/directory/directory.rs
+++ b/src/core/directory/directory.rs
@@ -3,7 +3,7 @@
 use {
     crate::core::{
         config::{Document, Service},
-        message::{Announcement, Candidate},
+        message::{AgentBeat, AgentReport, Announcement, Candidate},
         ticket::AgentId,
         time::Instant,
     },
@@ -14,14 +14,34 @@
 pub(crate) const ALIVE_MS: u64 = 3_000;
 /// Silence after which an agent is dropped from the list, in milliseconds.
 const FORGET_AFTER_MS: u64 = 60_000;
+/// For how long an agent's last announcements may be under way after it is gone, in milliseconds.
+const LATE_MS: u64 = 5_000;
 
 /// An agent as last announced.
 #[derive(Debug, Clone)]
 pub(crate) struct AgentView {
     /// What it said.
     pub(crate) announcement: Announcement,
-    /// When it said so.
+    /// When it said so, here or to an entry that passed it on.
     pub(crate) heard_at: Instant,
+    /// When it last said so here.
+    pub(crate) direct_at: Option<Instant>,
+    /// Grows when it says something other than its load.
+    pub(crate) statement: u64,
+    /// Fingerprint of the announcement.
+    pub(crate) fingerprint: u8,
+    /// When a call to it last failed.
+    failed_at: Option<Instant>,
+}
+
+impl AgentView {
+    /// Whether it was heard lately, and since the last call to it failed.
+    fn is_there(&self, now: Instant) -> bool {
+        now.millis_since(self.heard_at) < ALIVE_MS
+            && self
+                .failed_at
+                .is_none_or(|failed_at| failed_at < self.heard_at)
+    }
 }
 
 /// Where a ticket's home is.
@@ -35,22 +55,52 @@
     Replaced,
 }
 
-/// The live agents.
+/// The live agents, heard here or reported by other entries.
 #[derive(Debug, Default)]
 pub(crate) struct Directory {
     agents: BTreeMap<AgentId, AgentView>,
     by_worker: BTreeMap<String, AgentId>,
     replaced: BTreeMap<AgentId, Instant>,
+    /// The short numbers by which other entries name agents.
+    reported: BTreeMap<(AgentId, u32), AgentId>,
     /// Homes of stopped processes, each with the agent that answers for it now.
     adopted: BTreeMap<AgentId, AgentId>,
 }
 
 impl Directory {
-    /// Takes an announcement in.
-    pub(crate) fn announce(&mut self, now: Instant, announcement: Announcement) {
+    /// Takes an agent's own announcement in; true if it says something new.
+    pub(crate) fn announce(&mut self, now: Instant, announcement: Announcement) -> bool {
+        self.take(now, announcement, true)
+    }
+
+    /// Takes in what another entry heard.
+    pub(crate) fn report(&mut self, now: Instant, from: AgentId, report: AgentReport) {
+        let agent = report.announcement.agent;
+        self.reported.insert((from, report.index), agent);
+        self.take(now, report.announcement, false);
+    }
+
+    /// Takes in that another entry heard an agent; false if a report is needed, as it isn't known
+    /// which one that is, or as it said something else here.
+    pub(crate) fn beat(&mut self, now: Instant, from: AgentId, beat: AgentBeat) -> bool {
+        let Some(agent) = self.reported.get(&(from, beat.index)) else {
+            return false;
+        };
+        if self.replaced.contains_key(agent) {
+            return true;
+        }
+        let Some(view) = self.agents.get_mut(agent) else {
+            return false;
+        };
+        view.heard_at = now;
+        view.announcement.free_slots = beat.free_slots;
+        view.fingerprint == beat.fingerprint
+    }
+
+    fn take(&mut self, now: Instant, announcement: Announcement, direct: bool) -> bool {
         let agent = announcement.agent;
-        if self.replaced.contains_key(&agent) {
-            return;
+        if !self.may_be_there(now, &announcement, direct) {
+            return false;
         }
         let previous = self
             .by_worker
@@ -60,14 +110,56 @@
             self.agents.remove(&previous);
             self.replaced.insert(previous, now);
         }
+        let known = self.agents.get(&agent);
+        if known.is_some_and(|view| announcement.number < view.announcement.number) {
+            return false;
+        }
+        let fingerprint = announcement.fingerprint();
+        let is_new = known.is_none_or(|view| view.fingerprint != fingerprint);
+        let statement = known.map_or(0, |view| view.statement) + u64::from(is_new);
+        let direct_at = if direct {
+            Some(now)
+        } else {
+            known.and_then(|view| view.direct_at)
+        };
+        let failed_at = known.and_then(|view| view.failed_at);
         self.adopted.retain(|_, successor| *successor != agent);
         let adopted = announcement.adopted.iter().map(|home| (*home, agent));
         self.adopted.extend(adopted);
         let view = AgentView {
             announcement,
             heard_at: now,
+            direct_at,
+            statement,
+            fingerprint,
+            failed_at,
         };
         self.agents.insert(agent, view);
+        is_new
+    }
+
+    /// Whether an announcement can come from a process that is there.
+    ///
+    /// Guards against the last announcements of a dead agent, which arrive late, directly or by
+    /// way of another entry: its successor must not count as replaced. An agent that goes on
+    /// announcing itself for longer than its last words can be under way is there after all.
+    fn may_be_there(&mut self, now: Instant, announcement: &Announcement, direct: bool) -> bool {
+        let agent = announcement.agent;
+        let holder = self
+            .by_worker
+            .get(&announcement.worker)
+            .filter(|holder| **holder != agent)
+            .and_then(|holder| self.agents.get(holder));
+        let holder_is_here = holder
+            .and_then(|holder| holder.direct_at)
+            .is_some_and(|at| now.millis_since(at) < ALIVE_MS);
+        if let Some(since) = self.replaced.get(&agent) {
+            if holder_is_here || !direct || now.millis_since(*since) < LATE_MS {
+                return false;
+            }
+            self.replaced.remove(&agent);
+        }
+        direct || !holder_is_here
     }
 
     /// Forgets agents that have been silent for long.
@@ -85,6 +177,8 @@
             .retain(|_, successor| agents.contains_key(successor));
         self.replaced
             .retain(|_, since| now.millis_since(*since) < FORGET_AFTER_MS * 20);
+        let agents = &self.agents;
+        self.reported.retain(|_, agent| agents.contains_key(agent));
     }
 
     /// Where a home is.
@@ -101,9 +195,41 @@
 
     /// Agents that announced themselves lately.
     pub(crate) fn alive(&self, now: Instant) -> impl Iterator<Item = &AgentView> {
-        self.agents
-            .values()
-            .filter(move |view| now.millis_since(view.heard_at) < ALIVE_MS)
+        self.agents.values().filter(move |view| view.is_there(now))
+    }
+
+    /// A call to an agent failed: it gets no new work until it answers or is heard again.
+    ///
+    /// Guards against a rack that is lost at once: until its silence was noticed, every second
+    /// job would get a home there, and its client would wait for one that is gone.
+    pub(crate) fn call_failed(&mut self, now: Instant, agent: AgentId) {
+        if let Some(view) = self.agents.get_mut(&agent) {
+            view.failed_at = Some(now);
+        }
+    }
+
+    /// A call to an agent was answered.
+    pub(crate) fn call_answered(&mut self, agent: AgentId) {
+        if let Some(view) = self.agents.get_mut(&agent) {
+            view.failed_at = None;
+        }
+    }
+
+    /// Agents that announced themselves here after `since`, or never lately if it is `None`.
+    pub(crate) fn heard_here(
+        &self,
+        now: Instant,
+        since: Option<Instant>,
+    ) -> impl Iterator<Item = &AgentView> {
+        self.alive(now).filter(move |view| {
+            view.direct_at
+                .is_some_and(|at| since.is_none_or(|since| at > since))
+        })
+    }
+
+    /// Whether an agent is still listed.
+    pub(crate) fn lists(&self, agent: AgentId) -> bool {
+        self.agents.contains_key(&agent)
     }
 
     /// All agents that are still listed.
@@ -113,8 +239,16 @@
 
     /// Whether an agent may be handed new jobs or tasks.
     pub(crate) fn takes_work(&self, now: Instant, agent: AgentId) -> bool {
+        self.agents
+            .get(&agent)
+            .is_some_and(|view| !view.announcement.leaving && view.is_there(now))
+    }
+
+    /// Whether the configuration lets tasks start at an agent.
+    pub(crate) fn is_open(&self, document: &Document, agent: AgentId) -> bool {
         self.agents.get(&agent).is_some_and(|view| {
-            !view.announcement.leaving && now.millis_since(view.heard_at) < ALIVE_MS
+            let announcement = &view.announcement;
+            document.worker_is_open(&announcement.worker, &announcement.availability_zone)
         })
     }
 
@@ -149,5 +283,5 @@
         && service
             .availability_zones
             .contains(&announcement.availability_zone)
-        && document.zone_is_open(&announcement.availability_zone)
+        && document.worker_is_open(&announcement.worker, &announcement.availability_zone)
 }
--- /dev/null
+++ b/src/core/gate/tests.rs
@@ -0,0 +1,4 @@
+//! Tests of the zone gate: the rule itself, and a model of entries, platform and faults.
+
+mod model;
+mod rule;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod job;
 pub(crate) mod message;
 pub(crate) mod placement;
+pub(crate) mod roster;
 pub(crate) mod run_times;
 pub(crate) mod runner;
 pub(crate) mod ticket;
--- a/src/entry/config_tests/mod.rs
+++ b/src/entry/config_tests/mod.rs
@@ -85,6 +85,9 @@
     }
 }
 
+/// For how long an entry may grant permits without the platform; of no matter here.
+const OUTAGE_LIMIT_MS: u64 = 3_600_000;
+
 fn keeper(platform: &Arc<FakePlatform>) -> Arc<ConfigKeeper> {
     let timer: Arc<dyn TimerService> = Arc::new(VirtualTimer(tokio::time::Instant::now()));
     let me = PeerEntry {
@@ -92,8 +95,10 @@
         name: "entry".to_owned(),
         peer_addr: ([127, 0, 0, 1], 1).into(),
     };
+    let state = Arc::new(EntryState::new(me, Arc::clone(&timer), OUTAGE_LIMIT_MS, 1));
+    platform.put_on_roster(&state);
     Arc::new(ConfigKeeper {
-        state: Arc::new(EntryState::new(me, Arc::clone(&timer), 1)),
+        state,
         table: Arc::clone(platform) as _,
         objects: Arc::clone(platform) as _,
         timer,
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -4,9 +4,11 @@
     crate::{
         core::{
             config::{Document, Head, Service},
-            directory::{Directory, HomeLocation},
-            message::{Announcement, AnnouncementReply, Candidate, PeerEntry},
-            placement::{active_homes, own_runners},
+            directory::{DigestLog, Directory, HomeLocation},
+            gate::{PERMIT_MS, ZoneGate},
+            message::{Announcement, AnnouncementReply, Candidate, PeerEntry, roster_digest},
+            placement::{active_homes, own_runners, shortlist},
+            roster::Roster,
             ticket::{AgentId, Ticket, TicketOffice},
             time::Instant,
             verdict::NotRunReason,
@@ -16,15 +18,13 @@
     rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_chacha::ChaCha8Rng,
     std::{
+        collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
+    tokio::sync::Notify,
 };
 
-/// For how long a runner may start tasks after an announcement, in milliseconds.
-const PERMIT_MS: u64 = 3_000;
-/// Age of the last reading of the head row up to which permits are granted, in milliseconds.
-const HEAD_FRESH_MS: u64 = 2_000;
 /// Successors named to a leaving agent.
 const MAX_SUCCESSORS: usize = 3;
 
@@ -39,20 +39,29 @@
     pub(crate) document: Arc<Document>,
 }
 
+/// What the lock guards.
 #[derive(Debug)]
-struct Inner {
-    directory: Directory,
-    tickets: TicketOffice,
-    in_force: Option<InForce>,
-    head_read_at: Option<Instant>,
+pub(super) struct Inner {
+    pub(super) me: PeerEntry,
+    pub(super) directory: Directory,
+    pub(super) digests: DigestLog,
+    pub(super) roster: Roster,
+    pub(super) heard_from: BTreeMap<AgentId, Instant>,
+    pub(super) gate: ZoneGate,
+    pub(super) tickets: TicketOffice,
+    pub(super) in_force: Option<InForce>,
     rng: ChaCha8Rng,
 }
 
 /// Shared by all parts of an entry.
 #[derive(Debug)]
 pub(crate) struct EntryState {
-    me: PeerEntry,
-    timer: Arc<dyn TimerService>,
+    pub(super) timer: Arc<dyn TimerService>,
+    pub(super) outage_limit_ms: u64,
+    /// Wakes the exchange of digests before its next tick.
+    pub(super) tell_entries: Notify,
+    /// Wakes whoever tells agents that their zone was taken out or in.
+    pub(super) tell_agents: Notify,
     inner: Mutex<Inner>,
 }
 
@@ -77,21 +86,32 @@
 
 impl EntryState {
     /// An entry that knows nobody yet.
-    pub(crate) fn new(me: PeerEntry, timer: Arc<dyn TimerService>, seed: u64) -> Self {
+    pub(crate) fn new(
+        me: PeerEntry,
+        timer: Arc<dyn TimerService>,
+        outage_limit_ms: u64,
+        seed: u64,
+    ) -> Self {
         Self {
-            me,
             timer,
+            outage_limit_ms,
+            tell_entries: Notify::new(),
+            tell_agents: Notify::new(),
             inner: Mutex::new(Inner {
+                me,
                 directory: Directory::default(),
+                digests: DigestLog::default(),
+                roster: Roster::default(),
+                heard_from: BTreeMap::new(),
+                gate: ZoneGate::new(outage_limit_ms),
                 tickets: TicketOffice::default(),
                 in_force: None,
-                head_read_at: None,
                 rng: ChaCha8Rng::seed_from_u64(seed),
             }),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -99,23 +119,27 @@
     pub(crate) fn announce(&self, mut announcement: Announcement) -> AnnouncementReply {
         let now = self.timer.now();
         let mut inner = self.lock();
-        let zone = announcement.availability_zone.clone();
         match announcement.grant.take() {
             Some(grant) => inner.tickets.receive(now, grant),
             None => inner.tickets.forget(announcement.agent),
         }
         let successors = inner.successors_of(now, &announcement);
-        inner.directory.announce(now, announcement);
-        let head_is_fresh = inner
-            .head_read_at
-            .is_some_and(|read_at| now.millis_since(read_at) < HEAD_FRESH_MS);
-        let in_force = inner.in_force.as_ref();
+        let (config_version, zone_open) = inner.verdict_on(&announcement);
+        let may_grant = zone_open
+            && inner
+                .gate
+                .grants(now, &announcement.availability_zone, &announcement.worker);
+        let roster = inner.roster_for_agents(now);
+        let roster_is_held = announcement.roster_digest == roster_digest(&roster);
+        if inner.directory.announce(now, announcement) {
+            self.tell_entries.notify_one();
+        }
         AnnouncementReply {
-            roster: vec![self.me.clone()],
+            roster: (!roster_is_held).then_some(roster),
             successors,
-            config_version: in_force.map_or(0, |in_force| in_force.head.version),
-            zone_open: in_force.is_some_and(|in_force| in_force.document.zone_is_open(&zone)),
-            permit_ms: if head_is_fresh { PERMIT_MS } else { 0 },
+            config_version,
+            zone_open,
+            permit_ms: if may_grant { PERMIT_MS } else { 0 },
         }
     }
 
@@ -130,13 +154,27 @@
     /// than the one in force changes nothing.
     pub(crate) fn head_read(&self, read_at: Instant, newer: Option<InForce>) {
         let mut inner = self.lock();
-        inner.head_read_at = inner.head_read_at.max(Some(read_at));
+        let held = inner.in_force.as_ref().map_or(0, |held| held.head.version);
+        let version = newer.as_ref().map_or(held, |newer| newer.head.version);
+        inner.gate.head_read(read_at, version.max(held));
+        self.put_in_force(&mut inner, newer);
+    }
+
+    /// Takes in a configuration that another entry holds.
+    pub(crate) fn passed_on(&self, newer: InForce) {
+        self.put_in_force(&mut self.lock(), Some(newer));
+    }
+
+    fn put_in_force(&self, inner: &mut Inner, newer: Option<InForce>) {
         let held = inner.in_force.as_ref().map_or(0, |held| held.head.version);
         if let Some(newer) = newer
             && newer.head.version > held
         {
             log::info!(version = newer.head.version; "configuration in force");
+            inner.gate.hold(newer.head.version);
             inner.in_force = Some(newer);
+            self.tell_entries.notify_one();
+            self.tell_agents.notify_one();
         }
     }
 
@@ -147,11 +185,13 @@
         let Inner {
             directory,
             tickets,
+            in_force,
             rng,
             ..
         } = &mut *inner;
         let mut homes = tickets.homes(now);
         homes.retain(|home| directory.takes_work(now, *home));
+        prefer_open(&mut homes, directory, in_force.as_ref());
         let mut spare = homes.clone();
         let mut homes = active_homes(homes);
         spare.retain(|home| !homes.contains(home));
@@ -176,6 +216,17 @@
         self.lock().directory.locate(home)
     }
 
+    /// A call to an agent failed.
+    pub(crate) fn call_failed(&self, agent: AgentId) {
+        let now = self.timer.now();
+        self.lock().directory.call_failed(now, agent);
+    }
+
+    /// A call to an agent was answered.
+    pub(crate) fn call_answered(&self, agent: AgentId) {
+        self.lock().directory.call_answered(agent);
+    }
+
     /// The service's declaration, if the configuration in force has it.
     pub(crate) fn service(&self, name: &str) -> Result<Service, NotRunReason> {
         let inner = self.lock();
@@ -211,7 +262,7 @@
         for candidate in &mut candidates {
             candidate.own = own.contains(&candidate.runner);
         }
-        candidates
+        shortlist(home, candidates)
     }
 
     /// The listed agents with their silence in milliseconds.
@@ -229,7 +280,18 @@
         let now = self.timer.now();
         let mut inner = self.lock();
         inner.directory.expire(now);
-        inner.directory.alive(now).count()
+        let Inner {
+            digests,
+            directory,
+            roster,
+            heard_from,
+            me,
+            ..
+        } = &mut *inner;
+        let members: BTreeSet<AgentId> = roster.others(me.entry).map(|other| other.entry).collect();
+        digests.expire(directory, |entry| members.contains(&entry));
+        heard_from.retain(|entry, _| members.contains(entry));
+        directory.alive(now).count()
     }
 
     /// Whether the entry can serve clients: it holds a configuration and knows a home.
@@ -239,3 +301,14 @@
         inner.in_force.is_some() && !inner.tickets.homes(now).is_empty()
     }
 }
+
+/// Leaves out homes in zones that were taken out, as their hosts may go next; unless all are.
+fn prefer_open(homes: &mut Vec<AgentId>, directory: &Directory, in_force: Option<&InForce>) {
+    let Some(in_force) = in_force else {
+        return;
+    };
+    let is_open = |home: &AgentId| directory.is_open(&in_force.document, *home);
+    if homes.iter().any(is_open) {
+        homes.retain(is_open);
+    }
+}
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -170,10 +170,15 @@
         };
         let limit = Duration::from_millis(CALL_WAIT_MS + CALL_GRACE_MS);
         match timeout(limit, self.network.call(addr, request)).await {
-            Ok(Ok(PeerReply::Job(status))) => Ok(report(status)),
-            Ok(Ok(PeerReply::Announced(_) | PeerReply::Adopted | PeerReply::Unsupported))
-            | Ok(Err(PeerError::Unreachable(_) | PeerError::Lost(_)))
-            | Err(_) => Err(home_unreachable()),
+            Ok(Ok(PeerReply::Job(status))) => {
+                self.state.call_answered(ticket.id.home);
+                Ok(report(status))
+            }
+            Ok(Ok(_)) => Err(home_unreachable()),
+            Ok(Err(PeerError::Unreachable(_) | PeerError::Lost(_))) | Err(_) => {
+                self.state.call_failed(ticket.id.home);
+                Err(home_unreachable())
+            }
         }
     }
 
--- a/src/entry/jobs_tests.rs
+++ b/src/entry/jobs_tests.rs
@@ -119,8 +119,10 @@
         peer_addr: addr,
     };
     let timer = Arc::new(PausedTimer(tokio::time::Instant::now()));
-    let state = Arc::new(EntryState::new(me, timer.clone(), 1));
+    let state = Arc::new(EntryState::new(me, timer.clone(), 3_600_000, 1));
     state.announce(Announcement {
+        number: 1,
+        roster_digest: 0,
         agent: HOME,
         worker: "w01".to_owned(),
         availability_zone: "grindavik".to_owned(),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,9 +5,12 @@
 mod config_change;
 mod config_draft;
 mod config_keeper;
+mod digest_exchange;
 mod entry_state;
 mod jobs;
+mod membership;
 mod peer_handler;
+mod roster_keeper;
 mod run;
 
 #[cfg(test)]
--- a/src/entry/peer_handler.rs
+++ b/src/entry/peer_handler.rs
@@ -10,7 +10,7 @@
     std::sync::Arc,
 };
 
-/// Takes announcements.
+/// Takes announcements and digests.
 #[derive(Debug)]
 pub(crate) struct EntryPeerHandler {
     pub(crate) state: Arc<EntryState>,
@@ -23,7 +23,13 @@
             PeerRequest::Announce(announcement) => {
                 PeerReply::Announced(self.state.announce(announcement))
             }
-            PeerRequest::Submit(_)
+            PeerRequest::Digest(digest) => PeerReply::Digest(self.state.digest(digest)),
+            PeerRequest::Configuration => {
+                let held = self.state.in_force();
+                PeerReply::Configuration(held.map(|held| (held.head, held.text.to_string())))
+            }
+            PeerRequest::Gate(_)
+            | PeerRequest::Submit(_)
             | PeerRequest::Poll { .. }
             | PeerRequest::Adopt(_)
             | PeerRequest::Cancel { .. } => PeerReply::Unsupported,
