Hand-over: after a lost reply only the successor's own word counts; tests of offers

A refusal that followed an offer with a lost reply was taken for 'not taken', although it may come from a process that has taken the successor's place; the home then went on here as well. Found by writing the cases of offers down, on the code before by reading only.

--- a/src/agent/hand_over.rs
+++ b/src/agent/hand_over.rs
@@ -9,7 +9,7 @@
             ticket::AgentId,
             time::Instant,
         },
-        ports::PeerError,
+        ports::{PeerError, PeerNetwork},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -86,7 +86,9 @@
             return;
         };
         for successor in successors {
-            match self.offer(*successor, &records, until).await {
+            let network = self.starter.network.as_ref();
+            let in_time = || self.timer.now() < until;
+            match offer(network, *successor, &records, in_time).await {
                 Offer::Taken => return self.finish_move(home, *successor, &moved),
                 Offer::Refused => {}
                 Offer::Unknown => {
@@ -111,35 +113,49 @@
         log::info!(home:? = home, successor:% = successor; "home handed over");
         moved.send_replace(Some(successor));
     }
+}
 
-    /// Offers the records to one successor until it is known whether it has them.
-    ///
-    /// Guards against two processes that run the same jobs: once an offer may have arrived, no
-    /// other successor is asked and this process doesn't go on with the home either. Repeating
-    /// the offer to the same one is harmless.
-    async fn offer(&self, to: SocketAddr, records: &HomeRecords, until: Instant) -> Offer {
-        let mut may_have_arrived = false;
-        loop {
-            let request = PeerRequest::Adopt(Box::new(records.clone()));
-            let call = self.starter.network.call(to, request);
-            match timeout(Duration::from_millis(OFFER_TIMEOUT_MS), call).await {
-                Ok(Ok(PeerReply::Adopted)) => return Offer::Taken,
-                Ok(Ok(_)) => return Offer::Refused,
-                Ok(Err(PeerError::Unreachable(_))) if !may_have_arrived => return Offer::Refused,
-                Ok(Err(_)) | Err(_) => may_have_arrived = true,
-            }
-            if self.timer.now() >= until {
-                return Offer::Unknown;
+/// Offers the records to one successor until it is known whether it has them, or time is up.
+///
+/// Guards against two processes that run the same jobs: once an offer may have arrived, no
+/// other successor is asked and this process doesn't go on with the home either. Repeating
+/// the offer to the same one is harmless, and only its own word that it has the home counts:
+/// a refusal may come from a process that has taken its place.
+pub(super) async fn offer(
+    network: &dyn PeerNetwork,
+    to: SocketAddr,
+    records: &HomeRecords,
+    in_time: impl Fn() -> bool,
+) -> Offer {
+    let mut may_have_arrived = false;
+    loop {
+        let request = PeerRequest::Adopt(Box::new(records.clone()));
+        match timeout(
+            Duration::from_millis(OFFER_TIMEOUT_MS),
+            network.call(to, request),
+        )
+        .await
+        {
+            Ok(Ok(PeerReply::Adopted)) => return Offer::Taken,
+            Ok(Ok(_) | Err(PeerError::Unreachable(_))) if !may_have_arrived => {
+                return Offer::Refused;
             }
-            sleep(Duration::from_millis(PAUSE_MS)).await;
+            Ok(_) | Err(_) => may_have_arrived = true,
+        }
+        if !in_time() {
+            return Offer::Unknown;
         }
+        sleep(Duration::from_millis(PAUSE_MS)).await;
     }
 }
 
 /// What became of an offer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Offer {
+pub(super) enum Offer {
+    /// The successor answers for the home.
     Taken,
+    /// It surely doesn't.
     Refused,
+    /// It may.
     Unknown,
 }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -10,4 +10,7 @@
 mod run;
 mod runner_loop;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use {agent_handle::AgentHandle, run::run_agent};
--- a/src/core/home/tests.rs
+++ b/src/core/home/tests.rs
@@ -9,4 +9,5 @@
 mod faults;
 mod interleavings;
 mod memory;
+mod sessions;
 mod world;
--- /dev/null
+++ b/src/core/home/tests/sessions.rs
@@ -0,0 +1,162 @@
+//! Sessions between the home and its runners, on which frames are late, cut off and crossed.
+
+use {
+    super::world::World,
+    crate::core::{
+        home::HomeEvent,
+        message::{HomeFrame, RunnerFrame},
+        runner::{RunnerEvent, SessionId},
+        ticket::AgentId,
+    },
+    std::{collections::VecDeque, net::SocketAddr},
+};
+
+/// A session with the frames under way on it.
+#[derive(Debug)]
+pub(super) struct Session {
+    runner: AgentId,
+    epoch: u64,
+    node: usize,
+    /// The process behind the address when the session was opened.
+    incarnation: u64,
+    pub(super) id: SessionId,
+    to_runner: VecDeque<HomeFrame>,
+    pub(super) to_home: VecDeque<RunnerFrame>,
+    pub(super) home_lost: bool,
+    pub(super) runner_closed: bool,
+}
+
+impl World {
+    pub(super) fn open(&mut self, runner: AgentId, peer_addr: SocketAddr, epoch: u64) {
+        let node = usize::from(peer_addr.port()) - 1_000;
+        self.next_id += 1;
+        let hello = HomeFrame::Hello {
+            home: self.home.id(),
+            epoch,
+        };
+        self.sessions.push(Session {
+            runner,
+            epoch,
+            node,
+            incarnation: self.nodes[node].id.0,
+            id: SessionId(self.next_id),
+            to_runner: VecDeque::from([hello]),
+            to_home: VecDeque::new(),
+            home_lost: false,
+            runner_closed: false,
+        });
+    }
+
+    pub(super) fn send(&mut self, runner: AgentId, epoch: u64, frame: HomeFrame) {
+        let session = self
+            .sessions
+            .iter_mut()
+            .find(|s| s.runner == runner && s.epoch == epoch && !s.home_lost);
+        if let Some(session) = session {
+            session.to_runner.push_back(frame);
+        }
+    }
+
+    /// Delivers the next frame of a session to its runner, also long after the home lost it.
+    pub(super) fn deliver_to_runner(&mut self, number: usize) {
+        let Some(session) = self.sessions.get_mut(number) else {
+            return;
+        };
+        let is_gone = self.nodes[session.node].id.0 != session.incarnation;
+        if session.runner_closed || is_gone {
+            session.to_runner.clear();
+            return;
+        }
+        let Some(frame) = session.to_runner.pop_front() else {
+            return;
+        };
+        let (node, session) = (session.node, session.id);
+        self.feed_runner(node, RunnerEvent::Frame { session, frame });
+    }
+
+    /// Delivers the next frame of a session to the home, also after a newer one was opened.
+    pub(super) fn deliver_to_home(&mut self, number: usize) {
+        let Some(session) = self.sessions.get_mut(number) else {
+            return;
+        };
+        let Some(frame) = session.to_home.pop_front() else {
+            if session.runner_closed && !session.home_lost {
+                self.break_session(number);
+            }
+            return;
+        };
+        let (runner, epoch) = (session.runner, session.epoch);
+        self.feed(HomeEvent::Frame {
+            runner,
+            epoch,
+            frame,
+        });
+    }
+
+    /// The home finds a session lost; what is under way on it may still arrive.
+    pub(super) fn break_session(&mut self, number: usize) {
+        let Some(session) = self.sessions.get_mut(number) else {
+            return;
+        };
+        if std::mem::replace(&mut session.home_lost, true) {
+            return;
+        }
+        let (runner, epoch) = (session.runner, session.epoch);
+        self.feed(HomeEvent::SessionLost { runner, epoch });
+    }
+
+    /// The runner finds a session lost, with all that was under way to it.
+    pub(super) fn close_at_runner(&mut self, number: usize) {
+        let Some(session) = self.sessions.get_mut(number) else {
+            return;
+        };
+        if std::mem::replace(&mut session.runner_closed, true) {
+            return;
+        }
+        session.to_home.clear();
+        let (node, session) = (session.node, session.id);
+        self.feed_runner(node, RunnerEvent::SessionClosed { session });
+    }
+
+    pub(super) const fn session_count(&self) -> usize {
+        self.sessions.len()
+    }
+
+    pub(super) fn deliver_live(&mut self) {
+        for number in 0..self.sessions.len() {
+            if !self.sessions[number].home_lost {
+                self.deliver_session(number);
+            }
+        }
+    }
+
+    /// Delivers everything under way, oldest session first.
+    pub(super) fn deliver_all(&mut self) {
+        let mut number = 0;
+        while number < self.sessions.len() {
+            self.deliver_session(number);
+            number += 1;
+        }
+    }
+
+    fn deliver_session(&mut self, number: usize) {
+        while self.sessions[number].has_frames() {
+            self.deliver_to_runner(number);
+            self.deliver_to_home(number);
+        }
+        self.notice_end(number);
+    }
+
+    fn notice_end(&mut self, number: usize) {
+        let session = &self.sessions[number];
+        if session.runner_closed || self.nodes[session.node].id.0 != session.incarnation {
+            self.break_session(number);
+        }
+    }
+}
+
+impl Session {
+    fn has_frames(&self) -> bool {
+        !self.to_runner.is_empty() || !self.to_home.is_empty()
+    }
+}
