--- a/src/agent/peer_handler.rs
+++ b/src/agent/peer_handler.rs
@@ -131,6 +131,7 @@
             ticket: submission.ticket,
             by_key: submission.by_key,
             spec: submission.spec,
+            impossible: submission.impossible,
             candidates: submission.candidates,
             wait_ms: submission.wait_ms,
         })),
--- a/src/core/home/home.rs
+++ b/src/core/home/home.rs
@@ -4,6 +4,7 @@
     super::{
         HomeAction, HomeEvent, WaiterId,
         answer_store::AnswerStore,
+        intake::Turndown,
         job_record::{JobRecord, JobState, RunningJob},
         runner_link::RunnerLinks,
         ticket_ring::{JobKey, TicketRing, TicketState},
@@ -124,6 +125,7 @@
                 ticket,
                 by_key,
                 spec,
+                impossible,
                 candidates,
                 wait_ms,
             } => {
@@ -131,7 +133,8 @@
                 if by_key {
                     self.release_not_run(&ticket, &spec);
                 }
-                self.on_submit(now, waiter, ticket, spec, &candidates, wait_ms);
+                let verdict = self.judge(now, &spec, impossible);
+                self.on_submit(now, waiter, ticket, (spec, verdict), &candidates, wait_ms);
             }
             HomeEvent::Poll {
                 waiter,
@@ -162,7 +165,7 @@
         now: Instant,
         waiter: WaiterId,
         ticket: Ticket,
-        spec: JobSpec,
+        (spec, verdict): (JobSpec, Result<(), Turndown>),
         candidates: &[Candidate],
         wait_ms: u64,
     ) {
@@ -182,10 +185,9 @@
                 self.refuse(waiter, NotRunReason::Leaving, LEAVING_RETRY_AFTER_MS);
             }
             TicketState::Unused => {
-                let verdict = self.judge(&spec);
                 let key = self.start_job(now, ticket, spec, candidates);
-                if let Err(overload) = verdict {
-                    self.end_refused(key, overload);
+                if let Err(turndown) = verdict {
+                    self.end_refused(key, turndown);
                 }
                 self.attach(now, waiter, key, &[], wait_ms);
             }
--- a/src/core/home/tests/world.rs
+++ b/src/core/home/tests/world.rs
@@ -162,6 +162,7 @@
             ticket,
             by_key,
             spec,
+            impossible: false,
             candidates,
             wait_ms,
         });
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -181,6 +181,7 @@
             Some(spec) => PeerRequest::Submit(Box::new(Submission {
                 ticket: identity.ticket,
                 by_key: identity.by_key,
+                impossible: !self.state.fits_somewhere(spec),
                 spec: spec.clone(),
                 candidates,
                 wait_ms,
