--- a/src/core/placement/home_share.rs
+++ b/src/core/placement/home_share.rs
@@ -1,6 +1,6 @@
 //! Which agents are homes, and which runners each of them looks to first.
 
-use crate::core::ticket::AgentId;
+use {crate::core::ticket::AgentId, std::ops::Range};
 
 /// Runners for each home.
 ///
@@ -27,20 +27,14 @@
     agents
 }
 
-/// The runners that a home looks to first: its even share of them all.
+/// The runners that a home looks to first: its even share of them all, as positions in the order
+/// of their ranks; `None` if it is no active home.
 ///
 /// Homes share in the order of their ranks, runners are dealt out in blocks in the order of
 /// theirs, so that one more or less moves the shares' borders only.
-pub(crate) fn own_runners(
-    home: AgentId,
-    homes: &[AgentId],
-    mut runners: Vec<AgentId>,
-) -> Vec<AgentId> {
-    let Some(position) = homes.iter().position(|active| *active == home) else {
-        return Vec::new();
-    };
-    runners.sort_unstable_by_key(|runner| rank(*runner));
-    let from = position * runners.len() / homes.len();
-    let to = (position + 1) * runners.len() / homes.len();
-    runners[from..to].to_vec()
+pub(super) fn own_range(home: AgentId, homes: &[AgentId], runners: usize) -> Option<Range<usize>> {
+    let position = homes.iter().position(|active| *active == home)?;
+    let from = position * runners / homes.len();
+    let to = (position + 1) * runners / homes.len();
+    Some(from..to)
 }
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -11,10 +11,6 @@
 mod tests;
 
 pub(crate) use {
-    home_share::{active_homes, own_runners},
-    most_free::MostFree,
-    placement::Placement,
-    random_worker::RandomWorker,
-    runner_view::RunnerView,
-    shortlist::shortlist,
+    home_share::active_homes, most_free::MostFree, placement::Placement,
+    random_worker::RandomWorker, runner_view::RunnerView, shortlist::RunnerRing,
 };
--- a/src/core/placement/tests.rs
+++ b/src/core/placement/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the placement policies.
 
 use {
-    super::{MostFree, Placement, RunnerView, active_homes, own_runners, shortlist},
+    super::{MostFree, Placement, RunnerRing, RunnerView, active_homes},
     crate::core::{message::Candidate, ticket::AgentId, time::Instant},
     std::{
         collections::BTreeSet,
@@ -49,26 +49,28 @@
 
 #[test]
 fn every_runner_is_some_homes_own_once() {
-    let agents: Vec<AgentId> = (0..1_500).map(AgentId).collect();
-    let homes = active_homes(agents.clone());
+    let homes = active_homes((0..1_500).map(AgentId).collect());
     assert_eq!(homes.len(), 250);
+    let ring = RunnerRing::new(homes.clone(), candidates(1_500));
     let mut owned: Vec<AgentId> = homes
         .iter()
-        .flat_map(|home| own_runners(*home, &homes, agents.clone()))
+        .flat_map(|home| ring.shortlist(*home))
+        .filter(|candidate| candidate.own)
+        .map(|candidate| candidate.runner)
         .collect();
     owned.sort_unstable();
-    assert_eq!(owned, agents);
+    assert_eq!(owned, (0..1_500).map(AgentId).collect::<Vec<_>>());
 }
 
-/// Runners 0 to `count`, of which each tenth is full; the home's own ones are marked.
-fn candidates(count: u64, own: &[AgentId]) -> Vec<Candidate> {
+/// Runners 0 to `count`, of which each tenth is full.
+fn candidates(count: u64) -> Vec<Candidate> {
     (0..count)
         .map(|number| Candidate {
             runner: AgentId(number),
             peer_addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
             slots: 8,
             free_slots: if number % 10 == 0 { 0 } else { 8 },
-            own: own.contains(&AgentId(number)),
+            own: false,
         })
         .collect()
 }
@@ -85,7 +87,8 @@
         $(
             #[test]
             fn $name() {
-                let named = shortlist(AgentId(1), candidates($count, &[]));
+                let ring = RunnerRing::new(Vec::new(), candidates($count));
+                let named = ring.shortlist(AgentId(1));
                 assert_eq!(names(&named).len(), named.len(), "each once");
                 assert_eq!(named.len(), $expected);
             }
@@ -101,15 +104,12 @@
 }
 
 #[test]
-fn a_home_is_told_of_all_its_own_runners_and_of_others_than_the_next_home() {
-    let agents: Vec<AgentId> = (0..1_500).map(AgentId).collect();
-    let homes = active_homes(agents.clone());
-    let mut heard = BTreeSet::new();
-    for home in &homes {
-        let own = own_runners(*home, &homes, agents.clone());
-        let named = names(&shortlist(*home, candidates(1_500, &own)));
-        assert!(own.iter().all(|runner| named.contains(runner)));
-        heard.insert(named);
-    }
-    assert_eq!(heard.len(), homes.len(), "no two homes have the same list");
+fn homes_are_told_of_different_runners() {
+    let homes = active_homes((0..1_500).map(AgentId).collect());
+    let ring = RunnerRing::new(homes.clone(), candidates(1_500));
+    let lists: BTreeSet<_> = homes
+        .iter()
+        .map(|home| names(&ring.shortlist(*home)))
+        .collect();
+    assert_eq!(lists.len(), homes.len(), "no two homes have the same list");
 }
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -6,7 +6,7 @@
             config::{Document, Head, Service},
             directory::{Directory, HomeLocation},
             message::{Announcement, AnnouncementReply, Candidate, PeerEntry},
-            placement::{active_homes, own_runners, shortlist},
+            placement::{RunnerRing, active_homes},
             ticket::{AgentId, Ticket, TicketOffice},
             time::Instant,
             verdict::NotRunReason,
@@ -16,6 +16,7 @@
     rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_chacha::ChaCha8Rng,
     std::{
+        collections::BTreeMap,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
@@ -25,6 +26,8 @@
 const PERMIT_MS: u64 = 3_000;
 /// Age of the last reading of the head row up to which permits are granted, in milliseconds.
 const HEAD_FRESH_MS: u64 = 2_000;
+/// For how long the runners of a service are not looked through anew, in milliseconds.
+const RING_MS: u64 = 50;
 /// Successors named to a leaving agent.
 const MAX_SUCCESSORS: usize = 3;
 
@@ -53,6 +56,7 @@
 pub(crate) struct EntryState {
     me: PeerEntry,
     timer: Arc<dyn TimerService>,
+    rings: Mutex<BTreeMap<String, (Instant, RunnerRing)>>,
     inner: Mutex<Inner>,
 }
 
@@ -81,6 +85,7 @@
         Self {
             me,
             timer,
+            rings: Mutex::default(),
             inner: Mutex::new(Inner {
                 directory: Directory::default(),
                 tickets: TicketOffice::default(),
@@ -192,26 +197,36 @@
     }
 
     /// Runners that could take tasks of a service now, with those that a home looks to first.
+    ///
+    /// All runners are looked through anew after [`RING_MS`] only: for each job it would cost
+    /// more than the rest of the job at 1,500 workers. Reports of free slots are a second old.
     pub(crate) fn candidates(&self, name: &str, home: AgentId) -> Vec<Candidate> {
         let now = self.timer.now();
-        let inner = self.lock();
-        let Some(in_force) = &inner.in_force else {
-            return Vec::new();
-        };
-        let Some(service) = in_force.document.services.get(name) else {
+        let mut rings = self.rings.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((made_at, ring)) = rings.get(name)
+            && now.millis_since(*made_at) < RING_MS
+        {
+            return ring.shortlist(home);
+        }
+        let Some(ring) = self.runner_ring(now, name) else {
+            rings.remove(name);
             return Vec::new();
         };
-        let mut candidates = inner
+        let named = ring.shortlist(home);
+        rings.insert(name.to_owned(), (now, ring));
+        named
+    }
+
+    fn runner_ring(&self, now: Instant, name: &str) -> Option<RunnerRing> {
+        let inner = self.lock();
+        let in_force = inner.in_force.as_ref()?;
+        let service = in_force.document.services.get(name)?;
+        let runners = inner
             .directory
             .candidates(now, &in_force.document, name, service);
         let mut homes = inner.tickets.homes(now);
         homes.retain(|home| inner.directory.takes_work(now, *home));
-        let runners = candidates.iter().map(|c| c.runner).collect();
-        let own = own_runners(home, &active_homes(homes), runners);
-        for candidate in &mut candidates {
-            candidate.own = own.contains(&candidate.runner);
-        }
-        shortlist(home, candidates)
+        Some(RunnerRing::new(active_homes(homes), runners))
     }
 
     /// The listed agents with their silence in milliseconds.
