--- /dev/null
+++ b/src/adapters/backend/gated_connection.rs
@@ -0,0 +1,178 @@
+//! A connection to the backend server on which no request is written without a permit.
+
+use {
+    crate::{core::gate::SharedPermit, ports::TimerService},
+    bytes::Bytes,
+    http::{Request, Response},
+    http_body_util::Full,
+    hyper::{
+        body::Incoming,
+        client::conn::http1,
+        rt::{Read, ReadBufCursor, Write},
+    },
+    hyper_util::rt::TokioIo,
+    std::{
+        io,
+        net::SocketAddr,
+        pin::Pin,
+        sync::{
+            Arc,
+            atomic::{AtomicU8, Ordering},
+        },
+        task::{Context, Poll},
+    },
+    tokio::net::TcpStream,
+};
+
+/// No request waits to be written, or its first bytes have been.
+const WRITTEN: u8 = 0;
+/// A request waits to be written.
+const WAITING: u8 = 1;
+/// The request that waited was refused: none of its bytes will be written.
+const REFUSED: u8 = 2;
+
+/// Looks at the permit when the first bytes of a request are about to be written.
+#[derive(Debug)]
+pub(super) struct WriteGate {
+    permit: Arc<SharedPermit>,
+    timer: Arc<dyn TimerService>,
+    state: AtomicU8,
+}
+
+impl WriteGate {
+    pub(super) fn new(permit: Arc<SharedPermit>, timer: Arc<dyn TimerService>) -> Self {
+        Self {
+            permit,
+            timer,
+            state: AtomicU8::new(WRITTEN),
+        }
+    }
+
+    /// A request is about to be handed to the connection.
+    fn arm(&self) {
+        self.state.store(WAITING, Ordering::SeqCst);
+    }
+
+    /// Makes sure that the request is never written; false if some of it was.
+    pub(super) fn refuse(&self) -> bool {
+        let swapped =
+            self.state
+                .compare_exchange(WAITING, REFUSED, Ordering::SeqCst, Ordering::SeqCst);
+        swapped.is_ok() || swapped == Err(REFUSED)
+    }
+
+    /// Whether the permit had ended when the request was about to be written.
+    pub(super) fn permit_ended(&self) -> bool {
+        !self.permit.allows(self.timer.now())
+    }
+
+    /// Guards against a process that was frozen after it took a start: the permit may have ended
+    /// and the zone been taken out since. Only the system call itself comes after this check.
+    fn check(&self) -> io::Result<()> {
+        if self.state.load(Ordering::SeqCst) == WRITTEN {
+            return Ok(());
+        }
+        let is_allowed = self.permit.allows(self.timer.now());
+        let to = if is_allowed { WRITTEN } else { REFUSED };
+        match self
+            .state
+            .compare_exchange(WAITING, to, Ordering::SeqCst, Ordering::SeqCst)
+        {
+            Ok(_) if is_allowed => Ok(()),
+            Err(WRITTEN) => Ok(()),
+            Ok(_) | Err(_) => Err(io::ErrorKind::PermissionDenied.into()),
+        }
+    }
+}
+
+/// An open connection; one request at a time.
+#[derive(Debug)]
+pub(super) struct GatedConnection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    gate: Arc<WriteGate>,
+}
+
+impl GatedConnection {
+    /// Connects to the backend server.
+    pub(super) async fn open(addr: SocketAddr, gate: WriteGate) -> io::Result<Self> {
+        let socket = TcpStream::connect(addr).await?;
+        socket.set_nodelay(true)?;
+        let gate = Arc::new(gate);
+        let stream = GatedStream {
+            socket: TokioIo::new(socket),
+            gate: Arc::clone(&gate),
+        };
+        let (sender, connection) = http1::handshake(stream).await.map_err(io::Error::other)?;
+        // Its end shows in the request that is under way, or when the next one is tried.
+        tokio::spawn(async move { connection.await.ok() });
+        Ok(Self { sender, gate })
+    }
+
+    /// Waits until another request can be sent; false if the connection is gone.
+    pub(super) async fn is_usable(&mut self) -> bool {
+        !self.sender.is_closed() && self.sender.ready().await.is_ok()
+    }
+
+    /// What guards the request under way.
+    pub(super) fn gate(&self) -> Arc<WriteGate> {
+        Arc::clone(&self.gate)
+    }
+
+    /// Sends a request if there is a permit when its bytes are written.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Incoming>> {
+        self.gate.arm();
+        self.sender.send_request(request).await
+    }
+}
+
+/// The socket with the check in front of its writes.
+#[derive(Debug)]
+struct GatedStream {
+    socket: TokioIo<TcpStream>,
+    gate: Arc<WriteGate>,
+}
+
+impl Read for GatedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_read(context, buffer)
+    }
+}
+
+impl Write for GatedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.gate.check()?;
+        Pin::new(&mut self.socket).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.gate.check()?;
+        Pin::new(&mut self.socket).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+}
--- a/src/core/directory/tests.rs
+++ b/src/core/directory/tests.rs
@@ -1,13 +1,18 @@
 //! Tests of the directory.
 
 use {
-    super::{Directory, HomeLocation},
-    crate::core::{message::Announcement, ticket::AgentId, time::Instant},
+    super::{DigestLog, Directory, HomeLocation, Telling},
+    crate::core::{
+        message::{AgentReport, Announcement},
+        ticket::AgentId,
+        time::Instant,
+    },
 };
 
 fn announcement(agent: u64, worker: &str) -> Announcement {
     Announcement {
         agent: AgentId(agent),
+        number: 1,
         worker: worker.to_owned(),
         availability_zone: "keflavik".to_owned(),
         peer_addr: ([127, 0, 0, 1], 7_000).into(),
@@ -16,6 +21,7 @@
         free_slots: 8,
         leaving: false,
         config_version: 1,
+        roster_digest: 0,
         adopted: Vec::new(),
         grant: None,
     }
@@ -46,3 +52,95 @@
     assert!(directory.takes_work(Instant::from_millis(2_999), AgentId(1)));
     assert!(!directory.takes_work(Instant::from_millis(3_000), AgentId(1)));
 }
+
+const HERE: AgentId = AgentId(100);
+const THERE: AgentId = AgentId(200);
+
+/// Tells another entry's directory what this one heard, and takes its answer in.
+fn exchange(at_ms: u64, log: &mut DigestLog, from: &Directory, to: &mut Directory) -> Telling {
+    let now = Instant::from_millis(at_ms);
+    let telling = log.tell(now, THERE, from);
+    for report in &telling.reports {
+        to.report(now, HERE, report.clone());
+    }
+    let unknown: Vec<u32> = telling
+        .beats
+        .iter()
+        .filter(|beat| !to.beat(now, HERE, **beat))
+        .map(|beat| beat.index)
+        .collect();
+    log.confirm(THERE, &telling, &unknown);
+    telling
+}
+
+#[test]
+fn an_agent_is_reported_in_full_once_and_then_by_beats() {
+    let (mut here, mut there) = (Directory::default(), Directory::default());
+    let mut log = DigestLog::default();
+    here.announce(Instant::from_millis(0), announcement(1, "w01"));
+    let first = exchange(10, &mut log, &here, &mut there);
+    assert_eq!((first.reports.len(), first.beats.len()), (1, 0));
+    let nothing = exchange(500, &mut log, &here, &mut there);
+    assert_eq!((nothing.reports.len(), nothing.beats.len()), (0, 0));
+    here.announce(Instant::from_millis(1_000), announcement(1, "w01"));
+    let beat = exchange(1_010, &mut log, &here, &mut there);
+    assert_eq!((beat.reports.len(), beat.beats.len()), (0, 1));
+    assert!(there.takes_work(Instant::from_millis(4_000), AgentId(1)));
+
+    // The other entry restarts and knows nothing: it asks for the report anew.
+    let mut restarted = Directory::default();
+    here.announce(Instant::from_millis(2_000), announcement(1, "w01"));
+    exchange(2_010, &mut log, &here, &mut restarted);
+    here.announce(Instant::from_millis(3_000), announcement(1, "w01"));
+    exchange(3_010, &mut log, &here, &mut restarted);
+    assert!(restarted.takes_work(Instant::from_millis(3_020), AgentId(1)));
+}
+
+/// An agent tells one entry that it leaves; another one passes on what it said before. New work
+/// would go to the leaving one, as its older words arrive last.
+#[test]
+fn older_words_passed_on_later_don_t_undo_a_leaving() {
+    let mut directory = Directory::default();
+    let leaving = Announcement {
+        number: 2,
+        leaving: true,
+        ..announcement(1, "w01")
+    };
+    directory.announce(Instant::from_millis(0), leaving);
+    let report = AgentReport {
+        index: 1,
+        announcement: announcement(1, "w01"),
+    };
+    directory.report(Instant::from_millis(10), THERE, report);
+    assert!(!directory.takes_work(Instant::from_millis(20), AgentId(1)));
+}
+
+/// A worker's new agent announces itself here; another entry still passes on the dead one's last
+/// words. The new one must not count as replaced, or its clients would hear that it is gone.
+#[test]
+fn a_dead_agents_last_words_passed_on_don_t_replace_its_successor() {
+    let mut directory = Directory::default();
+    directory.announce(Instant::from_millis(0), announcement(2, "w01"));
+    let report = AgentReport {
+        index: 1,
+        announcement: announcement(1, "w01"),
+    };
+    directory.report(Instant::from_millis(10), THERE, report);
+    assert!(directory.takes_work(Instant::from_millis(20), AgentId(2)));
+    assert_eq!(directory.locate(AgentId(1)), HomeLocation::Unknown);
+}
+
+/// A rack is lost. Calls to its agents fail long before their silence counts, and clients would
+/// go on being sent there; what is heard of them afterwards clears the suspicion.
+#[test]
+fn an_agent_that_a_call_failed_to_gets_no_new_work_until_it_is_heard_again() {
+    let mut directory = Directory::default();
+    directory.announce(Instant::from_millis(0), announcement(1, "w01"));
+    directory.call_failed(Instant::from_millis(100), AgentId(1));
+    assert!(!directory.takes_work(Instant::from_millis(200), AgentId(1)));
+    directory.announce(Instant::from_millis(1_000), announcement(1, "w01"));
+    assert!(directory.takes_work(Instant::from_millis(1_100), AgentId(1)));
+    directory.call_failed(Instant::from_millis(1_200), AgentId(1));
+    directory.call_answered(AgentId(1));
+    assert!(directory.takes_work(Instant::from_millis(1_300), AgentId(1)));
+}
--- a/src/core/runner/runner.rs
+++ b/src/core/runner/runner.rs
@@ -115,6 +115,11 @@
         self.leaving
     }
 
+    /// When the permit to start tasks ends.
+    pub(crate) const fn permit_until(&self) -> Instant {
+        self.permit.until()
+    }
+
     /// Newest configuration version that an entry named.
     pub(crate) const fn config_version(&self) -> u64 {
         self.permit.config_version()
--- a/src/core/time/instant.rs
+++ b/src/core/time/instant.rs
@@ -14,6 +14,11 @@
         Self { micros }
     }
 
+    /// Microseconds since the process started.
+    pub(crate) const fn as_micros(self) -> u64 {
+        self.micros
+    }
+
     /// The instant `millis` milliseconds after the process started.
     #[cfg(test)]
     pub(crate) const fn from_millis(millis: u64) -> Self {
--- a/src/entry/config_keeper.rs
+++ b/src/entry/config_keeper.rs
@@ -58,6 +58,14 @@
         Ok(())
     }
 
+    /// Takes in a configuration that another entry holds and passed on.
+    pub(crate) fn take_passed_on(&self, head: Head, text: &str) {
+        match in_force(head, text.to_owned()) {
+            Ok(newer) => self.state.passed_on(newer),
+            Err(error) => log::warn!(error:% = error; "a configuration passed on is unreadable"),
+        }
+    }
+
     /// The operator whose token this is.
     pub(crate) fn operator(&self, token: &str) -> Option<&OperatorSettings> {
         let digest = blake3::hash(token.as_bytes()).to_hex();
@@ -119,21 +127,25 @@
             .get_object(&head.object)
             .await?
             .ok_or_else(|| StoreError::Unavailable(format!("no object {}", head.object)))?;
-        let document = read_document_by(&text, &DocumentRules::Accepted).map_err(|faults| {
-            StoreError::Unavailable(format!(
-                "document {} has {} faults",
-                head.object,
-                faults.len()
-            ))
-        })?;
-        Ok(InForce {
-            head,
-            text: text.into(),
-            document: Arc::new(document),
-        })
+        in_force(head, text)
     }
 }
 
+fn in_force(head: Head, text: String) -> Result<InForce, StoreError> {
+    let document = read_document_by(&text, &DocumentRules::Accepted).map_err(|faults| {
+        StoreError::Unavailable(format!(
+            "document {} has {} faults",
+            head.object,
+            faults.len()
+        ))
+    })?;
+    Ok(InForce {
+        head,
+        text: text.into(),
+        document: Arc::new(document),
+    })
+}
+
 fn decode_head(row: &Row) -> Result<Head, StoreError> {
     serde_json::from_str(&row.value)
         .map_err(|error| StoreError::Unavailable(format!("unreadable row {}: {error}", row.key)))
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -1,28 +1,84 @@
 //! Wires an entry together and runs it until it is told to stop.
 
 use {
-    super::{Claims, ConfigKeeper, EntryState, Jobs, peer_handler::EntryPeerHandler},
+    super::{
+        Claims, ConfigKeeper, EntryState, Jobs,
+        digest_exchange::DigestExchange,
+        peer_handler::EntryPeerHandler,
+        roster_keeper::{RosterKeeper, leave_roster},
+    },
     crate::{
         adapters::{
             http::{EntryApi, serve_entry_api},
             metrics::OtelMetrics,
             peer::{H2Client, serve_peers},
-            platform::HttpStore,
+            platform::{BudgetedStore, HttpStore},
             timer::TokioTimer,
         },
         cli::{RunError, stop_signal},
         conf::EntrySettings,
-        core::{message::PeerEntry, ticket::AgentId},
-        ports::{Gauge, Metrics, TimerService},
+        core::{
+            message::PeerEntry,
+            store_budget::{StoreBudget, StoreRates, Urgency},
+            ticket::AgentId,
+        },
+        ports::{Gauge, Metrics, PeerNetwork, TimerService},
     },
     rand::RngExt,
-    std::sync::Arc,
-    tokio::{net::TcpListener, sync::Mutex},
+    std::sync::{Arc, Mutex, PoisonError},
+    tokio::net::TcpListener,
 };
 
 /// Period of housekeeping, in milliseconds.
 const HOUSEKEEPING_MS: u64 = 500;
 
+/// Entries assumed until the roster has been read.
+const ENTRIES_ASSUMED: u64 = 4;
+
+/// The platform and this entry's share of it.
+#[derive(Debug)]
+struct Platform {
+    store: Arc<HttpStore>,
+    budget: Arc<Mutex<StoreBudget>>,
+    timer: Arc<dyn TimerService>,
+    metrics: Arc<dyn Metrics>,
+}
+
+impl Platform {
+    fn new(
+        settings: &EntrySettings,
+        timer: &Arc<dyn TimerService>,
+        metrics: &Arc<dyn Metrics>,
+    ) -> Self {
+        let rates = StoreRates {
+            reads_per_s: settings.platform_reads_per_s,
+            writes_per_s: settings.platform_writes_per_s,
+        };
+        let budget = StoreBudget::new(rates, ENTRIES_ASSUMED, rand::rng().random());
+        Self {
+            store: Arc::new(HttpStore::new(
+                settings.platform,
+                settings.platform_timeout_ms,
+                Arc::clone(metrics),
+            )),
+            budget: Arc::new(Mutex::new(budget)),
+            timer: Arc::clone(timer),
+            metrics: Arc::clone(metrics),
+        }
+    }
+
+    /// The store for calls of this urgency, within the one budget.
+    fn store(&self, urgency: Urgency) -> Arc<BudgetedStore<HttpStore>> {
+        Arc::new(BudgetedStore {
+            store: Arc::clone(&self.store),
+            budget: Arc::clone(&self.budget),
+            urgency,
+            timer: Arc::clone(&self.timer),
+            metrics: Arc::clone(&self.metrics),
+        })
+    }
+}
+
 /// Runs an entry until SIGTERM or SIGINT; requests under way are answered first.
 pub(crate) async fn run_entry(settings: EntrySettings) -> Result<(), RunError> {
     let metrics: Arc<dyn Metrics> = Arc::new(OtelMetrics::new().map_err(RunError::metrics)?);
@@ -38,13 +94,11 @@
     let state = Arc::new(EntryState::new(
         me,
         Arc::clone(&timer),
+        settings.outage_limit_ms,
         rand::rng().random(),
     ));
-    let store = Arc::new(HttpStore::new(
-        settings.platform,
-        settings.platform_timeout_ms,
-        Arc::clone(&metrics),
-    ));
+    let platform = Platform::new(&settings, &timer, &metrics);
+    let store = platform.store(Urgency::Urgent);
     let keeper = Arc::new(ConfigKeeper {
         state: Arc::clone(&state),
         table: store.clone(),
@@ -52,33 +106,54 @@
         timer: Arc::clone(&timer),
         metrics: Arc::clone(&metrics),
         operators: settings.operators.clone(),
-        turn: Mutex::default(),
+        turn: tokio::sync::Mutex::default(),
     });
     let handler = Arc::new(EntryPeerHandler {
         state: Arc::clone(&state),
     });
     tokio::spawn(serve_peers(peers, handler, Arc::clone(&metrics)));
-    tokio::spawn(poll_head(
-        Arc::clone(&keeper),
-        Arc::clone(&timer),
-        settings.head_poll_ms,
-    ));
+    let roster = RosterKeeper {
+        state: Arc::clone(&state),
+        keeper: Arc::clone(&keeper),
+        table: store.clone(),
+        timer: Arc::clone(&timer),
+        is_registered: false,
+        beat_at: None,
+        surveyed_at: None,
+    };
+    let roster = tokio::spawn(roster.run(settings.head_poll_ms));
+    let network: Arc<dyn PeerNetwork> = Arc::new(H2Client::new(Arc::clone(&metrics)));
+    let exchange = Arc::new(DigestExchange {
+        state: Arc::clone(&state),
+        keeper: Arc::clone(&keeper),
+        network: Arc::clone(&network),
+        timer: Arc::clone(&timer),
+        metrics: Arc::clone(&metrics),
+        under_way: Mutex::default(),
+    });
+    tokio::spawn(Arc::clone(&exchange).tell_entries());
+    tokio::spawn(exchange.tell_agents());
     tokio::spawn(keep_house(
         Arc::clone(&state),
         Arc::clone(&timer),
         Arc::clone(&metrics),
+        Arc::clone(&platform.budget),
+    ));
+    let claims = Arc::new(Claims::new(
+        Arc::clone(&state),
+        platform.store(Urgency::Bulk),
+        Arc::clone(&timer),
     ));
-    let claims = Arc::new(Claims::new(Arc::clone(&state), store, Arc::clone(&timer)));
     tokio::spawn(Arc::clone(&claims).run());
     let api = Arc::new(EntryApi {
         jobs: Jobs {
             state: Arc::clone(&state),
-            network: Arc::new(H2Client::new(Arc::clone(&metrics))),
+            network,
             timer,
             metrics: Arc::clone(&metrics),
         },
         claims,
-        state,
+        state: Arc::clone(&state),
         keeper,
         metrics,
         max_body_bytes: settings.max_body_bytes,
@@ -86,31 +161,28 @@
     });
     log::info!(name = settings.name.as_str(), client_listen:% = settings.client_listen; "entry started");
     serve_entry_api(settings.client_listen, api, stop_signal()).await?;
+    // A beat that is under way must not bring the rows back.
+    roster.abort();
+    leave_roster(&state, store.as_ref()).await;
     log::info!("entry stopped");
     Ok(())
 }
 
-/// Reads the head row again and again.
-async fn poll_head(keeper: Arc<ConfigKeeper>, timer: Arc<dyn TimerService>, period_ms: u64) {
-    let mut ticks = timer.subscribe(period_ms);
-    let mut reachable = true;
-    while ticks.recv().await.is_some() {
-        let result = keeper.refresh().await;
-        if result.is_ok() != reachable {
-            reachable = result.is_ok();
-            log::warn!(reachable, error:? = result.err(); "the platform's reachability changed");
-        }
-    }
-}
-
 async fn keep_house(
     state: Arc<EntryState>,
     timer: Arc<dyn TimerService>,
     metrics: Arc<dyn Metrics>,
+    budget: Arc<Mutex<StoreBudget>>,
 ) {
     let mut ticks = timer.subscribe(HOUSEKEEPING_MS);
     while ticks.recv().await.is_some() {
         let alive = state.expire();
+        if let Some(entries) = state.entry_count() {
+            budget
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .set_entries(timer.now(), entries);
+        }
         metrics.set(Gauge::AgentsAlive, alive as u64);
         let version = state.in_force().map_or(0, |held| held.head.version);
         metrics.set(Gauge::ConfigVersion, version);
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,9 +6,12 @@
 )]
 
 mod config;
+mod gate;
+mod membership;
 mod once;
 mod operators;
 mod path;
 mod planned_stop;
+mod policy;
 mod programs;
 mod support;
