--- a/scripts/slopelib/control.py
+++ b/scripts/slopelib/control.py
@@ -8,6 +8,7 @@
 AGENTS = (10, 50, 200, 800)
 PLANNED_AGENTS = 1500
 SETTLE_S = 2.5
+AGENTS_FOR_EACH_HOME = 6
 WINDOW_S = 2.5
 BUDGET = {"cores": 0.032, "bytes": 21_000, "rss_kb": 262_144}
 
@@ -115,7 +116,8 @@
         agents = deployment.add_agents(count, backend.listen)
         deployment.await_agents(count)
         time.sleep(SETTLE_S)
-        pairs = count * count
+        # Entries give new jobs to one agent in six, and each home has a session with each runner.
+        pairs = -(-count // AGENTS_FOR_EACH_HOME) * count
         quiet = all_agents(agents)
         time.sleep(WINDOW_S)
         quiet = rate(quiet, all_agents(agents))
--- a/scripts/slopelib/recovery.py
+++ b/scripts/slopelib/recovery.py
@@ -39,7 +39,8 @@
             time.sleep(PROBE_PAUSE_S)
 
     def stop(self, since):
-        """Seconds until the last probe that failed or took over 500 ms was sent, and what failed."""
+        """Seconds until the last probe that failed or took over 500 ms was sent, the longest that any
+        probe took to its answer, and what failed."""
         self.running = False
         for thread in self.threads:
             thread.join()
@@ -47,7 +48,9 @@
                 if ended > since and (verdict != "done" or ended - sent > 0.5)]  # fmt: skip
         last = max((sent for sent, _ in late), default=since)
         found = collections.Counter("done late" if v == "done" else v for _, v in late)
-        return max(last - since, 0.0), dict(found), sum(1 for sent, _, _ in self.verdicts if sent > since)
+        slowest = max((ended - sent for sent, ended, _ in self.verdicts if ended > since), default=0.0)
+        probes = sum(1 for sent, _, _ in self.verdicts if sent > since)
+        return max(last - since, 0.0), slowest, dict(found), probes
 
 
 def recovery(runs):
@@ -62,8 +65,9 @@
         verdicts = collections.Counter()
         for s in mine:
             verdicts.update(s["verdicts"])
-        rows.append([name, spread([s["seconds"] for s in mine]), dict(verdicts) or "none", sum(s["probes"] for s in mine)])
-    header = ["killed at once", "s until the last probe that failed or took over 500 ms", "those probes", "of"]
+        rows.append([name, spread([s["seconds"] for s in mine]), spread([s["slowest"] for s in mine]), dict(verdicts) or "none", sum(s["probes"] for s in mine)])
+    header = ["killed at once", "s until the last probe that failed or took over 500 ms was sent",
+              "longest to an answer, s", "those probes", "of"]
     print_table("Recovery (--only recovery)", header, rows)
     return samples
 
@@ -94,8 +98,8 @@
         since = time.monotonic()
         act(deployment, groups)
         time.sleep(WATCH_S)
-        seconds, verdicts, probes = probe.stop(since)
-    return {"failure": name, "run": run, "seconds": seconds, "verdicts": verdicts, "probes": probes}
+        seconds, slowest, verdicts, probes = probe.stop(since)
+    return {"failure": name, "run": run, "seconds": seconds, "slowest": slowest, "verdicts": verdicts, "probes": probes}
 
 
 def kill_rack(_, groups):
@@ -142,5 +146,5 @@
         seconds = time.monotonic() - since
         deployment.await_agents(ZONES_USED * WORKERS_OF_ZONE)
         assert metrics(deployment.entries[0].client)["rattanslip_config_version"] >= 1
-    return {"failure": "everything but the platform, started again", "run": run, "seconds": seconds,
+    return {"failure": "everything but the platform, started again", "run": run, "seconds": seconds, "slowest": seconds,
             "verdicts": {v: n for v, n in verdicts.items() if n}, "probes": 10 + sum(verdicts.values())}  # fmt: skip
