--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -9,7 +9,7 @@
             gate::{PERMIT_MS, ZoneGate},
             job::JobSpec,
             message::{Announcement, AnnouncementReply, Candidate, PeerEntry, roster_digest},
-            placement::{active_homes, own_runners, shortlist},
+            placement::{RunnerRing, active_homes},
             roster::Roster,
             ticket::{AgentId, Ticket, TicketOffice},
             time::Instant,
@@ -27,6 +27,8 @@
     tokio::sync::Notify,
 };
 
+/// For how long the runners of a service are not looked through anew, in milliseconds.
+const RING_MS: u64 = 50;
 /// Successors named to a leaving agent.
 const MAX_SUCCESSORS: usize = 3;
 
@@ -64,6 +66,7 @@
     pub(super) tell_entries: Notify,
     /// Wakes whoever tells agents that their zone was taken out or in.
     pub(super) tell_agents: Notify,
+    rings: Mutex<BTreeMap<String, (Instant, RunnerRing)>>,
     inner: Mutex<Inner>,
 }
 
@@ -99,6 +102,7 @@
             outage_limit_ms,
             tell_entries: Notify::new(),
             tell_agents: Notify::new(),
+            rings: Mutex::default(),
             inner: Mutex::new(Inner {
                 me,
                 directory: Directory::default(),
@@ -252,26 +256,36 @@
     }
 
     /// Runners that could take tasks of a service now, with those that a home looks to first.
+    ///
+    /// All runners are looked through anew after [`RING_MS`] only: for each job it would cost
+    /// more than the rest of the job at 1,500 workers. Reports of free slots are a second old.
     pub(crate) fn candidates(&self, name: &str, home: AgentId) -> Vec<Candidate> {
         let now = self.timer.now();
-        let inner = self.lock();
-        let Some(in_force) = &inner.in_force else {
-            return Vec::new();
-        };
-        let Some(service) = in_force.document.services.get(name) else {
+        let mut rings = self.rings.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((made_at, ring)) = rings.get(name)
+            && now.millis_since(*made_at) < RING_MS
+        {
+            return ring.shortlist(home);
+        }
+        let Some(ring) = self.runner_ring(now, name) else {
+            rings.remove(name);
             return Vec::new();
         };
-        let mut candidates = inner
+        let named = ring.shortlist(home);
+        rings.insert(name.to_owned(), (now, ring));
+        named
+    }
+
+    fn runner_ring(&self, now: Instant, name: &str) -> Option<RunnerRing> {
+        let inner = self.lock();
+        let in_force = inner.in_force.as_ref()?;
+        let service = in_force.document.services.get(name)?;
+        let runners = inner
             .directory
             .candidates(now, &in_force.document, name, service);
         let mut homes = inner.tickets.homes(now);
         homes.retain(|home| inner.directory.takes_work(now, *home));
-        let runners = candidates.iter().map(|c| c.runner).collect();
-        let own = own_runners(home, &active_homes(homes), runners);
-        for candidate in &mut candidates {
-            candidate.own = own.contains(&candidate.runner);
-        }
-        shortlist(home, candidates)
+        Some(RunnerRing::new(active_homes(homes), runners))
     }
 
     /// The listed agents with their silence in milliseconds.
