--- a/src/adapters/peer/awaited_tasks.rs
+++ b/src/adapters/peer/awaited_tasks.rs
@@ -15,6 +15,8 @@
 #[derive(Debug)]
 struct Inner {
     welcomed: bool,
+    /// Slots asked for and not yet offered.
+    demanded: u16,
     /// Started on this session (`None`), or asked after as started on that epoch.
     tasks: BTreeMap<TaskRef, Option<u64>>,
     awaited: Option<AwaitedReply>,
@@ -23,7 +25,8 @@
 /// Follows a session's frames and tells its connection whether something is awaited on it.
 ///
 /// Guards against a session that goes silent while its home waits: from the hello to the welcome
-/// and from a start or query to the outcome the connection counts as awaited, so it is pinged.
+/// from a start or query to the outcome, and from a demand to the
+/// offers the connection counts as awaited, so it is pinged.
 /// A session on which nothing is awaited costs no pings.
 #[derive(Debug)]
 pub(crate) struct AwaitedTasks {
@@ -37,6 +40,7 @@
     pub(crate) fn new(activity: Arc<Activity>, stream: OpenStream) -> Self {
         let inner = Inner {
             welcomed: false,
+            demanded: 0,
             tasks: BTreeMap::new(),
             awaited: Some(activity.await_reply()),
         };
@@ -58,11 +62,8 @@
                 let asked = tasks.iter().map(|(task, epoch)| (*task, Some(*epoch)));
                 inner.tasks.extend(asked);
             }
-            // No offer need come of a demand: the home asks other runners after a while.
-            HomeFrame::Hello { .. }
-            | HomeFrame::Cancel { .. }
-            | HomeFrame::Ack { .. }
-            | HomeFrame::Demand { .. } => {}
+            HomeFrame::Demand { tasks, .. } => inner.demanded = *tasks,
+            HomeFrame::Hello { .. } | HomeFrame::Cancel { .. } | HomeFrame::Ack { .. } => {}
         }
         self.tell(&mut inner);
     }
@@ -72,7 +73,7 @@
         let mut inner = self.lock();
         match frame {
             RunnerFrame::Welcome { .. } => inner.welcomed = true,
-            RunnerFrame::Offer { .. } => {}
+            RunnerFrame::Offer { .. } => inner.demanded = inner.demanded.saturating_sub(1),
             RunnerFrame::Outcome { task, .. } => {
                 inner.tasks.remove(task);
             }
@@ -100,7 +101,7 @@
     }
 
     fn tell(&self, inner: &mut Inner) {
-        let is_awaiting = !inner.welcomed || !inner.tasks.is_empty();
+        let is_awaiting = !inner.welcomed || !inner.tasks.is_empty() || inner.demanded > 0;
         if !is_awaiting {
             inner.awaited = None;
         } else if inner.awaited.is_none() {
--- a/src/adapters/peer/tests.rs
+++ b/src/adapters/peer/tests.rs
@@ -56,17 +56,30 @@
     })
 }
 
+const FREE: FreeSlots = FreeSlots {
+    slots: 1,
+    starts_seen: 0,
+    held: 0,
+};
+
 fn query(index: u16) -> HomeFrame {
     HomeFrame::Query {
         tasks: vec![(task(index), 1)],
     }
 }
 
+const fn demand(tasks: u16) -> HomeFrame {
+    HomeFrame::Demand {
+        tasks,
+        waited_ms: 0,
+    }
+}
+
 fn outcome(index: u16) -> RunnerFrame {
     RunnerFrame::Outcome {
         task: task(index),
         outcome: done(),
-        free: FreeSlots::default(),
+        free: FREE,
     }
 }
 
@@ -79,7 +92,7 @@
 fn welcome() -> RunnerFrame {
     RunnerFrame::Welcome {
         runner: AgentId(2),
-        free: FreeSlots::default(),
+        free: FREE,
     }
 }
 
@@ -132,6 +145,12 @@
         [Came(welcome()), Sent(start(0)), Sent(start(1)), Came(outcome(1))] => true;
     an_outcome_told_twice_counts_once:
         [Came(welcome()), Sent(start(0)), Sent(start(1)), Came(outcome(1)), Came(outcome(1))] => true;
+    a_demand_awaits_its_offers:
+        [Came(welcome()), Sent(demand(2)), Came(RunnerFrame::Offer { free: FREE })] => true;
+    offers_end_the_wait:
+        [Came(welcome()), Sent(demand(1)), Came(RunnerFrame::Offer { free: FREE })] => false;
+    a_withdrawn_demand_awaits_nothing:
+        [Came(welcome()), Sent(demand(2)), Sent(demand(0))] => false;
     a_queried_task_that_runs_is_awaited:
         [Came(welcome()), Sent(query(0)), Came(statuses(0, TaskStatus::Running))] => true;
     a_queried_task_that_ended_is_not:
--- a/src/core/runner/mod.rs
+++ b/src/core/runner/mod.rs
@@ -1,6 +1,7 @@
 //! Runs tasks on the backend server beside it, each at most once.
 
 mod home_link;
+mod offers;
 mod runner;
 mod runner_event;
 
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -18,6 +18,7 @@
     rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_chacha::ChaCha8Rng,
     std::{
+        collections::BTreeSet,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
@@ -47,6 +48,8 @@
     tickets: TicketOffice,
     in_force: Option<InForce>,
     head_read_at: Option<Instant>,
+    /// Homes that a call failed at since they last announced themselves.
+    failed_homes: BTreeSet<AgentId>,
     rng: ChaCha8Rng,
 }
 
@@ -88,6 +91,7 @@
                 tickets: TicketOffice::default(),
                 in_force: None,
                 head_read_at: None,
+                failed_homes: BTreeSet::new(),
                 rng: ChaCha8Rng::seed_from_u64(seed),
             }),
         }
@@ -107,6 +111,7 @@
             None => inner.tickets.forget(announcement.agent),
         }
         let successors = inner.successors_of(now, &announcement);
+        inner.failed_homes.remove(&announcement.agent);
         inner.directory.announce(now, announcement);
         let head_is_fresh = inner
             .head_read_at
@@ -149,13 +154,18 @@
         let Inner {
             directory,
             tickets,
+            failed_homes,
             rng,
             ..
         } = &mut *inner;
         let mut homes = tickets.homes(now);
         homes.retain(|home| directory.takes_work(now, *home));
         let mut spare = homes.clone();
+        homes.retain(|home| !failed_homes.contains(home));
         let mut homes = active_homes(homes);
+        if homes.is_empty() {
+            homes.append(&mut spare);
+        }
         spare.retain(|home| !homes.contains(home));
         let mut minted = Vec::with_capacity(count);
         while minted.len() < count && !homes.is_empty() {
@@ -173,6 +183,14 @@
         minted
     }
 
+    /// Gives new jobs to other homes, if there are any, until this one announces itself again.
+    ///
+    /// Guards against jobs for a home that has just died: its silence shows only after seconds,
+    /// and every job given to it until then ends as "may have run".
+    pub(crate) fn home_failed(&self, home: AgentId) {
+        self.lock().failed_homes.insert(home);
+    }
+
     /// Where a home is.
     pub(crate) fn locate(&self, home: AgentId) -> HomeLocation {
         self.lock().directory.locate(home)
@@ -214,7 +232,9 @@
             .directory
             .candidates(now, &in_force.document, name, service);
         let mut homes = inner.tickets.homes(now);
-        homes.retain(|home| inner.directory.takes_work(now, *home));
+        homes.retain(|home| {
+            inner.directory.takes_work(now, *home) && !inner.failed_homes.contains(home)
+        });
         let runners = candidates.iter().map(|c| c.runner).collect();
         let own = own_runners(home, &active_homes(homes), runners);
         for candidate in &mut candidates {
@@ -237,7 +257,14 @@
     pub(crate) fn expire(&self) -> usize {
         let now = self.timer.now();
         let mut inner = self.lock();
-        inner.directory.expire(now);
+        let Inner {
+            directory,
+            failed_homes,
+            ..
+        } = &mut *inner;
+        directory.expire(now);
+        // Silent ones get no jobs anyway.
+        failed_homes.retain(|home| directory.takes_work(now, *home));
         inner.directory.alive(now).count()
     }
 
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -174,7 +174,10 @@
             Ok(Ok(PeerReply::Job(status))) => Ok(report(status)),
             Ok(Ok(PeerReply::Announced(_) | PeerReply::Adopted | PeerReply::Unsupported))
             | Ok(Err(PeerError::Unreachable(_) | PeerError::Lost(_)))
-            | Err(_) => Err(home_unreachable()),
+            | Err(_) => {
+                self.state.home_failed(ticket.id.home);
+                Err(home_unreachable())
+            }
         }
     }
 
