--- a/src/core/home/home.rs
+++ b/src/core/home/home.rs
@@ -5,7 +5,7 @@
         HomeAction, HomeEvent, WaiterId,
         answer_store::AnswerStore,
         intake::Turndown,
-        job_record::{JobRecord, JobState, RunningJob},
+        job_record::{JobRecord, JobState},
         runner_link::RunnerLinks,
         ticket_ring::{JobKey, TicketRing, TicketState},
     },
@@ -241,29 +241,6 @@
         key
     }
 
-    fn start_job(
-        &mut self,
-        now: Instant,
-        ticket: Ticket,
-        spec: JobSpec,
-        candidates: &[Candidate],
-    ) -> JobKey {
-        let digest = spec.digest();
-        let runners = candidates.iter().map(|c| c.runner).collect();
-        let job = RunningJob::new(now, spec, runners);
-        let deadline = job.deadline;
-        let key = self.jobs.insert(JobRecord {
-            ticket: ticket.id,
-            digest,
-            state: JobState::Running(Box::new(job)),
-        });
-        self.ring.record(&ticket.id, key);
-        self.running += 1;
-        self.timers.insert((deadline, Timer::Deadline(key)));
-        self.waiting.push_back(key);
-        key
-    }
-
     /// Lets someone wait for a job, or answers at once if it has ended.
     fn attach(
         &mut self,
--- a/src/core/home/intake.rs
+++ b/src/core/home/intake.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Home, HomeAction,
+        home::Timer,
         job_record::{JobRecord, JobState, RunningJob},
         runner_link::RunnerLink,
         ticket_ring::{JobKey, TicketState},
@@ -121,6 +122,30 @@
         self.admission.judge(offer).map_err(Turndown::Overload)
     }
 
+    /// Begins a job under a ticket that was not used before.
+    pub(super) fn start_job(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        spec: JobSpec,
+        candidates: &[Candidate],
+    ) -> JobKey {
+        let digest = spec.digest();
+        let runners = candidates.iter().map(|c| c.runner).collect();
+        let job = RunningJob::new(now, spec, runners);
+        let deadline = job.deadline;
+        let key = self.jobs.insert(JobRecord {
+            ticket: ticket.id,
+            digest,
+            state: JobState::Running(Box::new(job)),
+        });
+        self.ring.record(&ticket.id, key);
+        self.running += 1;
+        self.timers.insert((deadline, Timer::Deadline(key)));
+        self.waiting.push_back(key);
+        key
+    }
+
     /// Ends a job that was not taken in.
     ///
     /// Guards against a copy of the submission that comes later, through another entry, when there
