--- a/src/entry/config_draft.rs
+++ b/src/entry/config_draft.rs
@@ -58,6 +58,8 @@
 #[derive(Debug)]
 pub(crate) struct Proposal<'a> {
     text: &'a str,
+    /// The document that the text says by itself, if it breaks no rule.
+    whole: Option<Document>,
     based_on: BasedOn,
     sections: Sections<Document>,
     current: Sections<Document>,
@@ -116,7 +118,8 @@
 }
 
 impl<'a> Proposal<'a> {
-    /// Reads an operator's document; its faults of form are found here.
+    /// Reads an operator's document; its faults of form are found here. One that breaks other
+    /// rules may still do so no longer once it is merged.
     pub(crate) fn new(
         change: &Change,
         text: &'a str,
@@ -125,14 +128,21 @@
         owned: &'a [String],
     ) -> Result<Self, ApplyError> {
         let rules = change.rules(in_force);
-        let document = read_document_by(text, &DocumentRules::Accepted)
-            .map_err(|faults| all_faults(text, &rules, faults))?;
+        let (sections, whole) = match read_document_by(text, &rules) {
+            Ok(document) => (sections_of(&document, text), Some(document)),
+            Err(faults) => {
+                let document = read_document_by(text, &DocumentRules::Accepted)
+                    .map_err(|_| ApplyError::Invalid(faults))?;
+                (sections_of(&document, text), None)
+            }
+        };
         let newest = based_on.values().copied().max().unwrap_or(0);
         if newest > in_force.head.version {
             return Err(ApplyError::UnknownBase(newest));
         }
         Ok(Self {
-            sections: sections_of(&document, text),
+            sections,
+            whole,
             current: sections_of(&in_force.document, &in_force.text),
             text,
             based_on,
@@ -166,8 +176,11 @@
             }
         })?;
         let text = self.merged_text(&taken);
-        let document = read_document_by(&text, &self.rules)
-            .map_err(|faults| self.with_lines_of_mine(&text, faults))?;
+        let document = match &self.whole {
+            Some(whole) if text == self.text => whole.clone(),
+            _ => read_document_by(&text, &self.rules)
+                .map_err(|faults| self.with_lines_of_mine(&text, faults))?,
+        };
         Ok(Draft {
             text,
             document,
@@ -205,11 +218,6 @@
     }
 }
 
-/// Faults of form together with those of the other rules.
-fn all_faults(text: &str, rules: &DocumentRules, form: Vec<Fault>) -> ApplyError {
-    ApplyError::Invalid(read_document_by(text, rules).err().unwrap_or(form))
-}
-
 impl InForce {
     /// Nothing: what stands before the first configuration.
     pub(crate) fn nothing() -> Self {
