--- a/src/core/message/peer_call.rs
+++ b/src/core/message/peer_call.rs
@@ -32,8 +32,12 @@
 pub(crate) struct Submission {
     /// The job's identity.
     pub(crate) ticket: Ticket,
+    /// Whether the client knows the job by a key of its own and can't come back with another.
+    pub(crate) by_key: bool,
     /// The job.
     pub(crate) spec: JobSpec,
+    /// A task of it fits on no worker of the configuration.
+    pub(crate) impossible: bool,
     /// Runners that could take its tasks, best first.
     pub(crate) candidates: Vec<Candidate>,
     /// For how long to hold the reply while the job runs.
--- a/src/core/runner/runner.rs
+++ b/src/core/runner/runner.rs
@@ -9,7 +9,7 @@
         demand::DemandQueue,
         gate::Permit,
         job::{TaskOutcome, TaskRef},
-        message::{FreeSlots, HomeFrame, RunnerFrame, StartFrame, StatusReport, TaskStatus},
+        message::{HomeFrame, RunnerFrame, StartFrame, StatusReport, TaskStatus},
         ticket::AgentId,
         time::Instant,
         verdict::NotRunReason,
@@ -27,13 +27,13 @@
 /// Starts tasks on the backend server beside it, each at most once.
 #[derive(Debug)]
 pub(crate) struct Runner {
-    id: AgentId,
+    pub(super) id: AgentId,
     settings: RunnerSettings,
-    permit: Permit,
-    services: Vec<String>,
-    slots: u16,
-    leaving: bool,
-    demands: DemandQueue,
+    pub(super) permit: Permit,
+    pub(super) services: Vec<String>,
+    pub(super) slots: u16,
+    pub(super) leaving: bool,
+    pub(super) demands: DemandQueue,
     pub(super) links: BTreeMap<AgentId, HomeLink>,
     sessions: BTreeMap<SessionId, (AgentId, u64)>,
 }
@@ -64,41 +64,6 @@
         self.slots
     }
 
-    /// Slots without a running task that aren't held for a home.
-    pub(crate) fn free_slots(&self) -> u16 {
-        self.slots
-            .saturating_sub(self.running_count())
-            .saturating_sub(self.demands.held())
-    }
-
-    /// Slots that one home may count on.
-    fn free_for(&self, home: AgentId) -> FreeSlots {
-        let held = self.demands.held_for(home);
-        FreeSlots {
-            slots: self.free_slots() + held,
-            held,
-            starts_seen: self.links.get(&home).map_or(0, |link| link.starts_seen),
-        }
-    }
-
-    /// Offers free slots to the homes that have waited longest, while tasks may start here.
-    fn offer_slots(&mut self, now: Instant, actions: &mut Vec<RunnerAction>) {
-        if self.leaving || self.services.is_empty() || !self.permit.is_valid(now) {
-            return;
-        }
-        while self.free_slots() > 0
-            && let Some(home) = self.demands.offer(now)
-        {
-            let Some(session) = self.links.get(&home).and_then(|link| link.session) else {
-                self.demands.forget(home);
-                continue;
-            };
-            let free = self.free_for(home);
-            let frame = RunnerFrame::Offer { free };
-            actions.push(RunnerAction::Send { session, frame });
-        }
-    }
-
     /// Tasks that run now.
     pub(crate) fn running_count(&self) -> u16 {
         let count: usize = self.links.values().map(|link| link.running.len()).sum();
@@ -327,21 +292,6 @@
         }
     }
 
-    fn on_demand(
-        &mut self,
-        now: Instant,
-        home: AgentId,
-        tasks: u16,
-        waited_ms: u64,
-    ) -> Vec<RunnerAction> {
-        if tasks == 0 {
-            self.demands.forget(home);
-        } else {
-            self.demands.set(home, now.minus_ms(waited_ms), tasks);
-        }
-        Vec::new()
-    }
-
     fn on_query(
         &mut self,
         now: Instant,
