--- a/src/agent/agent_handle.rs
+++ b/src/agent/agent_handle.rs
@@ -10,6 +10,7 @@
     crate::{
         core::{
             home::HomeEvent,
+            message::GateNotice,
             runner::RunnerEvent,
             ticket::{AgentId, TicketGrant},
             time::Instant,
@@ -81,6 +82,20 @@
         self.announce_now.notify_one();
     }
 
+    /// An entry told that tasks may start here, or no longer.
+    pub(crate) fn gate_changed(&self, notice: GateNotice) {
+        self.tell_runner(RunnerEvent::PermitRenewed {
+            sent_at: self.timer.now(),
+            config_version: notice.config_version,
+            zone_open: notice.zone_open,
+            permit_ms: 0,
+        });
+        if notice.zone_open {
+            // The permit itself comes with the reply to an announcement.
+            self.announce_now.notify_one();
+        }
+    }
+
     /// Feeds the runner.
     pub(crate) fn tell_runner(&self, event: RunnerEvent) {
         // The loops end only with the process.
--- a/src/agent/peer_handler.rs
+++ b/src/agent/peer_handler.rs
@@ -30,6 +30,10 @@
 #[async_trait]
 impl PeerHandler for AgentPeerHandler {
     async fn call(&self, request: PeerRequest) -> PeerReply {
+        if let PeerRequest::Gate(notice) = request {
+            self.agent.gate_changed(notice);
+            return PeerReply::Noted;
+        }
         if let PeerRequest::Adopt(records) = request {
             return match self.agent.adopt(*records) {
                 true => PeerReply::Adopted,
@@ -105,7 +109,11 @@
 
 const fn ticket_of(request: &PeerRequest) -> Option<Ticket> {
     match request {
-        PeerRequest::Announce(_) | PeerRequest::Adopt(_) => None,
+        PeerRequest::Announce(_)
+        | PeerRequest::Adopt(_)
+        | PeerRequest::Digest(_)
+        | PeerRequest::Configuration
+        | PeerRequest::Gate(_) => None,
         PeerRequest::Submit(submission) => Some(submission.ticket),
         PeerRequest::Poll { ticket, .. } | PeerRequest::Cancel { ticket } => Some(*ticket),
     }
@@ -113,10 +121,15 @@
 
 fn event_for(request: PeerRequest) -> Option<EventFor> {
     match request {
-        PeerRequest::Announce(_) | PeerRequest::Adopt(_) => None,
+        PeerRequest::Announce(_)
+        | PeerRequest::Digest(_)
+        | PeerRequest::Configuration
+        | PeerRequest::Adopt(_)
+        | PeerRequest::Gate(_) => None,
         PeerRequest::Submit(submission) => Some(Box::new(move |waiter| HomeEvent::Submit {
             waiter,
             ticket: submission.ticket,
+            by_key: submission.by_key,
             spec: submission.spec,
             impossible: submission.impossible,
             candidates: submission.candidates,
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -16,7 +16,9 @@
         cli::{RunError, stop_signal},
         conf::AgentSettings,
         core::{
+            gate::SharedPermit,
             home::HomeSettings,
+            roster::EntryChoice,
             runner::{Runner, RunnerSettings},
             ticket::AgentId,
         },
@@ -47,27 +49,34 @@
     let metrics: Arc<dyn Metrics> = Arc::new(OtelMetrics::new().map_err(RunError::metrics)?);
     let timer: Arc<dyn TimerService> = Arc::new(TokioTimer::new());
     let network: Arc<dyn PeerNetwork> = Arc::new(H2Client::new(Arc::clone(&metrics)));
-    let backend = Arc::new(HttpBackend::new(settings.connections));
+    let permit = Arc::new(SharedPermit::default());
+    let backend = Arc::new(HttpBackend::new(
+        settings.connections,
+        Arc::clone(&permit),
+        Arc::clone(&timer),
+    ));
     let peers = TcpListener::bind(settings.peer_listen)
         .await
         .map_err(|error| RunError::Listen(settings.peer_listen, error))?;
     let id = AgentId(rand::rng().random());
-    let agent = start_loops(&settings, id, &metrics, &timer, &network, &backend);
+    let agent = start_loops(&settings, id, &metrics, &timer, &network, &backend, permit);
     let handler = Arc::new(AgentPeerHandler {
         agent: Arc::clone(&agent),
     });
     tokio::spawn(serve_peers(peers, handler, Arc::clone(&metrics)));
-    let announcer = Arc::new(Announcer {
+    let announcer = Announcer {
         id,
         worker: settings.worker.clone(),
         availability_zone: settings.availability_zone.clone(),
         peer_addr: settings.peer_addr,
-        entries: settings.entries.clone(),
+        entries: EntryChoice::new(id, settings.entries.clone()),
+        roster_digest: 0,
+        number: 0,
         agent: Arc::clone(&agent),
         network,
         timer: Arc::clone(&timer),
         metrics: Arc::clone(&metrics),
-    });
+    };
     tokio::spawn(announcer.run());
     let api = Arc::new(AgentApi {
         agent: Arc::clone(&agent),
@@ -91,6 +100,7 @@
     timer: &Arc<dyn TimerService>,
     network: &Arc<dyn PeerNetwork>,
     backend: &Arc<HttpBackend>,
+    permit: Arc<SharedPermit>,
 ) -> Arc<AgentHandle> {
     let starter = HomeStarter {
         network: Arc::clone(network),
@@ -118,6 +128,7 @@
         inputs: runner_inputs.clone(),
         sessions: BTreeMap::new(),
         next_session: 0,
+        permit,
     };
     tokio::spawn(runner.run(runner_received));
     Arc::new(AgentHandle {
--- a/src/agent/runner_loop.rs
+++ b/src/agent/runner_loop.rs
@@ -4,6 +4,7 @@
     crate::{
         adapters::peer::RunnerSession,
         core::{
+            gate::SharedPermit,
             message::{RunnerFrame, StartFrame},
             runner::{Runner, RunnerAction, RunnerEvent, SessionId},
         },
@@ -48,6 +49,8 @@
     pub(crate) inputs: mpsc::UnboundedSender<RunnerInput>,
     pub(crate) sessions: BTreeMap<SessionId, mpsc::UnboundedSender<RunnerFrame>>,
     pub(crate) next_session: u64,
+    /// The permit as the connections to the backend server see it.
+    pub(crate) permit: Arc<SharedPermit>,
 }
 
 impl RunnerLoop {
@@ -116,6 +119,7 @@
 
     fn feed(&mut self, event: RunnerEvent) {
         let actions = self.runner.handle(self.timer.now(), event);
+        self.permit.set_until(self.runner.permit_until());
         for action in actions {
             self.carry_out(action);
         }
--- a/src/core/gate/permit.rs
+++ b/src/core/gate/permit.rs
@@ -49,6 +49,11 @@
         now < self.until
     }
 
+    /// When the permit ends, for the check at the write.
+    pub(crate) const fn until(&self) -> Instant {
+        self.until
+    }
+
     /// The newest configuration version seen.
     pub(crate) const fn config_version(&self) -> u64 {
         self.config_version
--- a/src/core/home/intake.rs
+++ b/src/core/home/intake.rs
@@ -6,7 +6,7 @@
         home::Timer,
         job_record::{JobRecord, JobState, RunningJob},
         runner_link::RunnerLink,
-        ticket_ring::JobKey,
+        ticket_ring::{JobKey, TicketState},
     },
     crate::core::{
         admission::{Offer, Overload},
@@ -15,7 +15,7 @@
         message::Candidate,
         ticket::{AgentId, Ticket},
         time::Instant,
-        verdict::{MayHaveRunReason, NotRunReason},
+        verdict::{MayHaveRunReason, NotRunReason, Verdict},
     },
 };
 
@@ -140,6 +140,7 @@
             state: JobState::Running(Box::new(job)),
         });
         self.ring.record(&ticket.id, key);
+        self.running += 1;
         self.timers.insert((deadline, Timer::Deadline(key)));
         self.waiting.push_back(key);
         key
@@ -163,6 +164,32 @@
         );
     }
 
+    /// Lets a job that did not run be submitted again under its ticket.
+    ///
+    /// Guards against a key that is refused for good: its client was told "not run" and when to
+    /// come back, and can only come back with the same key, which is bound to the same ticket.
+    /// Nothing of the job ran or is under way, so it may begin as if it were new.
+    pub(super) fn release_not_run(&mut self, ticket: &Ticket, spec: &JobSpec) {
+        let TicketState::Used(key) = self.ring.state(ticket) else {
+            return;
+        };
+        let Some(record) = self.jobs.get(key) else {
+            return;
+        };
+        let JobState::Ended(answer) = &record.state else {
+            return;
+        };
+        let Verdict::NotRun { reason, .. } = answer.verdict else {
+            return;
+        };
+        if reason == NotRunReason::Cancelled || record.differs(&spec.digest()) {
+            return;
+        }
+        self.ring.release(&ticket.id);
+        self.jobs.remove(key);
+        self.answers.forget(key);
+    }
+
     /// Tasks that wait.
     fn waiting_count(&self) -> usize {
         self.waiting
--- /dev/null
+++ b/src/core/roster/mod.rs
@@ -0,0 +1,14 @@
+//! Which entries there are, and which of them an agent announces to.
+
+mod entry_choice;
+mod roster;
+mod roster_row;
+
+#[cfg(test)]
+mod tests;
+
+pub(crate) use {
+    entry_choice::EntryChoice,
+    roster::{Roster, Survey},
+    roster_row::{ROSTER_PREFIX, RosterRow, beat_key, entry_key},
+};
--- /dev/null
+++ b/src/entry/digest_exchange.rs
@@ -0,0 +1,135 @@
+//! Exchanges digests with the other entries and tells agents of changed zones.
+
+use {
+    super::{ConfigKeeper, EntryState, InForce},
+    crate::{
+        core::message::{GateNotice, PeerEntry, PeerReply, PeerRequest},
+        ports::{Counter, Metrics, PeerNetwork, TimerService},
+    },
+    std::{
+        collections::BTreeSet,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        sync::Semaphore,
+        time::{sleep, timeout},
+    },
+};
+
+/// Pause between digests to each entry, in milliseconds.
+const DIGEST_MS: u64 = 500;
+/// Shortest pause, so that a rack of agents that leave at once is told together.
+const SHORTEST_PAUSE_MS: u64 = 20;
+/// Time after which a call counts as lost, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 700;
+/// Agents told at a time.
+const NOTICES_AT_ONCE: usize = 64;
+
+/// Speaks to the other entries, and to agents.
+#[derive(Debug)]
+pub(crate) struct DigestExchange {
+    pub(crate) state: Arc<EntryState>,
+    pub(crate) keeper: Arc<ConfigKeeper>,
+    pub(crate) network: Arc<dyn PeerNetwork>,
+    pub(crate) timer: Arc<dyn TimerService>,
+    pub(crate) metrics: Arc<dyn Metrics>,
+    /// Entries that are being called now; a slow one is not called again meanwhile.
+    pub(crate) under_way: Mutex<BTreeSet<SocketAddr>>,
+}
+
+impl DigestExchange {
+    /// Tells the other entries twice a second, and at once when something changed.
+    pub(crate) async fn tell_entries(self: Arc<Self>) {
+        let mut ticks = self.timer.subscribe(DIGEST_MS);
+        loop {
+            tokio::select! {
+                tick = ticks.recv() => if tick.is_none() { return },
+                () = self.state.tell_entries.notified() => {
+                    sleep(Duration::from_millis(SHORTEST_PAUSE_MS)).await;
+                }
+            }
+            for entry in self.state.other_entries() {
+                if self.lock_under_way().insert(entry.peer_addr) {
+                    let exchange = Arc::clone(&self);
+                    tokio::spawn(async move { exchange.tell_entry(entry).await });
+                }
+            }
+        }
+    }
+
+    async fn tell_entry(&self, entry: PeerEntry) {
+        let (digest, telling) = self.state.digest_for(entry.entry);
+        let asked_at = self.timer.now();
+        let outcome = match self
+            .call(entry.peer_addr, PeerRequest::Digest(digest))
+            .await
+        {
+            Some(PeerReply::Digest(reply)) if reply.entry == entry.entry => {
+                if self.state.digest_answered(asked_at, &telling, &reply) {
+                    self.fetch_configuration(entry.peer_addr).await;
+                }
+                "answered"
+            }
+            // Another process listens at that address: this one's word is not the entry's.
+            Some(_) => "other_process",
+            None => "no_answer",
+        };
+        self.metrics.count(Counter::Digests, outcome);
+        self.lock_under_way().remove(&entry.peer_addr);
+    }
+
+    /// Reads the configuration from the entry that holds a newer one.
+    ///
+    /// Guards against a change that is in force at some entries only when the platform goes
+    /// down right after it: without it no entry could grant permits for the whole outage.
+    async fn fetch_configuration(&self, from: SocketAddr) {
+        if let Some(PeerReply::Configuration(Some((head, text)))) =
+            self.call(from, PeerRequest::Configuration).await
+        {
+            self.keeper.take_passed_on(head, &text);
+        }
+    }
+
+    async fn call(&self, to: SocketAddr, request: PeerRequest) -> Option<PeerReply> {
+        let call = self.network.call(to, request);
+        let reply = timeout(Duration::from_millis(CALL_TIMEOUT_MS), call).await;
+        reply.ok()?.ok()
+    }
+
+    fn lock_under_way(&self) -> std::sync::MutexGuard<'_, BTreeSet<SocketAddr>> {
+        self.under_way
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells agents when a change of the configuration opens or closes them.
+    ///
+    /// Permits lapse without it; being told makes it a matter of milliseconds.
+    pub(crate) async fn tell_agents(self: Arc<Self>) {
+        let slots = Arc::new(Semaphore::new(NOTICES_AT_ONCE));
+        let mut before: Option<InForce> = None;
+        loop {
+            self.state.tell_agents.notified().await;
+            let now_in_force = self.state.in_force();
+            for (agent, notice) in self.state.gate_notices(before.as_ref()) {
+                let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
+                    return;
+                };
+                let exchange = Arc::clone(&self);
+                tokio::spawn(async move {
+                    exchange.tell_agent(agent, notice).await;
+                    drop(slot);
+                });
+            }
+            before = now_in_force;
+        }
+    }
+
+    async fn tell_agent(&self, agent: SocketAddr, notice: GateNotice) {
+        let reply = self.call(agent, PeerRequest::Gate(notice)).await;
+        let outcome = if reply.is_some() { "told" } else { "no_answer" };
+        self.metrics.count(Counter::GateNotices, outcome);
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,9 +5,12 @@
 mod config_change;
 mod config_draft;
 mod config_keeper;
+mod digest_exchange;
 mod entry_state;
 mod jobs;
+mod membership;
 mod peer_handler;
+mod roster_keeper;
 mod run;
 
 #[cfg(test)]
@@ -22,6 +25,6 @@
     config_draft::{Change, Edit, based_on_all},
     config_keeper::ConfigKeeper,
     entry_state::{EntryState, InForce},
-    jobs::{JobReport, Jobs},
+    jobs::{Identity, JobReport, Jobs},
     run::run_entry,
 };
--- a/tests/processes/support/mod.rs
+++ b/tests/processes/support/mod.rs
@@ -8,6 +8,7 @@
 
 mod deployment;
 mod http;
+mod load;
 mod port;
 mod process;
 mod proxy;
@@ -15,6 +16,7 @@
 pub use {
     deployment::{Deployment, Layout, SERVICE, TOKEN, WorkerHandle, job_body},
     http::{Reply, get, request, try_request},
+    load::{Load, unix_ms, zone_out},
     port::free_addr,
     process::Process,
     proxy::Proxy,
