--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -285,6 +285,8 @@
             .candidates(now, &in_force.document, name, service);
         let mut homes = inner.tickets.homes(now);
         homes.retain(|home| inner.directory.takes_work(now, *home));
+        // The same homes that tickets are minted for: each then has runners of its own.
+        prefer_open(&mut homes, &inner.directory, Some(in_force));
         Some(RunnerRing::new(active_homes(homes), runners))
     }
 
