Read-through: an entry's wiring in parts, tests in a tests folder, shared routes, metrics on the page

run_entry was 86 lines; metrics and health were written twice; tests of the keeper and of jobs lay beside the code they test. The operators' page names every metric, and a test checks that it does. Behaviour is unchanged.

--- a/src/adapters/http/agent_api.rs
+++ b/src/adapters/http/agent_api.rs
@@ -1,6 +1,7 @@
 //! The agent's routes: its backend server announces itself here.
 
 use {
+    super::health::with_health,
     crate::{adapters::backend::HttpBackend, agent::AgentHandle, cli::RunError, ports::Metrics},
     poem::{
         EndpointExt, Route, Server, get, handler,
@@ -46,10 +47,8 @@
 ) -> Result<(), RunError> {
     let routes = Route::new()
         .at("/v1/backend", post(announce))
-        .at("/metrics", get(metrics))
-        .at("/health", get(health))
-        .at("/ready", get(ready))
-        .data(api);
+        .at("/ready", get(ready));
+    let routes = with_health(routes, Arc::clone(&api.metrics)).data(api);
     Server::new(TcpListener::bind(listen))
         .run_with_graceful_shutdown(routes, stop, None)
         .await
@@ -67,16 +66,6 @@
     StatusCode::OK
 }
 
-#[handler]
-fn metrics(api: Api<'_>) -> String {
-    api.metrics.render()
-}
-
-#[handler]
-fn health() -> &'static str {
-    "ok\n"
-}
-
 #[handler]
 async fn ready(api: Api<'_>) -> (StatusCode, &'static str) {
     if api.agent.is_ready().await {
--- a/src/adapters/http/entry_api.rs
+++ b/src/adapters/http/entry_api.rs
@@ -1,7 +1,7 @@
 //! The entry's routes.
 
 use {
-    super::{answer::Refusal, client_api, operator_api},
+    super::{answer::Refusal, client_api, health::with_health, operator_api},
     crate::{
         cli::RunError,
         core::verdict::NotRunReason,
@@ -55,9 +55,8 @@
         .at("/v1/config/history", get(operator_api::history))
         .at("/v1/zones/:zone/:state", post(operator_api::set_zone))
         .at("/v1/workers", get(operator_api::workers))
-        .at("/metrics", get(metrics))
-        .at("/health", get(health))
-        .at("/ready", get(ready))
+        .at("/ready", get(ready));
+    let routes = with_health(routes, Arc::clone(&api.metrics))
         .data(api)
         .catch_all_error(unroutable);
     Server::new(TcpListener::bind(listen))
@@ -74,16 +73,6 @@
     response
 }
 
-#[handler]
-fn metrics(api: Api<'_>) -> String {
-    api.metrics.render()
-}
-
-#[handler]
-fn health() -> &'static str {
-    "ok\n"
-}
-
 #[handler]
 fn ready(api: Api<'_>) -> (StatusCode, &'static str) {
     if api.state.is_ready() {
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -6,6 +6,7 @@
 mod client_api;
 mod config_body;
 mod entry_api;
+mod health;
 mod job_body;
 mod known_job;
 mod operator_api;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,9 +14,7 @@
 mod run;
 
 #[cfg(test)]
-mod config_tests;
-#[cfg(test)]
-mod jobs_tests;
+mod tests;
 
 pub(crate) use {
     apply_error::ApplyError,
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -26,7 +26,7 @@
     },
     rand::RngExt,
     std::sync::{Arc, Mutex, PoisonError},
-    tokio::net::TcpListener,
+    tokio::{net::TcpListener, task::JoinHandle},
 };
 
 /// Period of housekeeping, in milliseconds.
@@ -79,91 +79,133 @@
     }
 }
 
+/// What the parts of an entry share.
+struct Shared {
+    metrics: Arc<dyn Metrics>,
+    timer: Arc<dyn TimerService>,
+    network: Arc<dyn PeerNetwork>,
+    state: Arc<EntryState>,
+    keeper: Arc<ConfigKeeper>,
+    platform: Platform,
+}
+
+impl Shared {
+    fn new(settings: &EntrySettings) -> Result<Self, RunError> {
+        let metrics: Arc<dyn Metrics> = Arc::new(OtelMetrics::new().map_err(RunError::metrics)?);
+        let timer: Arc<dyn TimerService> = Arc::new(TokioTimer::new());
+        let me = PeerEntry {
+            entry: AgentId(rand::rng().random()),
+            name: settings.name.clone(),
+            peer_addr: settings.peer_addr,
+        };
+        let state = Arc::new(EntryState::new(
+            me,
+            Arc::clone(&timer),
+            settings.outage_limit_ms,
+            rand::rng().random(),
+        ));
+        let platform = Platform::new(settings, &timer, &metrics);
+        let store = platform.store(Urgency::Urgent);
+        let keeper = Arc::new(ConfigKeeper {
+            state: Arc::clone(&state),
+            table: store.clone(),
+            objects: store,
+            timer: Arc::clone(&timer),
+            metrics: Arc::clone(&metrics),
+            operators: settings.operators.clone(),
+            turn: tokio::sync::Mutex::default(),
+        });
+        Ok(Self {
+            network: Arc::new(H2Client::new(Arc::clone(&metrics))),
+            metrics,
+            timer,
+            state,
+            keeper,
+            platform,
+        })
+    }
+
+    /// Keeps this entry on the roster and reads the configuration.
+    fn start_roster(&self, head_poll_ms: u64) -> JoinHandle<()> {
+        let roster = RosterKeeper {
+            state: Arc::clone(&self.state),
+            keeper: Arc::clone(&self.keeper),
+            table: self.platform.store(Urgency::Urgent),
+            timer: Arc::clone(&self.timer),
+            is_registered: false,
+            beat_at: None,
+            surveyed_at: None,
+        };
+        tokio::spawn(roster.run(head_poll_ms))
+    }
+
+    /// Tells other entries and agents what has changed, and drops what is out of date.
+    fn start_exchange(&self) {
+        let exchange = Arc::new(DigestExchange {
+            state: Arc::clone(&self.state),
+            keeper: Arc::clone(&self.keeper),
+            network: Arc::clone(&self.network),
+            timer: Arc::clone(&self.timer),
+            metrics: Arc::clone(&self.metrics),
+            under_way: Mutex::default(),
+        });
+        tokio::spawn(Arc::clone(&exchange).tell_entries());
+        tokio::spawn(exchange.tell_agents());
+        tokio::spawn(keep_house(
+            Arc::clone(&self.state),
+            Arc::clone(&self.timer),
+            Arc::clone(&self.metrics),
+            Arc::clone(&self.platform.budget),
+        ));
+    }
+
+    fn start_claims(&self) -> Arc<Claims> {
+        let claims = Arc::new(Claims::new(
+            Arc::clone(&self.state),
+            self.platform.store(Urgency::Bulk),
+            Arc::clone(&self.timer),
+        ));
+        tokio::spawn(Arc::clone(&claims).run());
+        claims
+    }
+
+    fn api(&self, settings: &EntrySettings) -> Arc<EntryApi> {
+        Arc::new(EntryApi {
+            jobs: Jobs {
+                state: Arc::clone(&self.state),
+                network: Arc::clone(&self.network),
+                timer: Arc::clone(&self.timer),
+                metrics: Arc::clone(&self.metrics),
+            },
+            claims: self.start_claims(),
+            state: Arc::clone(&self.state),
+            keeper: Arc::clone(&self.keeper),
+            metrics: Arc::clone(&self.metrics),
+            max_body_bytes: settings.max_body_bytes,
+            max_deadline_ms: settings.max_deadline_ms,
+        })
+    }
+}
+
 /// Runs an entry until SIGTERM or SIGINT; requests under way are answered first.
 pub(crate) async fn run_entry(settings: EntrySettings) -> Result<(), RunError> {
-    let metrics: Arc<dyn Metrics> = Arc::new(OtelMetrics::new().map_err(RunError::metrics)?);
-    let timer: Arc<dyn TimerService> = Arc::new(TokioTimer::new());
+    let shared = Shared::new(&settings)?;
     let peers = TcpListener::bind(settings.peer_listen)
         .await
         .map_err(|error| RunError::Listen(settings.peer_listen, error))?;
-    let me = PeerEntry {
-        entry: AgentId(rand::rng().random()),
-        name: settings.name.clone(),
-        peer_addr: settings.peer_addr,
-    };
-    let state = Arc::new(EntryState::new(
-        me,
-        Arc::clone(&timer),
-        settings.outage_limit_ms,
-        rand::rng().random(),
-    ));
-    let platform = Platform::new(&settings, &timer, &metrics);
-    let store = platform.store(Urgency::Urgent);
-    let keeper = Arc::new(ConfigKeeper {
-        state: Arc::clone(&state),
-        table: store.clone(),
-        objects: store.clone(),
-        timer: Arc::clone(&timer),
-        metrics: Arc::clone(&metrics),
-        operators: settings.operators.clone(),
-        turn: tokio::sync::Mutex::default(),
-    });
     let handler = Arc::new(EntryPeerHandler {
-        state: Arc::clone(&state),
-    });
-    tokio::spawn(serve_peers(peers, handler, Arc::clone(&metrics)));
-    let roster = RosterKeeper {
-        state: Arc::clone(&state),
-        keeper: Arc::clone(&keeper),
-        table: store.clone(),
-        timer: Arc::clone(&timer),
-        is_registered: false,
-        beat_at: None,
-        surveyed_at: None,
-    };
-    let roster = tokio::spawn(roster.run(settings.head_poll_ms));
-    let network: Arc<dyn PeerNetwork> = Arc::new(H2Client::new(Arc::clone(&metrics)));
-    let exchange = Arc::new(DigestExchange {
-        state: Arc::clone(&state),
-        keeper: Arc::clone(&keeper),
-        network: Arc::clone(&network),
-        timer: Arc::clone(&timer),
-        metrics: Arc::clone(&metrics),
-        under_way: Mutex::default(),
-    });
-    tokio::spawn(Arc::clone(&exchange).tell_entries());
-    tokio::spawn(exchange.tell_agents());
-    tokio::spawn(keep_house(
-        Arc::clone(&state),
-        Arc::clone(&timer),
-        Arc::clone(&metrics),
-        Arc::clone(&platform.budget),
-    ));
-    let claims = Arc::new(Claims::new(
-        Arc::clone(&state),
-        platform.store(Urgency::Bulk),
-        Arc::clone(&timer),
-    ));
-    tokio::spawn(Arc::clone(&claims).run());
-    let api = Arc::new(EntryApi {
-        jobs: Jobs {
-            state: Arc::clone(&state),
-            network,
-            timer,
-            metrics: Arc::clone(&metrics),
-        },
-        claims,
-        state: Arc::clone(&state),
-        keeper,
-        metrics,
-        max_body_bytes: settings.max_body_bytes,
-        max_deadline_ms: settings.max_deadline_ms,
+        state: Arc::clone(&shared.state),
     });
+    tokio::spawn(serve_peers(peers, handler, Arc::clone(&shared.metrics)));
+    let roster = shared.start_roster(settings.head_poll_ms);
+    shared.start_exchange();
+    let api = shared.api(&settings);
     log::info!(name = settings.name.as_str(), client_listen:% = settings.client_listen; "entry started");
     serve_entry_api(settings.client_listen, api, stop_signal()).await?;
     // A beat that is under way must not bring the rows back.
     roster.abort();
-    leave_roster(&state, store.as_ref()).await;
+    let store = shared.platform.store(Urgency::Urgent);
+    leave_roster(&shared.state, store.as_ref()).await;
     log::info!("entry stopped");
     Ok(())
 }
--- a/src/entry/config_tests/mod.rs
+++ b/src/entry/tests/config/mod.rs
@@ -5,7 +5,6 @@
 mod single;
 
 use {
-    super::{Change, ConfigKeeper, Edit, EntryState, based_on_all},
     crate::{
         conf::OperatorSettings,
         core::{
@@ -14,6 +13,7 @@
             ticket::AgentId,
             time::Instant,
         },
+        entry::{Change, ConfigKeeper, Edit, EntryState, based_on_all},
         ports::{Counter, Gauge, Metrics, TimerService},
     },
     fake_platform::FakePlatform,
--- a/src/entry/jobs_tests.rs
+++ b/src/entry/tests/jobs.rs
@@ -7,7 +7,6 @@
 )]
 
 use {
-    super::{EntryState, Identity, JobReport, Jobs},
     crate::{
         core::{
             job::{JobAnswer, JobSpec, JobStatus, TaskOutcome, TaskSpec},
@@ -16,6 +15,7 @@
             time::Instant,
             verdict::{MayHaveRunReason, Verdict},
         },
+        entry::{EntryState, Identity, JobReport, Jobs},
         ports::{Counter, Gauge, Metrics, PeerError, PeerNetwork, SessionIo, TimerService},
     },
     async_trait::async_trait,
--- /dev/null
+++ b/src/entry/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of the entry's parts against fakes of what they call.
+
+mod config;
+mod jobs;
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -6,6 +6,9 @@
 mod store;
 mod timer_service;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use {
     backend_server::BackendServer,
     metrics::{Counter, Gauge, Metrics},
--- /dev/null
+++ b/src/ports/tests.rs
@@ -0,0 +1,20 @@
+//! Tests of the metrics' names against the operators' page.
+
+use super::{Counter, Gauge};
+
+const OPERATING_PAGE: &str = include_str!("../../docs/OPERATING.md");
+
+#[test]
+fn the_page_names_every_metric() {
+    let counters = Counter::ALL
+        .iter()
+        .map(|counter| format!("`{}_total`", counter.as_str().replace('.', "_")));
+    let gauges = Gauge::ALL
+        .iter()
+        .map(|gauge| format!("`{}`", gauge.as_str().replace('.', "_")));
+    let missing: Vec<String> = counters
+        .chain(gauges)
+        .filter(|name| !OPERATING_PAGE.contains(name))
+        .collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
