Entry: the homes for new jobs are chosen every 50 ms, not for each ticket

Cause: each answer mints the client's next ticket, and each minting looked through all homes that had granted here and ranked them. A home that leaves or fails in between is found when it is tried; when none is left the choice is made anew at once.

--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Which runner gets the next task.
 
+mod home_choice;
 mod home_share;
 mod most_free;
 mod placement;
@@ -11,6 +12,6 @@
 mod tests;
 
 pub(crate) use {
-    home_share::active_homes, most_free::MostFree, placement::Placement,
+    home_choice::HomeChoice, home_share::active_homes, most_free::MostFree, placement::Placement,
     random_worker::RandomWorker, runner_view::RunnerView, shortlist::RunnerRing,
 };
--- a/src/core/placement/tests.rs
+++ b/src/core/placement/tests.rs
@@ -1,8 +1,10 @@
 //! Tests of the placement policies.
 
 use {
-    super::{MostFree, Placement, RunnerRing, RunnerView, active_homes},
+    super::{HomeChoice, MostFree, Placement, RunnerRing, RunnerView, active_homes},
     crate::core::{message::Candidate, ticket::AgentId, time::Instant},
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
     std::{
         collections::BTreeSet,
         net::{Ipv4Addr, SocketAddr},
@@ -82,6 +84,39 @@
         .collect()
 }
 
+fn choice_of(count: u64) -> (HomeChoice, Vec<AgentId>) {
+    let homes: Vec<AgentId> = (0..count).map(AgentId).collect();
+    let mut choice = HomeChoice::default();
+    choice.renew(Instant::from_millis(1_000), homes.clone());
+    (choice, active_homes(homes))
+}
+
+#[test]
+fn homes_are_looked_through_anew_after_a_while() {
+    let (choice, _) = choice_of(12);
+    assert!(HomeChoice::default().is_stale(Instant::from_millis(1_000)));
+    assert!(!choice.is_stale(Instant::from_millis(1_049)));
+    assert!(choice.is_stale(Instant::from_millis(1_050)));
+}
+
+/// An active home dies and new jobs are still offered to it: the next one tried must be another,
+/// and when no active home is left, those in reserve step in before anybody is refused.
+#[test]
+fn homes_that_give_nothing_are_passed_over_and_the_reserve_steps_in() {
+    let (mut choice, active) = choice_of(12);
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    for _ in 0..50 {
+        let picked = choice.pick(&mut rng, Some).expect("a home");
+        assert!(active.contains(&picked));
+    }
+    let in_reserve = |home: AgentId| (!active.contains(&home)).then_some(home);
+    let picked = choice.pick(&mut rng, in_reserve).expect("a home");
+    assert!(!active.contains(&picked));
+    let none: Option<AgentId> = choice.pick(&mut rng, |_| None);
+    assert_eq!(none, None);
+    assert_eq!(choice.pick(&mut rng, Some), None, "all were dropped");
+}
+
 macro_rules! shortlist_cases {
     ($($name:ident: $count:literal runners => $expected:expr;)+) => {
         $(
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -9,7 +9,7 @@
             gate::{PERMIT_MS, ZoneGate},
             job::JobSpec,
             message::{Announcement, AnnouncementReply, Candidate, PeerEntry, roster_digest},
-            placement::{RunnerRing, active_homes},
+            placement::{HomeChoice, RunnerRing, active_homes},
             roster::Roster,
             ticket::{AgentId, Ticket, TicketOffice},
             time::Instant,
@@ -17,7 +17,7 @@
         },
         ports::TimerService,
     },
-    rand::{RngExt, SeedableRng, seq::SliceRandom},
+    rand::{SeedableRng, seq::SliceRandom},
     rand_chacha::ChaCha8Rng,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -54,6 +54,7 @@
     pub(super) gate: ZoneGate,
     pub(super) tickets: TicketOffice,
     pub(super) in_force: Option<InForce>,
+    home_choice: HomeChoice,
     rng: ChaCha8Rng,
 }
 
@@ -87,6 +88,32 @@
         successors.truncate(MAX_SUCCESSORS);
         successors
     }
+
+    fn renew_home_choice(&mut self, now: Instant) {
+        let mut homes = self.tickets.homes(now);
+        homes.retain(|home| self.directory.takes_work(now, *home));
+        prefer_open(&mut homes, &self.directory, self.in_force.as_ref());
+        self.home_choice.renew(now, homes);
+    }
+
+    fn mint_from_choice(&mut self, now: Instant, count: usize) -> Vec<Ticket> {
+        let Self {
+            home_choice,
+            directory,
+            tickets,
+            rng,
+            ..
+        } = self;
+        let mut mint_at = |home| {
+            if !directory.takes_work(now, home) {
+                return None;
+            }
+            tickets.mint(now, home)
+        };
+        (0..count)
+            .map_while(|_| home_choice.pick(rng, &mut mint_at))
+            .collect()
+    }
 }
 
 impl EntryState {
@@ -112,6 +139,7 @@
                 gate: ZoneGate::new(outage_limit_ms),
                 tickets: TicketOffice::default(),
                 in_force: None,
+                home_choice: HomeChoice::default(),
                 rng: ChaCha8Rng::seed_from_u64(seed),
             }),
         }
@@ -188,31 +216,14 @@
     pub(crate) fn mint(&self, count: usize) -> Vec<Ticket> {
         let now = self.timer.now();
         let mut inner = self.lock();
-        let Inner {
-            directory,
-            tickets,
-            in_force,
-            rng,
-            ..
-        } = &mut *inner;
-        let mut homes = tickets.homes(now);
-        homes.retain(|home| directory.takes_work(now, *home));
-        prefer_open(&mut homes, directory, in_force.as_ref());
-        let mut spare = homes.clone();
-        let mut homes = active_homes(homes);
-        spare.retain(|home| !homes.contains(home));
-        let mut minted = Vec::with_capacity(count);
-        while minted.len() < count && !homes.is_empty() {
-            let pick = rng.random_range(0..homes.len());
-            match tickets.mint(now, homes[pick]) {
-                Some(ticket) => minted.push(ticket),
-                None => {
-                    homes.swap_remove(pick);
-                    if homes.is_empty() {
-                        homes.append(&mut spare);
-                    }
-                }
-            }
+        if inner.home_choice.is_stale(now) {
+            inner.renew_home_choice(now);
+        }
+        let mut minted = inner.mint_from_choice(now, count);
+        if minted.len() < count {
+            inner.renew_home_choice(now);
+            let missing = count - minted.len();
+            minted.extend(inner.mint_from_choice(now, missing));
         }
         minted
     }
