--- a/src/cli/mains.rs
+++ b/src/cli/mains.rs
@@ -20,20 +20,12 @@
     tokio::runtime::Builder,
 };
 
-/// Threads of an entry and of the tools.
+/// Threads of a service process; each shares its host with a backend server or other entries.
 const WORKER_THREADS: usize = 2;
-/// Threads of an agent, which shares its host with a backend server.
-///
-/// A task passes through some ten steps in its home and its runner; with a second thread each
-/// step may wake the other thread, which takes longer than the step.
-const AGENT_THREADS: usize = 1;
 
-fn block_on(
-    worker_threads: usize,
-    work: impl Future<Output = Result<(), RunError>>,
-) -> Result<(), RunError> {
+fn block_on(work: impl Future<Output = Result<(), RunError>>) -> Result<(), RunError> {
     Builder::new_multi_thread()
-        .worker_threads(worker_threads)
+        .worker_threads(WORKER_THREADS)
         .enable_all()
         .build()
         .map_err(RunError::Runtime)?
@@ -49,7 +41,7 @@
 fn run_entry_with(args: &EntryArgs) -> Result<(), RunError> {
     let settings = load_settings(&args.settings, EntrySettings::read)?;
     init_logging(&settings.log);
-    block_on(WORKER_THREADS, run_entry(settings))
+    block_on(run_entry(settings))
 }
 
 /// Runs `rattanslip-agent`.
@@ -61,13 +53,13 @@
 fn run_agent_with(args: &AgentArgs) -> Result<(), RunError> {
     let settings = load_settings(&args.settings, AgentSettings::read)?;
     init_logging(&settings.log);
-    block_on(AGENT_THREADS, run_agent(settings))
+    block_on(run_agent(settings))
 }
 
 /// Runs `rattanslip-standin`.
 pub fn standin_main() -> ExitCode {
     let args = StandinArgs::parse();
-    exit_code(block_on(WORKER_THREADS, async {
+    exit_code(block_on(async {
         match args.command {
             StandinCommand::Platform(args) => run_platform(args).await,
             StandinCommand::Backend(args) => run_backend(args).await,
@@ -80,11 +72,11 @@
 /// Runs `rattanslip-load`.
 pub fn load_main() -> ExitCode {
     let args = LoadArgs::parse();
-    exit_code(block_on(WORKER_THREADS, run_load(args)))
+    exit_code(block_on(run_load(args)))
 }
 
 /// Runs `rattanslip`.
 pub fn operator_main() -> ExitCode {
     let args = OperatorArgs::parse();
-    exit_code(block_on(WORKER_THREADS, commands::run(args)))
+    exit_code(block_on(commands::run(args)))
 }
