--- /dev/null
+++ b/src/cli/commands/answer_check.rs
@@ -0,0 +1,62 @@
+//! Whether a printed answer is whole: its count and its digest, reckoned anew.
+
+use {
+    crate::{
+        cli::RunError,
+        core::{
+            job::{JobAnswer, TaskOutcome},
+            ticket::Ticket,
+            verdict::{MayHaveRunReason, NotRunReason, Verdict},
+        },
+    },
+    serde_json::Value,
+};
+
+/// Checks an answer that carries a digest; `false` if it carries none, as while a job runs.
+///
+/// Guards against an answer that was cut or mixed up on its way from the home to this shell: its
+/// tasks no longer give the digest that the home made.
+pub(crate) fn check_answer(answer: &Value) -> Result<bool, RunError> {
+    if answer["digest"].is_null() {
+        return Ok(false);
+    }
+    match whole(answer) {
+        Some(true) => Ok(true),
+        _ => Err(RunError::Failed(
+            "the answer is damaged: its count or digest is wrong; ask again".to_owned(),
+        )),
+    }
+}
+
+/// Whether count and digest are right; `None` if a field is missing or can't be read.
+fn whole(answer: &Value) -> Option<bool> {
+    let ticket: Ticket = answer["ticket"].as_str()?.parse().ok()?;
+    let digest = blake3::Hash::from_hex(answer["digest"].as_str()?).ok()?;
+    let count = usize::try_from(answer["task_count"].as_u64()?).ok()?;
+    let tasks = answer["tasks"].as_array()?;
+    let sealed = JobAnswer {
+        ticket: ticket.id,
+        verdict: Verdict::Done,
+        outcomes: tasks.iter().map(outcome).collect::<Option<_>>()?,
+        digest: *digest.as_bytes(),
+    };
+    Some(sealed.is_whole(&ticket.id, count))
+}
+
+fn outcome(task: &Value) -> Option<TaskOutcome> {
+    let reason = task["reason"].as_str().unwrap_or_default();
+    let output = || task["output"].as_str().map(str::to_owned);
+    Some(match task["verdict"].as_str()? {
+        "done" => TaskOutcome::Done { output: output()? },
+        "failed" => TaskOutcome::Failed { message: output()? },
+        "not-run" => TaskOutcome::NotRun {
+            reason: *NotRunReason::ALL.iter().find(|r| r.as_str() == reason)?,
+        },
+        "may-have-run" => TaskOutcome::MayHaveRun {
+            reason: *MayHaveRunReason::ALL
+                .iter()
+                .find(|r| r.as_str() == reason)?,
+        },
+        _ => return None,
+    })
+}
--- a/src/cli/commands/jobs.rs
+++ b/src/cli/commands/jobs.rs
@@ -1,6 +1,7 @@
 //! `rattanslip submit`, `status` and `cancel`.
 
 use {
+    super::answer_check::check_answer,
     crate::{
         adapters::http::{HttpReply, IDEMPOTENCY_KEY_HEADER, TICKET_HEADER},
         cli::{RunError, operator_client::OperatorClient},
@@ -67,11 +68,15 @@
 }
 
 fn print_answer(reply: &HttpReply, as_json: bool) -> Result<(), RunError> {
+    let answer: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
+    let is_checked = check_answer(&answer)?;
     if as_json {
         println!("{}", reply.text());
     } else {
-        let answer: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
         print_for_people(&answer);
+        if is_checked {
+            println!("count and digest: checked");
+        }
     }
     if reply.status.is_success() {
         return Ok(());
--- a/src/cli/commands/mod.rs
+++ b/src/cli/commands/mod.rs
@@ -1,5 +1,6 @@
 //! What each command of `rattanslip` does.
 
+mod answer_check;
 mod check;
 mod config;
 mod hash_token;
@@ -8,4 +9,7 @@
 mod words;
 mod workers;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use {run::run, words::describe_conflicts};
