Entry's tests share one paused clock and one silent metrics fake

Both stood twice, in the tests of the keeper and of jobs, alike but for names and for what a clock out of range does; the stricter one stays.

--- a/src/entry/tests/config/mod.rs
+++ b/src/entry/tests/config/mod.rs
@@ -11,14 +11,15 @@
             config::{Document, SECTIONS},
             message::PeerEntry,
             ticket::AgentId,
-            time::Instant,
         },
-        entry::{Change, ConfigKeeper, Edit, EntryState, based_on_all},
-        ports::{Counter, Gauge, Metrics, TimerService},
+        entry::{
+            Change, ConfigKeeper, Edit, EntryState, based_on_all,
+            tests::fakes::{NoMetrics, PausedTimer},
+        },
+        ports::TimerService,
     },
     fake_platform::FakePlatform,
     std::sync::Arc,
-    tokio::sync::mpsc,
 };
 
 /// What becomes of a call, as the fake decides.
@@ -44,36 +45,6 @@
     CallFault::Late,
 ];
 
-/// Tokio's paused clock as the keeper's timer.
-#[derive(Debug)]
-struct VirtualTimer(tokio::time::Instant);
-
-impl TimerService for VirtualTimer {
-    fn now(&self) -> Instant {
-        let micros = self.0.elapsed().as_micros();
-        Instant::from_micros(u64::try_from(micros).expect("a short test"))
-    }
-
-    fn subscribe(&self, _period_ms: u64) -> mpsc::Receiver<Instant> {
-        mpsc::channel(1).1
-    }
-}
-
-#[derive(Debug)]
-struct NoMetrics;
-
-impl Metrics for NoMetrics {
-    fn count(&self, _counter: Counter, _reason: &'static str) {}
-
-    fn add(&self, _counter: Counter, _reason: &'static str, _amount: u64) {}
-
-    fn set(&self, _gauge: Gauge, _value: u64) {}
-
-    fn render(&self) -> String {
-        String::new()
-    }
-}
-
 fn operator(name: &str, sections: &[&str]) -> OperatorSettings {
     OperatorSettings {
         name: name.to_owned(),
@@ -89,7 +60,7 @@
 const OUTAGE_LIMIT_MS: u64 = 3_600_000;
 
 fn keeper(platform: &Arc<FakePlatform>) -> Arc<ConfigKeeper> {
-    let timer: Arc<dyn TimerService> = Arc::new(VirtualTimer(tokio::time::Instant::now()));
+    let timer: Arc<dyn TimerService> = Arc::new(PausedTimer(tokio::time::Instant::now()));
     let me = PeerEntry {
         entry: AgentId(1),
         name: "entry".to_owned(),
--- /dev/null
+++ b/src/entry/tests/fakes.rs
@@ -0,0 +1,43 @@
+//! Fakes that several of the entry's tests share.
+
+#![allow(
+    clippy::expect_used,
+    reason = "a test that cannot be set up must fail loudly"
+)]
+
+use {
+    crate::{
+        core::time::Instant,
+        ports::{Counter, Gauge, Metrics, TimerService},
+    },
+    tokio::sync::mpsc,
+};
+
+/// Tokio's clock, so that a test can pass time without waiting.
+#[derive(Debug)]
+pub(super) struct PausedTimer(pub(super) tokio::time::Instant);
+
+impl TimerService for PausedTimer {
+    fn now(&self) -> Instant {
+        let micros = self.0.elapsed().as_micros();
+        Instant::from_micros(u64::try_from(micros).expect("a short test"))
+    }
+
+    fn subscribe(&self, _period_ms: u64) -> mpsc::Receiver<Instant> {
+        mpsc::channel(1).1
+    }
+}
+
+/// Counts nothing.
+#[derive(Debug)]
+pub(super) struct NoMetrics;
+
+impl Metrics for NoMetrics {
+    fn add(&self, _counter: Counter, _reason: &'static str, _amount: u64) {}
+
+    fn set(&self, _gauge: Gauge, _value: u64) {}
+
+    fn render(&self) -> String {
+        String::new()
+    }
+}
--- a/src/entry/tests/jobs.rs
+++ b/src/entry/tests/jobs.rs
@@ -12,11 +12,13 @@
             job::{JobAnswer, JobSpec, JobStatus, TaskOutcome, TaskSpec},
             message::{Announcement, PeerEntry, PeerReply, PeerRequest},
             ticket::{AgentId, GrantSecret, Ticket, TicketGrant},
-            time::Instant,
             verdict::{MayHaveRunReason, Verdict},
         },
-        entry::{EntryState, Identity, JobReport, Jobs},
-        ports::{Counter, Gauge, Metrics, PeerError, PeerNetwork, SessionIo, TimerService},
+        entry::{
+            EntryState, Identity, JobReport, Jobs,
+            tests::fakes::{NoMetrics, PausedTimer},
+        },
+        ports::{PeerError, PeerNetwork, SessionIo},
     },
     async_trait::async_trait,
     std::{
@@ -25,7 +27,6 @@
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
-    tokio::sync::mpsc,
 };
 
 const HOME: AgentId = AgentId(7);
@@ -77,36 +78,6 @@
     }
 }
 
-/// Tokio's clock, so that a test can pass time without waiting.
-#[derive(Debug)]
-struct PausedTimer(tokio::time::Instant);
-
-impl TimerService for PausedTimer {
-    fn now(&self) -> Instant {
-        let micros = self.0.elapsed().as_micros();
-        Instant::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
-    }
-
-    fn subscribe(&self, _: u64) -> mpsc::Receiver<Instant> {
-        mpsc::channel(1).1
-    }
-}
-
-#[derive(Debug)]
-struct NoMetrics;
-
-impl Metrics for NoMetrics {
-    fn count(&self, _: Counter, _: &'static str) {}
-
-    fn add(&self, _: Counter, _: &'static str, _: u64) {}
-
-    fn set(&self, _: Gauge, _: u64) {}
-
-    fn render(&self) -> String {
-        String::new()
-    }
-}
-
 fn grant() -> TicketGrant {
     GrantSecret::new([5; 32]).grant(HOME, 0, 8)
 }
