--- /dev/null
+++ b/src/adapters/http/http_server.rs
@@ -0,0 +1,222 @@
+//! An HTTP/1.1 server for clients, workers and probes.
+
+use {
+    super::timed_socket::{ConnectionClock, TimedSocket},
+    crate::core::routes::HttpLimits,
+    async_trait::async_trait,
+    bytes::Bytes,
+    http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode},
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::TokioIo,
+    std::{convert::Infallible, fmt::Debug, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+        time::{sleep, timeout},
+    },
+};
+
+/// Least buffer that the HTTP library takes, in bytes.
+const LEAST_BUFFER_BYTES: usize = 8_192;
+/// Pause after an accept that failed, in milliseconds: descriptors may be used up for a moment.
+const ACCEPT_PAUSE_MS: u64 = 20;
+/// Looks at a connection's clock in one header time-out.
+const LOOKS_PER_TIMEOUT: u64 = 2;
+
+/// A call, read to its end.
+#[derive(Debug)]
+pub(crate) struct HttpCall {
+    /// The method.
+    pub(crate) method: Method,
+    /// The path without its query.
+    pub(crate) path: String,
+    /// The host that it names, without a port.
+    pub(crate) host: String,
+    /// The body.
+    pub(crate) body: Bytes,
+    headers: HeaderMap,
+}
+
+impl HttpCall {
+    /// A header's text, if there is one that is text.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct HttpAnswer {
+    status: StatusCode,
+    headers: Vec<(HeaderName, HeaderValue)>,
+    body: Bytes,
+}
+
+impl HttpAnswer {
+    /// An answer without a body.
+    pub(crate) const fn empty(status: StatusCode) -> Self {
+        Self {
+            status,
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// An answer with a JSON body.
+    pub(crate) fn json(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        let json = HeaderValue::from_static("application/json");
+        Self {
+            status,
+            headers: vec![(http::header::CONTENT_TYPE, json)],
+            body: body.into(),
+        }
+    }
+
+    /// An answer with a body of plain text.
+    pub(crate) fn text(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        let text = HeaderValue::from_static("text/plain; version=0.0.4");
+        Self {
+            status,
+            headers: vec![(http::header::CONTENT_TYPE, text)],
+            body: body.into(),
+        }
+    }
+
+    /// The same with one more header; a value that is no text of a header is left out.
+    pub(crate) fn with_header(mut self, name: HeaderName, value: &str) -> Self {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            self.headers.push((name, value));
+        }
+        self
+    }
+
+    fn into_response(self) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::new(self.body));
+        *response.status_mut() = self.status;
+        response.headers_mut().extend(self.headers);
+        response
+    }
+}
+
+/// What a process does with calls.
+#[async_trait]
+pub(crate) trait HttpHandler: Debug + Send + Sync {
+    /// Answers one call. Dropped when the caller's connection is gone.
+    async fn answer(&self, call: HttpCall) -> HttpAnswer;
+
+    /// The limits in force for connections that are opened now.
+    fn limits(&self) -> HttpLimits {
+        HttpLimits::default()
+    }
+}
+
+/// Serves calls until `stop` turns true; then connections end after the call that they are at.
+pub(crate) async fn serve_http(
+    listener: TcpListener,
+    handler: Arc<dyn HttpHandler>,
+    stop: watch::Receiver<bool>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                tokio::spawn(serve_connection(socket, Arc::clone(&handler), stop.clone()));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "accepting a connection failed");
+                sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    socket: TcpStream,
+    handler: Arc<dyn HttpHandler>,
+    mut stop: watch::Receiver<bool>,
+) {
+    if let Err(error) = socket.set_nodelay(true) {
+        log::debug!(error:% = error; "a connection broke as it was opened");
+        return;
+    }
+    let limits = handler.limits();
+    let clock = Arc::new(ConnectionClock::default());
+    let service = service_fn(|request| {
+        let (handler, clock) = (Arc::clone(&handler), Arc::clone(&clock));
+        async move {
+            let call = clock.call();
+            let response = answer(request, handler, limits).await;
+            drop(call);
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let socket = TimedSocket::new(socket, Arc::clone(&clock));
+    let connection = http1::Builder::new()
+        .max_buf_size(limits.max_header_bytes.max(LEAST_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(socket), service);
+    tokio::pin!(connection);
+    let look = Duration::from_millis((limits.header_timeout_ms / LOOKS_PER_TIMEOUT).max(1));
+    let mut stopping = *stop.borrow();
+    if stopping {
+        connection.as_mut().graceful_shutdown();
+    }
+    loop {
+        tokio::select! {
+            result = connection.as_mut() => {
+                if let Err(error) = result {
+                    log::debug!(error:% = error; "a connection broke");
+                }
+                return;
+            }
+            _ = stop.changed(), if !stopping => {
+                stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = sleep(look) => {
+                if clock.is_head_late(limits.header_timeout_ms) {
+                    return;
+                }
+                if clock.is_idle_for(limits.idle_timeout_ms) {
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    handler: Arc<dyn HttpHandler>,
+    limits: HttpLimits,
+) -> Response<Full<Bytes>> {
+    let (parts, body) = request.into_parts();
+    let read = Limited::new(body, limits.max_body_bytes).collect();
+    // Guards against bodies that come at a trickle: they would hold their connection for good.
+    let body = match timeout(Duration::from_millis(limits.idle_timeout_ms), read).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return closing(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        Ok(Err(_)) => return closing(StatusCode::BAD_REQUEST),
+        Err(_) => return closing(StatusCode::REQUEST_TIMEOUT),
+    };
+    let named = parts.headers.get(http::header::HOST);
+    let host = named
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or_default();
+    let call = HttpCall {
+        host: host.split(':').next().unwrap_or_default().to_owned(),
+        path: parts.uri.path().to_owned(),
+        method: parts.method,
+        headers: parts.headers,
+        body,
+    };
+    handler.answer(call).await.into_response()
+}
+
+/// An answer after which the connection ends, since the rest of the call's body is not read.
+fn closing(status: StatusCode) -> Response<Full<Bytes>> {
+    HttpAnswer::empty(status)
+        .with_header(http::header::CONNECTION, "close")
+        .into_response()
+}
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -7,9 +7,11 @@
 mod config_body;
 mod entry_api;
 mod health;
+mod http_server;
 mod job_body;
 mod known_job;
 mod operator_api;
+mod timed_socket;
 
 #[cfg(test)]
 mod tests;
@@ -20,4 +22,5 @@
     client::{HttpClient, HttpReply},
     client_api::{IDEMPOTENCY_KEY_HEADER, TEAM_HEADER, TICKET_HEADER},
     entry_api::{EntryApi, serve_entry_api},
+    http_server::{HttpAnswer, HttpCall, HttpHandler, serve_http},
 };
--- /dev/null
+++ b/src/adapters/link/frame_link.rs
@@ -0,0 +1,225 @@
+//! Opens and takes sessions.
+
+use {
+    super::FrameDuplex,
+    crate::{
+        adapters::peer::{CountedSocket, FrameReader, StreamError, encode_into, send_all},
+        ports::{Metrics, PeerError},
+    },
+    bytes::{Bytes, BytesMut},
+    h2::{RecvStream, SendStream},
+    http::{Request, Response},
+    serde::{Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::mpsc,
+        time::{sleep, timeout},
+    },
+};
+
+/// Path of sessions.
+const LINK_PATH: &str = "/link";
+/// Time to connect and open a session, in milliseconds: a lost opening packet comes again after a second.
+const OPEN_TIMEOUT_MS: u64 = 500;
+/// Most bytes under way on a session: a burst of starts with specs of 4 KB each.
+const WINDOW_BYTES: u32 = 1 << 20;
+/// Frames held for a slow reader.
+const BUFFER_FRAMES: usize = 256;
+/// Pause after an accept that failed, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 20;
+
+fn unreachable(error: impl ToString) -> PeerError {
+    PeerError::Unreachable(error.to_string())
+}
+
+/// Opens a session with the process that listens there.
+pub(crate) async fn dial_link<In, Out>(
+    to: SocketAddr,
+    metrics: Arc<dyn Metrics>,
+) -> Result<FrameDuplex<In, Out>, PeerError>
+where
+    In: DeserializeOwned + Send + 'static,
+    Out: Serialize + Send + 'static,
+{
+    let opening = open(to, metrics);
+    timeout(Duration::from_millis(OPEN_TIMEOUT_MS), opening)
+        .await
+        .map_err(|_| PeerError::Unreachable("timed out".to_owned()))?
+}
+
+async fn open<In, Out>(
+    to: SocketAddr,
+    metrics: Arc<dyn Metrics>,
+) -> Result<FrameDuplex<In, Out>, PeerError>
+where
+    In: DeserializeOwned + Send + 'static,
+    Out: Serialize + Send + 'static,
+{
+    let socket = TcpStream::connect(to).await.map_err(unreachable)?;
+    socket.set_nodelay(true).map_err(unreachable)?;
+    let (mut sender, connection) = h2::client::Builder::new()
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .handshake(CountedSocket::new(socket, metrics))
+        .await
+        .map_err(unreachable)?;
+    let request = Request::post(format!("http://{to}{LINK_PATH}"))
+        .body(())
+        .map_err(unreachable)?;
+    let (response, body) = sender.send_request(request, false).map_err(unreachable)?;
+    let (duplex, ends) = duplex();
+    let (answered, open) = tokio::sync::oneshot::channel();
+    let session = async move {
+        match response.await {
+            Ok(response) => {
+                // The caller may have given up waiting; the session then ends with its sender.
+                let _ = answered.send(Ok(()));
+                run_session(response.into_body(), body, ends).await;
+            }
+            Err(error) => {
+                let _ = answered.send(Err(error));
+            }
+        }
+    };
+    tokio::spawn(async move {
+        // Dropping the connection closes the socket, also when the other side is silent.
+        tokio::select! {
+            _ = connection => {}
+            () = session => {}
+        }
+    });
+    open.await.map_err(unreachable)?.map_err(unreachable)?;
+    Ok(duplex)
+}
+
+/// Takes sessions until the task is dropped.
+pub(crate) async fn serve_links<In, Out>(
+    listener: TcpListener,
+    opened: mpsc::UnboundedSender<FrameDuplex<In, Out>>,
+    metrics: Arc<dyn Metrics>,
+) where
+    In: DeserializeOwned + Send + 'static,
+    Out: Serialize + Send + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                let (opened, metrics) = (opened.clone(), Arc::clone(&metrics));
+                tokio::spawn(serve_link(socket, opened, metrics));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "accepting a session failed");
+                sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve_link<In, Out>(
+    socket: TcpStream,
+    opened: mpsc::UnboundedSender<FrameDuplex<In, Out>>,
+    metrics: Arc<dyn Metrics>,
+) where
+    In: DeserializeOwned + Send + 'static,
+    Out: Serialize + Send + 'static,
+{
+    if let Err(error) = accept(socket, opened, metrics).await {
+        log::debug!(error:% = error; "a session could not be taken");
+    }
+}
+
+async fn accept<In, Out>(
+    socket: TcpStream,
+    opened: mpsc::UnboundedSender<FrameDuplex<In, Out>>,
+    metrics: Arc<dyn Metrics>,
+) -> Result<(), PeerError>
+where
+    In: DeserializeOwned + Send + 'static,
+    Out: Serialize + Send + 'static,
+{
+    socket.set_nodelay(true).map_err(unreachable)?;
+    let handshake = h2::server::Builder::new()
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .handshake::<_, Bytes>(CountedSocket::new(socket, metrics));
+    let taking = async {
+        let mut connection = handshake.await.map_err(unreachable)?;
+        let stream = connection.accept().await;
+        let stream = stream.ok_or_else(|| unreachable("closed"))?;
+        Ok((connection, stream.map_err(unreachable)?))
+    };
+    let (mut connection, (request, mut respond)) =
+        timeout(Duration::from_millis(OPEN_TIMEOUT_MS), taking)
+            .await
+            .map_err(|_| unreachable("timed out"))??;
+    let body = respond
+        .send_response(Response::new(()), false)
+        .map_err(unreachable)?;
+    let (duplex, ends) = duplex();
+    if opened.send(duplex).is_err() {
+        return Ok(());
+    }
+    tokio::select! {
+        // No second stream is taken; this drives the connection until it closes.
+        _ = connection.accept() => {}
+        () = run_session(request.into_body(), body, ends) => {}
+    }
+    Ok(())
+}
+
+/// The session's inner ends.
+struct Ends<In, Out> {
+    frames: mpsc::UnboundedReceiver<Out>,
+    received: mpsc::Sender<In>,
+}
+
+fn duplex<In, Out>() -> (FrameDuplex<In, Out>, Ends<In, Out>) {
+    let (outgoing, frames) = mpsc::unbounded_channel();
+    let (received, incoming) = mpsc::channel(BUFFER_FRAMES);
+    (
+        FrameDuplex { incoming, outgoing },
+        Ends { frames, received },
+    )
+}
+
+/// Moves frames both ways until either side ends.
+async fn run_session<In, Out>(stream: RecvStream, mut body: SendStream<Bytes>, ends: Ends<In, Out>)
+where
+    In: DeserializeOwned + Send + 'static,
+    Out: Serialize + Send + 'static,
+{
+    let Ends {
+        mut frames,
+        received,
+    } = ends;
+    let read = async {
+        let mut reader = FrameReader::new(stream);
+        while let Ok(frame) = reader.next().await {
+            if received.send(frame).await.is_err() {
+                return;
+            }
+        }
+    };
+    let write = async {
+        while let Some(frame) = frames.recv().await {
+            let mut buffer = BytesMut::new();
+            let mut next = Some(frame);
+            // Frames that wait are sent together.
+            while let Some(frame) = next {
+                encode_into(&mut buffer, &frame)?;
+                next = frames.try_recv().ok();
+            }
+            send_all(&mut body, buffer.freeze(), false).await?;
+        }
+        Ok::<(), StreamError>(())
+    };
+    tokio::select! {
+        () = read => {}
+        result = write => {
+            if let Err(error) = result {
+                log::debug!(error:% = error; "a session broke");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/adapters/link/mod.rs
@@ -0,0 +1,12 @@
+//! Sessions between agents and entries: one h2 stream with bincode frames each way.
+
+mod duplex;
+mod frame_link;
+
+#[cfg(test)]
+mod tests;
+
+pub(crate) use {
+    duplex::FrameDuplex,
+    frame_link::{dial_link, serve_links},
+};
--- /dev/null
+++ b/src/adapters/link/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of sessions.
--- /dev/null
+++ b/src/adapters/logging/decision_writer.rs
@@ -0,0 +1,103 @@
+//! Writes decisions to standard output, as JSON lines within a budget.
+
+use {
+    super::line_budget::LineBudget,
+    crate::ports::{DecisionLog, LineRank},
+    serde_json::{Map, Value, json},
+    std::{
+        io::{self, Write},
+        sync::{
+            Mutex, PoisonError,
+            mpsc::{Receiver, SyncSender, sync_channel},
+        },
+        thread,
+        time::{Instant, SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// Lines that wait for a slow reader; some 300 KB.
+const WAITING_LINES: usize = 1_024;
+
+/// Takes lines and hands them to a thread that writes them.
+///
+/// Guards against a reader that is stuck or gone: only that thread waits for it, and lines that
+/// find no place are counted and dropped.
+#[derive(Debug)]
+pub(crate) struct DecisionWriter {
+    process: String,
+    lines: SyncSender<String>,
+    budget: Mutex<LineBudget>,
+    started_at: Instant,
+}
+
+impl DecisionWriter {
+    /// Starts the thread; lines name this process.
+    pub(crate) fn start(process: &str) -> io::Result<Self> {
+        let (lines, waiting) = sync_channel(WAITING_LINES);
+        thread::Builder::new()
+            .name("decisions".to_owned())
+            .spawn(move || write_lines(&waiting))?;
+        Ok(Self {
+            process: process.to_owned(),
+            lines,
+            budget: Mutex::new(LineBudget::default()),
+            started_at: Instant::now(),
+        })
+    }
+
+    fn line(&self, fields: Value) -> String {
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let mut line = Map::new();
+        line.insert(
+            "at_unix_ms".to_owned(),
+            json!(since_epoch.as_millis() as u64),
+        );
+        line.insert("process".to_owned(), json!(self.process));
+        if let Value::Object(fields) = fields {
+            line.extend(fields);
+        }
+        let mut text = Value::Object(line).to_string();
+        text.push('\n');
+        text
+    }
+}
+
+fn event_name(fields: &Value) -> String {
+    let name = fields.get("event").and_then(Value::as_str);
+    name.unwrap_or("unnamed").to_owned()
+}
+
+impl DecisionLog for DecisionWriter {
+    fn write(&self, rank: LineRank, fields: Value) {
+        let now_ms = self.started_at.elapsed().as_millis() as u64;
+        let event = event_name(&fields);
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(dropped) = budget.dropped_to_tell(now_ms) {
+            let told = self.line(json!({"event": "lines_dropped", "by_event": dropped}));
+            if self.lines.try_send(told).is_err() {
+                budget.drop_line("lines_dropped");
+            }
+        }
+        let line = self.line(fields);
+        let fits = budget.take(now_ms, rank, line.len());
+        if !fits || self.lines.try_send(line).is_err() {
+            budget.drop_line(&event);
+        }
+    }
+}
+
+/// Writes what waits, in one call for all that is there.
+fn write_lines(waiting: &Receiver<String>) {
+    let mut output = io::stdout().lock();
+    while let Ok(mut text) = waiting.recv() {
+        while let Ok(line) = waiting.try_recv() {
+            text.push_str(&line);
+        }
+        // Without a reader there is nobody to tell; the lines are lost.
+        if output.write_all(text.as_bytes()).is_err() || output.flush().is_err() {
+            return;
+        }
+    }
+}
--- a/src/adapters/logging/mod.rs
+++ b/src/adapters/logging/mod.rs
@@ -1,5 +1,10 @@
-//! Structured logs through logforth.
+//! Structured logs: program messages through logforth, decisions as JSON lines on standard output.
 
+mod decision_writer;
 mod init;
+mod line_budget;
 
-pub(crate) use init::init_logging;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use {decision_writer::DecisionWriter, init::init_logging};
--- a/src/adapters/metrics/otel_metrics.rs
+++ b/src/adapters/metrics/otel_metrics.rs
@@ -1,10 +1,10 @@
 //! Counters and gauges on opentelemetry's Prometheus exporter.
 
 use {
-    crate::ports::{Counter, Gauge, Metrics},
+    crate::ports::{Counter, Gauge, Metrics, Span},
     opentelemetry::{
         KeyValue,
-        metrics::{Counter as OtelCounter, Gauge as OtelGauge, MeterProvider},
+        metrics::{Counter as OtelCounter, Gauge as OtelGauge, Histogram, MeterProvider},
     },
     opentelemetry_sdk::{error::OTelSdkError, metrics::SdkMeterProvider},
     prometheus::{Encoder, Registry, TextEncoder},
@@ -16,6 +16,7 @@
     registry: Registry,
     counters: BTreeMap<Counter, OtelCounter<u64>>,
     gauges: BTreeMap<Gauge, OtelGauge<u64>>,
+    spans: BTreeMap<Span, Histogram<u64>>,
     // Holds the reader alive that the registry gathers from.
     _provider: SdkMeterProvider,
 }
@@ -40,10 +41,15 @@
             .iter()
             .map(|gauge| (*gauge, meter.u64_gauge(gauge.as_str()).build()))
             .collect();
+        let spans = Span::ALL
+            .iter()
+            .map(|span| (*span, meter.u64_histogram(span.as_str()).build()))
+            .collect();
         Ok(Self {
             registry,
             counters,
             gauges,
+            spans,
             _provider: provider,
         })
     }
@@ -68,6 +74,12 @@
         }
     }
 
+    fn observe(&self, span: Span, reason: &'static str, elapsed_ms: u64) {
+        if let Some(instrument) = self.spans.get(&span) {
+            instrument.record(elapsed_ms, &[KeyValue::new("reason", reason)]);
+        }
+    }
+
     fn render(&self) -> String {
         let mut text = Vec::new();
         match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod backend;
 pub(crate) mod http;
+pub(crate) mod link;
 pub(crate) mod logging;
 pub(crate) mod metrics;
 pub(crate) mod peer;
--- a/src/adapters/peer/mod.rs
+++ b/src/adapters/peer/mod.rs
@@ -13,6 +13,9 @@
 mod tests;
 
 pub(crate) use {
+    codec::encode_into,
+    counted_socket::CountedSocket,
+    frame_stream::{FrameReader, StreamError, send_all},
     h2_client::H2Client,
     h2_server::{PeerHandler, RunnerSession, serve_peers},
 };
--- a/src/adapters/platform/http_store.rs
+++ b/src/adapters/platform/http_store.rs
@@ -66,7 +66,7 @@
                 .collect()
                 .await
                 .map_err(|error| StoreError::OutcomeUnknown(error.to_string()))?;
-            Ok((status, body.to_bytes()))
+            Ok::<_, StoreError>((status, body.to_bytes()))
         };
         let (status, body) = timeout(Duration::from_millis(self.timeout_ms), call)
             .await
--- a/src/adapters/timer/mod.rs
+++ b/src/adapters/timer/mod.rs
@@ -1,5 +1,6 @@
 //! The timer service on tokio.
 
+mod boot_timer;
 mod tokio_timer;
 
-pub(crate) use tokio_timer::TokioTimer;
+pub(crate) use {boot_timer::BootTimer, tokio_timer::TokioTimer};
--- a/src/adapters/timer/tokio_timer.rs
+++ b/src/adapters/timer/tokio_timer.rs
@@ -28,19 +28,26 @@
     }
 
     fn subscribe(&self, period_ms: u64) -> mpsc::Receiver<Instant> {
-        let (sender, receiver) = mpsc::channel(1);
-        let timer = *self;
-        tokio::spawn(async move {
-            let mut interval = tokio::time::interval(Duration::from_millis(period_ms));
-            interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-            loop {
-                interval.tick().await;
-                match sender.try_send(timer.now()) {
-                    Ok(()) | Err(mpsc::error::TrySendError::Full(_)) => {}
-                    Err(mpsc::error::TrySendError::Closed(_)) => return,
-                }
-            }
-        });
-        receiver
+        tick_every(*self, period_ms)
     }
 }
+
+/// Ticks with the timer's time every `period_ms` until the receiver is dropped.
+pub(super) fn tick_every(
+    timer: impl TimerService + 'static,
+    period_ms: u64,
+) -> mpsc::Receiver<Instant> {
+    let (sender, receiver) = mpsc::channel(1);
+    tokio::spawn(async move {
+        let mut interval = tokio::time::interval(Duration::from_millis(period_ms));
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            match sender.try_send(timer.now()) {
+                Ok(()) | Err(mpsc::error::TrySendError::Full(_)) => {}
+                Err(mpsc::error::TrySendError::Closed(_)) => return,
+            }
+        }
+    });
+    receiver
+}
--- a/src/cli/commands/check.rs
+++ b/src/cli/commands/check.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         cli::{RunError, args::CheckKind},
-        conf::{AgentSettings, ConfError, EntrySettings, load_settings, read_document},
+        conf::{AgentProgram, ConfError, EntryProgram, load_settings, read_document},
     },
     serde_json::json,
     std::path::Path,
@@ -13,8 +13,8 @@
 pub(crate) fn check(file: &Path, kind: CheckKind, as_json: bool) -> Result<(), RunError> {
     let result = match kind {
         CheckKind::Document => check_document(file),
-        CheckKind::Entry => load_settings(file, EntrySettings::read).map(|_| ()),
-        CheckKind::Agent => load_settings(file, AgentSettings::read).map(|_| ()),
+        CheckKind::Entry => load_settings(file, EntryProgram::read).map(|_| ()),
+        CheckKind::Agent => load_settings(file, AgentProgram::read).map(|_| ()),
     };
     if as_json {
         let faults = match &result {
--- a/src/cli/mains.rs
+++ b/src/cli/mains.rs
@@ -10,9 +10,11 @@
     crate::{
         adapters::logging::init_logging,
         agent::run_agent,
-        conf::{AgentSettings, EntrySettings, load_settings},
+        conf::{AgentProgram, EntryProgram, load_settings},
         entry::run_entry,
         load::run_load,
+        site_agent::run_site_agent,
+        site_entry::run_site_entry,
         standin::{run_agents, run_backend, run_jobs, run_platform},
     },
     clap::Parser,
@@ -32,6 +34,15 @@
         .block_on(work)
 }
 
+/// Runs on one thread: on a site's hosts a process has a fraction of one core.
+fn block_on_one_thread(work: impl Future<Output = Result<(), RunError>>) -> Result<(), RunError> {
+    Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(RunError::Runtime)?
+        .block_on(work)
+}
+
 /// Runs `rattanslip-entry`.
 pub fn entry_main() -> ExitCode {
     let args = EntryArgs::parse();
@@ -39,9 +50,12 @@
 }
 
 fn run_entry_with(args: &EntryArgs) -> Result<(), RunError> {
-    let settings = load_settings(&args.settings, EntrySettings::read)?;
-    init_logging(&settings.log);
-    block_on(run_entry(settings))
+    let program = load_settings(&args.settings, EntryProgram::read)?;
+    init_logging(program.log());
+    match program {
+        EntryProgram::Standalone(settings) => block_on(run_entry(settings)),
+        EntryProgram::Site(settings) => block_on_one_thread(run_site_entry(settings)),
+    }
 }
 
 /// Runs `rattanslip-agent`.
@@ -51,9 +65,12 @@
 }
 
 fn run_agent_with(args: &AgentArgs) -> Result<(), RunError> {
-    let settings = load_settings(&args.settings, AgentSettings::read)?;
-    init_logging(&settings.log);
-    block_on(run_agent(settings))
+    let program = load_settings(&args.settings, AgentProgram::read)?;
+    init_logging(program.log());
+    match program {
+        AgentProgram::Standalone(settings) => block_on(run_agent(settings)),
+        AgentProgram::Site(settings) => block_on_one_thread(run_site_agent(settings)),
+    }
 }
 
 /// Runs `rattanslip-standin`.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -12,7 +12,7 @@
     args::{AgentsArgs, BackendArgs, JobsArgs, LoadArgs, PlatformArgs, Shape, ZonedBackend},
     errors::RunError,
     operator_client::OperatorClient,
-    signals::stop_signal,
+    signals::{reload_signals, stop_signal},
 };
 
 pub use mains::{agent_main, entry_main, load_main, operator_main, standin_main};
--- a/src/cli/signals.rs
+++ b/src/cli/signals.rs
@@ -1,6 +1,13 @@
 //! Signals that ask for a planned stop.
 
-use tokio::signal::unix::{SignalKind, signal};
+use {
+    crate::{
+        ports::{DecisionLog, LineRank, note},
+        site_entry::ProcessNote,
+    },
+    std::sync::Arc,
+    tokio::signal::unix::{SignalKind, signal},
+};
 
 /// Resolves at SIGTERM or SIGINT.
 pub(crate) async fn stop_signal() {
@@ -17,3 +24,19 @@
         _ = interrupt.recv() => {}
     }
 }
+
+/// Notes each SIGHUP: all that such a process goes by lies in the store, so there is nothing to read anew.
+pub(crate) async fn reload_signals(decisions: Arc<dyn DecisionLog>) {
+    let Ok(mut reloads) = signal(SignalKind::hangup()) else {
+        log::error!("SIGHUP can't be received; it would end the process");
+        return;
+    };
+    while reloads.recv().await.is_some() {
+        let outcome = "addresses_kept";
+        note(
+            &*decisions,
+            LineRank::Notable,
+            &ProcessNote::Reloaded { outcome },
+        );
+    }
+}
--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -9,6 +9,8 @@
 mod load;
 mod log_settings;
 mod section_texts;
+mod service_settings;
+mod site_settings;
 mod table_reader;
 mod zone_edit;
 
@@ -27,6 +29,8 @@
     load::load_settings,
     log_settings::{LogFormat, LogSettings},
     section_texts::{merge_sections, section_texts, split_version_mark, with_version_mark},
+    service_settings::{AgentProgram, EntryProgram},
+    site_settings::{SiteAgentSettings, SiteEntrySettings},
     table_reader::TableReader,
     zone_edit::with_zone_state,
 };
--- /dev/null
+++ b/src/core/dispatch/dispatcher.rs
@@ -0,0 +1,195 @@
+//! The dispatcher machine.
+
+use {
+    super::{
+        Answer, DispatchAction, DispatchEvent, DispatchNote, LinkId, RefusalReason, Submission,
+        WaiterId,
+        job::{Job, JobKey},
+        queue::{TaskQueue, Waiting},
+        worker_link::{WorkerKey, WorkerLink},
+    },
+    crate::core::{
+        link::{EntryFrame, News},
+        time::Instant,
+        work::{JobId, RunLimits},
+    },
+    slotmap::SlotMap,
+    std::{collections::BTreeMap, mem},
+};
+
+/// What a dispatcher takes from its settings.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct DispatchSettings {
+    /// Bounds that agents go by, too.
+    pub(crate) limits: RunLimits,
+}
+
+/// Keeps the jobs that its entry took and hands their tasks to agents.
+#[derive(Debug)]
+pub(crate) struct Dispatcher {
+    pub(super) settings: DispatchSettings,
+    pub(super) jobs: SlotMap<JobKey, Job>,
+    pub(super) by_id: BTreeMap<JobId, JobKey>,
+    pub(super) by_waiter: BTreeMap<WaiterId, JobKey>,
+    /// Copies of jobs whose stopped runs are not over.
+    pub(super) held: BTreeMap<JobId, Vec<Submission>>,
+    pub(super) queue: TaskQueue,
+    pub(super) workers: SlotMap<WorkerKey, WorkerLink>,
+    pub(super) by_agent: BTreeMap<String, WorkerKey>,
+    pub(super) by_link: BTreeMap<LinkId, WorkerKey>,
+    pub(super) news: Option<News>,
+    pub(super) leaving_since: Option<Instant>,
+    pub(super) actions: Vec<DispatchAction>,
+}
+
+impl Dispatcher {
+    /// A dispatcher without jobs and agents.
+    pub(crate) fn new(settings: DispatchSettings) -> Self {
+        Self {
+            settings,
+            jobs: SlotMap::with_key(),
+            by_id: BTreeMap::new(),
+            by_waiter: BTreeMap::new(),
+            held: BTreeMap::new(),
+            queue: TaskQueue::default(),
+            workers: SlotMap::with_key(),
+            by_agent: BTreeMap::new(),
+            by_link: BTreeMap::new(),
+            news: None,
+            leaving_since: None,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Jobs that wait for their answer.
+    pub(crate) fn open_jobs(&self) -> usize {
+        self.jobs.values().filter(|job| !job.closed).count()
+    }
+
+    /// Whether some worker can take tasks.
+    pub(crate) fn has_workers(&self) -> bool {
+        self.workers
+            .values()
+            .any(|worker| worker.link.is_some() && worker.view.is_some())
+    }
+
+    /// Open jobs of a queue of which nothing has started.
+    pub(crate) fn pending(&self, route: &str) -> usize {
+        let open = self.jobs.values().filter(|job| !job.closed);
+        open.filter(|job| job.starts == 0 && job.route.name == route)
+            .count()
+    }
+
+    /// Takes in events that arrived together and says what to do about them.
+    pub(crate) fn handle(
+        &mut self,
+        now: Instant,
+        events: impl IntoIterator<Item = DispatchEvent>,
+    ) -> Vec<DispatchAction> {
+        for event in events {
+            self.react(now, event);
+        }
+        self.place_tasks(now);
+        mem::take(&mut self.actions)
+    }
+
+    fn react(&mut self, now: Instant, event: DispatchEvent) {
+        match event {
+            DispatchEvent::Submit(submission) => self.on_submit(now, submission),
+            DispatchEvent::ClientGone { waiter } => self.on_client_gone(now, waiter),
+            DispatchEvent::Frame { link, frame } => self.on_frame(now, link, frame),
+            DispatchEvent::LinkLost { link } => self.lose_link(now, link, "closed"),
+            DispatchEvent::News(news) => self.on_news(news),
+            DispatchEvent::Leave => self.leaving_since = Some(now),
+            DispatchEvent::Tick => self.on_tick(now),
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant) {
+        self.tend_links(now);
+        self.end_overdue_jobs(now);
+        self.stop_overdue_runs(now);
+    }
+
+    /// Gives the final answer to everybody who waits for a job.
+    pub(super) fn answer(&mut self, now: Instant, key: JobKey, answer: Answer) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let waiters = mem::take(&mut job.waiters);
+        job.closed = true;
+        let (name, reason) = answer.name_and_reason();
+        let note = DispatchNote::JobAnswered {
+            job: job.id.to_string(),
+            route: job.route.name.clone(),
+            answer: name,
+            reason,
+            took_ms: now.millis_since(job.received_at),
+            objective_ms: job.objective_ms,
+            waited_ms: job.last_start.millis_since(job.received_at),
+            starts: job.starts,
+            failed_runs: job.failed_runs(),
+            left: job.left,
+        };
+        self.note(note);
+        for waiter in waiters {
+            self.by_waiter.remove(&waiter);
+            self.actions.push(DispatchAction::Answer { waiter, answer });
+        }
+        self.close_job(key);
+    }
+
+    /// Answers a call whose job was not taken in.
+    pub(super) fn refuse(&mut self, waiter: WaiterId, reason: RefusalReason, retry_after_ms: u64) {
+        let answer = Answer::NotRun {
+            reason,
+            retry_after_ms,
+        };
+        self.actions.push(DispatchAction::Answer { waiter, answer });
+    }
+
+    /// Stops what is left of an answered job, and forgets it once nothing of it runs.
+    pub(super) fn close_job(&mut self, key: JobKey) {
+        self.queue.drop_job(key);
+        let mut stops = Vec::new();
+        for worker in self.workers.values_mut() {
+            let Some(link) = worker.link else {
+                continue;
+            };
+            for (run, open) in &mut worker.runs {
+                if open.job == key && !open.stopping {
+                    open.stopping = true;
+                    stops.push((link, *run));
+                }
+            }
+        }
+        for (link, run) in stops {
+            let frame = EntryFrame::Stop { run };
+            self.actions.push(DispatchAction::Send { link, frame });
+        }
+        self.forget_if_over(key);
+    }
+
+    pub(super) fn enqueue(&mut self, now: Instant, key: JobKey, task: usize) {
+        if let Some(job) = self.jobs.get(key) {
+            let waiting = Waiting::new(now, key, job, task);
+            self.queue.insert(waiting);
+        }
+    }
+
+    pub(super) fn note(&mut self, note: DispatchNote) {
+        self.actions.push(DispatchAction::Note(note));
+    }
+}
+
+impl Answer {
+    /// The answer's name and its reason, for logs and counters.
+    pub(crate) const fn name_and_reason(self) -> (&'static str, &'static str) {
+        match self {
+            Self::Completed => ("completed", ""),
+            Self::Failed => ("failed", "failed_runs"),
+            Self::NotRun { reason, .. } => ("not_run", reason.as_str()),
+            Self::GivenUp => ("given_up", "deadline_passed"),
+        }
+    }
+}
--- /dev/null
+++ b/src/core/dispatch/intake.rs
@@ -0,0 +1,188 @@
+//! What is taken in, and what is given up.
+
+use {
+    super::{
+        Answer, DispatchNote, Dispatcher, RefusalReason, Submission, WaiterId,
+        job::{Job, JobKey},
+    },
+    crate::core::{
+        time::Instant,
+        work::{JobRequest, StepSpec},
+    },
+};
+
+/// Most tasks of one job.
+const MAX_TASKS: usize = 1_000;
+/// When to come back after an entry said that it ends, in milliseconds: its connections are then
+/// with others.
+const LEAVING_RETRY_MS: u64 = 1_000;
+/// When to come back where the load decides, in milliseconds: most tasks end within a second, so
+/// the queue is another one by then.
+const OVERLOAD_RETRY_MS: u64 = 1_000;
+/// For how long an entry that is to end still takes jobs, in milliseconds.
+///
+/// The balancer needs two failed probes, a second apart, to send its clients elsewhere.
+const LEAVING_TAKES_MS: u64 = 2_500;
+
+impl Dispatcher {
+    pub(super) fn on_submit(&mut self, now: Instant, submission: Submission) {
+        let waiter = submission.waiter;
+        if let Some(reason) = self.refusal(now, &submission) {
+            let retry_after_ms = match reason {
+                RefusalReason::Leaving => LEAVING_RETRY_MS,
+                RefusalReason::Overloaded | RefusalReason::DeadlinePassed => OVERLOAD_RETRY_MS,
+                RefusalReason::Unsupported | RefusalReason::BadJob | RefusalReason::TooLarge => 0,
+            };
+            self.refuse(waiter, reason, retry_after_ms);
+            return;
+        }
+        let Some(known) = self.by_id.get(&submission.id).copied() else {
+            self.take(now, submission, 1);
+            return;
+        };
+        match self.jobs.get_mut(known) {
+            Some(job) if !job.closed => {
+                job.waiters.push(waiter);
+                self.by_waiter.insert(waiter, known);
+                self.note(DispatchNote::JobJoined {
+                    job: submission.id.to_string(),
+                });
+            }
+            Some(job) => {
+                let runs = job.open_runs;
+                self.note(DispatchNote::JobHeld {
+                    job: submission.id.to_string(),
+                    runs,
+                });
+                self.held.entry(submission.id).or_default().push(submission);
+            }
+            None => self.take(now, submission, 1),
+        }
+    }
+
+    fn refusal(&self, now: Instant, submission: &Submission) -> Option<RefusalReason> {
+        let request = &submission.request;
+        if request.unsupported.is_some() || submission.route.needs_advice {
+            return Some(RefusalReason::Unsupported);
+        }
+        if !is_sound(request) {
+            return Some(RefusalReason::BadJob);
+        }
+        let leaves = |since: Instant| now.millis_since(since) >= LEAVING_TAKES_MS;
+        if self.leaving_since.is_some_and(leaves) {
+            return Some(RefusalReason::Leaving);
+        }
+        None
+    }
+
+    /// Takes a job in whose runs are numbered from `first_run`.
+    pub(super) fn take(&mut self, now: Instant, submission: Submission, first_run: u32) {
+        let (id, waiter) = (submission.id, submission.waiter);
+        let job = Job::new(now, submission, first_run);
+        let note = DispatchNote::JobTaken {
+            job: id.to_string(),
+            route: job.route.name.clone(),
+            tasks: job.tasks.len(),
+            time_left_ms: job.deadline.millis_since(now),
+            objective_ms: job.objective_ms,
+            queued: self.queue.len(),
+        };
+        let key = self.jobs.insert(job);
+        self.by_id.insert(id, key);
+        self.by_waiter.insert(waiter, key);
+        self.note(note);
+        let unblocked = self.jobs.get_mut(key).map(Job::unblock).unwrap_or_default();
+        for task in unblocked {
+            self.enqueue(now, key, task);
+        }
+    }
+
+    /// Gives a job up when the last of its clients has gone: nobody would get the answer, and a
+    /// copy of the job may come to another entry, which must find nothing of it at work.
+    pub(super) fn on_client_gone(&mut self, now: Instant, waiter: WaiterId) {
+        for held in self.held.values_mut() {
+            held.retain(|submission| submission.waiter != waiter);
+        }
+        self.held.retain(|_, held| !held.is_empty());
+        let Some(key) = self.by_waiter.remove(&waiter) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.waiters.retain(|known| *known != waiter);
+        if job.waiters.is_empty() && !job.closed {
+            self.answer(now, key, Answer::GivenUp);
+        }
+    }
+
+    /// Ends jobs that can't be done before their client stops waiting.
+    pub(super) fn end_overdue_jobs(&mut self, now: Instant) {
+        let overdue: Vec<(JobKey, Answer)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.closed && now >= job.deadline)
+            .map(|(key, job)| (key, final_answer(job, RefusalReason::DeadlinePassed)))
+            .collect();
+        for (key, answer) in overdue {
+            self.answer(now, key, answer);
+        }
+    }
+
+    /// Gives up a job of which a task waits that could not be done any more.
+    pub(super) fn give_up(&mut self, now: Instant, key: JobKey) {
+        if let Some(job) = self.jobs.get(key) {
+            let answer = final_answer(job, RefusalReason::Overloaded);
+            self.answer(now, key, answer);
+        }
+    }
+
+    /// Forgets a closed job once nothing of it runs, and begins with a copy that was held.
+    pub(super) fn forget_if_over(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        if job.closed && job.open_runs == 0 {
+            self.by_id.remove(&job.id);
+            self.jobs.remove(key);
+        }
+    }
+
+    /// Begins with held copies of jobs of which nothing is left.
+    pub(super) fn release_held(&mut self, now: Instant, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let (id, first_run) = (job.id, job.next_run());
+        self.forget_if_over(key);
+        if self.by_id.contains_key(&id) {
+            return;
+        }
+        for submission in self.held.remove(&id).unwrap_or_default() {
+            match self.by_id.get(&id) {
+                None => self.take(now, submission, first_run),
+                Some(_) => self.on_submit(now, submission),
+            }
+        }
+    }
+}
+
+/// "Not run" where that is certain, else that tasks may have run.
+fn final_answer(job: &Job, reason: RefusalReason) -> Answer {
+    if job.may_have_run || job.open_runs > 0 {
+        return Answer::GivenUp;
+    }
+    Answer::NotRun {
+        reason,
+        retry_after_ms: OVERLOAD_RETRY_MS,
+    }
+}
+
+/// Whether the job has tasks, not too many, and steps that refer to earlier ones only.
+fn is_sound(request: &JobRequest) -> bool {
+    let refers_back = |(number, step): (u16, &StepSpec)| {
+        step.tasks > 0 && step.after.iter().all(|before| *before < number)
+    };
+    let tasks = request.task_count();
+    (1..=MAX_TASKS).contains(&tasks) && (0u16..).zip(&request.steps).all(refers_back)
+}
--- /dev/null
+++ b/src/core/dispatch/links.rs
@@ -0,0 +1,206 @@
+//! Sessions with agents.
+
+use {
+    super::{
+        DispatchAction, DispatchNote, Dispatcher, LinkId,
+        worker_link::{WorkerKey, WorkerLink},
+    },
+    crate::core::{
+        link::{AgentFrame, EntryFrame, News, RunEnd},
+        time::Instant,
+        work::RunId,
+    },
+};
+
+/// Agents that an entry gives the operators' document to, so that they can pass it on to entries
+/// that do not reach the store. Three, so that the loss of any two leaves one.
+const NEWS_KEEPERS: usize = 3;
+
+impl Dispatcher {
+    pub(super) fn on_frame(&mut self, now: Instant, link: LinkId, frame: AgentFrame) {
+        if let AgentFrame::Hello { agent, stamp_us } = frame {
+            self.open_link(now, link, agent, stamp_us);
+            return;
+        }
+        let Some(key) = self.by_link.get(&link).copied() else {
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        worker.heard_at = now;
+        match frame {
+            AgentFrame::Hello { .. } => {}
+            AgentFrame::Beat { stamp_us } => worker.note_stamp(now, stamp_us),
+            AgentFrame::Worker(view) => {
+                let note = DispatchNote::WorkerChanged {
+                    agent: worker.agent.clone(),
+                    worker: view
+                        .as_ref()
+                        .map(|view| view.life.id.clone())
+                        .unwrap_or_default(),
+                    draining: view.as_ref().is_some_and(|view| view.draining),
+                };
+                let was = worker.view.as_ref().map(|view| &view.life);
+                if was != view.as_ref().map(|view| &view.life) {
+                    worker.health = Default::default();
+                    worker.slowness = 1.0;
+                }
+                worker.view = view;
+                self.note(note);
+            }
+            AgentFrame::Room(report) => worker.note_room(report),
+            AgentFrame::Ended { run, end, ran_ms } => self.on_ended(now, key, run, end, ran_ms),
+            AgentFrame::News(news) => self.actions.push(DispatchAction::TakeNews(news)),
+        }
+    }
+
+    /// Begins a session. Its hello says that nothing from an earlier one runs there any more.
+    fn open_link(&mut self, now: Instant, link: LinkId, agent: String, stamp_us: u64) {
+        let key = match self.by_agent.get(&agent) {
+            Some(key) => *key,
+            None => {
+                let key = self.workers.insert(WorkerLink::new(now, agent.clone()));
+                self.by_agent.insert(agent.clone(), key);
+                key
+            }
+        };
+        self.end_all_runs(now, key);
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let replaced = worker.link;
+        worker.open(now, link, stamp_us);
+        self.by_link.insert(link, key);
+        if let Some(replaced) = replaced {
+            self.by_link.remove(&replaced);
+            self.actions.push(DispatchAction::Close { link: replaced });
+        }
+        self.note(DispatchNote::AgentConnected { agent });
+        self.send_news(key);
+        self.beat(now, key);
+    }
+
+    /// Takes all runs of an agent as over, with an unknown end.
+    fn end_all_runs(&mut self, now: Instant, key: WorkerKey) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        let runs: Vec<RunId> = worker.runs.keys().copied().collect();
+        for run in runs {
+            self.on_ended(now, key, run, RunEnd::Lost, 0);
+        }
+    }
+
+    pub(super) fn lose_link(&mut self, now: Instant, link: LinkId, cause: &'static str) {
+        let Some(key) = self.by_link.remove(&link) else {
+            return;
+        };
+        let over_after_ms = self.settings.limits.over_after_ms();
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        worker.link = None;
+        let over_at = worker.stamped_at.plus_ms(over_after_ms);
+        let note = DispatchNote::AgentLost {
+            agent: worker.agent.clone(),
+            cause,
+            heard_ms_ago: now.millis_since(worker.heard_at),
+            runs: worker.runs.len(),
+            over_in_ms: over_at.millis_since(now),
+        };
+        self.note(note);
+    }
+
+    /// Sends beats, gives silent sessions up, and takes runs as over that must be by now.
+    pub(super) fn tend_links(&mut self, now: Instant) {
+        let limits = self.settings.limits;
+        let keys: Vec<WorkerKey> = self.workers.keys().collect();
+        for key in keys {
+            let Some(worker) = self.workers.get(key) else {
+                continue;
+            };
+            let silent = now.millis_since(worker.heard_at) >= limits.silence_ms;
+            let over = now.millis_since(worker.stamped_at) >= limits.over_after_ms();
+            let beat_due = worker
+                .beat_at
+                .is_none_or(|beat_at| now.millis_since(beat_at) >= limits.beat_ms());
+            match worker.link {
+                Some(link) if silent => {
+                    self.actions.push(DispatchAction::Close { link });
+                    self.lose_link(now, link, "silent");
+                }
+                Some(_) if beat_due => self.beat(now, key),
+                Some(_) => {}
+                None if over => {
+                    self.end_all_runs(now, key);
+                    self.forget_agent(key);
+                }
+                None => {}
+            }
+        }
+    }
+
+    fn forget_agent(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.remove(key) {
+            self.by_agent.remove(&worker.agent);
+        }
+    }
+
+    fn beat(&mut self, now: Instant, key: WorkerKey) {
+        let news_version = self.news.as_ref().map_or(0, |news| news.version);
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let Some(link) = worker.link else {
+            return;
+        };
+        worker.beat_at = Some(now);
+        let frame = EntryFrame::Beat {
+            echo_us: worker.stamp_us,
+            news_version,
+        };
+        self.actions.push(DispatchAction::Send { link, frame });
+    }
+
+    pub(super) fn on_news(&mut self, news: News) {
+        if self
+            .news
+            .as_ref()
+            .is_some_and(|known| known.version >= news.version)
+        {
+            return;
+        }
+        self.note(DispatchNote::NewsInForce {
+            version: news.version,
+            evacuated: news.evacuated.iter().cloned().collect(),
+        });
+        self.news = Some(news);
+        let keys: Vec<WorkerKey> = self.workers.keys().collect();
+        for key in keys {
+            self.send_news(key);
+        }
+    }
+
+    /// Tells an agent the zones that are out, and gives the document to a few.
+    fn send_news(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        let (Some(link), Some(news)) = (worker.link, &self.news) else {
+            return;
+        };
+        let keeps = self
+            .by_agent
+            .values()
+            .take(NEWS_KEEPERS)
+            .any(|keeper| *keeper == key);
+        let document = news.document.clone().filter(|_| keeps);
+        let news = News {
+            document,
+            ..news.clone()
+        };
+        let frame = EntryFrame::News(news);
+        self.actions.push(DispatchAction::Send { link, frame });
+    }
+}
--- /dev/null
+++ b/src/core/dispatch/mod.rs
@@ -0,0 +1,24 @@
+//! Keeps clients' jobs at an entry and hands their tasks to agents.
+
+mod dispatch_event;
+mod dispatch_note;
+mod dispatcher;
+mod ends;
+mod intake;
+mod job;
+mod links;
+mod overdue;
+mod placing;
+mod queue;
+mod worker_link;
+
+#[cfg(test)]
+mod tests;
+
+pub(crate) use {
+    dispatch_event::{
+        Answer, DispatchAction, DispatchEvent, LinkId, RefusalReason, Submission, WaiterId,
+    },
+    dispatch_note::DispatchNote,
+    dispatcher::{DispatchSettings, Dispatcher},
+};
--- /dev/null
+++ b/src/core/dispatch/worker_link.rs
@@ -0,0 +1,139 @@
+//! What an entry knows of one agent and the worker beside it.
+
+use {
+    super::{LinkId, job::JobKey},
+    crate::core::{
+        ejection::RunnerHealth,
+        link::RoomReport,
+        time::Instant,
+        work::{Needs, RunId, WorkerView},
+    },
+    slotmap::new_key_type,
+    std::collections::{BTreeMap, VecDeque},
+};
+
+new_key_type! {
+    /// Names an agent in the arena of its dispatcher.
+    pub(crate) struct WorkerKey;
+}
+
+/// Weight of the newest run in the learnt speed; ten runs or so make up most of it.
+const SPEED_WEIGHT: f64 = 0.1;
+/// Bounds of the learnt speed, so that one strange run can't spoil it.
+const SPEED_BOUNDS: (f64, f64) = (0.25, 4.0);
+
+/// A run that was ordered and is not known to be over.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OpenRun {
+    pub(super) job: JobKey,
+    /// The task's position in the job.
+    pub(super) task: usize,
+    pub(super) ordered_at: Instant,
+    pub(super) estimate_ms: u64,
+    /// A stop was sent.
+    pub(super) stopping: bool,
+}
+
+/// One agent.
+#[derive(Debug)]
+pub(super) struct WorkerLink {
+    /// Its name.
+    pub(super) agent: String,
+    /// Its session, while it has one.
+    pub(super) link: Option<LinkId>,
+    /// Its worker, if that can take tasks.
+    pub(super) view: Option<WorkerView>,
+    /// Newest time stamp of the agent, in microseconds on its clock.
+    pub(super) stamp_us: u64,
+    /// When that stamp arrived: upper bound of the right that its echo gives.
+    pub(super) stamped_at: Instant,
+    /// When the agent was last heard.
+    pub(super) heard_at: Instant,
+    /// When the last beat was sent.
+    pub(super) beat_at: Option<Instant>,
+    /// Runs that may be at work there.
+    pub(super) runs: BTreeMap<RunId, OpenRun>,
+    /// What became of its tasks.
+    pub(super) health: RunnerHealth,
+    /// Nothing is ordered before then.
+    pub(super) paused_until: Instant,
+    /// Run time divided by the clients' estimates.
+    pub(super) slowness: f64,
+    report: RoomReport,
+    starts_sent: u32,
+    /// Orders that the report does not take account of.
+    unreported: VecDeque<(u32, Needs)>,
+}
+
+impl WorkerLink {
+    pub(super) fn new(now: Instant, agent: String) -> Self {
+        Self {
+            agent,
+            link: None,
+            view: None,
+            stamp_us: 0,
+            stamped_at: now,
+            heard_at: now,
+            beat_at: None,
+            runs: BTreeMap::new(),
+            health: RunnerHealth::default(),
+            paused_until: now,
+            slowness: 1.0,
+            report: RoomReport::default(),
+            starts_sent: 0,
+            unreported: VecDeque::new(),
+        }
+    }
+
+    /// Begins with a new session.
+    pub(super) fn open(&mut self, now: Instant, link: LinkId, stamp_us: u64) {
+        self.link = Some(link);
+        self.view = None;
+        self.heard_at = now;
+        self.beat_at = None;
+        self.stamp_us = stamp_us;
+        self.stamped_at = now;
+        self.report = RoomReport::default();
+        self.starts_sent = 0;
+        self.unreported.clear();
+    }
+
+    pub(super) fn note_stamp(&mut self, now: Instant, stamp_us: u64) {
+        if stamp_us > self.stamp_us {
+            self.stamp_us = stamp_us;
+            self.stamped_at = now;
+        }
+    }
+
+    pub(super) fn note_start(&mut self, needs: Needs) {
+        self.starts_sent += 1;
+        self.unreported.push_back((self.starts_sent, needs));
+    }
+
+    pub(super) fn note_room(&mut self, report: RoomReport) {
+        self.report = report;
+        while self
+            .unreported
+            .front()
+            .is_some_and(|(ordinal, _)| *ordinal <= report.starts_seen)
+        {
+            self.unreported.pop_front();
+        }
+    }
+
+    /// What is free there, less what was ordered since the agent's report.
+    pub(super) fn free(&self) -> Needs {
+        let ordered = self.unreported.iter();
+        ordered.fold(self.report.free, |free, (_, needs)| free.minus(*needs))
+    }
+
+    /// Learns how its run times compare with the estimates.
+    pub(super) fn note_run(&mut self, ran_ms: u64, estimate_ms: u64) {
+        if estimate_ms == 0 {
+            return;
+        }
+        let (least, most) = SPEED_BOUNDS;
+        let ratio = (ran_ms as f64 / estimate_ms as f64).clamp(least, most);
+        self.slowness += (ratio - self.slowness) * SPEED_WEIGHT;
+    }
+}
--- /dev/null
+++ b/src/core/execution/executor.rs
@@ -0,0 +1,251 @@
+//! The executor machine.
+
+use {
+    super::{
+        ExecutionAction, ExecutionEvent, ExecutionNote, SessionId, run::Run, sessions::EntryLink,
+        worker_state::WorkerState,
+    },
+    crate::core::{
+        link::{AgentFrame, News, RunEnd},
+        time::Instant,
+        work::{Needs, RunLimits, TaskId, WorkerView},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        mem,
+    },
+};
+
+/// What an executor takes from its settings.
+#[derive(Debug, Clone)]
+pub(crate) struct ExecutorSettings {
+    /// The agent's name.
+    pub(crate) agent: String,
+    /// The service that the worker runs tasks of.
+    pub(crate) service: String,
+    /// Bounds that entries go by, too.
+    pub(crate) limits: RunLimits,
+    /// First fencing token.
+    pub(crate) first_token: u64,
+}
+
+/// Runs tasks on the worker beside it.
+#[derive(Debug)]
+pub(crate) struct Executor {
+    pub(super) settings: ExecutorSettings,
+    pub(super) worker: Option<WorkerState>,
+    pub(super) runs: BTreeMap<TaskId, Run>,
+    pub(super) sessions: BTreeMap<SessionId, EntryLink>,
+    /// Lost sessions with runs that are not over.
+    pub(super) clearing: BTreeSet<SessionId>,
+    pub(super) news: Option<News>,
+    pub(super) token: u64,
+    pub(super) token_step: u64,
+    pub(super) last_hold: u64,
+    pub(super) leaving: bool,
+    pub(super) actions: Vec<ExecutionAction>,
+}
+
+impl Executor {
+    /// An executor that knows of no worker and no entry.
+    pub(crate) fn new(settings: ExecutorSettings) -> Self {
+        Self {
+            token: settings.first_token,
+            token_step: super::LEAST_TOKEN_STEP,
+            settings,
+            worker: None,
+            runs: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            clearing: BTreeSet::new(),
+            news: None,
+            last_hold: 0,
+            leaving: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Runs that are not over.
+    pub(crate) fn run_count(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Takes in one event and says what to do about it.
+    pub(crate) fn handle(&mut self, now: Instant, event: ExecutionEvent) -> Vec<ExecutionAction> {
+        match event {
+            ExecutionEvent::SessionOpened { session, entry } => {
+                self.on_session_opened(now, session, entry);
+            }
+            ExecutionEvent::SessionLost { session } => self.lose_session(now, session, "closed"),
+            ExecutionEvent::Frame { session, frame } => self.on_frame(now, session, frame),
+            ExecutionEvent::Heartbeat { view, sequence } => self.on_heartbeat(now, view, sequence),
+            ExecutionEvent::WorkerLeft { worker } => self.on_worker_left(now, &worker),
+            ExecutionEvent::StartAnswered { call, answer } => {
+                self.on_start_answered(now, &call, answer);
+            }
+            ExecutionEvent::StopAnswered { call, confirmed } => {
+                self.on_stop_answered(&call, confirmed);
+            }
+            ExecutionEvent::HoldAnswered { call, answer } => {
+                self.on_hold_answered(now, &call, answer);
+            }
+            ExecutionEvent::Leave => self.on_leave(),
+            ExecutionEvent::Tick => self.on_tick(now),
+        }
+        self.tend_worker(now);
+        self.clear_sessions();
+        self.report_room(now);
+        mem::take(&mut self.actions)
+    }
+
+    fn on_tick(&mut self, now: Instant) {
+        self.close_silent_sessions(now);
+        self.stop_unwanted_runs(now);
+        self.repeat_stops(now);
+    }
+
+    /// Takes in what the worker says of itself.
+    ///
+    /// A report of an earlier life, or an earlier report of this one, may arrive late; it changes nothing.
+    fn on_heartbeat(&mut self, now: Instant, view: WorkerView, sequence: u64) {
+        if view.service != self.settings.service {
+            return;
+        }
+        let known = self.worker.as_ref().map(|worker| {
+            let born_unix_ms = worker.view.life.born_unix_ms;
+            (
+                born_unix_ms,
+                worker.report_sequence,
+                worker.view.life == view.life,
+            )
+        });
+        match known {
+            Some((born_unix_ms, _, false)) if view.life.born_unix_ms < born_unix_ms => return,
+            Some((_, newest, true)) if sequence <= newest => return,
+            Some((_, _, true)) => {}
+            Some((_, _, false)) | None => {
+                self.begin_life(now, view, sequence);
+                return;
+            }
+        }
+        let runs = self.runs.len();
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        worker.report_sequence = sequence;
+        if worker.view == view {
+            return;
+        }
+        let drains = view.draining && !worker.view.draining;
+        worker.view = view;
+        let name = worker.view.life.id.clone();
+        if drains {
+            self.note(ExecutionNote::WorkerDraining { worker: name, runs });
+        }
+        self.announce_worker();
+    }
+
+    /// Begins with another life of the worker: what ran in the one before is lost with it.
+    ///
+    /// Orders that are still under way may reach the new life, so their runs are kept until a
+    /// hold with a higher token has settled what became of them.
+    pub(super) fn begin_life(&mut self, now: Instant, view: WorkerView, sequence: u64) {
+        let runs_lost = self.lose_confirmed_runs(now, "worker_restarted");
+        self.note(ExecutionNote::WorkerSeen {
+            worker: view.life.id.clone(),
+            born_unix_ms: view.life.born_unix_ms,
+            runs_lost,
+        });
+        self.worker = Some(WorkerState::new(now, view, sequence));
+        self.doubt_ordered_runs();
+    }
+
+    fn on_worker_left(&mut self, now: Instant, worker: &str) {
+        if self
+            .worker
+            .as_ref()
+            .is_none_or(|known| known.view.life.id != worker)
+        {
+            return;
+        }
+        let runs = self.lose_confirmed_runs(now, "worker_left");
+        self.note(ExecutionNote::WorkerLost {
+            worker: worker.to_owned(),
+            cause: "left",
+            runs,
+        });
+        if let Some(known) = &mut self.worker {
+            known.ready = false;
+            known.view.draining = true;
+        }
+        self.announce_worker();
+    }
+
+    fn on_leave(&mut self) {
+        self.leaving = true;
+        self.announce_worker();
+    }
+
+    /// The worker as entries should see it: absent until it is ready.
+    pub(super) fn offered_worker(&self) -> Option<WorkerView> {
+        let worker = self.worker.as_ref().filter(|worker| worker.ready)?;
+        let mut view = worker.view.clone();
+        view.draining |= self.leaving;
+        Some(view)
+    }
+
+    pub(super) fn announce_worker(&mut self) {
+        let view = self.offered_worker();
+        for session in self.sessions.keys() {
+            self.actions.push(ExecutionAction::Send {
+                session: *session,
+                frame: AgentFrame::Worker(view.clone()),
+            });
+        }
+    }
+
+    /// What is free on the worker; runs that are being stopped still count.
+    pub(super) fn free(&self) -> Needs {
+        let Some(worker) = &self.worker else {
+            return Needs::default();
+        };
+        let taken = self.runs.values();
+        taken.fold(worker.view.capacity, |free, run| {
+            free.minus(run.order.needs)
+        })
+    }
+
+    /// Ends a run and tells its entry.
+    pub(super) fn end_run(&mut self, now: Instant, task: TaskId, end: RunEnd) {
+        let Some(run) = self.runs.remove(&task) else {
+            return;
+        };
+        let ran_ms = run.ran_ms(now);
+        if end != RunEnd::Done {
+            self.note(ExecutionNote::RunEnded {
+                job: task.job.to_string(),
+                run: run.order.run.to_string(),
+                end: end.as_str(),
+                ran_ms,
+                cause: run.stop.map_or("", |stop| stop.cause),
+            });
+        }
+        if self.sessions.contains_key(&run.session) {
+            let run_id = run.order.run;
+            self.actions.push(ExecutionAction::Send {
+                session: run.session,
+                frame: AgentFrame::Ended {
+                    run: run_id,
+                    end,
+                    ran_ms,
+                },
+            });
+        }
+        if let Some(link) = self.sessions.get_mut(&run.session) {
+            link.room_due = true;
+        }
+    }
+
+    pub(super) fn note(&mut self, note: ExecutionNote) {
+        self.actions.push(ExecutionAction::Note(note));
+    }
+}
--- /dev/null
+++ b/src/core/execution/holds.rs
@@ -0,0 +1,175 @@
+//! What the worker's lists say.
+
+use {
+    super::{
+        ExecutionNote, Executor, HoldAnswer, HoldCall, ListedEnd, ListedRun, run::StartState,
+        worker_state::ClockReading,
+    },
+    crate::core::{
+        link::{NotStartedReason, RunEnd},
+        time::Instant,
+        work::TaskId,
+    },
+    std::collections::BTreeMap,
+};
+
+impl Executor {
+    pub(super) fn on_hold_answered(&mut self, now: Instant, call: &HoldCall, answer: HoldAnswer) {
+        if call.wait_ms > 0
+            && let Some(worker) = &mut self.worker
+        {
+            worker.watching_since = None;
+        }
+        match answer {
+            HoldAnswer::Lists {
+                born_unix_ms,
+                clock_ms,
+                running,
+                ended,
+            } => {
+                if !self.is_of_this_life(call, born_unix_ms) {
+                    return;
+                }
+                self.read_clock(now, clock_ms);
+                self.take_ends(now, &ended);
+                self.take_running(now, call, &running);
+            }
+            HoldAnswer::Fenced => {
+                self.note_worker_answer(now);
+                if call.token >= self.token {
+                    self.raise_token();
+                }
+            }
+            HoldAnswer::OtherWorker | HoldAnswer::Unanswered => {}
+        }
+    }
+
+    /// Whether the lists are those of the life that is known.
+    ///
+    /// A worker may begin anew under its name, and its answers from before may come late. Its
+    /// next report tells of the new life, so lists of any other are left aside.
+    fn is_of_this_life(&self, call: &HoldCall, born_unix_ms: Option<u64>) -> bool {
+        self.worker.as_ref().is_some_and(|worker| {
+            let life = &worker.view.life;
+            life.id == call.worker && born_unix_ms.is_none_or(|born| born == life.born_unix_ms)
+        })
+    }
+
+    fn read_clock(&mut self, now: Instant, clock_ms: u64) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        worker.answered_at = now;
+        // Answers may overtake each other; the clock never runs back.
+        if worker.clock.is_none_or(|known| clock_ms >= known.clock_ms) {
+            worker.clock = Some(ClockReading { clock_ms, at: now });
+        }
+    }
+
+    fn take_ends(&mut self, now: Instant, ended: &[ListedEnd]) {
+        for listed in ended {
+            let Some(worker) = &mut self.worker else {
+                return;
+            };
+            if listed.sequence <= worker.ends_seen {
+                continue;
+            }
+            worker.ends_seen = listed.sequence;
+            let is_known = |number: u32| number == listed.number;
+            if self
+                .runs
+                .get(&listed.task)
+                .is_some_and(|run| is_known(run.number))
+            {
+                self.confirm(now, listed.task);
+                self.end_run(now, listed.task, listed.end);
+            }
+        }
+    }
+
+    /// Notes that the worker has, or had, the run.
+    fn confirm(&mut self, now: Instant, task: TaskId) {
+        if let Some(run) = self.runs.get_mut(&task)
+            && !matches!(run.start, StartState::Confirmed { .. })
+        {
+            run.start = StartState::Confirmed { at: now };
+        }
+    }
+
+    fn take_running(&mut self, now: Instant, call: &HoldCall, running: &[ListedRun]) {
+        let listed: BTreeMap<TaskId, u32> =
+            running.iter().map(|run| (run.task, run.number)).collect();
+        let strays = self.stop_strays(&listed);
+        self.settle_runs(now, call, &listed);
+        self.end_first_look(call, strays);
+    }
+
+    /// Stops what runs at the worker and is not known here: what an earlier process of this agent
+    /// started, or an order that was carried out after it had been settled.
+    fn stop_strays(&mut self, listed: &BTreeMap<TaskId, u32>) -> usize {
+        let runs = &self.runs;
+        let is_stray = |(task, number): &(&TaskId, &u32)| {
+            runs.get(*task).is_none_or(|run| run.number != **number)
+        };
+        let strays: Vec<(TaskId, u32)> = listed
+            .iter()
+            .filter(is_stray)
+            .map(|(task, number)| (*task, *number))
+            .collect();
+        for (task, number) in &strays {
+            self.note(ExecutionNote::StrayRun {
+                job: task.job.to_string(),
+                task: task.to_string(),
+                number: *number,
+            });
+            self.call_stop(*task, *number);
+        }
+        strays.len()
+    }
+
+    /// Settles runs by whether they are listed: unanswered starts, stops, and runs that are gone.
+    fn settle_runs(&mut self, now: Instant, call: &HoldCall, listed: &BTreeMap<TaskId, u32>) {
+        let mut over = Vec::new();
+        for (task, run) in &mut self.runs {
+            let is_listed = listed.get(task) == Some(&run.number);
+            let stopped = run
+                .stop
+                .and_then(|stop| stop.confirmed_before)
+                .is_some_and(|hold| call.sequence >= hold);
+            match run.start {
+                StartState::Unresolved { token } if is_listed && token < call.token => {
+                    run.start = StartState::Confirmed { at: now };
+                }
+                StartState::Unresolved { token } if token < call.token => {
+                    over.push((*task, RunEnd::NotStarted(NotStartedReason::OrderLost)));
+                }
+                StartState::Ordered | StartState::Unresolved { .. } => {}
+                StartState::Confirmed { .. } if !is_listed && stopped => {
+                    over.push((*task, RunEnd::Stopped));
+                }
+                StartState::Confirmed { .. } => {}
+            }
+        }
+        for (task, end) in over {
+            self.end_run(now, task, end);
+        }
+    }
+
+    /// Offers the worker once its lists show that nothing runs there from before.
+    fn end_first_look(&mut self, call: &HoldCall, strays: usize) {
+        let token = self.token;
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        if worker.ready || strays > 0 || call.token < token {
+            return;
+        }
+        worker.ready = true;
+        let name = worker.view.life.id.clone();
+        self.note(ExecutionNote::WorkerReady {
+            worker: name,
+            token,
+        });
+        self.announce_worker();
+    }
+}
--- /dev/null
+++ b/src/core/execution/mod.rs
@@ -0,0 +1,24 @@
+//! Runs tasks on the one worker beside an agent, for several entries, never two runs of a task at once.
+
+mod execution_event;
+mod execution_note;
+mod executor;
+mod holds;
+mod lease;
+mod orders;
+mod run;
+mod sessions;
+mod worker_state;
+
+#[cfg(test)]
+mod tests;
+
+pub(crate) use {
+    execution_event::{
+        ExecutionAction, ExecutionEvent, HoldAnswer, HoldCall, ListedEnd, ListedRun, SessionId,
+        StartAnswer, StartCall, StopCall,
+    },
+    execution_note::ExecutionNote,
+    executor::{Executor, ExecutorSettings},
+    lease::LEAST_TOKEN_STEP,
+};
--- /dev/null
+++ b/src/core/execution/orders.rs
@@ -0,0 +1,203 @@
+//! Orders to the worker: starts and stops, and what their answers mean.
+
+use {
+    super::{
+        ExecutionAction, ExecutionNote, Executor, SessionId, StartAnswer, StartCall, StopCall,
+        run::{Run, StartState},
+    },
+    crate::core::{
+        link::{NotStartedReason, RunEnd, StartOrder},
+        time::Instant,
+        work::TaskId,
+    },
+};
+
+/// Most calls made to start one run, where each one before did nothing.
+///
+/// Numbers used by earlier runs of the task and a change of the token cost one call each.
+const MOST_TRIES: u32 = 6;
+/// Pause before a stop that was not answered is sent again, in milliseconds: twice what a worker
+/// takes to stop a run.
+const STOP_REPEAT_MS: u64 = 100;
+
+impl Executor {
+    pub(super) fn order_start(&mut self, now: Instant, session: SessionId, order: StartOrder) {
+        let task = order.run.task;
+        let run = Run {
+            session,
+            number: order.run.number,
+            tries: 0,
+            ordered_at: now,
+            start: StartState::Ordered,
+            stop: None,
+            order,
+        };
+        self.runs.insert(task, run);
+        self.call_start(now, task);
+    }
+
+    fn call_start(&mut self, now: Instant, task: TaskId) {
+        let Some(lease_until_ms) = self.extend_lease(now) else {
+            self.end_run(now, task, RunEnd::NotStarted(NotStartedReason::NoWorker));
+            return;
+        };
+        let (token, worker) = (self.token, self.worker_name());
+        let Some(run) = self.runs.get_mut(&task) else {
+            return;
+        };
+        run.tries += 1;
+        run.start = StartState::Ordered;
+        let call = StartCall {
+            worker,
+            task,
+            number: run.number,
+            spec: run.order.spec.clone(),
+            lease_until_ms,
+            token,
+        };
+        self.actions.push(ExecutionAction::Start(call));
+    }
+
+    pub(super) fn worker_name(&self) -> String {
+        let worker = self.worker.as_ref();
+        worker.map_or_else(String::new, |worker| worker.view.life.id.clone())
+    }
+
+    pub(super) fn call_stop(&mut self, task: TaskId, number: u32) {
+        let call = StopCall {
+            worker: self.worker_name(),
+            task,
+            number,
+            token: self.token,
+        };
+        self.actions.push(ExecutionAction::Stop(call));
+    }
+
+    pub(super) fn on_start_answered(
+        &mut self,
+        now: Instant,
+        call: &StartCall,
+        answer: StartAnswer,
+    ) {
+        if answer != StartAnswer::Unanswered {
+            self.note_worker_answer(now);
+        }
+        let token = self.token;
+        let Some(run) = self.runs.get_mut(&call.task) else {
+            return;
+        };
+        // What a hold has settled since needs no answer any more.
+        if run.number != call.number || run.start != StartState::Ordered {
+            return;
+        }
+        match answer {
+            StartAnswer::Accepted => run.start = StartState::Confirmed { at: now },
+            StartAnswer::Unanswered => self.doubt_run(call.task, call.token),
+            StartAnswer::Fenced => {
+                if call.token >= token {
+                    self.raise_token();
+                }
+                self.retry_start(now, call.task, NotStartedReason::Rejected);
+            }
+            StartAnswer::NumberUsed => {
+                run.number = run.number.saturating_add(1);
+                self.retry_start(now, call.task, NotStartedReason::Rejected);
+            }
+            StartAnswer::Late => self.retry_start(now, call.task, NotStartedReason::Rejected),
+            StartAnswer::NoRoom => self.end_not_started(now, call.task, NotStartedReason::NoRoom),
+            StartAnswer::Unhealthy => {
+                self.end_not_started(now, call.task, NotStartedReason::Unhealthy);
+            }
+            StartAnswer::Rejected => {
+                self.end_not_started(now, call.task, NotStartedReason::Rejected);
+            }
+        }
+    }
+
+    /// Calls again after an answer that says that nothing was done, unless the run is to stop.
+    fn retry_start(&mut self, now: Instant, task: TaskId, reason: NotStartedReason) {
+        let Some(run) = self.runs.get(&task) else {
+            return;
+        };
+        if run.stop.is_some() || run.tries >= MOST_TRIES {
+            self.end_not_started(now, task, reason);
+            return;
+        }
+        self.call_start(now, task);
+    }
+
+    pub(super) fn end_not_started(&mut self, now: Instant, task: TaskId, reason: NotStartedReason) {
+        self.end_run(now, task, RunEnd::NotStarted(reason));
+    }
+
+    /// Raises the fencing token above that of an order that was not answered.
+    ///
+    /// Guards against an order that is carried out seconds later, when its task runs elsewhere:
+    /// once the worker has answered a hold with the higher token, it has either started the run,
+    /// and lists it, or rejects the order whenever it arrives.
+    fn doubt_run(&mut self, task: TaskId, order_token: u64) {
+        if self.token <= order_token {
+            self.token = order_token + 1;
+        }
+        let token = self.token;
+        let Some(run) = self.runs.get_mut(&task) else {
+            return;
+        };
+        run.start = StartState::Unresolved { token: order_token };
+        let run_id = run.order.run;
+        self.note(ExecutionNote::OrderUnanswered {
+            job: task.job.to_string(),
+            run: run_id.to_string(),
+            token,
+        });
+        self.ask_lists();
+    }
+
+    /// Doubts all orders that are under way.
+    pub(super) fn doubt_ordered_runs(&mut self) {
+        let ordered: Vec<TaskId> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.start == StartState::Ordered)
+            .map(|(task, _)| *task)
+            .collect();
+        let token = self.token;
+        for task in ordered {
+            self.doubt_run(task, token);
+        }
+    }
+
+    /// Takes in that the worker has taken a stop, or that nobody knows.
+    pub(super) fn on_stop_answered(&mut self, call: &StopCall, confirmed: bool) {
+        let next_hold = self.last_hold + 1;
+        let Some(run) = self.runs.get_mut(&call.task) else {
+            return;
+        };
+        if run.number != call.number || !confirmed {
+            return;
+        }
+        if let Some(stop) = &mut run.stop
+            && stop.confirmed_before.is_none()
+        {
+            stop.confirmed_before = Some(next_hold);
+            self.ask_lists();
+        }
+    }
+
+    /// Sends stops again that were not answered.
+    pub(super) fn repeat_stops(&mut self, now: Instant) {
+        let mut due = Vec::new();
+        for (task, run) in &mut self.runs {
+            if let Some(stop) = &mut run.stop
+                && stop.confirmed_before.is_none()
+                && now.millis_since(stop.sent_at) >= STOP_REPEAT_MS
+            {
+                stop.sent_at = now;
+                due.push((*task, run.number));
+            }
+        }
+        for (task, number) in due {
+            self.call_stop(task, number);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/execution/sessions.rs
@@ -0,0 +1,329 @@
+//! Sessions with entries, and the right to run tasks for them.
+
+use {
+    super::{
+        ExecutionAction, ExecutionNote, Executor, SessionId,
+        run::{Run, StopState},
+    },
+    crate::core::{
+        link::{AgentFrame, EntryFrame, News, NotStartedReason, RoomReport, RunEnd, StartOrder},
+        time::Instant,
+        work::{Needs, RunId, TaskId},
+    },
+};
+
+/// Least pause between reports of free room that nobody waits for, in milliseconds.
+///
+/// A task runs 50 ms or more, so a figure of this age is off by less than one task in two; shorter
+/// pauses cost a message for each start and entry.
+const ROOM_REPORT_MS: u64 = 20;
+/// Pause before news is passed to an entry that goes by older ones, in milliseconds.
+///
+/// An entry that reaches the store has newer news within a few milliseconds of the others.
+const NEWS_RELAY_MS: u64 = 400;
+
+/// One entry's session.
+#[derive(Debug)]
+pub(super) struct EntryLink {
+    /// The entry's address, for logs.
+    pub(super) entry: String,
+    /// Tasks may run for this entry until then.
+    pub(super) right_until: Instant,
+    /// When the entry was last heard.
+    pub(super) heard_at: Instant,
+    /// Start orders taken in.
+    pub(super) starts_seen: u32,
+    /// The newest report of free room.
+    pub(super) reported: Option<RoomReport>,
+    /// When it was made.
+    pub(super) reported_at: Instant,
+    /// A run of this session ended or was refused since.
+    pub(super) room_due: bool,
+    /// The entry goes by older news than this agent knows since then.
+    pub(super) behind_since: Option<Instant>,
+}
+
+impl Executor {
+    pub(super) fn on_session_opened(&mut self, now: Instant, session: SessionId, entry: String) {
+        self.note(ExecutionNote::EntryConnected {
+            entry: entry.clone(),
+        });
+        let link = EntryLink {
+            entry,
+            // Nothing starts before the entry has sent the first stamp back.
+            right_until: now,
+            heard_at: now,
+            starts_seen: 0,
+            reported: None,
+            reported_at: now,
+            room_due: true,
+            behind_since: None,
+        };
+        self.sessions.insert(session, link);
+        let hello = AgentFrame::Hello {
+            agent: self.settings.agent.clone(),
+            stamp_us: now.as_micros(),
+        };
+        self.send(session, hello);
+        let view = self.offered_worker();
+        self.send(session, AgentFrame::Worker(view));
+    }
+
+    fn send(&mut self, session: SessionId, frame: AgentFrame) {
+        self.actions.push(ExecutionAction::Send { session, frame });
+    }
+
+    pub(super) fn on_frame(&mut self, now: Instant, session: SessionId, frame: EntryFrame) {
+        let Some(link) = self.sessions.get_mut(&session) else {
+            return;
+        };
+        link.heard_at = now;
+        match frame {
+            EntryFrame::Beat {
+                echo_us,
+                news_version,
+            } => self.on_beat(now, session, echo_us, news_version),
+            EntryFrame::Start(order) => self.on_start(now, session, order),
+            EntryFrame::Stop { run } => self.on_stop(now, session, run),
+            EntryFrame::News(news) => self.take_news(news),
+        }
+    }
+
+    /// Extends the entry's right by what its echo proves.
+    ///
+    /// Guards against two runs of a task after its entry could not be reached: the right counts
+    /// from a stamp that this agent made, so bytes that were held up on the way extend it by
+    /// nothing, and the entry knows an upper bound of it from when the stamp arrived there.
+    fn on_beat(&mut self, now: Instant, session: SessionId, echo_us: u64, news_version: u64) {
+        let silence_ms = self.settings.limits.silence_ms;
+        let known = self.news.as_ref().map_or(0, |news| news.version);
+        let Some(link) = self.sessions.get_mut(&session) else {
+            return;
+        };
+        let proved = Instant::from_micros(echo_us.min(now.as_micros())).plus_ms(silence_ms);
+        link.right_until = link.right_until.max(proved);
+        if news_version >= known {
+            link.behind_since = None;
+        } else if link.behind_since.is_none() {
+            link.behind_since = Some(now);
+        }
+        let relay = link
+            .behind_since
+            .is_some_and(|since| now.millis_since(since) >= NEWS_RELAY_MS);
+        if relay {
+            // Asked again after another pause, should this copy be lost.
+            link.behind_since = Some(now);
+        }
+        self.send(
+            session,
+            AgentFrame::Beat {
+                stamp_us: now.as_micros(),
+            },
+        );
+        if let Some(news) = self.news.clone().filter(|_| relay) {
+            self.send(session, AgentFrame::News(news));
+        }
+    }
+
+    /// Takes in news unless it is older than what is known.
+    ///
+    /// News with the document goes before the same news without it, so that it can be passed on.
+    fn take_news(&mut self, news: News) {
+        let key = |news: &News| (news.version, news.document.is_some());
+        if self
+            .news
+            .as_ref()
+            .is_some_and(|known| key(known) >= key(&news))
+        {
+            return;
+        }
+        self.note(ExecutionNote::NewsTaken {
+            version: news.version,
+            evacuated: news.evacuated.iter().cloned().collect(),
+        });
+        self.news = Some(news);
+    }
+
+    fn on_start(&mut self, now: Instant, session: SessionId, order: StartOrder) {
+        let Some(link) = self.sessions.get_mut(&session) else {
+            return;
+        };
+        link.starts_seen += 1;
+        link.room_due = true;
+        if let Some(reason) = self.refusal(now, session, &order) {
+            self.refuse(session, order.run, reason);
+            return;
+        }
+        self.order_start(now, session, order);
+    }
+
+    pub(super) fn refuse(&mut self, session: SessionId, run: RunId, reason: NotStartedReason) {
+        self.note(ExecutionNote::RunNotStarted {
+            job: run.task.job.to_string(),
+            run: run.to_string(),
+            reason: reason.as_str(),
+            free_cpu_milli: self.free().cpu_milli,
+        });
+        let frame = AgentFrame::Ended {
+            run,
+            end: RunEnd::NotStarted(reason),
+            ran_ms: 0,
+        };
+        self.send(session, frame);
+    }
+
+    /// Why the order can't be followed, if it can't.
+    fn refusal(
+        &self,
+        now: Instant,
+        session: SessionId,
+        order: &StartOrder,
+    ) -> Option<NotStartedReason> {
+        let right_until = self.sessions.get(&session)?.right_until;
+        let Some(worker) = self.worker.as_ref().filter(|worker| worker.ready) else {
+            return Some(NotStartedReason::NoWorker);
+        };
+        if now >= right_until {
+            return Some(NotStartedReason::RightLapsed);
+        }
+        if worker.view.draining || self.leaving {
+            return Some(NotStartedReason::Draining);
+        }
+        if self.is_evacuated(&worker.view.availability_zone) {
+            return Some(NotStartedReason::Evacuated);
+        }
+        if self.runs.contains_key(&order.run.task) {
+            return Some(NotStartedReason::TaskBusy);
+        }
+        if !order.needs.fits(self.free()) {
+            return Some(NotStartedReason::NoRoom);
+        }
+        None
+    }
+
+    fn is_evacuated(&self, zone: &str) -> bool {
+        self.news
+            .as_ref()
+            .is_some_and(|news| news.evacuated.contains(zone))
+    }
+
+    fn on_stop(&mut self, now: Instant, session: SessionId, run: RunId) {
+        let is_this = |known: &Run| known.session == session && known.order.run == run;
+        if self.runs.get(&run.task).is_some_and(is_this) {
+            self.stop_run(now, run.task, "asked");
+        }
+    }
+
+    /// Gives up sessions whose entry's right has lapsed.
+    pub(super) fn close_silent_sessions(&mut self, now: Instant) {
+        let silence_ms = self.settings.limits.silence_ms;
+        let silent: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, link)| {
+                now >= link.right_until && now.millis_since(link.heard_at) >= silence_ms
+                    || now >= link.right_until.plus_ms(silence_ms)
+            })
+            .map(|(session, _)| *session)
+            .collect();
+        for session in silent {
+            self.actions.push(ExecutionAction::Close { session });
+            self.lose_session(now, session, "silent");
+        }
+    }
+
+    /// Stops what a lost session started. Its entry has no client left, or will wait until all is over.
+    pub(super) fn lose_session(&mut self, now: Instant, session: SessionId, cause: &'static str) {
+        let Some(link) = self.sessions.remove(&session) else {
+            return;
+        };
+        let tasks = self.tasks_of(session);
+        self.note(ExecutionNote::EntryLost {
+            entry: link.entry,
+            cause,
+            heard_ms_ago: now.millis_since(link.heard_at),
+            runs: tasks.len(),
+        });
+        self.clearing.insert(session);
+        for task in tasks {
+            self.stop_run(now, task, "entry_lost");
+        }
+    }
+
+    fn tasks_of(&self, session: SessionId) -> Vec<TaskId> {
+        let runs = self.runs.iter().filter(|(_, run)| run.session == session);
+        runs.map(|(task, _)| *task).collect()
+    }
+
+    /// Stops runs whose right has lapsed or whose job nobody waits for.
+    pub(super) fn stop_unwanted_runs(&mut self, now: Instant) {
+        let mut unwanted = Vec::new();
+        for (task, run) in &self.runs {
+            let lapsed = self
+                .sessions
+                .get(&run.session)
+                .is_none_or(|link| now >= link.right_until);
+            if lapsed {
+                unwanted.push((*task, "right_lapsed"));
+            } else if now >= run.wanted_until() {
+                unwanted.push((*task, "deadline"));
+            }
+        }
+        for (task, cause) in unwanted {
+            self.stop_run(now, task, cause);
+        }
+    }
+
+    /// Says which lost sessions have nothing left here.
+    pub(super) fn clear_sessions(&mut self) {
+        let runs = &self.runs;
+        let is_clear = |session: &SessionId| runs.values().all(|run| run.session != *session);
+        let clear: Vec<SessionId> = self.clearing.iter().copied().filter(is_clear).collect();
+        for session in clear {
+            self.clearing.remove(&session);
+            self.actions.push(ExecutionAction::Cleared { session });
+        }
+    }
+
+    /// Tells entries what is free: at once those whose own runs changed it, the others now and then.
+    pub(super) fn report_room(&mut self, now: Instant) {
+        let free = match self.worker.as_ref() {
+            Some(worker) if worker.ready => self.free(),
+            Some(_) | None => Needs::default(),
+        };
+        for (session, link) in &mut self.sessions {
+            let report = RoomReport {
+                free,
+                starts_seen: link.starts_seen,
+            };
+            let is_due = link.room_due || now.millis_since(link.reported_at) >= ROOM_REPORT_MS;
+            if link.reported == Some(report) || !is_due {
+                continue;
+            }
+            link.reported = Some(report);
+            link.reported_at = now;
+            link.room_due = false;
+            self.actions.push(ExecutionAction::Send {
+                session: *session,
+                frame: AgentFrame::Room(report),
+            });
+        }
+    }
+
+    /// Marks a run to be stopped and tells the worker.
+    pub(super) fn stop_run(&mut self, now: Instant, task: TaskId, cause: &'static str) {
+        let Some(run) = self.runs.get_mut(&task) else {
+            return;
+        };
+        if run.stop.is_some() {
+            return;
+        }
+        run.stop = Some(StopState {
+            cause,
+            sent_at: now,
+            confirmed_before: None,
+        });
+        let number = run.number;
+        self.call_stop(task, number);
+    }
+}
--- /dev/null
+++ b/src/core/execution/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the executor.
--- /dev/null
+++ b/src/core/link/entry_frame.rs
@@ -0,0 +1,42 @@
+//! Frames from an entry to an agent.
+
+use {
+    super::News,
+    crate::core::work::{Needs, RunId},
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// An order to start a task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StartOrder {
+    /// The task and the number of this try.
+    pub(crate) run: RunId,
+    /// The job's text for the worker.
+    pub(crate) spec: Arc<str>,
+    /// What the task takes up.
+    pub(crate) needs: Needs,
+    /// Time until nobody waits for the job any more; the agent stops the run then.
+    pub(crate) time_left_ms: u64,
+}
+
+/// A frame from an entry to an agent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum EntryFrame {
+    /// The entry lives and has received the agent's time stamps up to this one.
+    Beat {
+        /// The newest stamp received, in microseconds on the agent's clock.
+        echo_us: u64,
+        /// Version of the news that the entry goes by.
+        news_version: u64,
+    },
+    /// Start a task.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop {
+        /// The run.
+        run: RunId,
+    },
+    /// What operators have set.
+    News(News),
+}
--- /dev/null
+++ b/src/core/link/mod.rs
@@ -0,0 +1,14 @@
+//! What entries and agents say to each other on a session.
+//!
+//! An agent dials each entry and holds one session with it. A session is one stream each way, so
+//! frames arrive in the order in which they were sent, or not at all.
+
+mod agent_frame;
+mod entry_frame;
+mod news;
+
+pub(crate) use {
+    agent_frame::{AgentFrame, NotStartedReason, RoomReport, RunEnd},
+    entry_frame::{EntryFrame, StartOrder},
+    news::News,
+};
--- /dev/null
+++ b/src/core/routes/mod.rs
@@ -0,0 +1,14 @@
+//! The configuration as entries use it: queues by host and path, services, limits, zones taken out.
+
+mod route_table;
+mod service_config;
+mod site_config;
+
+#[cfg(test)]
+mod tests;
+
+pub(crate) use {
+    route_table::{Route, RouteTable},
+    service_config::{HttpLimits, ServiceConfig},
+    site_config::SiteConfig,
+};
--- /dev/null
+++ b/src/core/work/mod.rs
@@ -0,0 +1,17 @@
+//! What clients hand in and workers run: jobs, steps, tasks, runs, and the worker that runs them.
+
+mod job_id;
+mod job_request;
+mod needs;
+mod run_id;
+mod run_limits;
+mod worker_view;
+
+pub(crate) use {
+    job_id::JobId,
+    job_request::{JobRequest, StepSpec, UnsupportedFeature},
+    needs::Needs,
+    run_id::{RunId, TaskId},
+    run_limits::RunLimits,
+    worker_view::{WorkerLife, WorkerView},
+};
--- /dev/null
+++ b/src/core/work/needs.rs
@@ -0,0 +1,32 @@
+//! What a task takes up on a worker while it runs.
+
+use serde::{Deserialize, Serialize};
+
+/// Processor, memory and accelerators: of a task, of a worker, or what is left of it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Needs {
+    /// Processor time, in thousandths of a core.
+    pub(crate) cpu_milli: u32,
+    /// Memory, in megabytes.
+    pub(crate) memory_mb: u32,
+    /// Accelerators.
+    pub(crate) accelerators: u32,
+}
+
+impl Needs {
+    /// Whether this fits into what is free.
+    pub(crate) const fn fits(self, free: Self) -> bool {
+        self.cpu_milli <= free.cpu_milli
+            && self.memory_mb <= free.memory_mb
+            && self.accelerators <= free.accelerators
+    }
+
+    /// What is left after taking `other` away, at least nothing.
+    pub(crate) const fn minus(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
--- a/src/entry/tests/fakes.rs
+++ b/src/entry/tests/fakes.rs
@@ -8,7 +8,7 @@
 use {
     crate::{
         core::time::Instant,
-        ports::{Counter, Gauge, Metrics, TimerService},
+        ports::{Counter, Gauge, Metrics, Span, TimerService},
     },
     tokio::sync::mpsc,
 };
@@ -35,6 +35,8 @@
 impl Metrics for NoMetrics {
     fn add(&self, _counter: Counter, _reason: &'static str, _amount: u64) {}
 
+    fn observe(&self, _: Span, _: &'static str, _: u64) {}
+
     fn set(&self, _gauge: Gauge, _value: u64) {}
 
     fn render(&self) -> String {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,10 @@
 mod core;
 mod entry;
 mod load;
+mod platform;
 mod ports;
+mod site_agent;
+mod site_entry;
 mod standin;
 
 pub use cli::{agent_main, entry_main, load_main, operator_main, standin_main};
--- /dev/null
+++ b/src/platform/config_document.rs
@@ -0,0 +1,121 @@
+//! The operators' document.
+
+use {
+    super::PlatformError,
+    crate::core::{
+        link::News,
+        routes::{HttpLimits, Route, RouteTable, ServiceConfig, SiteConfig},
+    },
+    serde::Deserialize,
+};
+
+#[derive(Debug, Deserialize)]
+struct ConfigBody {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RouteBody>,
+    #[serde(default)]
+    services: Vec<ServiceBody>,
+    #[serde(default)]
+    limits: LimitsBody,
+}
+
+#[derive(Debug, Deserialize)]
+struct RouteBody {
+    name: String,
+    host: String,
+    path_prefix: String,
+    service: String,
+    #[serde(default = "default_timeout_ms")]
+    timeout_ms: u64,
+    /// Not the time aimed at for a call: the margin of the objective beyond the stretched work.
+    #[serde(default)]
+    target_duration_ms: u64,
+    #[serde(default)]
+    priority: u32,
+    #[serde(default = "default_attempts")]
+    max_attempts: u32,
+    #[serde(default = "default_stretch")]
+    stretch: f64,
+    #[serde(default)]
+    advice: Option<serde::de::IgnoredAny>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ServiceBody {
+    name: String,
+    #[serde(default)]
+    rejects_overload: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct LimitsBody {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    header_timeout_ms: Option<u64>,
+    idle_timeout_ms: Option<u64>,
+}
+
+/// For a route without a time-out: longer than any client waits.
+const fn default_timeout_ms() -> u64 {
+    60_000
+}
+
+const fn default_attempts() -> u32 {
+    1
+}
+
+const fn default_stretch() -> f64 {
+    1.0
+}
+
+/// The configuration in force by these news.
+pub(crate) fn read_config(news: &News) -> Result<SiteConfig, PlatformError> {
+    let Some(document) = &news.document else {
+        return Err(PlatformError::Unreadable("no document".to_owned()));
+    };
+    let body: ConfigBody = serde_json::from_slice(document)
+        .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
+    Ok(SiteConfig {
+        version: body.version,
+        routes: RouteTable::new(body.routes.into_iter().map(route)),
+        services: body
+            .services
+            .into_iter()
+            .map(|service| (service.name.clone(), self::service(service)))
+            .collect(),
+        limits: limits(&body.limits),
+    })
+}
+
+fn route(body: RouteBody) -> Route {
+    Route {
+        name: body.name,
+        host: body.host,
+        path_prefix: body.path_prefix,
+        service: body.service,
+        timeout_ms: body.timeout_ms,
+        max_attempts: body.max_attempts,
+        priority: body.priority,
+        stretch: body.stretch,
+        target_ms: body.target_duration_ms,
+        needs_advice: body.advice.is_some(),
+    }
+}
+
+fn service(body: ServiceBody) -> ServiceConfig {
+    ServiceConfig {
+        name: body.name,
+        rejects_overload: body.rejects_overload,
+    }
+}
+
+fn limits(body: &LimitsBody) -> HttpLimits {
+    let usual = HttpLimits::default();
+    HttpLimits {
+        max_header_bytes: body.max_header_bytes.unwrap_or(usual.max_header_bytes),
+        max_body_bytes: body.max_body_bytes.unwrap_or(usual.max_body_bytes),
+        header_timeout_ms: body.header_timeout_ms.unwrap_or(usual.header_timeout_ms),
+        idle_timeout_ms: body.idle_timeout_ms.unwrap_or(usual.idle_timeout_ms),
+    }
+}
--- /dev/null
+++ b/src/platform/platform_caller.rs
@@ -0,0 +1,90 @@
+//! One HTTP client for everything that the platform serves.
+
+use {
+    super::PlatformError,
+    bytes::Bytes,
+    http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode},
+    http_body_util::{BodyExt, Full},
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::{TokioExecutor, TokioTimer},
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Time to connect, in milliseconds: a lost opening packet comes again after a second.
+const CONNECT_TIMEOUT_MS: u64 = 400;
+/// Time after which an unused connection closes, in milliseconds; servers close theirs after 15 s.
+const IDLE_CLOSE_MS: u64 = 8_000;
+
+/// One call.
+#[derive(Debug)]
+pub(super) struct PlatformCall {
+    pub(super) method: Method,
+    pub(super) to: SocketAddr,
+    /// Path with its query.
+    pub(super) path: String,
+    pub(super) headers: Vec<(HeaderName, HeaderValue)>,
+    /// JSON; empty for none.
+    pub(super) body: Vec<u8>,
+    /// Time after which the call is given up.
+    pub(super) timeout_ms: u64,
+}
+
+/// Calls by IP number, over connections that are kept.
+#[derive(Debug, Clone)]
+pub(crate) struct PlatformCaller {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl PlatformCaller {
+    /// A client without connections.
+    pub(crate) fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_millis(IDLE_CLOSE_MS))
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Makes a call and reads the answer to its end.
+    ///
+    /// A call that is given up closes its connection: an answer that comes late on it can't be
+    /// taken for that of a later call.
+    pub(super) async fn call(
+        &self,
+        call: PlatformCall,
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let mut request = Request::builder()
+            .method(call.method)
+            .uri(format!("http://{}{}", call.to, call.path));
+        if !call.body.is_empty() {
+            request = request.header(http::header::CONTENT_TYPE, "application/json");
+        }
+        let mut request = request.body(Full::new(Bytes::from(call.body)))?;
+        request
+            .headers_mut()
+            .extend(call.headers.into_iter().collect::<HeaderMap>());
+        let exchange = async {
+            let response = self.client.request(request).await.map_err(|error| {
+                if error.is_connect() {
+                    PlatformError::NoConnection(error.to_string())
+                } else {
+                    PlatformError::NoAnswer(error.to_string())
+                }
+            })?;
+            let status = response.status();
+            let body = response.into_body().collect().await;
+            let body = body.map_err(|error| PlatformError::NoAnswer(error.to_string()))?;
+            Ok((status, body.to_bytes()))
+        };
+        timeout(Duration::from_millis(call.timeout_ms), exchange)
+            .await
+            .map_err(|_| PlatformError::NoAnswer("timed out".to_owned()))?
+    }
+}
--- /dev/null
+++ b/src/platform/rows_store.rs
@@ -0,0 +1,224 @@
+//! The platform's table store: the operators' rows, and the list of entries.
+
+use {
+    super::{PlatformCaller, PlatformError, platform_caller::PlatformCall},
+    crate::{
+        core::link::News,
+        ports::{Change, SiteStore, StoreError},
+    },
+    async_trait::async_trait,
+    base64::{Engine, engine::general_purpose::STANDARD},
+    bytes::Bytes,
+    http::{Method, StatusCode},
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
+};
+
+/// The operators' table.
+const OPERATORS_TABLE: &str = "op";
+/// Its row with the whole configuration.
+const CONFIG_KEY: &str = "config";
+/// Keys of its rows that name zones which are taken out.
+const EVACUATE_PREFIX: &str = "evacuate/";
+/// The system's own table.
+const ENTRIES_TABLE: &str = "rattanslip_entries";
+/// Time after which a call is given up, in milliseconds; a slow store takes 50 times its usual 4.
+const CALL_TIMEOUT_MS: u64 = 1_000;
+/// Time beyond the asked wait after which a feed is given up, in milliseconds; as above.
+const FEED_SLACK_MS: u64 = 500;
+
+#[derive(Debug, Deserialize)]
+struct RowBody {
+    key: String,
+    #[serde(default)]
+    value: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct RowsBody {
+    #[serde(default)]
+    rows: Vec<RowBody>,
+    #[serde(default)]
+    truncated: bool,
+    /// The store's newest version, not that of a row.
+    ver: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct RowKey<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
+}
+
+#[derive(Debug, Serialize)]
+struct PutRow<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
+    value: String,
+}
+
+#[derive(Debug, Default, Serialize)]
+struct TransactionBody<'a> {
+    expect_rev: [(); 0],
+    puts: Vec<PutRow<'a>>,
+    remove: Vec<RowKey<'a>>,
+}
+
+/// The store at one address.
+#[derive(Debug)]
+pub(crate) struct RowsStore {
+    caller: PlatformCaller,
+    addr: SocketAddr,
+}
+
+impl RowsStore {
+    /// The store that listens there.
+    pub(crate) const fn new(caller: PlatformCaller, addr: SocketAddr) -> Self {
+        Self { caller, addr }
+    }
+
+    async fn get(
+        &self,
+        path: String,
+        timeout_ms: u64,
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
+        self.caller
+            .call(PlatformCall {
+                method: Method::GET,
+                to: self.addr,
+                path,
+                headers: Vec::new(),
+                body: Vec::new(),
+                timeout_ms,
+            })
+            .await
+    }
+
+    /// All rows of a table without parts, and the store's version.
+    async fn rows(&self, table: &str) -> Result<(Vec<RowBody>, u64), PlatformError> {
+        let mut rows: Vec<RowBody> = Vec::new();
+        let mut from = String::new();
+        loop {
+            let path = format!("/v1/rows-get?table={table}&part={from}");
+            let (status, body) = self.get(path, CALL_TIMEOUT_MS).await?;
+            if status != StatusCode::OK {
+                return Err(PlatformError::Refused(status));
+            }
+            let page = parse(&body)?;
+            rows.extend(page.rows);
+            let last = rows.last().filter(|_| page.truncated);
+            match last {
+                // Keys are in ascending order, and the smallest key above a text is that text and a zero byte.
+                Some(last) => from = format!("&from={}%00", last.key),
+                None => return Ok((rows, page.ver)),
+            }
+        }
+    }
+
+    async fn wait(&self, table: &str, after: u64, wait_ms: u64) -> Result<Change, PlatformError> {
+        let path = format!("/v1/rows-feed?table={table}&after={after}&wait_ms={wait_ms}");
+        let (status, body) = self.get(path, wait_ms + FEED_SLACK_MS).await?;
+        match status {
+            StatusCode::OK => {
+                let page = parse(&body)?;
+                if page.rows.is_empty() {
+                    return Ok(Change::None { version: page.ver });
+                }
+                Ok(Change::Some)
+            }
+            // What has changed is no longer kept: all is to be read anew.
+            StatusCode::GONE => Ok(Change::Some),
+            status => Err(PlatformError::Refused(status)),
+        }
+    }
+
+    async fn transact(&self, body: &TransactionBody<'_>) -> Result<(), PlatformError> {
+        let body = serde_json::to_vec(body)
+            .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
+        let call = PlatformCall {
+            method: Method::POST,
+            to: self.addr,
+            path: "/v1/rows-tx".to_owned(),
+            headers: Vec::new(),
+            body,
+            timeout_ms: CALL_TIMEOUT_MS,
+        };
+        match self.caller.call(call).await? {
+            (StatusCode::OK, _) => Ok(()),
+            (status, _) => Err(PlatformError::Refused(status)),
+        }
+    }
+}
+
+fn parse(body: &[u8]) -> Result<RowsBody, PlatformError> {
+    serde_json::from_slice(body).map_err(|error| PlatformError::Unreadable(error.to_string()))
+}
+
+#[async_trait]
+impl SiteStore for RowsStore {
+    async fn read_news(&self) -> Result<News, StoreError> {
+        let (rows, version) = self.rows(OPERATORS_TABLE).await?;
+        let mut evacuated = BTreeSet::new();
+        let mut document = None;
+        for row in rows {
+            if let Some(zone) = row.key.strip_prefix(EVACUATE_PREFIX) {
+                evacuated.insert(zone.to_owned());
+            } else if row.key == CONFIG_KEY {
+                let value = STANDARD
+                    .decode(&row.value)
+                    .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
+                document = Some(Arc::from(value));
+            }
+        }
+        Ok(News {
+            version,
+            evacuated,
+            document,
+        })
+    }
+
+    async fn wait_for_news(&self, after: u64, wait_ms: u64) -> Result<Change, StoreError> {
+        Ok(self.wait(OPERATORS_TABLE, after, wait_ms).await?)
+    }
+
+    async fn read_entries(&self) -> Result<(Vec<SocketAddr>, u64), StoreError> {
+        let (rows, version) = self.rows(ENTRIES_TABLE).await?;
+        let entries = rows.iter().filter_map(|row| row.key.parse().ok());
+        Ok((entries.collect(), version))
+    }
+
+    async fn wait_for_entries(&self, after: u64, wait_ms: u64) -> Result<Change, StoreError> {
+        Ok(self.wait(ENTRIES_TABLE, after, wait_ms).await?)
+    }
+
+    async fn add_entry(&self, entry: SocketAddr) -> Result<(), StoreError> {
+        let key = entry.to_string();
+        let put = PutRow {
+            table: ENTRIES_TABLE,
+            part: "",
+            key: &key,
+            value: String::new(),
+        };
+        let body = TransactionBody {
+            puts: vec![put],
+            ..TransactionBody::default()
+        };
+        Ok(self.transact(&body).await?)
+    }
+
+    async fn remove_entry(&self, entry: SocketAddr) -> Result<(), StoreError> {
+        let key = entry.to_string();
+        let row = RowKey {
+            table: ENTRIES_TABLE,
+            part: "",
+            key: &key,
+        };
+        let body = TransactionBody {
+            remove: vec![row],
+            ..TransactionBody::default()
+        };
+        Ok(self.transact(&body).await?)
+    }
+}
--- /dev/null
+++ b/src/platform/worker_calls.rs
@@ -0,0 +1,272 @@
+//! Calls to the worker beside the agent.
+
+use {
+    super::{PlatformCaller, PlatformError, platform_caller::PlatformCall},
+    crate::{
+        core::{
+            execution::{
+                HoldAnswer, HoldCall, ListedEnd, ListedRun, StartAnswer, StartCall, StopCall,
+            },
+            link::RunEnd,
+            work::{JobId, TaskId},
+        },
+        ports::WorkerPort,
+    },
+    async_trait::async_trait,
+    http::{HeaderName, HeaderValue, Method, StatusCode},
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// Names the life of the worker that a call is meant for.
+const EXPECTED_INSTANCE: HeaderName = HeaderName::from_static("rattanslip-expected-instance");
+/// Time after which a start or stop without an answer is given up, in milliseconds.
+///
+/// The worker is on the same host and answers within a few milliseconds; a host whose processor share is
+/// used up stands still for up to a tenth of a second.
+const ORDER_TIMEOUT_MS: u64 = 160;
+/// Time beyond the asked wait after which a hold is given up, in milliseconds; as above.
+const HOLD_SLACK_MS: u64 = 160;
+
+#[derive(Debug, Serialize)]
+struct StartBody<'a> {
+    task: String,
+    run: u32,
+    spec: &'a str,
+    /// On the worker's clock; the end of the lease of everything that runs there.
+    deadline_ms: u64,
+    fencing_token: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct StopBody {
+    task: String,
+    run: u32,
+    fencing_token: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct HoldBody {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    deadline_ms: Option<u64>,
+    fencing_token: u64,
+    last_seen: u64,
+    #[serde(skip_serializing_if = "is_zero")]
+    wait_ms: u64,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the serializer passes a reference"
+)]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct ReasonBody {
+    #[serde(default)]
+    reason: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct ListsBody {
+    clock_ms: u64,
+    #[serde(default)]
+    born: Option<u64>,
+    #[serde(default)]
+    running: Vec<Vec<serde_json::Value>>,
+    #[serde(default)]
+    finished: Vec<Vec<serde_json::Value>>,
+}
+
+/// The worker at one address.
+#[derive(Debug)]
+pub(crate) struct HttpWorker {
+    caller: PlatformCaller,
+    addr: SocketAddr,
+}
+
+impl HttpWorker {
+    /// The worker that listens there.
+    pub(crate) const fn new(caller: PlatformCaller, addr: SocketAddr) -> Self {
+        Self { caller, addr }
+    }
+
+    async fn post<B: Serialize>(
+        &self,
+        path: &str,
+        worker: &str,
+        body: &B,
+        timeout_ms: u64,
+    ) -> Result<(StatusCode, bytes::Bytes), PlatformError> {
+        let expected = HeaderValue::from_str(worker)
+            .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
+        let body = serde_json::to_vec(body)
+            .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
+        self.caller
+            .call(PlatformCall {
+                method: Method::POST,
+                to: self.addr,
+                path: path.to_owned(),
+                headers: vec![(EXPECTED_INSTANCE, expected)],
+                body,
+                timeout_ms,
+            })
+            .await
+    }
+}
+
+#[async_trait]
+impl WorkerPort for HttpWorker {
+    async fn start(&self, call: &StartCall) -> StartAnswer {
+        let body = StartBody {
+            task: task_name(call.task),
+            run: call.number,
+            spec: &call.spec,
+            deadline_ms: call.lease_until_ms,
+            fencing_token: call.token,
+        };
+        let answer = self.post("/v1/run-start", &call.worker, &body, ORDER_TIMEOUT_MS);
+        match answer.await {
+            Ok((StatusCode::OK, _)) => StartAnswer::Accepted,
+            Ok((StatusCode::CONFLICT, body)) => conflict(&body),
+            Ok((StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE, _)) => {
+                StartAnswer::Unhealthy
+            }
+            Ok((status, _)) if status.is_client_error() => {
+                log::warn!(status:% = status; "the worker rejected a start");
+                StartAnswer::Rejected
+            }
+            Ok((status, _)) => {
+                log::warn!(status:% = status; "unexpected answer to a start");
+                StartAnswer::Unanswered
+            }
+            Err(error) => {
+                log::debug!(error:% = error; "a start was not answered");
+                StartAnswer::Unanswered
+            }
+        }
+    }
+
+    async fn stop(&self, call: &StopCall) -> bool {
+        let body = StopBody {
+            task: task_name(call.task),
+            run: call.number,
+            fencing_token: call.token,
+        };
+        let answer = self.post("/v1/run-stop", &call.worker, &body, ORDER_TIMEOUT_MS);
+        match answer.await {
+            Ok((status, _)) => status.is_success(),
+            Err(error) => {
+                log::debug!(error:% = error; "a stop was not answered");
+                false
+            }
+        }
+    }
+
+    async fn hold(&self, call: &HoldCall) -> HoldAnswer {
+        let body = HoldBody {
+            deadline_ms: call.lease_until_ms,
+            fencing_token: call.token,
+            last_seen: call.ends_seen,
+            wait_ms: call.wait_ms,
+        };
+        let timeout_ms = call.wait_ms + HOLD_SLACK_MS;
+        match self.post("/v1/hold", &call.worker, &body, timeout_ms).await {
+            Ok((StatusCode::OK, body)) => lists(&body),
+            Ok((StatusCode::CONFLICT, _)) => HoldAnswer::Fenced,
+            Ok((StatusCode::MISDIRECTED_REQUEST, _)) => HoldAnswer::OtherWorker,
+            Ok((status, _)) => {
+                log::warn!(status:% = status; "unexpected answer to a hold");
+                HoldAnswer::Unanswered
+            }
+            Err(error) => {
+                log::debug!(error:% = error; "a hold was not answered");
+                HoldAnswer::Unanswered
+            }
+        }
+    }
+}
+
+/// The middle part numbers a job's occurrences; jobs that run once have one, of number zero.
+fn task_name(task: TaskId) -> String {
+    format!("{}.0.{}.{}", task.job, task.step, task.index)
+}
+
+fn read_task_name(name: &str) -> Option<TaskId> {
+    let mut parts = name.split('.');
+    let job = JobId::parse(parts.next()?)?;
+    let _occurrence = parts.next()?;
+    Some(TaskId {
+        job,
+        step: parts.next()?.parse().ok()?,
+        index: parts.next()?.parse().ok()?,
+    })
+}
+
+/// What a rejection of a start says; unreadable ones count as rejected.
+fn conflict(body: &[u8]) -> StartAnswer {
+    let reason = serde_json::from_slice::<ReasonBody>(body)
+        .unwrap_or_default()
+        .reason;
+    match reason.as_str() {
+        "fence" => StartAnswer::Fenced,
+        "old" => StartAnswer::NumberUsed,
+        "late" => StartAnswer::Late,
+        "room" => StartAnswer::NoRoom,
+        other => {
+            log::warn!(reason = other; "the worker rejected a start");
+            StartAnswer::Rejected
+        }
+    }
+}
+
+/// The worker's lists; rows that can't be read are left aside.
+fn lists(body: &[u8]) -> HoldAnswer {
+    let body: ListsBody = match serde_json::from_slice(body) {
+        Ok(body) => body,
+        Err(error) => {
+            log::warn!(error:% = error; "the worker's lists can't be read");
+            return HoldAnswer::Unanswered;
+        }
+    };
+    HoldAnswer::Lists {
+        born_unix_ms: body.born,
+        clock_ms: body.clock_ms,
+        running: body
+            .running
+            .iter()
+            .filter_map(|row| listed_run(row))
+            .collect(),
+        ended: body
+            .finished
+            .iter()
+            .filter_map(|row| listed_end(row))
+            .collect(),
+    }
+}
+
+/// A row of task, run, and what this project makes no use of.
+fn listed_run(row: &[serde_json::Value]) -> Option<ListedRun> {
+    Some(ListedRun {
+        task: read_task_name(row.first()?.as_str()?)?,
+        number: u32::try_from(row.get(1)?.as_u64()?).ok()?,
+    })
+}
+
+/// A row of number, task, run, and how it ended.
+fn listed_end(row: &[serde_json::Value]) -> Option<ListedEnd> {
+    let end = match row.get(3)?.as_str()? {
+        "done" => RunEnd::Done,
+        "failed" => RunEnd::Failed,
+        "stopped" => RunEnd::Stopped,
+        _ => RunEnd::Lost,
+    };
+    Some(ListedEnd {
+        sequence: row.first()?.as_u64()?,
+        task: read_task_name(row.get(1)?.as_str()?)?,
+        number: u32::try_from(row.get(2)?.as_u64()?).ok()?,
+        end,
+    })
+}
--- a/src/ports/metrics.rs
+++ b/src/ports/metrics.rs
@@ -52,6 +52,16 @@
     }
 }
 
+reasons! {
+    /// A time that is measured again and again, in milliseconds.
+    Span {
+        /// From a job's arrival to its answer, by the answer.
+        JobTook => "rattanslip.job_took_ms",
+        /// From a job's arrival until its last task was ordered, by the answer.
+        JobWaited => "rattanslip.job_waited_ms",
+    }
+}
+
 /// Takes in counts and shows them.
 pub(crate) trait Metrics: Debug + Send + Sync {
     /// Adds one to a counter under a reason.
@@ -65,6 +75,9 @@
     /// Sets a gauge.
     fn set(&self, gauge: Gauge, value: u64);
 
+    /// Takes in a time that was measured.
+    fn observe(&self, span: Span, reason: &'static str, elapsed_ms: u64);
+
     /// All values in Prometheus's text format.
     fn render(&self) -> String;
 }
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -1,18 +1,24 @@
 //! The borders: traits behind which the network, the platform, time and metrics stand.
 
 mod backend_server;
+mod decision_log;
 mod metrics;
 mod peer_network;
+mod site_store;
 mod store;
 mod timer_service;
+mod worker_port;
 
 #[cfg(test)]
 mod tests;
 
 pub(crate) use {
     backend_server::BackendServer,
-    metrics::{Counter, Gauge, Metrics},
+    decision_log::{DecisionLog, LineRank, note},
+    metrics::{Counter, Gauge, Metrics, Span},
     peer_network::{PeerError, PeerNetwork, SessionIo},
+    site_store::{Change, SiteStore},
     store::{Check, ObjectStore, Put, Row, StoreError, Table, Transaction, TransactionOutcome},
     timer_service::TimerService,
+    worker_port::WorkerPort,
 };
--- /dev/null
+++ b/src/site_agent/execution_loop.rs
@@ -0,0 +1,179 @@
+//! Feeds the executor and carries its actions out.
+
+use {
+    crate::{
+        adapters::link::FrameDuplex,
+        core::{
+            execution::{ExecutionAction, ExecutionEvent, ExecutionNote, Executor, SessionId},
+            link::{AgentFrame, EntryFrame},
+        },
+        ports::{Counter, DecisionLog, Gauge, LineRank, Metrics, TimerService, WorkerPort, note},
+    },
+    std::{collections::BTreeMap, sync::Arc},
+    tokio::sync::{mpsc, oneshot},
+};
+
+/// Pause between ticks, in milliseconds: rights and leases are kept to within as much.
+const TICK_MS: u64 = 20;
+
+/// A session with an entry.
+pub(super) type EntryLink = FrameDuplex<EntryFrame, AgentFrame>;
+
+/// Something for the loop.
+#[derive(Debug)]
+pub(super) enum LoopInput {
+    /// Something for the executor.
+    Event(ExecutionEvent),
+    /// The same from the worker, which waits until it has been acted on.
+    Report {
+        event: ExecutionEvent,
+        taken: oneshot::Sender<()>,
+    },
+    /// A session with an entry is open.
+    Opened {
+        session: SessionId,
+        entry: String,
+        outgoing: mpsc::UnboundedSender<AgentFrame>,
+        /// Told once the session has ended and nothing of it is left.
+        cleared: oneshot::Sender<()>,
+    },
+    /// Runs that are not over.
+    CountRuns { count: oneshot::Sender<usize> },
+}
+
+/// Owns the executor.
+#[derive(Debug)]
+pub(super) struct ExecutionLoop {
+    pub(super) executor: Executor,
+    pub(super) worker: Arc<dyn WorkerPort>,
+    pub(super) timer: Arc<dyn TimerService>,
+    pub(super) decisions: Arc<dyn DecisionLog>,
+    pub(super) metrics: Arc<dyn Metrics>,
+    pub(super) sessions: BTreeMap<SessionId, mpsc::UnboundedSender<AgentFrame>>,
+    pub(super) clearing: BTreeMap<SessionId, oneshot::Sender<()>>,
+    pub(super) inputs_back: mpsc::UnboundedSender<LoopInput>,
+}
+
+impl ExecutionLoop {
+    /// Runs for as long as the process lives.
+    pub(super) async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<LoopInput>) {
+        let mut ticks = self.timer.subscribe(TICK_MS);
+        loop {
+            tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => self.take_input(input),
+                    None => return,
+                },
+                tick = ticks.recv() => match tick {
+                    Some(_) => self.handle(ExecutionEvent::Tick),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn take_input(&mut self, input: LoopInput) {
+        match input {
+            LoopInput::Event(event) => self.handle(event),
+            LoopInput::Report { event, taken } => {
+                self.handle(event);
+                // The worker may have given up waiting.
+                let _ = taken.send(());
+            }
+            LoopInput::Opened {
+                session,
+                entry,
+                outgoing,
+                cleared,
+            } => {
+                self.sessions.insert(session, outgoing);
+                self.clearing.insert(session, cleared);
+                self.handle(ExecutionEvent::SessionOpened { session, entry });
+            }
+            LoopInput::CountRuns { count } => {
+                let _ = count.send(self.executor.run_count());
+            }
+        }
+    }
+
+    fn handle(&mut self, event: ExecutionEvent) {
+        let now = self.timer.now();
+        for action in self.executor.handle(now, event) {
+            self.carry_out(action);
+        }
+        let runs = u64::try_from(self.executor.run_count()).unwrap_or(u64::MAX);
+        self.metrics.set(Gauge::TasksRunning, runs);
+    }
+
+    fn carry_out(&mut self, action: ExecutionAction) {
+        match action {
+            ExecutionAction::Send { session, frame } => {
+                // A session that has ended is told of by its reader.
+                if let Some(outgoing) = self.sessions.get(&session) {
+                    let _ = outgoing.send(frame);
+                }
+            }
+            ExecutionAction::Close { session } => {
+                self.sessions.remove(&session);
+            }
+            ExecutionAction::Cleared { session } => {
+                self.sessions.remove(&session);
+                if let Some(cleared) = self.clearing.remove(&session) {
+                    let _ = cleared.send(());
+                }
+            }
+            ExecutionAction::Start(call) => {
+                self.metrics.count(Counter::Starts, "ordered");
+                self.call(async |worker| {
+                    let answer = worker.start(&call).await;
+                    ExecutionEvent::StartAnswered { call, answer }
+                });
+            }
+            ExecutionAction::Stop(call) => self.call(async |worker| {
+                let confirmed = worker.stop(&call).await;
+                ExecutionEvent::StopAnswered { call, confirmed }
+            }),
+            ExecutionAction::Hold(call) => self.call(async |worker| {
+                let answer = worker.hold(&call).await;
+                ExecutionEvent::HoldAnswered { call, answer }
+            }),
+            ExecutionAction::Note(decision) => self.write_down(&decision),
+        }
+    }
+
+    /// Calls the worker beside the loop, which takes the answer in as an event.
+    fn call<C, F>(&self, call: C)
+    where
+        C: FnOnce(Arc<dyn WorkerPort>) -> F,
+        F: Future<Output = ExecutionEvent> + Send + 'static,
+    {
+        let inputs = self.inputs_back.clone();
+        let answered = call(Arc::clone(&self.worker));
+        tokio::spawn(async move {
+            // The loop ends only with the process.
+            let _ = inputs.send(LoopInput::Event(answered.await));
+        });
+    }
+
+    fn write_down(&self, decision: &ExecutionNote) {
+        match decision {
+            ExecutionNote::RunNotStarted { reason, .. } => {
+                self.metrics.count(Counter::Refusals, reason);
+            }
+            ExecutionNote::RunEnded { end, .. } => self.metrics.count(Counter::Retries, end),
+            ExecutionNote::OrderUnanswered { .. } => {
+                self.metrics.count(Counter::Retries, "order_unanswered");
+            }
+            ExecutionNote::Fenced { .. } => self.metrics.count(Counter::Retries, "fenced"),
+            ExecutionNote::EntryConnected { .. }
+            | ExecutionNote::EntryLost { .. }
+            | ExecutionNote::WorkerSeen { .. }
+            | ExecutionNote::WorkerDraining { .. }
+            | ExecutionNote::WorkerLost { .. }
+            | ExecutionNote::WorkerReady { .. }
+            | ExecutionNote::StrayRun { .. }
+            | ExecutionNote::NewsTaken { .. } => {}
+        }
+        note(&*self.decisions, LineRank::Notable, decision);
+    }
+}
--- /dev/null
+++ b/src/site_agent/run.rs
@@ -0,0 +1,148 @@
+//! Wires an agent together and runs it until it is told to stop.
+
+use {
+    super::{
+        dialler::Dialler,
+        execution_loop::{ExecutionLoop, LoopInput},
+        worker_ear::WorkerEar,
+    },
+    crate::{
+        adapters::{
+            http::{HttpHandler, serve_http},
+            logging::DecisionWriter,
+            metrics::OtelMetrics,
+            timer::BootTimer,
+        },
+        cli::{RunError, reload_signals, stop_signal},
+        conf::SiteAgentSettings,
+        core::execution::{ExecutionEvent, Executor, ExecutorSettings},
+        platform::{HttpWorker, PlatformCaller, RowsStore},
+        ports::{DecisionLog, LineRank, Metrics, note},
+        site_entry::{ProcessNote, ServiceProbe},
+    },
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, atomic::AtomicU64},
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        net::TcpListener,
+        sync::{mpsc, oneshot, watch},
+        time::{Instant, sleep},
+    },
+};
+
+/// Time before the process is killed at which it ends by itself, in milliseconds.
+const LAST_MS: u64 = 400;
+/// Pause between looks at whether all runs are over, in milliseconds.
+const LOOK_MS: u64 = 50;
+/// Time beyond a lease after which nothing runs that an earlier process had started, in milliseconds.
+const LEASE_SLACK_MS: u64 = 60;
+
+/// Runs until the process is told to stop and its runs are over.
+pub(crate) async fn run_site_agent(settings: SiteAgentSettings) -> Result<(), RunError> {
+    let site = &settings.site;
+    let metrics: Arc<dyn Metrics> = Arc::new(OtelMetrics::new().map_err(RunError::metrics)?);
+    let writer = DecisionWriter::start(&site.name).map_err(RunError::Runtime)?;
+    let decisions: Arc<dyn DecisionLog> = Arc::new(writer);
+    let (inputs, taken) = mpsc::unbounded_channel();
+    let caller = PlatformCaller::new();
+    let executor = Executor::new(ExecutorSettings {
+        agent: site.name.clone(),
+        service: settings.service.clone(),
+        limits: site.limits,
+        first_token: first_token(),
+    });
+    let execution = ExecutionLoop {
+        executor,
+        worker: Arc::new(HttpWorker::new(caller.clone(), settings.worker)),
+        timer: Arc::new(BootTimer),
+        decisions: Arc::clone(&decisions),
+        metrics: Arc::clone(&metrics),
+        sessions: BTreeMap::new(),
+        clearing: BTreeMap::new(),
+        inputs_back: inputs.clone(),
+    };
+    let ear: Arc<dyn HttpHandler> = Arc::new(WorkerEar {
+        inputs: inputs.clone(),
+        metrics: Arc::clone(&metrics),
+    });
+    let probe: Arc<dyn HttpHandler> = Arc::new(ServiceProbe {
+        metrics: Arc::clone(&metrics),
+    });
+    let dialler = Arc::new(Dialler {
+        store: Arc::new(RowsStore::new(caller, site.store)),
+        inputs: inputs.clone(),
+        metrics,
+        last_session: AtomicU64::new(1),
+    });
+    let listen = async |addr| {
+        let bound = TcpListener::bind(addr).await;
+        bound.map_err(|error| RunError::Listen(addr, error))
+    };
+    let (_stop, stopped) = watch::channel(false);
+    let worker = listen(settings.worker_listen).await?;
+    let readers = listen(site.metrics_listen).await?;
+    tokio::spawn(execution.run(taken));
+    tokio::spawn(serve_http(worker, ear, stopped.clone()));
+    tokio::spawn(serve_http(readers, probe, stopped));
+    tokio::spawn(reload_signals(Arc::clone(&decisions)));
+    let started = ProcessNote::Started {
+        version: env!("CARGO_PKG_VERSION"),
+        availability_zone: site.availability_zone.clone(),
+    };
+    note(&*decisions, LineRank::Notable, &started);
+    // Guards against two runs of a task: a session's hello says that nothing from before runs
+    // here, but a process that was killed a moment ago may have left runs at the worker. Nobody
+    // renews their lease, so they are over before the first session is opened.
+    let lapse = Duration::from_millis(site.limits.lapse_ms() + LEASE_SLACK_MS);
+    tokio::spawn(async move {
+        sleep(lapse).await;
+        dialler.follow().await;
+    });
+
+    stop_signal().await;
+    end(&inputs, &*decisions, site.stop_grace_s * 1_000).await;
+    Ok(())
+}
+
+/// A fencing token above those of this agent's earlier processes, as long as the time of day is right.
+///
+/// Where it isn't, the worker rejects the token and the executor raises it.
+fn first_token() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.unwrap_or_default().as_secs()
+}
+
+async fn count_runs(inputs: &mpsc::UnboundedSender<LoopInput>) -> usize {
+    let (count, counted) = oneshot::channel();
+    if inputs.send(LoopInput::CountRuns { count }).is_err() {
+        return 0;
+    }
+    counted.await.unwrap_or(0)
+}
+
+/// Takes nothing new and waits until what runs is over.
+async fn end(
+    inputs: &mpsc::UnboundedSender<LoopInput>,
+    decisions: &dyn DecisionLog,
+    grace_ms: u64,
+) {
+    let last_at = Instant::now() + Duration::from_millis(grace_ms.saturating_sub(LAST_MS));
+    let open = count_runs(inputs).await;
+    note(
+        decisions,
+        LineRank::Notable,
+        &ProcessNote::Stopping { open, grace_ms },
+    );
+    // The loop ends only with the process.
+    let _ = inputs.send(LoopInput::Event(ExecutionEvent::Leave));
+    while Instant::now() < last_at && count_runs(inputs).await > 0 {
+        sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+    // Ends that were just told are still on their way out.
+    sleep(Duration::from_millis(LOOK_MS)).await;
+    let open = count_runs(inputs).await;
+    note(decisions, LineRank::Notable, &ProcessNote::Stopped { open });
+    sleep(Duration::from_millis(LOOK_MS)).await;
+}
--- /dev/null
+++ b/src/site_entry/mod.rs
@@ -0,0 +1,11 @@
+//! `rattanslip-entry` on a site: takes clients' jobs and drives the dispatcher.
+
+mod dispatch_loop;
+mod front;
+mod news_keeper;
+mod process_note;
+mod ready_probe;
+mod run;
+mod state;
+
+pub(crate) use {process_note::ProcessNote, ready_probe::ServiceProbe, run::run_site_entry};
--- /dev/null
+++ b/src/site_entry/news_keeper.rs
@@ -0,0 +1,173 @@
+//! Keeps what operators have set up to date, and this entry on the list of entries.
+
+use {
+    super::{dispatch_loop::LoopInput, process_note::ProcessNote, state::EntryState},
+    crate::{
+        core::{dispatch::DispatchEvent, link::News},
+        platform::read_config,
+        ports::{Change, Counter, DecisionLog, LineRank, Metrics, SiteStore, StoreError, note},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::{sync::mpsc, time::sleep},
+};
+
+/// Longest wait for a change in one call, in milliseconds.
+///
+/// A connection that has gone silent is found half a second after it; a change must be in
+/// force two seconds after it was made.
+const WAIT_MS: u64 = 1_000;
+/// Pauses after calls that failed, in milliseconds; the first is doubled up to the last.
+const FIRST_PAUSE_MS: u64 = 50;
+const LAST_PAUSE_MS: u64 = 400;
+
+/// A dependency that may be away.
+#[derive(Debug)]
+struct StoreWatch {
+    call: &'static str,
+    lost_at: Option<Instant>,
+    pause_ms: u64,
+}
+
+impl StoreWatch {
+    const fn new(call: &'static str) -> Self {
+        Self {
+            call,
+            lost_at: None,
+            pause_ms: FIRST_PAUSE_MS,
+        }
+    }
+}
+
+/// Reads news, passes them on, and remembers the newest.
+#[derive(Debug)]
+pub(super) struct NewsKeeper {
+    pub(super) store: Arc<dyn SiteStore>,
+    pub(super) state: Arc<EntryState>,
+    pub(super) inputs: mpsc::UnboundedSender<LoopInput>,
+    pub(super) decisions: Arc<dyn DecisionLog>,
+    pub(super) metrics: Arc<dyn Metrics>,
+    pub(super) newest: Mutex<Option<News>>,
+}
+
+impl NewsKeeper {
+    /// Follows the operators' rows for as long as the process lives.
+    pub(super) async fn follow(self: Arc<Self>) {
+        let mut watch = StoreWatch::new("news");
+        loop {
+            match self.store.read_news().await {
+                Ok(news) => {
+                    self.regained(&mut watch);
+                    let version = news.version;
+                    self.take(news, "store");
+                    self.wait_for_change(version, &mut watch).await;
+                }
+                Err(error) => self.lost(&mut watch, &error).await,
+            }
+        }
+    }
+
+    /// Returns when the rows are to be read anew.
+    async fn wait_for_change(&self, read_at: u64, watch: &mut StoreWatch) {
+        let mut after = read_at;
+        loop {
+            match self.store.wait_for_news(after, WAIT_MS).await {
+                Ok(Change::None { version }) => {
+                    self.regained(watch);
+                    after = version;
+                }
+                Ok(Change::Some) => {
+                    self.regained(watch);
+                    return;
+                }
+                Err(error) => self.lost(watch, &error).await,
+            }
+        }
+    }
+
+    /// Puts this entry on the list.
+    pub(super) async fn join(&self, entry: SocketAddr) {
+        let mut watch = StoreWatch::new("join");
+        loop {
+            match self.store.add_entry(entry).await {
+                Ok(()) => {
+                    self.regained(&mut watch);
+                    return;
+                }
+                Err(error) => self.lost(&mut watch, &error).await,
+            }
+        }
+    }
+
+    fn regained(&self, watch: &mut StoreWatch) {
+        self.metrics.count(Counter::StoreCalls, "answered");
+        watch.pause_ms = FIRST_PAUSE_MS;
+        if let Some(lost_at) = watch.lost_at.take() {
+            let away_ms = u64::try_from(lost_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let call = watch.call;
+            let regained = ProcessNote::StoreRegained { call, away_ms };
+            note(&*self.decisions, LineRank::Notable, &regained);
+        }
+    }
+
+    async fn lost(&self, watch: &mut StoreWatch, error: &StoreError) {
+        let outcome = match error {
+            StoreError::Unavailable(_) => "unavailable",
+            StoreError::OutcomeUnknown(_) => "outcome_unknown",
+        };
+        self.metrics.count(Counter::StoreCalls, outcome);
+        if watch.lost_at.is_none() {
+            watch.lost_at = Some(Instant::now());
+            let lost = ProcessNote::StoreLost {
+                call: watch.call,
+                cause: error.to_string(),
+            };
+            note(&*self.decisions, LineRank::Notable, &lost);
+        }
+        // A quarter up or down, so that entries that lost the store together don't return together.
+        let jitter = rand::random_range(75..=125);
+        sleep(Duration::from_millis(watch.pause_ms * jitter / 100)).await;
+        watch.pause_ms = (watch.pause_ms * 2).min(LAST_PAUSE_MS);
+    }
+
+    /// Goes by news, unless newer ones are known or they can't be read.
+    pub(super) fn take(&self, news: News, source: &'static str) {
+        let mut newest = self.newest.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = newest.as_ref();
+        if known.is_some_and(|known| known.version >= news.version) {
+            return;
+        }
+        if news.document.is_some() && known.is_none_or(|known| known.document != news.document) {
+            self.put_in_force(&news, source);
+        }
+        // The loop ends only with the process.
+        let _ = self
+            .inputs
+            .send(LoopInput::Event(DispatchEvent::News(news.clone())));
+        *newest = Some(news);
+    }
+
+    fn put_in_force(&self, news: &News, source: &'static str) {
+        let config = match read_config(news) {
+            Ok(config) => config,
+            Err(error) => {
+                let cause = error.to_string();
+                let unreadable = ProcessNote::ConfigUnreadable { cause };
+                note(&*self.decisions, LineRank::Notable, &unreadable);
+                return;
+            }
+        };
+        let in_force = ProcessNote::ConfigInForce {
+            version: config.version,
+            store_version: news.version,
+            routes: config.routes.len(),
+            services: config.services.len(),
+            source,
+        };
+        self.state.set_config(config);
+        note(&*self.decisions, LineRank::Notable, &in_force);
+    }
+}
--- /dev/null
+++ b/src/site_entry/process_note.rs
@@ -0,0 +1,65 @@
+//! What befalls a process as a whole, for the log.
+
+use serde::Serialize;
+
+/// One event of the process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub(crate) enum ProcessNote {
+    /// It has begun to serve.
+    Started {
+        /// Its version.
+        version: &'static str,
+        /// Its availability zone.
+        availability_zone: String,
+    },
+    /// It was told to end.
+    Stopping {
+        /// Jobs or runs that are under way.
+        open: usize,
+        /// Time until it is killed.
+        grace_ms: u64,
+    },
+    /// It ends.
+    Stopped {
+        /// Jobs or runs that were still under way.
+        open: usize,
+    },
+    /// Its settings file was named as changed.
+    Reloaded {
+        /// What was made of it.
+        outcome: &'static str,
+    },
+    /// The store does not answer.
+    StoreLost {
+        /// What was asked.
+        call: &'static str,
+        /// Why.
+        cause: String,
+    },
+    /// The store answers again.
+    StoreRegained {
+        /// What was asked.
+        call: &'static str,
+        /// For how long it did not.
+        away_ms: u64,
+    },
+    /// Another configuration is in force.
+    ConfigInForce {
+        /// Its version.
+        version: u64,
+        /// Version of the store at which it was read.
+        store_version: u64,
+        /// Its routes.
+        routes: usize,
+        /// Its services.
+        services: usize,
+        /// Where it came from.
+        source: &'static str,
+    },
+    /// A configuration can't be read; the one before stays in force.
+    ConfigUnreadable {
+        /// Why.
+        cause: String,
+    },
+}
