News without the document no longer hide the document

Cause: an entry that the store turned away was told of the change by an agent that holds news without the document; the same version with the document was then taken for old. Ruled out: the feed (it answered after 0.18 s) and the relay's pause. Now agents pass on only news with the document, and news with it go before the same version without (News::is_newer_than).

--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -164,11 +164,7 @@
     }
 
     pub(super) fn on_news(&mut self, news: News) {
-        if self
-            .news
-            .as_ref()
-            .is_some_and(|known| known.version >= news.version)
-        {
+        if !news.is_newer_than(self.news.as_ref()) {
             return;
         }
         self.note(DispatchNote::NewsInForce {
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -96,7 +96,7 @@
     /// nothing, and the entry knows an upper bound of it from when the stamp arrived there.
     fn on_beat(&mut self, now: Instant, session: SessionId, echo_us: u64, news_version: u64) {
         let silence_ms = self.settings.limits.silence_ms;
-        let known = self.news.as_ref().map_or(0, |news| news.version);
+        let known = self.relayed_news().map_or(0, |news| news.version);
         let Some(link) = self.sessions.get_mut(&session) else {
             return;
         };
@@ -120,21 +120,19 @@
                 stamp_us: now.as_micros(),
             },
         );
-        if let Some(news) = self.news.clone().filter(|_| relay) {
+        if let Some(news) = self.relayed_news().cloned().filter(|_| relay) {
             self.send(session, AgentFrame::News(news));
         }
     }
 
+    /// News that an entry can go by: those without the document don't tell it the routes.
+    fn relayed_news(&self) -> Option<&News> {
+        self.news.as_ref().filter(|news| news.document.is_some())
+    }
+
     /// Takes in news unless it is older than what is known.
-    ///
-    /// News with the document goes before the same news without it, so that it can be passed on.
     fn take_news(&mut self, news: News) {
-        let key = |news: &News| (news.version, news.document.is_some());
-        if self
-            .news
-            .as_ref()
-            .is_some_and(|known| key(known) >= key(&news))
-        {
+        if !news.is_newer_than(self.news.as_ref()) {
             return;
         }
         self.note(ExecutionNote::NewsTaken {
--- a/src/core/link/news.rs
+++ b/src/core/link/news.rs
@@ -15,3 +15,17 @@
     /// The operators' document as it lies in the store; absent where the reader only needs the zones.
     pub(crate) document: Option<Arc<[u8]>>,
 }
+
+impl News {
+    /// Whether these say more than the known ones.
+    ///
+    /// Guards against a change that stays unknown: news may come without the document first, and
+    /// the same version with the document must then not be taken for old.
+    pub(crate) fn is_newer_than(&self, known: Option<&Self>) -> bool {
+        known.is_none_or(|known| self.rank() > known.rank())
+    }
+
+    const fn rank(&self) -> (u64, bool) {
+        (self.version, self.document.is_some())
+    }
+}
--- a/src/site_entry/mod.rs
+++ b/src/site_entry/mod.rs
@@ -8,4 +8,7 @@
 mod run;
 mod state;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use {process_note::ProcessNote, ready_probe::ServiceProbe, run::run_site_entry};
--- a/src/site_entry/news_keeper.rs
+++ b/src/site_entry/news_keeper.rs
@@ -137,7 +137,7 @@
     pub(super) fn take(&self, news: News, source: &'static str) {
         let mut newest = self.newest.lock().unwrap_or_else(PoisonError::into_inner);
         let known = newest.as_ref();
-        if known.is_some_and(|known| known.version >= news.version) {
+        if !news.is_newer_than(known) {
             return;
         }
         if news.document.is_some() && known.is_none_or(|known| known.document != news.document) {
@@ -160,6 +160,14 @@
                 return;
             }
         };
+        // The document's own version never goes back in one process, whatever the store says.
+        if self
+            .state
+            .config()
+            .is_some_and(|known| known.version > config.version)
+        {
+            return;
+        }
         let in_force = ProcessNote::ConfigInForce {
             version: config.version,
             store_version: news.version,
--- /dev/null
+++ b/src/site_entry/tests/fakes.rs
@@ -0,0 +1,89 @@
+//! Fakes of the ports.
+
+use {
+    crate::{
+        core::link::News,
+        ports::{
+            Change, Counter, DecisionLog, Gauge, LineRank, Metrics, SiteStore, Span, StoreError,
+        },
+    },
+    async_trait::async_trait,
+    serde_json::Value,
+    std::{
+        net::SocketAddr,
+        sync::{Mutex, PoisonError},
+    },
+};
+
+/// Counts nothing.
+#[derive(Debug)]
+pub(super) struct NoMetrics;
+
+impl Metrics for NoMetrics {
+    fn add(&self, _: Counter, _: &'static str, _: u64) {}
+
+    fn set(&self, _: Gauge, _: u64) {}
+
+    fn observe(&self, _: Span, _: &'static str, _: u64) {}
+
+    fn render(&self) -> String {
+        String::new()
+    }
+}
+
+/// Remembers the lines.
+#[derive(Debug, Default)]
+pub(super) struct Lines(Mutex<Vec<Value>>);
+
+impl Lines {
+    /// Names of the events, in order.
+    pub(super) fn events(&self) -> Vec<String> {
+        let lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let names = lines.iter().filter_map(|line| line["event"].as_str());
+        names.map(str::to_owned).collect()
+    }
+}
+
+impl DecisionLog for Lines {
+    fn write(&self, _: LineRank, fields: Value) {
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(fields);
+    }
+}
+
+/// A store that never answers.
+#[derive(Debug)]
+pub(super) struct NoStore;
+
+fn away<T>() -> Result<T, StoreError> {
+    Err(StoreError::Unavailable("away".to_owned()))
+}
+
+#[async_trait]
+impl SiteStore for NoStore {
+    async fn read_news(&self) -> Result<News, StoreError> {
+        away()
+    }
+
+    async fn wait_for_news(&self, _: u64, _: u64) -> Result<Change, StoreError> {
+        away()
+    }
+
+    async fn read_entries(&self) -> Result<(Vec<SocketAddr>, u64), StoreError> {
+        away()
+    }
+
+    async fn wait_for_entries(&self, _: u64, _: u64) -> Result<Change, StoreError> {
+        away()
+    }
+
+    async fn add_entry(&self, _: SocketAddr) -> Result<(), StoreError> {
+        away()
+    }
+
+    async fn remove_entry(&self, _: SocketAddr) -> Result<(), StoreError> {
+        away()
+    }
+}
--- /dev/null
+++ b/src/site_entry/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of an entry's parts against fakes.
+
+mod fakes;
+mod news;
