A seeded harness of entries, agents and workers; an entry that was suspended or cut off gives its jobs up

Ruled out: the agents' bound on silence (they had stopped all in time). Now a gap in the entry's own work, or no word from any agent for three quarters of the time after which clients send again, ends the open jobs with "may have run", and nothing starts for 100 ms after a gap.

--- a/src/core/dispatch/dispatch_note.rs
+++ b/src/core/dispatch/dispatch_note.rs
@@ -84,6 +84,20 @@
         /// The client's estimate.
         estimate_ms: u64,
     },
+    /// The process did nothing for a while: it was suspended or got no processor time.
+    Woke {
+        /// For how long.
+        after_ms: u64,
+        /// Jobs that are open.
+        open: usize,
+    },
+    /// A job is given up, since this entry may be cut off and a copy of the job run elsewhere.
+    JobIsolated {
+        /// The job.
+        job: String,
+        /// Age of the newest word of any agent.
+        heard_ms_ago: u64,
+    },
     /// An agent's session is open.
     AgentConnected {
         /// The agent.
--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -4,6 +4,7 @@
     super::{
         Answer, DispatchAction, DispatchEvent, DispatchNote, LinkId, RefusalReason, Submission,
         WaiterId,
+        contact::Contact,
         job::{Job, JobKey},
         queue::{TaskQueue, Waiting},
         worker_link::{WorkerKey, WorkerLink},
@@ -39,6 +40,7 @@
     pub(super) by_link: BTreeMap<LinkId, WorkerKey>,
     pub(super) news: Option<News>,
     pub(super) leaving_since: Option<Instant>,
+    pub(super) contact: Contact,
     pub(super) actions: Vec<DispatchAction>,
 }
 
@@ -57,6 +59,7 @@
             by_link: BTreeMap::new(),
             news: None,
             leaving_since: None,
+            contact: Contact::default(),
             actions: Vec::new(),
         }
     }
@@ -86,10 +89,13 @@
         now: Instant,
         events: impl IntoIterator<Item = DispatchEvent>,
     ) -> Vec<DispatchAction> {
+        self.note_gap(now);
         for event in events {
             self.react(now, event);
         }
-        self.place_tasks(now);
+        if self.contact.may_start(now) {
+            self.place_tasks(now);
+        }
         mem::take(&mut self.actions)
     }
 
@@ -108,6 +114,7 @@
     fn on_tick(&mut self, now: Instant) {
         self.tend_links(now);
         self.end_overdue_jobs(now);
+        self.end_isolated_jobs(now);
         self.stop_overdue_runs(now);
     }
 
--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -29,6 +29,7 @@
             return;
         };
         worker.heard_at = now;
+        self.contact.heard(now);
         match frame {
             AgentFrame::Hello { .. } => {}
             AgentFrame::Beat { stamp_us } => worker.note_stamp(now, stamp_us),
@@ -76,6 +77,7 @@
             self.by_link.remove(&replaced);
             self.actions.push(DispatchAction::Close { link: replaced });
         }
+        self.contact.heard(now);
         self.note(DispatchNote::AgentConnected { agent });
         self.send_news(key);
         self.beat(now, key);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -26,3 +26,6 @@
 pub(crate) mod time;
 pub(crate) mod verdict;
 pub(crate) mod work;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/core/tests/chance.rs
@@ -0,0 +1,31 @@
+//! Seeded chance.
+
+use {
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+};
+
+/// The only source of chance in a run.
+#[derive(Debug)]
+pub(super) struct Chance(ChaCha8Rng);
+
+impl Chance {
+    pub(super) fn new(seed: u64) -> Self {
+        Self(ChaCha8Rng::seed_from_u64(seed))
+    }
+
+    /// A number from `low` up to `high`, not `high` itself.
+    pub(super) fn between(&mut self, low: u64, high: u64) -> u64 {
+        self.0.random_range(low..high.max(low + 1))
+    }
+
+    /// True in so many of a hundred cases.
+    pub(super) fn percent(&mut self, percent: u64) -> bool {
+        self.between(0, 100) < percent
+    }
+
+    /// One of so many.
+    pub(super) fn pick(&mut self, count: usize) -> usize {
+        self.between(0, count as u64) as usize
+    }
+}
--- /dev/null
+++ b/src/core/tests/client_model.rs
@@ -0,0 +1,23 @@
+//! Clients that send a job again when they hear nothing.
+
+use crate::core::{time::Instant, work::JobId};
+
+/// Pause before a job is sent again, in milliseconds.
+pub(super) const RESEND_MS: u64 = 1_300;
+
+/// A client with one job.
+#[derive(Debug)]
+pub(super) struct ClientModel {
+    pub(super) job: JobId,
+    pub(super) tasks: u16,
+    pub(super) run_ms: u64,
+    /// When it stops waiting for good.
+    pub(super) deadline: Instant,
+    /// The call that it waits on: entry, the entry's life, waiter.
+    pub(super) call: Option<(usize, u64, u64)>,
+    pub(super) calls: u32,
+    /// Calls that were answered with "not run".
+    pub(super) not_run: u32,
+    /// It has its final answer, or has given up.
+    pub(super) ended: bool,
+}
--- /dev/null
+++ b/src/core/tests/worker_model.rs
@@ -0,0 +1,208 @@
+//! A worker as the platform describes it.
+
+use {
+    crate::core::{
+        execution::{HoldAnswer, HoldCall, ListedEnd, ListedRun, StartAnswer, StartCall, StopCall},
+        link::RunEnd,
+        time::Instant,
+        work::{TaskId, WorkerLife},
+    },
+    std::collections::BTreeMap,
+};
+
+/// Longest lease that a worker grants, in milliseconds.
+const LONGEST_LEASE_MS: u64 = 1_000;
+/// Room of a worker, in tasks.
+pub(super) const ROOM: usize = 4;
+
+/// A run at the worker.
+#[derive(Debug, Clone, Copy)]
+struct RunAtWork {
+    number: u32,
+    done_at: Instant,
+    how: RunEnd,
+}
+
+/// One worker; a crash begins another life.
+#[derive(Debug)]
+pub(super) struct WorkerModel {
+    pub(super) life: WorkerLife,
+    pub(super) alive: bool,
+    pub(super) draining: bool,
+    pub(super) reports: u64,
+    /// Tasks stand still: nothing ends by itself.
+    pub(super) hangs: bool,
+    born_at: Instant,
+    /// Its clock runs so many thousandths slow.
+    slow_permille: u64,
+    runs: BTreeMap<TaskId, RunAtWork>,
+    used: BTreeMap<TaskId, u32>,
+    ended: Vec<ListedEnd>,
+    last_end: u64,
+    token: u64,
+    lease_until_ms: u64,
+}
+
+impl WorkerModel {
+    pub(super) fn new(now: Instant, id: String, born_unix_ms: u64, slow_permille: u64) -> Self {
+        Self {
+            life: WorkerLife { id, born_unix_ms },
+            alive: true,
+            draining: false,
+            reports: 0,
+            hangs: false,
+            born_at: now,
+            slow_permille,
+            runs: BTreeMap::new(),
+            used: BTreeMap::new(),
+            ended: Vec::new(),
+            last_end: 0,
+            token: 0,
+            lease_until_ms: 0,
+        }
+    }
+
+    fn clock_ms(&self, now: Instant) -> u64 {
+        now.millis_since(self.born_at) * (1_000 - self.slow_permille) / 1_000
+    }
+
+    /// Whether the task is at work here.
+    pub(super) fn is_running(&self, task: TaskId) -> bool {
+        self.alive && self.runs.contains_key(&task)
+    }
+
+    pub(super) fn run_count(&self) -> usize {
+        if self.alive { self.runs.len() } else { 0 }
+    }
+
+    /// Ends what is due by now, and everything when the lease is over; the tasks that are done.
+    pub(super) fn advance(&mut self, now: Instant) -> Vec<TaskId> {
+        let lapsed = self.clock_ms(now) >= self.lease_until_ms;
+        let due: Vec<(TaskId, u32, RunEnd)> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| lapsed || (now >= run.done_at && !self.hangs))
+            .map(|(task, run)| {
+                (
+                    *task,
+                    run.number,
+                    if lapsed { RunEnd::Lost } else { run.how },
+                )
+            })
+            .collect();
+        let mut done = Vec::new();
+        for (task, number, end) in due {
+            self.end(task, number, end);
+            if end == RunEnd::Done {
+                done.push(task);
+            }
+        }
+        done
+    }
+
+    fn end(&mut self, task: TaskId, number: u32, end: RunEnd) {
+        self.runs.remove(&task);
+        let used = self.used.entry(task).or_default();
+        *used = (*used).max(number);
+        self.last_end += 1;
+        self.ended.push(ListedEnd {
+            sequence: self.last_end,
+            task,
+            number,
+            end,
+        });
+    }
+
+    fn is_fenced(&mut self, token: u64) -> bool {
+        if token < self.token {
+            return true;
+        }
+        self.token = token;
+        false
+    }
+
+    fn extend(&mut self, now: Instant, until_ms: u64) {
+        let longest = self.clock_ms(now) + LONGEST_LEASE_MS;
+        self.lease_until_ms = self.lease_until_ms.max(until_ms.min(longest));
+    }
+
+    /// Carries a start out; `begun` tells whether the task is at work on its account.
+    pub(super) fn start(
+        &mut self,
+        now: Instant,
+        call: &StartCall,
+        run_ms: u64,
+        how: RunEnd,
+    ) -> (StartAnswer, bool) {
+        if self.is_fenced(call.token) {
+            return (StartAnswer::Fenced, false);
+        }
+        if self
+            .runs
+            .get(&call.task)
+            .is_some_and(|run| run.number == call.number)
+        {
+            return (StartAnswer::Accepted, false);
+        }
+        if call.lease_until_ms <= self.clock_ms(now) {
+            return (StartAnswer::Late, false);
+        }
+        self.extend(now, call.lease_until_ms);
+        let used = self
+            .used
+            .get(&call.task)
+            .is_some_and(|used| *used >= call.number);
+        if used || self.runs.contains_key(&call.task) {
+            return (StartAnswer::NumberUsed, false);
+        }
+        if self.runs.len() >= ROOM {
+            return (StartAnswer::NoRoom, false);
+        }
+        let run = RunAtWork {
+            number: call.number,
+            done_at: now.plus_ms(run_ms),
+            how,
+        };
+        self.runs.insert(call.task, run);
+        (StartAnswer::Accepted, true)
+    }
+
+    pub(super) fn stop(&mut self, call: &StopCall) -> bool {
+        if self.is_fenced(call.token) {
+            return false;
+        }
+        let runs = self
+            .runs
+            .get(&call.task)
+            .is_some_and(|run| run.number == call.number);
+        if runs {
+            self.end(call.task, call.number, RunEnd::Stopped);
+        }
+        let used = self.used.entry(call.task).or_default();
+        *used = (*used).max(call.number);
+        true
+    }
+
+    pub(super) fn hold(&mut self, now: Instant, call: &HoldCall) -> HoldAnswer {
+        if self.is_fenced(call.token) {
+            return HoldAnswer::Fenced;
+        }
+        if let Some(until_ms) = call.lease_until_ms {
+            self.extend(now, until_ms);
+        }
+        self.ended.retain(|end| end.sequence > call.ends_seen);
+        HoldAnswer::Lists {
+            born_unix_ms: Some(self.life.born_unix_ms),
+            clock_ms: self.clock_ms(now),
+            running: self
+                .runs
+                .iter()
+                .map(|(task, run)| ListedRun {
+                    task: *task,
+                    number: run.number,
+                })
+                .collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
--- a/src/core/work/run_limits.rs
+++ b/src/core/work/run_limits.rs
@@ -14,6 +14,8 @@
     pub(crate) lease_ms: u64,
     /// Longest time that a worker takes to stop a run.
     pub(crate) stop_ms: u64,
+    /// Time without word from any agent after which an entry gives its jobs up.
+    pub(crate) isolation_ms: u64,
 }
 
 /// Slowest clock of a worker: its lease lasts up to 2% longer than asked for.
@@ -27,14 +29,16 @@
 impl RunLimits {
     /// Bounds under which a job that is sent again after `resend_ms` finds its first copy stopped.
     ///
-    /// Half of that time is for silence and a third for the lease; the rest covers a stop, the
-    /// worker's slow clock and scheduling.
+    /// Not quite half of that time is for silence and a third for the lease; the rest covers a stop, the
+    /// worker's slow clock and scheduling. An entry counts itself as cut off after three quarters, so that it
+    /// has given a job up before a copy of it can run elsewhere.
     pub(crate) const fn for_resend(resend_ms: u64, stop_ms: u64) -> Self {
         let (silence_ms, lease_ms) = (resend_ms * 45 / 100, resend_ms / 3);
         Self {
             silence_ms,
             lease_ms,
             stop_ms,
+            isolation_ms: resend_ms * 3 / 4,
         }
     }
 
--- a/src/site_entry/dispatch_loop.rs
+++ b/src/site_entry/dispatch_loop.rs
@@ -192,6 +192,8 @@
             DispatchNote::JobTaken { .. } => LineRank::Routine,
             DispatchNote::JobJoined { .. }
             | DispatchNote::JobHeld { .. }
+            | DispatchNote::Woke { .. }
+            | DispatchNote::JobIsolated { .. }
             | DispatchNote::AgentConnected { .. }
             | DispatchNote::AgentLost { .. }
             | DispatchNote::WorkerChanged { .. }
