--- a/src/core/dispatch/contact.rs
+++ b/src/core/dispatch/contact.rs
@@ -1,7 +1,7 @@
 //! An entry that was suspended or cut off.
 
 use {
-    super::{Answer, DispatchAction, DispatchNote, Dispatcher, LinkId, job::JobKey},
+    super::{Answer, DispatchAction, DispatchNote, Dispatcher, GiveUpReason, LinkId, job::JobKey},
     crate::core::time::Instant,
 };
 
@@ -76,7 +76,7 @@
         let heard_ms_ago = now.millis_since(heard_at);
         for (key, job) in isolated {
             self.note(DispatchNote::JobIsolated { job, heard_ms_ago });
-            self.answer(now, key, Answer::GivenUp);
+            self.answer(now, key, Answer::GivenUp(GiveUpReason::Isolated));
         }
     }
 }
--- a/src/core/dispatch/dispatch_event.rs
+++ b/src/core/dispatch/dispatch_event.rs
@@ -29,6 +29,20 @@
     }
 }
 
+reasons! {
+    /// Why a job was given up whose tasks may have run.
+    GiveUpReason {
+        /// All its clients have gone.
+        ClientGone => "client_gone",
+        /// The deadline passed.
+        DeadlinePassed => "deadline_passed",
+        /// The rest of it could not be done while its answer was of use.
+        Overloaded => "overloaded",
+        /// This entry was cut off, and a copy of the job may run elsewhere.
+        Isolated => "isolated",
+    }
+}
+
 /// Names a client's call that waits in this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct WaiterId(pub(crate) u64);
@@ -67,7 +81,7 @@
         retry_after_ms: u64,
     },
     /// It was given up; tasks of it may have run.
-    GivenUp,
+    GivenUp(GiveUpReason),
 }
 
 /// Something that the dispatcher has to react to.
--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -178,9 +178,12 @@
     }
 
     pub(super) fn enqueue(&mut self, now: Instant, key: JobKey, task: usize) {
-        if let Some(job) = self.jobs.get(key) {
-            let waiting = Waiting::new(now, key, job, task);
-            self.queue.insert(waiting);
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        match Waiting::new(now, key, job, task) {
+            Some(waiting) => self.queue.insert(waiting),
+            None => self.give_up(now, key),
         }
     }
 
@@ -196,7 +199,7 @@
             Self::Completed => ("completed", ""),
             Self::Failed => ("failed", "failed_runs"),
             Self::NotRun { reason, .. } => ("not_run", reason.as_str()),
-            Self::GivenUp => ("given_up", "deadline_passed"),
+            Self::GivenUp(reason) => ("given_up", reason.as_str()),
         }
     }
 }
--- a/src/core/dispatch/intake.rs
+++ b/src/core/dispatch/intake.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Answer, DispatchNote, Dispatcher, RefusalReason, Submission, WaiterId,
+        Answer, DispatchNote, Dispatcher, GiveUpReason, RefusalReason, Submission, WaiterId,
         job::{Job, JobKey},
     },
     crate::core::{
@@ -112,7 +112,7 @@
         };
         job.waiters.retain(|known| *known != waiter);
         if job.waiters.is_empty() && !job.closed {
-            self.answer(now, key, Answer::GivenUp);
+            self.answer(now, key, Answer::GivenUp(GiveUpReason::ClientGone));
         }
     }
 
@@ -122,7 +122,7 @@
             .jobs
             .iter()
             .filter(|(_, job)| !job.closed && now >= job.deadline)
-            .map(|(key, job)| (key, final_answer(job, RefusalReason::DeadlinePassed)))
+            .map(|(key, job)| (key, final_answer(job, GiveUpReason::DeadlinePassed)))
             .collect();
         for (key, answer) in overdue {
             self.answer(now, key, answer);
@@ -132,7 +132,7 @@
     /// Gives up a job of which a task waits that could not be done any more.
     pub(super) fn give_up(&mut self, now: Instant, key: JobKey) {
         if let Some(job) = self.jobs.get(key) {
-            let answer = final_answer(job, RefusalReason::Overloaded);
+            let answer = final_answer(job, GiveUpReason::Overloaded);
             self.answer(now, key, answer);
         }
     }
@@ -168,12 +168,18 @@
 }
 
 /// "Not run" where that is certain, else that tasks may have run.
-fn final_answer(job: &Job, reason: RefusalReason) -> Answer {
+fn final_answer(job: &Job, reason: GiveUpReason) -> Answer {
     if job.may_have_run || job.open_runs > 0 {
-        return Answer::GivenUp;
+        return Answer::GivenUp(reason);
     }
+    let refusal = match reason {
+        GiveUpReason::DeadlinePassed => RefusalReason::DeadlinePassed,
+        GiveUpReason::Overloaded | GiveUpReason::ClientGone | GiveUpReason::Isolated => {
+            RefusalReason::Overloaded
+        }
+    };
     Answer::NotRun {
-        reason,
+        reason: refusal,
         retry_after_ms: OVERLOAD_RETRY_MS,
     }
 }
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -18,7 +18,8 @@
 
 pub(crate) use {
     dispatch_event::{
-        Answer, DispatchAction, DispatchEvent, LinkId, RefusalReason, Submission, WaiterId,
+        Answer, DispatchAction, DispatchEvent, GiveUpReason, LinkId, RefusalReason, Submission,
+        WaiterId,
     },
     dispatch_note::DispatchNote,
     dispatcher::{DispatchSettings, Dispatcher},
--- a/src/core/dispatch/placing.rs
+++ b/src/core/dispatch/placing.rs
@@ -5,7 +5,7 @@
         DispatchAction, Dispatcher,
         dispatch_event::Zones,
         job::{Job, Task, TaskState},
-        queue::{Prospect, Waiting},
+        queue::Waiting,
         worker_link::{OpenRun, WorkerKey, WorkerLink},
     },
     crate::core::{
@@ -49,10 +49,6 @@
             self.queue.remove(&waiting);
             return;
         }
-        if waiting.prospect == Prospect::VeryLate {
-            self.give_up(now, waiting.job);
-            return;
-        }
         self.queue.remove(&waiting);
         self.enqueue(now, waiting.job, waiting.task);
     }
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -2,7 +2,7 @@
 //!
 //! Load that this answers: more work than the workers can do in time, for seconds. A queue in order of arrival
 //! would make everything late by the same time; this one keeps serving what can still be in time, then
-//! what is late and of use, and last what only its client's patience keeps.
+//! what is late and of use. What can be neither is given up.
 
 use {
     super::job::{Job, JobKey},
@@ -10,6 +10,17 @@
     std::collections::BTreeSet,
 };
 
+/// A task counts as in time if it may take this many hundredths of its estimate.
+///
+/// Estimates are off by four tenths or so; without a margin a queue in overload would start each task at
+/// its last moment, and half of them would be late.
+const IN_TIME_PERCENT: u64 = 125;
+/// A late job with at most this share of its tasks left goes with those in time, in hundredths.
+///
+/// A late answer is worth a fifth of one in time, so its last fifth of work is worth as much as
+/// any other.
+const LAST_PERCENT: usize = 20;
+
 /// What starting a task now would lead to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Prospect {
@@ -17,8 +28,6 @@
     InTime,
     /// A late answer that is still of use.
     Late,
-    /// An answer before the client stops waiting, at best.
-    VeryLate,
 }
 
 /// A waiting task, in the order of starts.
@@ -26,6 +35,8 @@
 pub(super) struct Waiting {
     /// What starting it would lead to, when it was last looked at.
     pub(super) prospect: Prospect,
+    /// The queue's priority; lower values go first.
+    pub(super) priority: u32,
     /// The latest start for that prospect.
     pub(super) latest_start: Instant,
     /// The job.
@@ -35,24 +46,31 @@
 }
 
 impl Waiting {
-    /// A task that begins to wait or whose prospect has passed.
-    pub(super) fn new(now: Instant, key: JobKey, job: &Job, task: usize) -> Self {
+    /// A task that begins to wait or whose prospect has passed; `None` if it is of no use any more.
+    pub(super) fn new(now: Instant, key: JobKey, job: &Job, task: usize) -> Option<Self> {
         let estimate_ms = job.step(task).map_or(0, |step| step.estimate_ms);
-        let in_time = job.latest_start(estimate_ms);
+        let in_time = job.latest_start(estimate_ms * IN_TIME_PERCENT / 100);
         let useful = job.last_useful_start(estimate_ms);
-        let (prospect, latest_start) = if now <= in_time {
-            (Prospect::InTime, in_time)
-        } else if now <= useful {
-            (Prospect::Late, useful)
-        } else {
-            (Prospect::VeryLate, job.deadline.minus_ms(estimate_ms))
-        };
-        Self {
+        let waiting = |prospect, latest_start| Self {
             prospect,
+            priority: job.route.priority,
             latest_start,
             job: key,
             task,
+        };
+        if now <= in_time {
+            return Some(waiting(Prospect::InTime, in_time));
         }
+        if now > useful {
+            return None;
+        }
+        let is_last = job.left * 100 <= job.tasks.len() * LAST_PERCENT;
+        let prospect = if is_last {
+            Prospect::InTime
+        } else {
+            Prospect::Late
+        };
+        Some(waiting(prospect, useful))
     }
 
     /// Whether the prospect still holds.
--- a/src/core/tests/world.rs
+++ b/src/core/tests/world.rs
@@ -877,7 +877,7 @@
                         .break_promise(format!("{job} was refused and has begun"));
                 }
             }
-            Answer::GivenUp => self.at_ms(RESEND_MS, Event::Submit { client }),
+            Answer::GivenUp(_) => self.at_ms(RESEND_MS, Event::Submit { client }),
         }
     }
 
--- a/src/platform/client_calls.rs
+++ b/src/platform/client_calls.rs
@@ -72,7 +72,9 @@
                 reason.as_str(),
                 retry_after_ms,
             ),
-            Answer::GivenUp => Self::refusal(StatusCode::GATEWAY_TIMEOUT, "given_up", 0),
+            Answer::GivenUp(reason) => {
+                Self::refusal(StatusCode::GATEWAY_TIMEOUT, reason.as_str(), 0)
+            }
         }
     }
 
--- a/src/site_entry/front.rs
+++ b/src/site_entry/front.rs
@@ -5,7 +5,7 @@
     crate::{
         adapters::http::{HttpAnswer, HttpCall, HttpHandler},
         core::{
-            dispatch::{DispatchEvent, RefusalReason, Submission, WaiterId},
+            dispatch::{Answer, DispatchEvent, GiveUpReason, RefusalReason, Submission, WaiterId},
             routes::{HttpLimits, Route},
             work::JobId,
         },
@@ -91,7 +91,7 @@
                 guard.answered = true;
                 PlatformClients::answer(answer)
             }
-            Err(_) => PlatformClients::answer(crate::core::dispatch::Answer::GivenUp),
+            Err(_) => PlatformClients::answer(Answer::GivenUp(GiveUpReason::Isolated)),
         }
     }
 
