--- a/src/adapters/http/http_server.rs
+++ b/src/adapters/http/http_server.rs
@@ -31,6 +31,8 @@
     pub(crate) method: Method,
     /// The path without its query.
     pub(crate) path: String,
+    /// The query, empty if there is none.
+    pub(crate) query: String,
     /// The host that it names, without a port.
     pub(crate) host: String,
     /// The body.
@@ -207,6 +209,7 @@
     let call = HttpCall {
         host: host.split(':').next().unwrap_or_default().to_owned(),
         path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
         method: parts.method,
         headers: parts.headers,
         body,
--- a/src/cli/args/mod.rs
+++ b/src/cli/args/mod.rs
@@ -9,5 +9,8 @@
     load_args::{LoadArgs, Shape, ZonedBackend},
     operator_args::{CheckKind, DocumentArgs, OperatorArgs, OperatorCommand, ZoneCommand},
     service_args::{AgentArgs, EntryArgs},
-    standin_args::{AgentsArgs, BackendArgs, JobsArgs, PlatformArgs, StandinArgs, StandinCommand},
+    standin_args::{
+        AgentsArgs, BackendArgs, JobsArgs, PlatformArgs, SiteWorkerArgs, StandinArgs,
+        StandinCommand,
+    },
 };
--- a/src/cli/args/standin_args.rs
+++ b/src/cli/args/standin_args.rs
@@ -21,6 +21,10 @@
     Platform(PlatformArgs),
     /// A backend server that announces itself and runs tasks
     Backend(BackendArgs),
+    /// The published table store of a site, in memory
+    SiteStore(PlatformArgs),
+    /// The published worker of a site
+    SiteWorker(SiteWorkerArgs),
     /// Many agents in one process, each with its own address, to measure slopes with
     Agents(AgentsArgs),
     /// Clients that send a steady stream of equal jobs
@@ -55,6 +59,32 @@
     pub(crate) announced_slots: Option<u16>,
 }
 
+/// Arguments of the worker's stand-in on a site.
+#[derive(Debug, Clone, clap::Args)]
+pub(crate) struct SiteWorkerArgs {
+    /// Where to listen
+    #[arg(long, value_name = "ADDR")]
+    pub(crate) listen: SocketAddr,
+    /// Where the agent beside it takes reports
+    #[arg(long, value_name = "ADDR")]
+    pub(crate) agent: SocketAddr,
+    /// Its name
+    #[arg(long)]
+    pub(crate) id: String,
+    /// The service that it runs
+    #[arg(long)]
+    pub(crate) service: String,
+    /// Its availability zone
+    #[arg(long)]
+    pub(crate) zone: String,
+    /// Tasks that it runs at a time
+    #[arg(long, default_value_t = 8)]
+    pub(crate) slots: u16,
+    /// Pause between its reports
+    #[arg(long, default_value_t = 1_500)]
+    pub(crate) heartbeat_ms: u64,
+}
+
 /// Arguments of many agents in one process.
 #[derive(Debug, clap::Args)]
 pub(crate) struct AgentsArgs {
--- a/src/cli/mains.rs
+++ b/src/cli/mains.rs
@@ -15,7 +15,9 @@
         load::run_load,
         site_agent::run_site_agent,
         site_entry::run_site_entry,
-        standin::{run_agents, run_backend, run_jobs, run_platform},
+        standin::{
+            run_agents, run_backend, run_jobs, run_platform, run_site_store, run_site_worker,
+        },
     },
     clap::Parser,
     std::{future::Future, process::ExitCode},
@@ -80,6 +82,8 @@
         match args.command {
             StandinCommand::Platform(args) => run_platform(args).await,
             StandinCommand::Backend(args) => run_backend(args).await,
+            StandinCommand::SiteStore(args) => run_site_store(args).await,
+            StandinCommand::SiteWorker(args) => run_site_worker(args).await,
             StandinCommand::Agents(args) => run_agents(args).await,
             StandinCommand::Jobs(args) => run_jobs(args).await,
         }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,7 +9,10 @@
 mod signals;
 
 pub(crate) use {
-    args::{AgentsArgs, BackendArgs, JobsArgs, LoadArgs, PlatformArgs, Shape, ZonedBackend},
+    args::{
+        AgentsArgs, BackendArgs, JobsArgs, LoadArgs, PlatformArgs, Shape, SiteWorkerArgs,
+        ZonedBackend,
+    },
     errors::RunError,
     operator_client::OperatorClient,
     signals::{reload_signals, stop_signal},
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -9,5 +9,4 @@
 mod faults;
 mod link_model;
 mod seeds;
-mod worker_model;
 mod world;
--- a/src/core/tests/world.rs
+++ b/src/core/tests/world.rs
@@ -7,7 +7,6 @@
         client_model::{ClientModel, RESEND_MS},
         faults::Fault,
         link_model::LinkModel,
-        worker_model::{ROOM, WorkerModel},
     },
     crate::core::{
         dispatch::{
@@ -23,6 +22,7 @@
         time::Instant,
         work::{JobId, JobRequest, Needs, RunLimits, StepSpec, WorkerView},
     },
+    crate::standin::WorkerModel,
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -31,6 +31,8 @@
 
 const ENTRIES: usize = 3;
 const WORKERS: usize = 4;
+/// Tasks that a worker runs at a time.
+const ROOM: usize = 4;
 const ZONES: [&str; 2] = ["north", "south"];
 /// Time in which jobs come and faults begin, in milliseconds.
 const BUSY_MS: u64 = 12_000;
@@ -161,6 +163,7 @@
     entries: Vec<Process<Dispatcher>>,
     agents: Vec<Process<Executor>>,
     workers: Vec<WorkerModel>,
+    alive: Vec<bool>,
     late_orders: Vec<(u64, Instant)>,
     worker_cut_until: Vec<Instant>,
     silent: BTreeMap<(usize, usize), Instant>,
@@ -185,6 +188,7 @@
             entries: Vec::new(),
             agents: Vec::new(),
             workers: Vec::new(),
+            alive: vec![true; WORKERS],
             late_orders: vec![(0, Instant::default()); WORKERS],
             worker_cut_until: vec![Instant::default(); WORKERS],
             silent: BTreeMap::new(),
@@ -216,7 +220,7 @@
         }
         for worker in 0..WORKERS {
             let slow = self.chance.between(0, 21);
-            let model = WorkerModel::new(self.now, format!("w{worker}"), 1_000, slow);
+            let model = WorkerModel::new(self.now, format!("w{worker}"), 1_000, slow, ROOM);
             self.workers.push(model);
             self.agents.push(Process {
                 machine: None,
@@ -304,7 +308,7 @@
             }
         }
         for worker in 0..WORKERS {
-            let left = self.workers[worker].run_count();
+            let left = self.runs_at(worker);
             if left > 0 {
                 self.checks
                     .break_promise(format!("{left} runs are left at worker {worker}"));
@@ -691,7 +695,7 @@
     ) {
         self.tick_ends(worker);
         let now = self.now;
-        let event = if self.workers[worker].alive {
+        let event = if self.alive[worker] {
             match action {
                 ExecutionAction::Start(call) => {
                     let answer = self.start_at_worker(worker, &call);
@@ -756,7 +760,10 @@
         self.checks.begun.insert(task.job);
         for other in 0..WORKERS {
             self.tick_ends(other);
-            if other != worker && self.workers[other].is_running(task) {
+            if other != worker
+                && self.alive[other]
+                && self.workers[other].at_work().contains_key(&task)
+            {
                 let what = format!("{task} runs twice, at workers {worker} and {other}");
                 self.checks.break_promise(what);
             }
@@ -777,10 +784,10 @@
 
     fn heartbeat(&mut self, worker: usize) {
         self.at_ms(HEARTBEAT_MS, Event::Heartbeat { worker });
-        let model = &mut self.workers[worker];
-        if !model.alive {
+        if !self.alive[worker] {
             return;
         }
+        let model = &mut self.workers[worker];
         model.reports += 1;
         let view = WorkerView {
             life: model.life.clone(),
@@ -820,10 +827,19 @@
             format!("w{worker}-{born}")
         };
         let slow = self.chance.between(0, 21);
-        self.workers[worker] = WorkerModel::new(self.now, id, born, slow);
+        self.workers[worker] = WorkerModel::new(self.now, id, born, slow, ROOM);
+        self.alive[worker] = true;
         self.at_ms(1, Event::Heartbeat { worker });
     }
 
+    fn runs_at(&self, worker: usize) -> usize {
+        if self.alive[worker] {
+            self.workers[worker].at_work().len()
+        } else {
+            0
+        }
+    }
+
     // Clients.
 
     fn submit(&mut self, client: usize) {
@@ -992,7 +1008,7 @@
                 down_ms,
                 same_name,
             } => {
-                self.workers[worker].alive = false;
+                self.alive[worker] = false;
                 self.at_ms(down_ms, Event::Reborn { worker, same_name });
             }
             Fault::LateOrders {
@@ -1025,7 +1041,7 @@
         match fault {
             Fault::Hang { worker, .. } => self.workers[worker].hangs = false,
             Fault::Drain { worker } => {
-                self.workers[worker].alive = false;
+                self.alive[worker] = false;
                 self.at_ms(
                     1_000,
                     Event::Reborn {
--- a/src/site_entry/tests/fakes.rs
+++ b/src/site_entry/tests/fakes.rs
@@ -9,10 +9,7 @@
     },
     async_trait::async_trait,
     serde_json::Value,
-    std::{
-        net::SocketAddr,
-        sync::{Mutex, PoisonError},
-    },
+    std::net::SocketAddr,
 };
 
 /// Counts nothing.
@@ -31,26 +28,12 @@
     }
 }
 
-/// Remembers the lines.
-#[derive(Debug, Default)]
-pub(super) struct Lines(Mutex<Vec<Value>>);
-
-impl Lines {
-    /// Names of the events, in order.
-    pub(super) fn events(&self) -> Vec<String> {
-        let lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let names = lines.iter().filter_map(|line| line["event"].as_str());
-        names.map(str::to_owned).collect()
-    }
-}
+/// Writes nothing down.
+#[derive(Debug)]
+pub(super) struct NoLines;
 
-impl DecisionLog for Lines {
-    fn write(&self, _: LineRank, fields: Value) {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(fields);
-    }
+impl DecisionLog for NoLines {
+    fn write(&self, _: LineRank, _: Value) {}
 }
 
 /// A store that never answers.
--- a/src/site_entry/tests/news.rs
+++ b/src/site_entry/tests/news.rs
@@ -1,7 +1,7 @@
 //! Tests of which news an entry goes by.
 
 use {
-    super::fakes::{Lines, NoMetrics, NoStore},
+    super::fakes::{NoLines, NoMetrics, NoStore},
     crate::{
         core::link::News,
         site_entry::{news_keeper::NewsKeeper, state::EntryState},
@@ -30,7 +30,7 @@
         store: Arc::new(NoStore),
         state: Arc::clone(&state),
         inputs,
-        decisions: Arc::new(Lines::default()),
+        decisions: Arc::new(NoLines),
         metrics: Arc::new(NoMetrics),
         newest: Mutex::new(None),
     };
--- /dev/null
+++ b/src/standin/rows_model.rs
@@ -0,0 +1,120 @@
+//! The published table store, in memory.
+
+use std::collections::{BTreeMap, VecDeque};
+
+/// Changes that the feed remembers.
+const HISTORY_CHANGES: usize = 1_000;
+
+/// Names a row.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RowName {
+    pub(crate) table: String,
+    pub(crate) part: String,
+    pub(crate) key: String,
+}
+
+/// A row's value and version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct StoredRow {
+    pub(crate) value: String,
+    pub(crate) version: u64,
+}
+
+/// What became of a transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Applied {
+    /// All of it was applied.
+    Yes,
+    /// A row had another version than expected.
+    No,
+}
+
+/// What a feed says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum FeedPage {
+    /// Rows that changed, in order; a row that was removed has no value.
+    Changes(Vec<(RowName, Option<StoredRow>)>),
+    /// What changed since is no longer known.
+    Forgotten,
+}
+
+/// Rows, their versions and their newest changes.
+#[derive(Debug, Default)]
+pub(crate) struct RowsModel {
+    rows: BTreeMap<RowName, StoredRow>,
+    version: u64,
+    history: VecDeque<(u64, RowName)>,
+    forgotten: u64,
+}
+
+impl RowsModel {
+    /// The newest version.
+    pub(crate) const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Applies all of a transaction, or nothing.
+    pub(crate) fn apply(
+        &mut self,
+        expected: &[(RowName, u64)],
+        puts: Vec<(RowName, String)>,
+        removed: Vec<RowName>,
+    ) -> Applied {
+        let version_of = |name: &RowName| self.rows.get(name).map_or(0, |row| row.version);
+        if expected
+            .iter()
+            .any(|(name, version)| version_of(name) != *version)
+        {
+            return Applied::No;
+        }
+        self.version += 1;
+        for (name, value) in puts {
+            let version = self.version;
+            self.rows.insert(name.clone(), StoredRow { value, version });
+            self.history.push_back((version, name));
+        }
+        for name in removed {
+            if self.rows.remove(&name).is_some() {
+                self.history.push_back((self.version, name));
+            }
+        }
+        while self.history.len() > HISTORY_CHANGES {
+            self.forget_oldest();
+        }
+        Applied::Yes
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some((version, _)) = self.history.pop_front() {
+            self.forgotten = version;
+        }
+    }
+
+    /// Forgets all changes; the rows stay.
+    pub(crate) fn forget_history(&mut self) {
+        self.history.clear();
+        self.forgotten = self.version;
+    }
+
+    /// The rows of one part of a table, by key.
+    pub(crate) fn rows(&self, table: &str, part: &str) -> Vec<(RowName, StoredRow)> {
+        let of_part = |name: &RowName| name.table == table && name.part == part;
+        let rows = self.rows.iter().filter(|(name, _)| of_part(name));
+        rows.map(|(name, row)| (name.clone(), row.clone()))
+            .collect()
+    }
+
+    /// What changed in a table after a version.
+    pub(crate) fn feed(&self, table: &str, after: u64) -> FeedPage {
+        if after < self.forgotten {
+            return FeedPage::Forgotten;
+        }
+        let changed = self.history.iter();
+        let changed = changed.filter(|(version, name)| *version > after && name.table == table);
+        FeedPage::Changes(
+            changed
+                .map(|(_, name)| (name.clone(), self.rows.get(name).cloned()))
+                .collect(),
+        )
+    }
+}
--- /dev/null
+++ b/src/standin/site_store.rs
@@ -0,0 +1,243 @@
+//! The published table store over HTTP, with faults to switch on.
+
+use {
+    super::rows_model::{Applied, FeedPage, RowName, RowsModel, StoredRow},
+    crate::{
+        adapters::http::{HttpAnswer, HttpCall, HttpHandler, serve_http},
+        cli::{PlatformArgs, RunError, stop_signal},
+    },
+    async_trait::async_trait,
+    http::{Method, StatusCode},
+    serde::{Deserialize, Serialize},
+    serde_json::{Value, json},
+    std::{
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        sync::{Notify, watch},
+        time::{sleep, timeout},
+    },
+};
+
+/// Faults that can be switched on by posting them to `/faults`.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct StoreFaults {
+    /// Every call is refused.
+    down: bool,
+    /// No call is answered.
+    silent: bool,
+    /// Every call takes this much longer.
+    slow_ms: u64,
+    /// The answers of this many transactions are lost after they took effect.
+    lose_answers: u32,
+    /// Forget all changes once.
+    forget_history: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct NameBody {
+    table: String,
+    #[serde(default)]
+    part: String,
+    key: String,
+    #[serde(default)]
+    value: String,
+    #[serde(default)]
+    ver: u64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct TransactionBody {
+    expect_rev: Vec<NameBody>,
+    puts: Vec<NameBody>,
+    remove: Vec<NameBody>,
+}
+
+#[derive(Debug, Default)]
+struct SiteStore {
+    rows: Mutex<RowsModel>,
+    faults: Mutex<StoreFaults>,
+    changed: Notify,
+}
+
+/// Runs the stand-in until SIGTERM.
+pub(crate) async fn run_site_store(args: PlatformArgs) -> Result<(), RunError> {
+    let listener = TcpListener::bind(args.listen)
+        .await
+        .map_err(|error| RunError::Listen(args.listen, error))?;
+    let (_stop, stopped) = watch::channel(false);
+    let store = std::sync::Arc::new(SiteStore::default());
+    tokio::spawn(serve_http(listener, store, stopped));
+    stop_signal().await;
+    Ok(())
+}
+
+fn name(body: &NameBody) -> RowName {
+    RowName {
+        table: body.table.clone(),
+        part: body.part.clone(),
+        key: body.key.clone(),
+    }
+}
+
+fn row_json(name: &RowName, row: Option<&StoredRow>) -> Value {
+    let mut body = json!({"table": name.table, "part": name.part, "key": name.key});
+    match row {
+        Some(row) => {
+            body["value"] = json!(row.value);
+            body["ver"] = json!(row.version);
+        }
+        None => body["deleted"] = json!(true),
+    }
+    body
+}
+
+/// A value of the query, empty if absent.
+fn query<'a>(call: &'a HttpCall, field: &str) -> &'a str {
+    let mut fields = call
+        .query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='));
+    fields
+        .find(|(name, _)| *name == field)
+        .map_or("", |(_, value)| value)
+}
+
+impl SiteStore {
+    fn rows(&self) -> MutexGuard<'_, RowsModel> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn faults(&self) -> MutexGuard<'_, StoreFaults> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_faults(&self, call: &HttpCall) -> HttpAnswer {
+        let Ok(faults) = serde_json::from_slice::<StoreFaults>(&call.body) else {
+            return HttpAnswer::empty(StatusCode::BAD_REQUEST);
+        };
+        if faults.forget_history {
+            self.rows().forget_history();
+            self.changed.notify_waiters();
+        }
+        *self.faults() = faults;
+        HttpAnswer::empty(StatusCode::OK)
+    }
+
+    fn transact(&self, call: &HttpCall) -> HttpAnswer {
+        let Ok(body) = serde_json::from_slice::<TransactionBody>(&call.body) else {
+            return HttpAnswer::empty(StatusCode::BAD_REQUEST);
+        };
+        let expected: Vec<_> = body
+            .expect_rev
+            .iter()
+            .map(|row| (name(row), row.ver))
+            .collect();
+        let puts = body
+            .puts
+            .iter()
+            .map(|row| (name(row), row.value.clone()))
+            .collect();
+        let removed = body.remove.iter().map(name).collect();
+        let mut rows = self.rows();
+        let status = match rows.apply(&expected, puts, removed) {
+            Applied::Yes => StatusCode::OK,
+            Applied::No => StatusCode::PRECONDITION_FAILED,
+        };
+        self.changed.notify_waiters();
+        let body = json!({"ver": rows.version(), "now_ms": 0});
+        HttpAnswer::json(status, body.to_string())
+    }
+
+    fn read(&self, call: &HttpCall) -> HttpAnswer {
+        let rows = self.rows();
+        let page = rows.rows(query(call, "table"), query(call, "part"));
+        let page: Vec<Value> = page
+            .iter()
+            .map(|(name, row)| row_json(name, Some(row)))
+            .collect();
+        let body = json!({"rows": page, "truncated": false, "ver": rows.version(), "now_ms": 0});
+        HttpAnswer::json(StatusCode::OK, body.to_string())
+    }
+
+    /// The changes after a version, as soon as there is one or the wait is over.
+    async fn feed(&self, call: &HttpCall) -> HttpAnswer {
+        let number = |field| query(call, field).parse::<u64>().unwrap_or(0);
+        let (after, wait) = (number("after"), Duration::from_millis(number("wait_ms")));
+        let waiting = async {
+            loop {
+                let changed = self.changed.notified();
+                if let Some(answer) = self.feed_page(query(call, "table"), after) {
+                    return answer;
+                }
+                changed.await;
+            }
+        };
+        let nothing = || {
+            let body = json!({"rows": [], "ver": self.rows().version(), "now_ms": 0});
+            HttpAnswer::json(StatusCode::OK, body.to_string())
+        };
+        timeout(wait, waiting).await.unwrap_or_else(|_| nothing())
+    }
+
+    fn feed_page(&self, table: &str, after: u64) -> Option<HttpAnswer> {
+        let rows = self.rows();
+        match rows.feed(table, after) {
+            FeedPage::Forgotten => Some(HttpAnswer::empty(StatusCode::GONE)),
+            FeedPage::Changes(page) if page.is_empty() => None,
+            FeedPage::Changes(page) => {
+                let page = page.iter().map(|(name, row)| row_json(name, row.as_ref()));
+                let page: Vec<Value> = page.collect();
+                let body = json!({"rows": page, "ver": rows.version(), "now_ms": 0});
+                Some(HttpAnswer::json(StatusCode::OK, body.to_string()))
+            }
+        }
+    }
+
+    /// Waits as the faults say; `Some` if the call gets no further.
+    async fn hindrance(&self) -> Option<HttpAnswer> {
+        let faults = self.faults().clone();
+        sleep(Duration::from_millis(faults.slow_ms)).await;
+        if faults.silent {
+            std::future::pending::<()>().await;
+        }
+        faults
+            .down
+            .then(|| HttpAnswer::empty(StatusCode::SERVICE_UNAVAILABLE))
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut faults = self.faults();
+        let loses = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        loses
+    }
+}
+
+#[async_trait]
+impl HttpHandler for SiteStore {
+    async fn answer(&self, call: HttpCall) -> HttpAnswer {
+        if call.path == "/faults" {
+            return self.set_faults(&call);
+        }
+        if let Some(refusal) = self.hindrance().await {
+            return refusal;
+        }
+        match (&call.method, call.path.as_str()) {
+            (&Method::POST, "/v1/rows-tx") => {
+                let answer = self.transact(&call);
+                if self.loses_answer() {
+                    std::future::pending::<()>().await;
+                }
+                answer
+            }
+            (&Method::GET, "/v1/rows-get") => self.read(&call),
+            (&Method::GET, "/v1/rows-feed") => self.feed(&call).await,
+            _ => HttpAnswer::empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
--- a/src/core/tests/worker_model.rs
+++ b/src/standin/worker_model.rs
@@ -12,9 +12,6 @@
 
 /// Longest lease that a worker grants, in milliseconds.
 const LONGEST_LEASE_MS: u64 = 1_000;
-/// Room of a worker, in tasks.
-pub(super) const ROOM: usize = 4;
-
 /// A run at the worker.
 #[derive(Debug, Clone, Copy)]
 struct RunAtWork {
@@ -25,13 +22,17 @@
 
 /// One worker; a crash begins another life.
 #[derive(Debug)]
-pub(super) struct WorkerModel {
-    pub(super) life: WorkerLife,
-    pub(super) alive: bool,
-    pub(super) draining: bool,
-    pub(super) reports: u64,
+pub(crate) struct WorkerModel {
+    /// The life that this is.
+    pub(crate) life: WorkerLife,
+    /// It says that it is about to end.
+    pub(crate) draining: bool,
+    /// Reports made.
+    pub(crate) reports: u64,
     /// Tasks stand still: nothing ends by itself.
-    pub(super) hangs: bool,
+    pub(crate) hangs: bool,
+    /// Tasks that it runs at a time.
+    room: usize,
     born_at: Instant,
     /// Its clock runs so many thousandths slow.
     slow_permille: u64,
@@ -44,10 +45,17 @@
 }
 
 impl WorkerModel {
-    pub(super) fn new(now: Instant, id: String, born_unix_ms: u64, slow_permille: u64) -> Self {
+    /// A worker on which nothing has run.
+    pub(crate) fn new(
+        now: Instant,
+        id: String,
+        born_unix_ms: u64,
+        slow_permille: u64,
+        room: usize,
+    ) -> Self {
         Self {
+            room,
             life: WorkerLife { id, born_unix_ms },
-            alive: true,
             draining: false,
             reports: 0,
             hangs: false,
@@ -62,21 +70,21 @@
         }
     }
 
-    fn clock_ms(&self, now: Instant) -> u64 {
+    /// Its clock, in milliseconds.
+    pub(crate) fn clock_ms(&self, now: Instant) -> u64 {
         now.millis_since(self.born_at) * (1_000 - self.slow_permille) / 1_000
     }
 
-    /// Whether the task is at work here.
-    pub(super) fn is_running(&self, task: TaskId) -> bool {
-        self.alive && self.runs.contains_key(&task)
-    }
-
-    pub(super) fn run_count(&self) -> usize {
-        if self.alive { self.runs.len() } else { 0 }
+    /// What is at work, with the numbers of the runs.
+    pub(crate) fn at_work(&self) -> BTreeMap<TaskId, u32> {
+        self.runs
+            .iter()
+            .map(|(task, run)| (*task, run.number))
+            .collect()
     }
 
     /// Ends what is due by now, and everything when the lease is over; the tasks that are done.
-    pub(super) fn advance(&mut self, now: Instant) -> Vec<TaskId> {
+    pub(crate) fn advance(&mut self, now: Instant) -> Vec<TaskId> {
         let lapsed = self.clock_ms(now) >= self.lease_until_ms;
         let due: Vec<(TaskId, u32, RunEnd)> = self
             .runs
@@ -127,7 +135,7 @@
     }
 
     /// Carries a start out; `begun` tells whether the task is at work on its account.
-    pub(super) fn start(
+    pub(crate) fn start(
         &mut self,
         now: Instant,
         call: &StartCall,
@@ -155,7 +163,7 @@
         if used || self.runs.contains_key(&call.task) {
             return (StartAnswer::NumberUsed, false);
         }
-        if self.runs.len() >= ROOM {
+        if self.runs.len() >= self.room {
             return (StartAnswer::NoRoom, false);
         }
         let run = RunAtWork {
@@ -167,7 +175,8 @@
         (StartAnswer::Accepted, true)
     }
 
-    pub(super) fn stop(&mut self, call: &StopCall) -> bool {
+    /// Carries a stop out; whether it was taken.
+    pub(crate) fn stop(&mut self, call: &StopCall) -> bool {
         if self.is_fenced(call.token) {
             return false;
         }
@@ -183,7 +192,8 @@
         true
     }
 
-    pub(super) fn hold(&mut self, now: Instant, call: &HoldCall) -> HoldAnswer {
+    /// Carries a hold out.
+    pub(crate) fn hold(&mut self, now: Instant, call: &HoldCall) -> HoldAnswer {
         if self.is_fenced(call.token) {
             return HoldAnswer::Fenced;
         }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -14,4 +14,5 @@
 mod planned_stop;
 mod policy;
 mod programs;
+mod site;
 mod support;
--- /dev/null
+++ b/tests/processes/site.rs
@@ -0,0 +1,204 @@
+//! The path on a site with a platform's store: clients, entry, agent, worker.
+
+use {
+    crate::support::{Site, eventually, get, request, site_config, site_job, submit_to},
+    serde_json::json,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Tasks that were at work at two workers at once, or were begun anew before their end was told.
+fn begun_twice(site: &Site) -> Vec<String> {
+    let mut begun: BTreeMap<String, usize> = BTreeMap::new();
+    for (_, event, task) in site.runs() {
+        if event == "begin" {
+            *begun.entry(task).or_default() += 1;
+        }
+    }
+    begun
+        .into_iter()
+        .filter(|(_, count)| *count > 1)
+        .map(|(task, _)| task)
+        .collect()
+}
+
+#[tokio::test]
+async fn a_calm_site_answers_each_job_once() {
+    let site = Site::start("calm", 2, 3).await;
+    for number in 0..20_u32 {
+        let id = format!("{number:016x}");
+        let reply = site
+            .submit((number % 2) as usize, &id, &site_job(5, 30))
+            .await
+            .expect("reply");
+        assert_eq!(
+            (reply.status.as_u16(), reply.body.as_str()),
+            (200, r#"{"state":"completed"}"#)
+        );
+    }
+    let begun = site
+        .runs()
+        .iter()
+        .filter(|(_, event, _)| event == "begin")
+        .count();
+    assert_eq!(begun, 100);
+    assert_eq!(begun_twice(&site), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn what_is_not_served_is_said_at_once() {
+    let site = Site::start("refusals", 1, 1).await;
+    let id = "00000000000000aa";
+    let mut kept = site_job(1, 30);
+    kept["best_effort"] = json!(false);
+    assert_eq!(site.submit(0, id, &kept).await.expect("reply").status, 503);
+    let entry = site.entries[0].clients;
+    let headers = [("host", "shares.example")];
+    let status = async |method, path| {
+        request(method, entry, path, &headers, "")
+            .await
+            .status
+            .as_u16()
+    };
+    assert_eq!(status("GET", "/shares/00000000000000aa").await, 410);
+    assert_eq!(status("DELETE", "/shares/00000000000000aa").await, 410);
+    assert_eq!(status("GET", "/other/").await, 404);
+    let pending = request("GET", entry, "/shares/", &headers, "").await;
+    assert_eq!(pending.body, r#"{"pending":0}"#);
+    assert_eq!(
+        site.submit(0, id, &json!("no job"))
+            .await
+            .expect("reply")
+            .status,
+        400
+    );
+    assert!(site.runs().is_empty());
+}
+
+/// An operator adds and takes away a route. Clients of both entries see each change within seconds,
+/// also when the store forgets its history in between.
+#[tokio::test]
+async fn a_change_is_in_force_at_all_entries() {
+    let site = Site::start("change", 2, 1).await;
+    let mut config = site_config(5);
+    config["routes"][0]["path_prefix"] = json!("/moved/");
+    site.store_faults(&json!({"forget_history": true})).await;
+    site.put("config", &config).await;
+    for entry in &site.entries {
+        eventually(
+            "the new route is served",
+            Duration::from_secs(5),
+            || async {
+                let headers = [("host", "shares.example")];
+                let moved = request("GET", entry.clients, "/moved/", &headers, "").await;
+                let old = request("GET", entry.clients, "/shares/", &headers, "").await;
+                (moved.status, old.status) == (http::StatusCode::OK, http::StatusCode::NOT_FOUND)
+            },
+        )
+        .await;
+    }
+}
+
+/// An agent's process is killed while a job runs and starts again. The worker's runs lapse, the
+/// job's tasks start again, none of them while its first run is at work, and the client gets its answer.
+#[tokio::test]
+async fn a_killed_agent_costs_time_and_no_answer() {
+    let mut site = Site::start("agent", 1, 2).await;
+    let entry = site.entries[0].clients;
+    let submitting = tokio::spawn(submit_to(entry, "00000000000000b1", site_job(6, 900)));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    site.restart_agent(0);
+    let reply = submitting.await.expect("task").expect("reply");
+    assert_eq!(reply.body, r#"{"state":"completed"}"#);
+    let reply = site
+        .submit(0, "00000000000000b2", &site_job(6, 100))
+        .await
+        .expect("reply");
+    assert_eq!(reply.body, r#"{"state":"completed"}"#);
+}
+
+/// The store falls silent for seconds. Jobs are answered as before, and the change that the
+/// operator made meanwhile is in force soon after the store's return.
+#[tokio::test]
+async fn work_goes_on_without_the_store() {
+    let site = Site::start("store", 1, 2).await;
+    site.store_faults(&json!({"silent": true})).await;
+    for number in 0..10_u32 {
+        let id = format!("{:016x}", 0xc00 + number);
+        let reply = site.submit(0, &id, &site_job(2, 100)).await.expect("reply");
+        assert_eq!(reply.status, 200);
+    }
+    eventually(
+        "the loss is written down",
+        Duration::from_secs(10),
+        || async { site.lines("entry-0").contains("\"event\":\"store_lost\"") },
+    )
+    .await;
+    site.store_faults(&json!({})).await;
+    eventually(
+        "the return is written down",
+        Duration::from_secs(10),
+        || async {
+            site.lines("entry-0")
+                .contains("\"event\":\"store_regained\"")
+        },
+    )
+    .await;
+}
+
+/// An entry is told to stop while a job runs. The client gets its answer, and the process ends by itself.
+#[tokio::test]
+async fn a_planned_stop_cuts_no_job() {
+    let mut site = Site::start("stop", 2, 2).await;
+    let job = site_job(3, 1_500);
+    let stopping = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        site.entries[0].process.terminate();
+    };
+    let (reply, ()) = tokio::join!(site.submit(0, "00000000000000d1", &job), stopping);
+    assert_eq!(reply.expect("reply").body, r#"{"state":"completed"}"#);
+    let status = site.entries[0].process.wait(Duration::from_secs(10)).await;
+    assert!(status.success());
+}
+
+/// A worker's reports reach the agent damaged: no service, a number in place of a text, bytes that are no
+/// JSON. They are counted and left aside, and the worker that is known goes on.
+#[tokio::test]
+async fn a_damaged_report_names_no_worker() {
+    let site = Site::start("reports", 1, 1).await;
+    let agent = site.workers[0].reports;
+    for body in [
+        "{}",
+        r#"{"service":7,"zone":"north","state":"ready"}"#,
+        "\u{1}",
+    ] {
+        let path = "/v1/Instances.Heartbeat/w-9";
+        assert_eq!(request("POST", agent, path, &[], body).await.status, 400);
+    }
+    let reply = site
+        .submit(0, "00000000000000e1", &site_job(1, 30))
+        .await
+        .expect("reply");
+    assert_eq!(reply.status, 200);
+}
+
+/// A client's connection breaks while its job runs. Nobody waits any more, so the runs are stopped at once.
+#[tokio::test]
+async fn a_client_that_leaves_stops_its_job() {
+    let site = Site::start("leaves", 1, 1).await;
+    let job = site_job(2, 5_000);
+    let submitting = site.submit(0, "00000000000000f1", &job);
+    // Dropping the call closes its connection.
+    let given_up = tokio::time::timeout(Duration::from_millis(600), submitting).await;
+    assert!(given_up.is_err());
+    eventually("the runs are stopped", Duration::from_secs(3), || async {
+        let ended = site
+            .runs()
+            .iter()
+            .filter(|(_, event, _)| event == "end")
+            .count();
+        ended == 2
+    })
+    .await;
+    let metrics = get(site.entries[0].metrics, "/metrics").await;
+    assert!(metrics.body.contains("rattanslip_"));
+}
--- a/tests/processes/support/mod.rs
+++ b/tests/processes/support/mod.rs
@@ -12,6 +12,7 @@
 mod port;
 mod process;
 mod proxy;
+mod site;
 
 pub use {
     deployment::{Deployment, Layout, SERVICE, TOKEN, WorkerHandle, job_body},
@@ -20,6 +21,7 @@
     port::free_addr,
     process::Process,
     proxy::Proxy,
+    site::{Site, site_config, site_job, submit_to},
 };
 
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/tests/processes/support/site.rs
@@ -0,0 +1,264 @@
+//! A site of real processes on loopback: the published store and workers, entries and agents.
+
+use {
+    super::{Process, Reply, eventually, free_addr, request, try_request},
+    base64::{Engine, engine::general_purpose::STANDARD},
+    serde_json::{Value, json},
+    std::{
+        fs,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        time::Duration,
+    },
+};
+
+/// Host that the site's clients name.
+pub const HOST: &str = "shares.example";
+/// Their path.
+pub const PREFIX: &str = "/shares/";
+
+/// An entry of a site.
+#[derive(Debug)]
+pub struct SiteEntry {
+    pub process: Process,
+    pub clients: SocketAddr,
+    pub ready: SocketAddr,
+    pub metrics: SocketAddr,
+    settings: PathBuf,
+}
+
+/// A worker of a site and the agent beside it.
+#[derive(Debug)]
+pub struct SiteWorker {
+    pub worker: Process,
+    pub agent: Process,
+    pub addr: SocketAddr,
+    /// Where the agent takes the worker's reports.
+    pub reports: SocketAddr,
+    pub log: PathBuf,
+    settings: PathBuf,
+}
+
+/// A running site.
+#[derive(Debug)]
+pub struct Site {
+    pub store: SocketAddr,
+    pub entries: Vec<SiteEntry>,
+    pub workers: Vec<SiteWorker>,
+    _store_process: Process,
+    folder: PathBuf,
+}
+
+fn common(name: &str, zone: &str, store: SocketAddr, metrics: SocketAddr) -> String {
+    format!(
+        "deployment = \"site\"\nname = \"{name}\"\navailability_zone = \"{zone}\"\n\
+         metrics_listen = \"{metrics}\"\nstore = \"{store}\"\n"
+    )
+}
+
+impl Site {
+    /// Starts a site and waits until its entries are ready.
+    pub async fn start(name: &str, entries: usize, workers: usize) -> Self {
+        let folder = std::env::temp_dir().join(format!("site-{name}-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("folder");
+        let store = free_addr();
+        let listen = store.to_string();
+        let args = ["site-store", "--listen", &listen];
+        let standin = env!("CARGO_BIN_EXE_rattanslip-standin");
+        let store_process = Process::start(standin, &args, &folder.join("store.log"));
+        let mut site = Self {
+            store,
+            entries: Vec::new(),
+            workers: Vec::new(),
+            _store_process: store_process,
+            folder,
+        };
+        eventually("the store listens", Duration::from_secs(10), || async {
+            try_request("GET", store, "/v1/rows-get?table=op&part=", &[], "")
+                .await
+                .is_ok()
+        })
+        .await;
+        site.put("config", &site_config(1)).await;
+        for number in 0..entries {
+            site.add_entry(number);
+        }
+        for number in 0..workers {
+            site.add_worker(number);
+        }
+        site.until_ready().await;
+        site
+    }
+
+    /// Waits until all entries are ready.
+    pub async fn until_ready(&self) {
+        for entry in &self.entries {
+            eventually("an entry is ready", Duration::from_secs(20), || async {
+                let probe = try_request("GET", entry.ready, "/v1/ready", &[], "").await;
+                probe.is_ok_and(|reply| reply.status == 200)
+            })
+            .await;
+        }
+    }
+
+    /// Writes an operators' row.
+    pub async fn put(&self, key: &str, value: &Value) {
+        let value = STANDARD.encode(value.to_string());
+        let body = json!({"puts": [{"table": "op", "part": "", "key": key, "value": value}]});
+        let reply = request("POST", self.store, "/v1/rows-tx", &[], &body.to_string()).await;
+        assert_eq!(reply.status, 200);
+    }
+
+    /// Switches faults of the store on.
+    pub async fn store_faults(&self, faults: &Value) {
+        request("POST", self.store, "/faults", &[], &faults.to_string()).await;
+    }
+
+    fn add_entry(&mut self, number: usize) {
+        let (clients, ready, metrics) = (free_addr(), free_addr(), free_addr());
+        let text = format!(
+            "{}client_listen = \"{clients}\"\nready_listen = \"{ready}\"\nlink_listen = \"{}\"\n",
+            common(&format!("entry-{number}"), "north", self.store, metrics),
+            free_addr()
+        );
+        let settings = self.folder.join(format!("entry-{number}.toml"));
+        fs::write(&settings, text).expect("settings");
+        let process = start_entry(&settings, &self.folder);
+        self.entries.push(SiteEntry {
+            process,
+            clients,
+            ready,
+            metrics,
+            settings,
+        });
+    }
+
+    /// Kills an entry and starts it again with the same settings.
+    pub fn restart_entry(&mut self, number: usize) {
+        let entry = &mut self.entries[number];
+        entry.process.kill();
+        entry.process = start_entry(&entry.settings, &self.folder);
+    }
+
+    fn add_worker(&mut self, number: usize) {
+        let (addr, reports) = (free_addr(), free_addr());
+        let zone = ["north", "south"][number % 2];
+        let text = format!(
+            "{}service = \"shares\"\nworker = \"{addr}\"\nworker_listen = \"{reports}\"\n",
+            common(&format!("agent-{number}"), zone, self.store, free_addr())
+        );
+        let settings = self.folder.join(format!("agent-{number}.toml"));
+        fs::write(&settings, text).expect("settings");
+        let agent = start_agent(&settings, &self.folder);
+        let log = self.folder.join(format!("worker-{number}.log"));
+        let (listen, to, id) = (addr.to_string(), reports.to_string(), format!("w-{number}"));
+        let args = [
+            "site-worker",
+            "--listen",
+            &listen,
+            "--agent",
+            &to,
+            "--id",
+            &id,
+            "--service",
+            "shares",
+            "--zone",
+            zone,
+            "--slots",
+            "4",
+            "--heartbeat-ms",
+            "200",
+        ];
+        let worker = Process::start(env!("CARGO_BIN_EXE_rattanslip-standin"), &args, &log);
+        self.workers.push(SiteWorker {
+            worker,
+            agent,
+            addr,
+            reports,
+            log,
+            settings,
+        });
+    }
+
+    /// Kills an agent and starts it again with the same settings.
+    pub fn restart_agent(&mut self, number: usize) {
+        let worker = &mut self.workers[number];
+        worker.agent.kill();
+        worker.agent = start_agent(&worker.settings, &self.folder);
+    }
+
+    /// Hands a job in and waits for its answer.
+    pub async fn submit(&self, entry: usize, id: &str, body: &Value) -> Result<Reply, String> {
+        submit_to(self.entries[entry].clients, id, body.clone()).await
+    }
+
+    /// Beginnings and ends of runs at all workers: worker, event, task.
+    pub fn runs(&self) -> Vec<(usize, String, String)> {
+        let mut runs = Vec::new();
+        for (number, worker) in self.workers.iter().enumerate() {
+            for line in fs::read_to_string(&worker.log).expect("log").lines() {
+                if let Ok(line) = serde_json::from_str::<Value>(line)
+                    && let (Some(event), Some(task)) =
+                        (line["event"].as_str(), line["task"].as_str())
+                {
+                    runs.push((number, event.to_owned(), task.to_owned()));
+                }
+            }
+        }
+        runs
+    }
+
+    /// Lines that an entry or agent has written.
+    pub fn lines(&self, process: &str) -> String {
+        fs::read_to_string(self.folder.join(format!("{process}.log"))).expect("log")
+    }
+}
+
+/// Hands a job in at an entry and waits for its answer.
+pub async fn submit_to(entry: SocketAddr, id: &str, body: Value) -> Result<Reply, String> {
+    let path = format!("{PREFIX}{id}");
+    let headers = [("host", HOST), ("rattanslip-deadline-ms", "8000")];
+    try_request("POST", entry, &path, &headers, &body.to_string()).await
+}
+
+fn log_of(settings: &Path, folder: &Path) -> PathBuf {
+    let name = settings.file_stem().expect("name").to_string_lossy();
+    folder.join(format!("{name}.log"))
+}
+
+fn start_entry(settings: &Path, folder: &Path) -> Process {
+    let path = settings.to_string_lossy();
+    let args = ["--settings", path.as_ref()];
+    let program = env!("CARGO_BIN_EXE_rattanslip-entry");
+    Process::start(program, &args, &log_of(settings, folder))
+}
+
+fn start_agent(settings: &Path, folder: &Path) -> Process {
+    let path = settings.to_string_lossy();
+    let args = ["--settings", path.as_ref()];
+    let program = env!("CARGO_BIN_EXE_rattanslip-agent");
+    Process::start(program, &args, &log_of(settings, folder))
+}
+
+/// The operators' document.
+pub fn site_config(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [{
+            "name": "shares", "host": HOST, "path_prefix": PREFIX, "kind": "unsafe",
+            "timeout_ms": 8000, "target_duration_ms": 60, "priority": 0, "service": "shares",
+            "max_attempts": 3, "stretch": 1.6
+        }],
+        "services": [{"name": "shares", "rejects_overload": true}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262_144,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+    })
+}
+
+/// A job whose tasks run so long.
+pub fn site_job(tasks: u16, run_ms: u64) -> Value {
+    json!({
+        "spec": run_ms.to_string(), "best_effort": true,
+        "steps": [{"count": tasks, "cpu": 1000, "mem_mb": 64, "estimate_ms": run_ms}]
+    })
+}
