--- a/src/conf/site_settings.rs
+++ b/src/conf/site_settings.rs
@@ -52,16 +52,20 @@
     pub(crate) ready_listen: SocketAddr,
     /// Where agents connect.
     pub(crate) link_listen: SocketAddr,
+    /// Where agents reach it, if not where it listens.
+    pub(crate) link_addr: SocketAddr,
 }
 
 impl SiteEntrySettings {
     /// Reads the file's root table.
     pub(crate) fn read(reader: &mut TableReader<'_>) -> Self {
+        let link_listen = reader.socket_addr("link_listen");
         Self {
             site: SiteSettings::read(reader),
             client_listen: reader.socket_addr("client_listen"),
             ready_listen: reader.socket_addr("ready_listen"),
-            link_listen: reader.socket_addr("link_listen"),
+            link_listen,
+            link_addr: reader.socket_addr_or("link_addr", link_listen),
         }
     }
 }
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -106,9 +106,9 @@
     tokio::spawn(serve_http(balancer, ready, stopped.clone()));
     tokio::spawn(serve_http(readers, probe, stopped));
     tokio::spawn(Arc::clone(&news).follow());
-    let link_listen = settings.link_listen;
+    let link_addr = settings.link_addr;
     let joining = Arc::clone(&news);
-    tokio::spawn(async move { joining.join(link_listen).await });
+    tokio::spawn(async move { joining.join(link_addr).await });
     tokio::spawn(reload_signals(Arc::clone(&decisions)));
     let started = ProcessNote::Started {
         version: env!("CARGO_PKG_VERSION"),
@@ -124,7 +124,7 @@
         decisions,
         stop,
     };
-    let removing = tokio::spawn(async move { store.remove_entry(link_listen).await });
+    let removing = tokio::spawn(async move { store.remove_entry(link_addr).await });
     ending.run().await;
     removing.abort();
     Ok(())
