Late reports of a reborn worker and late hellos no longer start a task twice; agents dial once the worker is clean

Hellos with a stamp that is not newer are refused. An agent dials entries as soon as the worker's lists show that nothing runs (before: after the lease, half a second later).

--- a/src/core/dispatch/dispatch_note.rs
+++ b/src/core/dispatch/dispatch_note.rs
@@ -103,6 +103,11 @@
         /// The agent.
         agent: String,
     },
+    /// A hello is older than what is known of its agent; the session is given up.
+    HelloOutdated {
+        /// The agent.
+        agent: String,
+    },
     /// An agent's session is lost or given up.
     AgentLost {
         /// The agent.
--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -57,6 +57,11 @@
     }
 
     /// Begins a session. Its hello says that nothing from an earlier one runs there any more.
+    ///
+    /// Guards against the hello of a session that has ended already and is read late: an entry that was
+    /// suspended finds several in its sockets, in any order, and an old one says nothing about runs that
+    /// were ordered on a newer session. The agent's stamps only rise, so it is told by its stamp. A
+    /// host that was started anew counts from zero and is met as soon as its earlier runs are over.
     fn open_link(&mut self, now: Instant, link: LinkId, agent: String, stamp_us: u64) {
         let key = match self.by_agent.get(&agent) {
             Some(key) => *key,
@@ -66,6 +71,15 @@
                 key
             }
         };
+        if self
+            .workers
+            .get(key)
+            .is_some_and(|known| stamp_us <= known.stamp_us)
+        {
+            self.note(DispatchNote::HelloOutdated { agent });
+            self.actions.push(DispatchAction::Close { link });
+            return;
+        }
         self.end_all_runs(now, key);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
--- a/src/core/execution/execution_event.rs
+++ b/src/core/execution/execution_event.rs
@@ -206,6 +206,8 @@
         /// The session.
         session: SessionId,
     },
+    /// Nothing runs at the worker that an earlier process of this agent started: entries may be dialled.
+    CleanSlate,
     /// Call the worker.
     Start(StartCall),
     /// Call the worker.
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -146,17 +146,26 @@
 
     /// Begins with another life of the worker: what ran in the one before is lost with it.
     ///
-    /// Orders that are still under way may reach the new life, so their runs are kept until a
-    /// hold with a higher token has settled what became of them.
+    /// Guards against two runs of a task: a worker may begin anew under its name, take starts, and its report of
+    /// that come seconds late. Runs that it is taken to have, and orders under way, may therefore be
+    /// at work in the new life; its lists under a higher token settle which are.
     pub(super) fn begin_life(&mut self, now: Instant, view: WorkerView, sequence: u64) {
-        let runs_lost = self.lose_confirmed_runs(now, "worker_restarted");
+        let same_name = self
+            .worker
+            .as_ref()
+            .is_some_and(|known| known.view.life.id == view.life.id);
+        let runs_lost = if same_name {
+            0
+        } else {
+            self.lose_confirmed_runs(now, "worker_restarted")
+        };
         self.note(ExecutionNote::WorkerSeen {
             worker: view.life.id.clone(),
             born_unix_ms: view.life.born_unix_ms,
             runs_lost,
         });
         self.worker = Some(WorkerState::new(now, view, sequence));
-        self.doubt_ordered_runs();
+        self.doubt_all_runs();
     }
 
     fn on_worker_left(&mut self, now: Instant, worker: &str) {
--- a/src/core/execution/holds.rs
+++ b/src/core/execution/holds.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        ExecutionNote, Executor, HoldAnswer, HoldCall, ListedEnd, ListedRun, run::StartState,
-        worker_state::ClockReading,
+        ExecutionAction, ExecutionNote, Executor, HoldAnswer, HoldCall, ListedEnd, ListedRun,
+        run::StartState, worker_state::ClockReading,
     },
     crate::core::{
         link::{NotStartedReason, RunEnd},
@@ -28,6 +28,7 @@
                 ended,
             } => {
                 if !self.is_of_this_life(call, born_unix_ms) {
+                    self.suspect_new_life(call, born_unix_ms);
                     return;
                 }
                 self.read_clock(now, clock_ms);
@@ -55,6 +56,21 @@
         })
     }
 
+    /// Gives a worker nothing more that has begun anew under its name, until its report comes.
+    ///
+    /// Its clock and its runs are others than those that are known, so a start's lease would be too long.
+    fn suspect_new_life(&mut self, call: &HoldCall, born_unix_ms: Option<u64>) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        let life = &worker.view.life;
+        let is_newer = born_unix_ms.is_some_and(|born| born > life.born_unix_ms);
+        if life.id == call.worker && is_newer && worker.ready {
+            worker.ready = false;
+            self.announce_worker();
+        }
+    }
+
     fn read_clock(&mut self, now: Instant, clock_ms: u64) {
         let Some(worker) = &mut self.worker else {
             return;
@@ -137,11 +153,16 @@
                 .and_then(|stop| stop.confirmed_before)
                 .is_some_and(|hold| call.sequence >= hold);
             match run.start {
-                StartState::Unresolved { token } if is_listed && token < call.token => {
+                StartState::Unresolved { token, .. } if is_listed && token < call.token => {
                     run.start = StartState::Confirmed { at: now };
                 }
-                StartState::Unresolved { token } if token < call.token => {
-                    over.push((*task, RunEnd::NotStarted(NotStartedReason::OrderLost)));
+                StartState::Unresolved { token, begun } if token < call.token => {
+                    let end = if begun {
+                        RunEnd::Lost
+                    } else {
+                        RunEnd::NotStarted(NotStartedReason::OrderLost)
+                    };
+                    over.push((*task, end));
                 }
                 StartState::Ordered | StartState::Unresolved { .. } => {}
                 StartState::Confirmed { .. } if !is_listed && stopped => {
@@ -166,6 +187,7 @@
         }
         worker.ready = true;
         let name = worker.view.life.id.clone();
+        self.actions.push(ExecutionAction::CleanSlate);
         self.note(ExecutionNote::WorkerReady {
             worker: name,
             token,
--- a/src/core/execution/orders.rs
+++ b/src/core/execution/orders.rs
@@ -143,7 +143,11 @@
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
-        run.start = StartState::Unresolved { token: order_token };
+        let begun = matches!(run.start, StartState::Confirmed { .. });
+        run.start = StartState::Unresolved {
+            token: order_token,
+            begun,
+        };
         let run_id = run.order.run;
         self.note(ExecutionNote::OrderUnanswered {
             job: task.job.to_string(),
@@ -153,16 +157,11 @@
         self.ask_lists();
     }
 
-    /// Doubts all orders that are under way.
-    pub(super) fn doubt_ordered_runs(&mut self) {
-        let ordered: Vec<TaskId> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| run.start == StartState::Ordered)
-            .map(|(task, _)| *task)
-            .collect();
+    /// Doubts all runs: the worker's next lists tell which of them it has.
+    pub(super) fn doubt_all_runs(&mut self) {
+        let doubted: Vec<TaskId> = self.runs.keys().copied().collect();
         let token = self.token;
-        for task in ordered {
+        for task in doubted {
             self.doubt_run(task, token);
         }
     }
--- a/src/core/execution/run.rs
+++ b/src/core/execution/run.rs
@@ -10,10 +10,12 @@
 pub(super) enum StartState {
     /// The call is under way.
     Ordered,
-    /// The call was given up. A hold with a token above this one settles what became of it.
+    /// Nobody knows whether the worker has it. A hold with a token above this one settles it.
     Unresolved {
         /// Token that the order carried.
         token: u64,
+        /// The worker had it, perhaps in a life that is over.
+        begun: bool,
     },
     /// The worker has it since then.
     Confirmed {
--- a/src/core/tests/world.rs
+++ b/src/core/tests/world.rs
@@ -74,6 +74,10 @@
     WorkerTick {
         worker: usize,
     },
+    DialFirst {
+        agent: usize,
+        life: u64,
+    },
     Dial {
         entry: usize,
         agent: usize,
@@ -164,6 +168,7 @@
     agents: Vec<Process<Executor>>,
     workers: Vec<WorkerModel>,
     alive: Vec<bool>,
+    dialled: Vec<bool>,
     late_orders: Vec<(u64, Instant)>,
     worker_cut_until: Vec<Instant>,
     silent: BTreeMap<(usize, usize), Instant>,
@@ -189,6 +194,7 @@
             agents: Vec::new(),
             workers: Vec::new(),
             alive: vec![true; WORKERS],
+            dialled: vec![false; WORKERS],
             late_orders: vec![(0, Instant::default()); WORKERS],
             worker_cut_until: vec![Instant::default(); WORKERS],
             silent: BTreeMap::new(),
@@ -353,6 +359,11 @@
                 }
             }
             Event::WorkerTick { worker } => self.tick_worker(worker),
+            Event::DialFirst { agent, life } => {
+                if self.agents[agent].is(life) {
+                    self.dial_first(agent);
+                }
+            }
             Event::Dial { entry, agent, life } => self.dial(entry, agent, life),
             Event::ToEntry { link, frame } => self.deliver_to_entry(link, frame),
             Event::ToAgent { link, frame } => self.deliver_to_agent(link, frame),
@@ -517,8 +528,18 @@
         process.suspended_until = self.now;
         let life = process.life;
         self.at_ms(TICK_MS, Event::AgentTick { agent, life });
+        self.dialled[agent] = false;
+        self.at_ms(lapse_ms, Event::DialFirst { agent, life });
+    }
+
+    /// Dials all entries, unless this life of the agent has done so.
+    fn dial_first(&mut self, agent: usize) {
+        if std::mem::replace(&mut self.dialled[agent], true) {
+            return;
+        }
+        let life = self.agents[agent].life;
         for entry in 0..ENTRIES {
-            self.at_ms(lapse_ms, Event::Dial { entry, agent, life });
+            self.at_ms(0, Event::Dial { entry, agent, life });
         }
     }
 
@@ -628,6 +649,7 @@
                     self.at_ms(20, Event::Dial { entry, agent, life });
                 }
             }
+            ExecutionAction::CleanSlate => self.dial_first(agent),
             ExecutionAction::Note(note) => self.trace(format!("agent {agent}: {note:?}")),
             ExecutionAction::Start(_) | ExecutionAction::Stop(_) | ExecutionAction::Hold(_) => {
                 self.call_worker(agent, action);
@@ -977,14 +999,18 @@
                 }
             }
             Fault::SuspendEntry { entry, for_ms } => {
-                self.entries[entry].suspended_until = now.plus_ms(for_ms);
+                let until = now.plus_ms(for_ms);
+                let process = &mut self.entries[entry];
+                process.suspended_until = process.suspended_until.max(until);
                 // Its clients hear nothing; half of them break off at once.
                 if self.chance.percent(50) {
                     self.break_clients(entry);
                 }
             }
             Fault::SuspendAgent { agent, for_ms } => {
-                self.agents[agent].suspended_until = now.plus_ms(for_ms);
+                let until = now.plus_ms(for_ms);
+                let process = &mut self.agents[agent];
+                process.suspended_until = process.suspended_until.max(until);
             }
             Fault::Silence {
                 entry,
--- a/src/site_agent/execution_loop.rs
+++ b/src/site_agent/execution_loop.rs
@@ -10,7 +10,7 @@
         ports::{Counter, DecisionLog, Gauge, LineRank, Metrics, TimerService, WorkerPort, note},
     },
     std::{collections::BTreeMap, sync::Arc},
-    tokio::sync::{mpsc, oneshot},
+    tokio::sync::{mpsc, oneshot, watch},
 };
 
 /// Pause between ticks, in milliseconds: rights and leases are kept to within as much.
@@ -51,6 +51,8 @@
     pub(super) metrics: Arc<dyn Metrics>,
     pub(super) sessions: BTreeMap<SessionId, mpsc::UnboundedSender<AgentFrame>>,
     pub(super) clearing: BTreeMap<SessionId, oneshot::Sender<()>>,
+    /// Turns true once nothing of an earlier process runs at the worker.
+    pub(super) clean_slate: watch::Sender<bool>,
     pub(super) inputs_back: mpsc::UnboundedSender<LoopInput>,
 }
 
@@ -122,6 +124,10 @@
                     let _ = cleared.send(());
                 }
             }
+            // Told again with each life of the worker; only the first matters.
+            ExecutionAction::CleanSlate => {
+                self.clean_slate.send_replace(true);
+            }
             ExecutionAction::Start(call) => {
                 self.metrics.count(Counter::Starts, "ordered");
                 self.call(async |worker| {
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -28,7 +28,7 @@
     tokio::{
         net::TcpListener,
         sync::{mpsc, oneshot, watch},
-        time::{Instant, sleep},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -47,6 +47,7 @@
     let decisions: Arc<dyn DecisionLog> = Arc::new(writer);
     let (inputs, taken) = mpsc::unbounded_channel();
     let caller = PlatformCaller::new();
+    let (clean_slate, mut is_clean) = watch::channel(false);
     let executor = Executor::new(ExecutorSettings {
         agent: site.name.clone(),
         service: settings.service.clone(),
@@ -61,6 +62,7 @@
         metrics: Arc::clone(&metrics),
         sessions: BTreeMap::new(),
         clearing: BTreeMap::new(),
+        clean_slate,
         inputs_back: inputs.clone(),
     };
     let ear: Arc<dyn HttpHandler> = Arc::new(WorkerEar {
@@ -93,11 +95,12 @@
     };
     note(&*decisions, LineRank::Notable, &started);
     // Guards against two runs of a task: a session's hello says that nothing from before runs
-    // here, but a process that was killed a moment ago may have left runs at the worker. Nobody
-    // renews their lease, so they are over before the first session is opened.
+    // here, but a process that was killed a moment ago may have left runs at the worker. They are
+    // over once the worker's lists under a newer token show none, or else when their lease is.
     let lapse = Duration::from_millis(site.limits.lapse_ms() + LEASE_SLACK_MS);
     tokio::spawn(async move {
-        sleep(lapse).await;
+        // Either is enough, and the first session then opens half a second earlier.
+        let _ = timeout(lapse, is_clean.wait_for(|clean| *clean)).await;
         dialler.follow().await;
     });
 
--- a/src/site_entry/dispatch_loop.rs
+++ b/src/site_entry/dispatch_loop.rs
@@ -194,6 +194,7 @@
             | DispatchNote::JobHeld { .. }
             | DispatchNote::Woke { .. }
             | DispatchNote::JobIsolated { .. }
+            | DispatchNote::HelloOutdated { .. }
             | DispatchNote::AgentConnected { .. }
             | DispatchNote::AgentLost { .. }
             | DispatchNote::WorkerChanged { .. }
