A worker that refuses connections is looked at ten times a second, not in a loop, and is given up

Ruled out: idle connections (pool), late orders. Test seen failing first (1,000 calls in two seconds): a_worker_that_refuses_connections_is_not_called_in_a_loop. Directed tests of the executor for each refusal, silence, unanswered starts, lives and leases.

--- a/src/core/execution/holds.rs
+++ b/src/core/execution/holds.rs
@@ -41,7 +41,7 @@
                     self.raise_token();
                 }
             }
-            HoldAnswer::OtherWorker | HoldAnswer::Unanswered => {}
+            HoldAnswer::OtherWorker | HoldAnswer::Unanswered => self.note_unanswered_look(now),
         }
     }
 
@@ -76,6 +76,7 @@
             return;
         };
         worker.answered_at = now;
+        worker.unanswered = 0;
         // Answers may overtake each other; the clock never runs back.
         if worker.clock.is_none_or(|known| clock_ms >= known.clock_ms) {
             worker.clock = Some(ClockReading { clock_ms, at: now });
--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -22,7 +22,9 @@
 const IDLE_WATCH_MS: u64 = 1_500;
 /// Time beyond the wait after which a watch counts as lost and another is begun, in milliseconds.
 const WATCH_SLACK_MS: u64 = 200;
-/// Pause between looks at a worker that is not ready, in milliseconds.
+/// Looks without an answer after which a worker that runs nothing counts as gone.
+const LOST_LOOKS: u32 = 3;
+/// Pause between looks at a worker that is not ready or does not answer, in milliseconds.
 const FIRST_LOOK_MS: u64 = 100;
 
 impl Executor {
@@ -90,7 +92,7 @@
         let is_watched = worker
             .watching_since
             .is_some_and(|since| now.millis_since(since) < IDLE_WATCH_MS + WATCH_SLACK_MS);
-        if !worker.ready || is_watched {
+        if !worker.ready || is_watched || now < worker.look_again_at {
             return;
         }
         worker.watching_since = Some(now);
@@ -121,17 +123,31 @@
     pub(super) fn note_worker_answer(&mut self, now: Instant) {
         if let Some(worker) = &mut self.worker {
             worker.answered_at = now;
+            worker.unanswered = 0;
         }
     }
 
-    /// Ends all runs of a worker that has not answered until its lease was over.
+    /// Notes a look without an answer.
+    ///
+    /// Guards against a loop of calls to a worker that is gone: its host refuses connections at once, and
+    /// each refusal would be followed by another call, thousands a second.
+    pub(super) fn note_unanswered_look(&mut self, now: Instant) {
+        if let Some(worker) = &mut self.worker {
+            worker.unanswered += 1;
+            worker.look_again_at = now.plus_ms(FIRST_LOOK_MS);
+        }
+    }
+
+    /// Gives up a worker that does not answer, and all its runs once its lease is certainly over.
     fn give_up_silent_worker(&mut self, now: Instant) {
         let lease_ms = self.settings.limits.lease_ms;
         let Some(worker) = &mut self.worker else {
             return;
         };
         let silent = now.millis_since(worker.answered_at) >= lease_ms;
-        if !worker.ready || self.runs.is_empty() || !silent || now < worker.lease_over_at {
+        // Without runs a look may wait for long, so that looks count and not the time.
+        let is_lost = silent && (!self.runs.is_empty() || worker.unanswered >= LOST_LOOKS);
+        if !worker.ready || !is_lost || now < worker.lease_over_at {
             return;
         }
         worker.ready = false;
--- a/src/core/execution/tests.rs
+++ b/src/core/execution/tests.rs
@@ -1,1 +1,416 @@
-//! Tests of the executor.
+//! Directed tests of the executor; the seeded harness plays it with everything else.
+
+use {
+    super::{
+        ExecutionAction, ExecutionEvent, Executor, ExecutorSettings, HoldAnswer, HoldCall,
+        ListedEnd, ListedRun, SessionId, StartAnswer, StartCall,
+    },
+    crate::core::{
+        link::{AgentFrame, EntryFrame, News, NotStartedReason, RunEnd, StartOrder},
+        time::Instant,
+        work::{JobId, Needs, RunId, RunLimits, TaskId, WorkerLife, WorkerView},
+    },
+    std::{collections::BTreeSet, sync::Arc},
+};
+
+const SESSION: SessionId = SessionId(1);
+/// When the worker of each test was born, in milliseconds since 1970.
+const BORN_MS: u64 = 5_000;
+
+/// An executor with its clock and what it last wanted done.
+struct Bench {
+    executor: Executor,
+    now: Instant,
+    actions: Vec<ExecutionAction>,
+}
+
+fn limits() -> RunLimits {
+    RunLimits::for_resend(1_300, 50)
+}
+
+fn view(born_unix_ms: u64, draining: bool) -> WorkerView {
+    WorkerView {
+        life: WorkerLife {
+            id: "w".to_owned(),
+            born_unix_ms,
+        },
+        service: "shares".to_owned(),
+        availability_zone: "north".to_owned(),
+        capacity: Needs {
+            cpu_milli: 2_000,
+            ..Needs::default()
+        },
+        labels: Vec::new(),
+        draining,
+    }
+}
+
+fn run(job: u64) -> RunId {
+    RunId {
+        task: TaskId {
+            job: JobId(job),
+            step: 0,
+            index: 0,
+        },
+        number: 1,
+    }
+}
+
+fn order(job: u64) -> StartOrder {
+    StartOrder {
+        run: run(job),
+        spec: Arc::from("spec"),
+        needs: Needs {
+            cpu_milli: 1_000,
+            ..Needs::default()
+        },
+        time_left_ms: 5_000,
+    }
+}
+
+impl Bench {
+    /// An executor with a worker that is ready and an entry that may run tasks.
+    fn ready() -> Self {
+        let settings = ExecutorSettings {
+            agent: "agent".to_owned(),
+            service: "shares".to_owned(),
+            limits: limits(),
+            first_token: 100,
+        };
+        let mut bench = Self {
+            executor: Executor::new(settings),
+            now: Instant::from_millis(10_000),
+            actions: Vec::new(),
+        };
+        bench.heartbeat(BORN_MS, 1, false);
+        let look = bench.holds().remove(0);
+        bench.lists(look, &[], &[]);
+        bench.feed(ExecutionEvent::SessionOpened {
+            session: SESSION,
+            entry: "entry".to_owned(),
+        });
+        bench.beat();
+        bench
+    }
+
+    fn feed(&mut self, event: ExecutionEvent) {
+        self.actions = self.executor.handle(self.now, event);
+    }
+
+    fn tick_after(&mut self, pause_ms: u64) {
+        self.now = self.now.plus_ms(pause_ms);
+        self.feed(ExecutionEvent::Tick);
+    }
+
+    fn heartbeat(&mut self, born_unix_ms: u64, sequence: u64, draining: bool) {
+        let view = view(born_unix_ms, draining);
+        self.feed(ExecutionEvent::Heartbeat { view, sequence });
+    }
+
+    fn frame(&mut self, frame: EntryFrame) {
+        let session = SESSION;
+        self.feed(ExecutionEvent::Frame { session, frame });
+    }
+
+    fn beat(&mut self) {
+        self.frame(EntryFrame::Beat {
+            echo_us: self.now.as_micros(),
+            news_version: 0,
+        });
+    }
+
+    fn lists(&mut self, call: HoldCall, running: &[RunId], ended: &[ListedEnd]) {
+        let answer = HoldAnswer::Lists {
+            born_unix_ms: Some(BORN_MS),
+            clock_ms: 1_000,
+            running: running
+                .iter()
+                .map(|run| ListedRun {
+                    task: run.task,
+                    number: run.number,
+                })
+                .collect(),
+            ended: ended.to_vec(),
+        };
+        self.feed(ExecutionEvent::HoldAnswered { call, answer });
+    }
+
+    fn holds(&self) -> Vec<HoldCall> {
+        let holds = self.actions.iter().filter_map(|action| match action {
+            ExecutionAction::Hold(call) => Some(call.clone()),
+            _ => None,
+        });
+        holds.collect()
+    }
+
+    fn starts(&self) -> Vec<StartCall> {
+        let starts = self.actions.iter().filter_map(|action| match action {
+            ExecutionAction::Start(call) => Some(call.clone()),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    fn stops(&self) -> usize {
+        let stops = self.actions.iter();
+        stops
+            .filter(|action| matches!(action, ExecutionAction::Stop(_)))
+            .count()
+    }
+
+    /// How runs ended, as the entry was told.
+    fn ends(&self) -> Vec<RunEnd> {
+        let ends = self.actions.iter().filter_map(|action| match action {
+            ExecutionAction::Send {
+                frame: AgentFrame::Ended { end, .. },
+                ..
+            } => Some(*end),
+            _ => None,
+        });
+        ends.collect()
+    }
+
+    /// Starts a task and lets the worker answer so.
+    fn start(&mut self, job: u64, answer: StartAnswer) {
+        self.frame(EntryFrame::Start(order(job)));
+        let call = self.starts().remove(0);
+        self.feed(ExecutionEvent::StartAnswered { call, answer });
+    }
+}
+
+macro_rules! refusal_cases {
+    ($($(#[$doc:meta])* $name:ident: $prepare:expr => $reason:ident;)+) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let mut bench = Bench::ready();
+                let prepare: fn(&mut Bench) = $prepare;
+                prepare(&mut bench);
+                bench.frame(EntryFrame::Start(order(1)));
+                assert_eq!(bench.ends(), [RunEnd::NotStarted(NotStartedReason::$reason)]);
+                assert!(bench.starts().is_empty());
+            }
+        )+
+    };
+}
+
+refusal_cases! {
+    /// A worker says that it ends. From the moment at which that is acknowledged it is given nothing.
+    a_draining_worker_is_given_nothing: |bench| bench.heartbeat(BORN_MS, 2, true) => Draining;
+    a_zone_that_is_out_is_given_nothing: |bench| bench.frame(EntryFrame::News(News {
+        version: 7,
+        evacuated: BTreeSet::from(["north".to_owned()]),
+        document: None,
+    })) => Evacuated;
+    a_task_has_one_run_at_a_time: |bench| bench.start(1, StartAnswer::Accepted) => TaskBusy;
+    what_does_not_fit_is_refused: |bench| {
+        bench.start(2, StartAnswer::Accepted);
+        bench.start(3, StartAnswer::Accepted);
+    } => NoRoom;
+    an_entry_without_a_fresh_echo_starts_nothing: |bench| {
+        bench.now = bench.now.plus_ms(limits().silence_ms);
+    } => RightLapsed;
+    a_process_that_is_to_end_starts_nothing: |bench| bench.feed(ExecutionEvent::Leave) => Draining;
+}
+
+/// An entry's host is suspended. Its runs are stopped once its right has lapsed, and its session is given up, so
+/// that a copy of the job at another entry finds nothing of it at work.
+#[test]
+fn a_silent_entry_loses_its_runs() {
+    let mut bench = Bench::ready();
+    bench.start(1, StartAnswer::Accepted);
+    let mut stops = Vec::new();
+    for _ in 0..limits().silence_ms / 15 {
+        bench.tick_after(15);
+        stops.push(bench.stops());
+        let closed = std::mem::take(&mut bench.actions);
+        for action in &closed {
+            if let ExecutionAction::Hold(call) = action {
+                bench.lists(call.clone(), &[run(1)], &[]);
+            }
+        }
+        bench.actions = closed;
+    }
+    assert_eq!(stops.pop(), Some(1));
+    assert_eq!(stops.iter().sum::<usize>(), 0);
+    let closed = ExecutionAction::Close { session: SESSION };
+    assert!(bench.actions.contains(&closed));
+}
+
+/// Bytes of an entry are held up for seconds and then arrive at once. The echo in them is old and gives no right.
+#[test]
+fn an_old_echo_gives_no_right() {
+    let mut bench = Bench::ready();
+    let echo_us = bench.now.as_micros();
+    bench.now = bench.now.plus_ms(3_000);
+    bench.frame(EntryFrame::Beat {
+        echo_us,
+        news_version: 0,
+    });
+    bench.frame(EntryFrame::Start(order(1)));
+    assert_eq!(
+        bench.ends(),
+        [RunEnd::NotStarted(NotStartedReason::RightLapsed)]
+    );
+}
+
+/// A start is not answered. It may be carried out seconds later, so the task is not given back before
+/// the worker has taken a higher token; then its lists tell.
+#[test]
+fn an_unanswered_start_is_settled_under_a_higher_token() {
+    let mut bench = Bench::ready();
+    bench.start(1, StartAnswer::Unanswered);
+    assert!(bench.ends().is_empty());
+    let look = bench.holds().remove(0);
+    assert_eq!(look.token, 101);
+    bench.lists(look, &[], &[]);
+    assert_eq!(
+        bench.ends(),
+        [RunEnd::NotStarted(NotStartedReason::OrderLost)]
+    );
+}
+
+#[test]
+fn an_unanswered_start_that_is_listed_goes_on() {
+    let mut bench = Bench::ready();
+    bench.start(1, StartAnswer::Unanswered);
+    let look = bench.holds().remove(0);
+    bench.lists(look, &[run(1)], &[]);
+    assert!(bench.ends().is_empty());
+    assert_eq!(bench.executor.run_count(), 1);
+}
+
+/// A run of the task had ended at this worker for another entry. The number is used, and the next one is taken.
+#[test]
+fn a_used_number_is_raised() {
+    let mut bench = Bench::ready();
+    bench.start(1, StartAnswer::NumberUsed);
+    assert_eq!(bench.starts()[0].number, 2);
+}
+
+/// An agent is killed and starts again. What its earlier process had started is still at work at the worker: it is
+/// stopped before the worker is offered.
+#[test]
+fn runs_of_an_earlier_process_are_stopped_first() {
+    let settings = Bench::ready().executor.settings.clone();
+    let mut bench = Bench {
+        executor: Executor::new(settings),
+        now: Instant::from_millis(10_000),
+        actions: Vec::new(),
+    };
+    bench.heartbeat(BORN_MS, 9, false);
+    let look = bench.holds().remove(0);
+    bench.lists(look, &[run(8)], &[]);
+    assert_eq!(bench.stops(), 1);
+    assert!(!bench.actions.contains(&ExecutionAction::CleanSlate));
+    bench.tick_after(100);
+    let look = bench.holds().remove(0);
+    bench.lists(look, &[], &[]);
+    assert!(bench.actions.contains(&ExecutionAction::CleanSlate));
+}
+
+/// A worker begins anew under its name and takes a start; its report of that comes late. The run is not
+/// given back as lost with the life before, since it is at work.
+#[test]
+fn a_run_in_a_life_that_is_told_of_late_goes_on() {
+    let mut bench = Bench::ready();
+    bench.start(1, StartAnswer::Accepted);
+    bench.heartbeat(BORN_MS + 500, 1, false);
+    assert!(bench.ends().is_empty());
+    let call = bench.holds().remove(0);
+    let answer = HoldAnswer::Lists {
+        born_unix_ms: Some(BORN_MS + 500),
+        clock_ms: 40,
+        running: vec![ListedRun {
+            task: run(1).task,
+            number: 1,
+        }],
+        ended: Vec::new(),
+    };
+    bench.feed(ExecutionEvent::HoldAnswered { call, answer });
+    assert!(bench.ends().is_empty());
+    assert_eq!(bench.executor.run_count(), 1);
+}
+
+/// A report of an earlier life comes after that of the present one. It names no worker to use.
+#[test]
+fn a_late_report_of_an_earlier_life_changes_nothing() {
+    let mut bench = Bench::ready();
+    bench.heartbeat(BORN_MS - 1, 99, true);
+    bench.start(1, StartAnswer::Accepted);
+    assert!(bench.ends().is_empty());
+}
+
+/// A worker's process is gone, and connections to it are refused at once. Each refusal was answered with
+/// another call, thousands a second; and the worker was offered on, as long as nothing ran there.
+#[test]
+fn a_worker_that_refuses_connections_is_not_called_in_a_loop() {
+    let mut bench = Bench::ready();
+    // The watch that the worker was given first is over by then.
+    bench.tick_after(2_000);
+    let mut waiting: Vec<HoldCall> = bench.holds();
+    let mut calls = 0;
+    for _ in 0..100 {
+        while let Some(call) = waiting.pop().filter(|_| calls < 1_000) {
+            calls += 1;
+            let answer = HoldAnswer::Unanswered;
+            bench.feed(ExecutionEvent::HoldAnswered { call, answer });
+            waiting.extend(bench.holds());
+        }
+        bench.tick_after(20);
+        waiting.extend(bench.holds());
+    }
+    assert!(calls <= 25, "{calls} calls in two seconds");
+    bench.frame(EntryFrame::Start(order(1)));
+    assert!(bench.starts().is_empty());
+}
+
+/// A worker does not answer, and tasks run there. They are given back only when its lease is certainly over.
+#[test]
+fn runs_of_a_silent_worker_are_lost_with_its_lease() {
+    let mut bench = Bench::ready();
+    bench.start(1, StartAnswer::Accepted);
+    let mut waited_ms = 0;
+    while bench.ends().is_empty() {
+        bench.tick_after(20);
+        bench.beat_quietly();
+        waited_ms += 20;
+        for call in bench.holds() {
+            let answer = HoldAnswer::Unanswered;
+            let kept = std::mem::take(&mut bench.actions);
+            bench.feed(ExecutionEvent::HoldAnswered { call, answer });
+            bench.actions.extend(kept);
+        }
+        assert!(waited_ms < 2_000);
+    }
+    assert_eq!(bench.ends(), [RunEnd::Lost]);
+    assert!(waited_ms >= 2 * limits().lease_ms - 100, "{waited_ms}");
+}
+
+impl Bench {
+    /// Keeps the entry's right without forgetting the actions that are looked at.
+    fn beat_quietly(&mut self) {
+        let kept = std::mem::take(&mut self.actions);
+        self.beat();
+        self.actions.extend(kept);
+    }
+}
+
+#[test]
+fn an_end_is_told_once() {
+    let mut bench = Bench::ready();
+    bench.start(1, StartAnswer::Accepted);
+    let end = ListedEnd {
+        sequence: 1,
+        task: run(1).task,
+        number: 1,
+        end: RunEnd::Done,
+    };
+    bench.tick_after(150);
+    let look = bench.holds().remove(0);
+    bench.lists(look.clone(), &[], &[end]);
+    assert_eq!(bench.ends(), [RunEnd::Done]);
+    bench.lists(look, &[], &[end]);
+    assert!(bench.ends().is_empty());
+}
--- a/src/core/execution/worker_state.rs
+++ b/src/core/execution/worker_state.rs
@@ -32,6 +32,10 @@
     pub(super) renewed_at: Option<Instant>,
     /// A hold that waits for ends is under way since then.
     pub(super) watching_since: Option<Instant>,
+    /// Looks without an answer since its last one.
+    pub(super) unanswered: u32,
+    /// No look is made before then.
+    pub(super) look_again_at: Instant,
 }
 
 impl WorkerState {
@@ -47,6 +51,8 @@
             lease_over_at: now,
             renewed_at: None,
             watching_since: None,
+            unanswered: 0,
+            look_again_at: now,
         }
     }
 }
