--- a/src/cli/args/operator_args.rs
+++ b/src/cli/args/operator_args.rs
@@ -51,6 +51,14 @@
         #[arg(long, value_enum, default_value = "document")]
         kind: CheckKind,
     },
+    /// Show what the processes' logs say of one request, in order of time
+    Explain {
+        /// The request's id
+        id: String,
+        /// Logs of entries and agents
+        #[arg(required = true, value_name = "FILE")]
+        logs: Vec<PathBuf>,
+    },
     /// Read a token from standard input and print the digest for an entry's settings
     HashToken,
     /// Show what a configuration document would change
--- /dev/null
+++ b/src/cli/commands/explain.rs
@@ -0,0 +1,105 @@
+//! Shows what the processes' decision lines say of one request.
+
+use {
+    crate::cli::RunError,
+    serde_json::{Map, Value},
+    std::{
+        fs,
+        path::{Path, PathBuf},
+    },
+};
+
+/// Pause between two lines that is pointed out, in milliseconds: most steps of a request take less.
+const GAP_MS: u64 = 500;
+/// Fields that stand in a line's first columns.
+const COLUMNS: [&str; 4] = ["at_unix_ms", "process", "event", "job"];
+/// Events that decide how a request ends.
+const DECISIVE: [&str; 6] = [
+    "job_refused",
+    "job_answered",
+    "job_isolated",
+    "run_lost",
+    "run_overdue",
+    "call_refused",
+];
+
+/// One line of a log.
+#[derive(Debug)]
+struct DecisionLine {
+    at_unix_ms: u64,
+    process: String,
+    event: String,
+    fields: Map<String, Value>,
+}
+
+/// Prints the lines that name the request, in order, with gaps and decisive lines marked.
+pub(crate) fn explain(id: &str, files: &[PathBuf]) -> Result<(), RunError> {
+    let mut lines = Vec::new();
+    for file in files {
+        lines.extend(lines_of(id, file)?);
+    }
+    if lines.is_empty() {
+        return Err(RunError::Failed(format!("no line names {id}")));
+    }
+    lines.sort_by_key(|line| line.at_unix_ms);
+    print!("{}", timeline(&lines));
+    Ok(())
+}
+
+fn lines_of(id: &str, file: &Path) -> Result<Vec<DecisionLine>, RunError> {
+    let text = fs::read_to_string(file)
+        .map_err(|error| RunError::Usage(format!("{}: {error}", file.display())))?;
+    let lines = text.lines().filter(|line| line.contains(id));
+    Ok(lines.filter_map(read_line).collect())
+}
+
+/// A decision line; other output of a process is none.
+fn read_line(line: &str) -> Option<DecisionLine> {
+    let fields: Map<String, Value> = serde_json::from_str(line).ok()?;
+    let text = |field: &str| Some(fields.get(field)?.as_str()?.to_owned());
+    Some(DecisionLine {
+        at_unix_ms: fields.get("at_unix_ms")?.as_u64()?,
+        process: text("process")?,
+        event: text("event")?,
+        fields,
+    })
+}
+
+fn timeline(lines: &[DecisionLine]) -> String {
+    let mut text = String::new();
+    let first_ms = lines.first().map_or(0, |line| line.at_unix_ms);
+    let mut before_ms = first_ms;
+    for line in lines {
+        let gap_ms = line.at_unix_ms.saturating_sub(before_ms);
+        if gap_ms >= GAP_MS {
+            text.push_str(&format!("          ... {gap_ms} ms\n"));
+        }
+        before_ms = line.at_unix_ms;
+        let mark = if DECISIVE.contains(&line.event.as_str()) {
+            '*'
+        } else {
+            ' '
+        };
+        let after_ms = line.at_unix_ms.saturating_sub(first_ms);
+        let fields = line
+            .fields
+            .iter()
+            .filter(|(name, _)| !COLUMNS.contains(&name.as_str()));
+        let fields: Vec<String> = fields
+            .map(|(name, value)| format!("{name}={value}"))
+            .collect();
+        let fields = fields.join(" ");
+        text.push_str(&format!(
+            "{mark} {after_ms:>7} ms  {:<16} {:<18} {fields}\n",
+            line.process, line.event
+        ));
+    }
+    text
+}
+
+#[cfg(test)]
+pub(super) fn timeline_of(id: &str, log: &str) -> String {
+    let lines = log.lines().filter(|line| line.contains(id));
+    let lines: Vec<DecisionLine> = lines.filter_map(read_line).collect();
+    timeline(&lines)
+}
--- a/src/cli/commands/mod.rs
+++ b/src/cli/commands/mod.rs
@@ -3,6 +3,7 @@
 mod answer_check;
 mod check;
 mod config;
+mod explain;
 mod hash_token;
 mod jobs;
 mod run;
--- a/src/cli/commands/run.rs
+++ b/src/cli/commands/run.rs
@@ -4,7 +4,7 @@
     super::{
         check,
         config::{self, DocumentChange},
-        hash_token, jobs, workers,
+        explain, hash_token, jobs, workers,
     },
     crate::cli::{
         RunError,
@@ -18,13 +18,18 @@
     if let OperatorCommand::Check { file, kind } = &args.command {
         return check::check(file, *kind, args.json);
     }
+    if let OperatorCommand::Explain { id, logs } = &args.command {
+        return explain::explain(id, logs);
+    }
     if matches!(args.command, OperatorCommand::HashToken) {
         return hash_token::hash_token();
     }
     let as_json = args.json;
     let client = OperatorClient::new(args.entry, args.token.as_deref())?.printing_refusals(as_json);
     match args.command {
-        OperatorCommand::Check { .. } | OperatorCommand::HashToken => Ok(()),
+        OperatorCommand::Check { .. }
+        | OperatorCommand::Explain { .. }
+        | OperatorCommand::HashToken => Ok(()),
         OperatorCommand::Diff(args) => config::diff(&client, &args.change(), as_json).await,
         OperatorCommand::Apply(args) => config::apply(&client, &args.change(), as_json).await,
         OperatorCommand::Show { version } => config::show(&client, version, as_json).await,
--- a/src/cli/commands/tests.rs
+++ b/src/cli/commands/tests.rs
@@ -77,3 +77,27 @@
         answer["ticket"] = json!(other.to_string());
     };
 }
+
+/// An on-call engineer has the logs of two hosts in any order and looks for one job: its lines come in order of
+/// time, the decisive ones and the gap before them are marked, and other jobs are left out.
+#[test]
+fn an_explained_job_is_told_in_order() {
+    let log = r#"{"at_unix_ms":5900,"process":"entry-1","event":"run_lost","job":"aa","run":"aa.0.0#1","end":"lost"}
+{"at_unix_ms":5000,"process":"entry-1","event":"job_taken","job":"aa","tasks":2}
+{"at_unix_ms":5100,"process":"entry-1","event":"job_taken","job":"bb","tasks":1}
+no decision line, though it names "aa""#;
+    let lines: Vec<&str> = log.lines().collect();
+    let sorted = [lines[1], lines[0], lines[2], lines[3]].join("\n");
+    let text = super::explain::timeline_of("\"aa\"", &sorted);
+    let told: Vec<&str> = text.lines().collect();
+    assert_eq!(told.len(), 3, "{text}");
+    assert!(
+        told[0].starts_with("        0 ms  entry-1") && told[0].ends_with("tasks=2"),
+        "{text}"
+    );
+    assert!(told[1].contains("... 900 ms"), "{text}");
+    assert!(
+        told[2].starts_with("*     900 ms") && told[2].contains("end=\"lost\""),
+        "{text}"
+    );
+}
--- a/src/core/dispatch/dispatch_note.rs
+++ b/src/core/dispatch/dispatch_note.rs
@@ -21,6 +21,21 @@
         /// Tasks that wait already.
         queued: usize,
     },
+    /// A job was not taken in.
+    JobRefused {
+        /// The job.
+        job: String,
+        /// Its queue.
+        route: String,
+        /// Why.
+        reason: &'static str,
+        /// What it asks for that is not built, if that is why.
+        feature: &'static str,
+        /// When the client was told to come back; zero if that can't help.
+        retry_after_ms: u64,
+        /// Tasks that wait already.
+        queued: usize,
+    },
     /// A copy of a job that is under way was handed in; it waits for the same answer.
     JobJoined {
         /// The job.
--- a/src/core/dispatch/intake.rs
+++ b/src/core/dispatch/intake.rs
@@ -7,7 +7,7 @@
     },
     crate::core::{
         time::Instant,
-        work::{JobRequest, StepSpec},
+        work::{JobRequest, StepSpec, UnsupportedFeature},
     },
 };
 
@@ -33,6 +33,15 @@
                 RefusalReason::Overloaded | RefusalReason::DeadlinePassed => OVERLOAD_RETRY_MS,
                 RefusalReason::Unsupported | RefusalReason::BadJob | RefusalReason::TooLarge => 0,
             };
+            let feature = submission.request.unsupported;
+            self.note(DispatchNote::JobRefused {
+                job: submission.id.to_string(),
+                route: submission.route.name.clone(),
+                reason: reason.as_str(),
+                feature: feature.map_or("", UnsupportedFeature::as_str),
+                retry_after_ms,
+                queued: self.queue.len(),
+            });
             self.refuse(waiter, reason, retry_after_ms);
             return;
         }
--- a/src/core/dispatch/tests.rs
+++ b/src/core/dispatch/tests.rs
@@ -1,1 +1,409 @@
-//! Tests of the dispatcher.
+//! Directed tests of the dispatcher; the seeded harness plays it with everything else.
+
+use {
+    super::{
+        Answer, DispatchAction, DispatchEvent, DispatchSettings, Dispatcher, GiveUpReason, LinkId,
+        RefusalReason, Submission, WaiterId,
+    },
+    crate::core::{
+        link::{AgentFrame, EntryFrame, News, RoomReport, RunEnd, StartOrder},
+        routes::Route,
+        time::Instant,
+        work::{
+            JobId, JobRequest, Needs, RunId, RunLimits, StepSpec, UnsupportedFeature, WorkerLife,
+            WorkerView,
+        },
+    },
+    std::{collections::BTreeSet, sync::Arc},
+};
+
+/// Room of each worker, in tasks of one core.
+const ROOM: u32 = 2;
+
+/// A dispatcher with its clock and what it last wanted done.
+struct Bench {
+    dispatcher: Dispatcher,
+    now: Instant,
+    stamp_us: u64,
+    actions: Vec<DispatchAction>,
+}
+
+fn needs(cores: u32) -> Needs {
+    Needs {
+        cpu_milli: cores * 1_000,
+        ..Needs::default()
+    }
+}
+
+fn route(priority: u32) -> Arc<Route> {
+    Arc::new(Route {
+        name: format!("queue-{priority}"),
+        host: "a.example".to_owned(),
+        path_prefix: "/".to_owned(),
+        service: "shares".to_owned(),
+        timeout_ms: 5_000,
+        max_attempts: 3,
+        priority,
+        stretch: 1.6,
+        target_ms: 60,
+        needs_advice: false,
+    })
+}
+
+fn step(tasks: u16, estimate_ms: u64) -> StepSpec {
+    StepSpec {
+        tasks,
+        needs: needs(1),
+        estimate_ms,
+        after: Vec::new(),
+        required_label: None,
+        data_rack: None,
+        most_per_worker: 0,
+    }
+}
+
+fn job(number: u64, priority: u32, steps: Vec<StepSpec>) -> Submission {
+    Submission {
+        waiter: WaiterId(number),
+        id: JobId(number),
+        request: JobRequest {
+            spec: Arc::from("spec"),
+            steps,
+            unsupported: None,
+        },
+        route: route(priority),
+        time_left_ms: 3_000,
+    }
+}
+
+impl Bench {
+    /// A dispatcher in touch with so many agents whose workers are free.
+    fn with_workers(workers: u64) -> Self {
+        let limits = RunLimits::for_resend(1_300, 50);
+        let mut bench = Self {
+            dispatcher: Dispatcher::new(DispatchSettings { limits }),
+            now: Instant::from_millis(10_000),
+            stamp_us: 1,
+            actions: Vec::new(),
+        };
+        for worker in 1..=workers {
+            bench.connect(worker);
+        }
+        bench
+    }
+
+    fn connect(&mut self, worker: u64) {
+        self.stamp_us += 1;
+        let hello = AgentFrame::Hello {
+            agent: format!("agent-{worker}"),
+            stamp_us: self.stamp_us,
+        };
+        self.frame(worker, hello);
+        let view = WorkerView {
+            life: WorkerLife {
+                id: format!("w-{worker}"),
+                born_unix_ms: 1,
+            },
+            service: "shares".to_owned(),
+            availability_zone: ["north", "south"][worker as usize % 2].to_owned(),
+            capacity: needs(ROOM),
+            labels: vec![format!("rack-{worker}")],
+            draining: false,
+        };
+        self.frame(worker, AgentFrame::Worker(Some(view)));
+        self.room(worker, ROOM, 0);
+    }
+
+    fn room(&mut self, worker: u64, cores: u32, starts_seen: u32) {
+        let free = needs(cores);
+        self.frame(worker, AgentFrame::Room(RoomReport { free, starts_seen }));
+    }
+
+    fn feed(&mut self, event: DispatchEvent) {
+        self.actions = self.dispatcher.handle(self.now, [event]);
+    }
+
+    fn frame(&mut self, worker: u64, frame: AgentFrame) {
+        let link = LinkId(worker);
+        self.feed(DispatchEvent::Frame { link, frame });
+    }
+
+    fn end(&mut self, (worker, run): (u64, RunId), end: RunEnd) {
+        self.frame(
+            worker,
+            AgentFrame::Ended {
+                run,
+                end,
+                ran_ms: 50,
+            },
+        );
+    }
+
+    /// Time passes while all agents keep in touch; all that was wanted meanwhile is kept.
+    fn pass_ms(&mut self, span_ms: u64) {
+        let mut wanted = Vec::new();
+        for _ in 0..span_ms / 20 {
+            self.now = self.now.plus_ms(20);
+            self.stamp_us += 1;
+            let stamp_us = self.stamp_us;
+            let links: Vec<LinkId> = self.dispatcher.by_link.keys().copied().collect();
+            let beats = links.into_iter().map(|link| DispatchEvent::Frame {
+                link,
+                frame: AgentFrame::Beat { stamp_us },
+            });
+            let events: Vec<_> = beats.chain([DispatchEvent::Tick]).collect();
+            wanted.extend(self.dispatcher.handle(self.now, events));
+        }
+        self.actions = wanted;
+    }
+
+    /// Orders to start, as worker and run.
+    fn starts(&self) -> Vec<(u64, RunId)> {
+        let starts = self.actions.iter().filter_map(|action| match action {
+            DispatchAction::Send {
+                link,
+                frame: EntryFrame::Start(StartOrder { run, .. }),
+            } => Some((link.0, *run)),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    fn stops(&self) -> usize {
+        let is_stop = |action: &&DispatchAction| {
+            matches!(
+                action,
+                DispatchAction::Send {
+                    frame: EntryFrame::Stop { .. },
+                    ..
+                }
+            )
+        };
+        self.actions.iter().filter(is_stop).count()
+    }
+
+    fn answers(&self) -> Vec<Answer> {
+        let answers = self.actions.iter().filter_map(|action| match action {
+            DispatchAction::Answer { answer, .. } => Some(*answer),
+            _ => None,
+        });
+        answers.collect()
+    }
+
+    fn submit(&mut self, submission: Submission) -> Vec<(u64, RunId)> {
+        self.feed(DispatchEvent::Submit(submission));
+        self.starts()
+    }
+}
+
+#[test]
+fn a_job_is_completed_with_its_last_task() {
+    let mut bench = Bench::with_workers(2);
+    let starts = bench.submit(job(1, 0, vec![step(3, 50)]));
+    assert_eq!(starts.len(), 3);
+    bench.end(starts[0], RunEnd::Done);
+    bench.end(starts[1], RunEnd::Done);
+    assert!(bench.answers().is_empty());
+    bench.end(starts[2], RunEnd::Done);
+    assert_eq!(bench.answers(), [Answer::Completed]);
+}
+
+#[test]
+fn a_step_begins_after_those_that_it_names() {
+    let mut bench = Bench::with_workers(2);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1, 50)
+    };
+    let starts = bench.submit(job(1, 0, vec![step(2, 50), second]));
+    assert_eq!(starts.len(), 2);
+    bench.end(starts[0], RunEnd::Done);
+    assert!(bench.starts().is_empty());
+    bench.end(starts[1], RunEnd::Done);
+    assert_eq!(bench.starts()[0].1.task.step, 1);
+}
+
+#[test]
+fn a_task_that_fails_too_often_fails_its_job() {
+    let mut bench = Bench::with_workers(3);
+    let mut starts = bench.submit(job(1, 0, vec![step(1, 50)]));
+    for attempt in 1..=3 {
+        assert_eq!(starts[0].1.number, attempt);
+        bench.end(starts[0], RunEnd::Failed);
+        starts = bench.starts();
+    }
+    assert_eq!(bench.answers(), [Answer::Failed]);
+    assert!(starts.is_empty());
+}
+
+macro_rules! refusal_cases {
+    ($($name:ident: $change:expr => $reason:ident;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut bench = Bench::with_workers(1);
+                let mut submission = job(1, 0, vec![step(1, 50)]);
+                let change: fn(&mut Submission) = $change;
+                change(&mut submission);
+                assert!(bench.submit(submission).is_empty());
+                let answers = bench.answers();
+                let reason = RefusalReason::$reason;
+                assert!(matches!(answers[..], [Answer::NotRun { reason: r, .. }] if r == reason));
+            }
+        )+
+    };
+}
+
+refusal_cases! {
+    a_job_that_is_to_be_kept_is_refused:
+        |job| job.request.unsupported = Some(UnsupportedFeature::Durable) => Unsupported;
+    a_job_without_tasks_is_refused: |job| job.request.steps.clear() => BadJob;
+    a_step_that_waits_for_itself_is_refused: |job| job.request.steps[0].after.push(0) => BadJob;
+    a_queue_that_needs_advice_is_refused: |job| {
+        let mut route = Route::clone(&job.route);
+        route.needs_advice = true;
+        job.route = Arc::new(route);
+    } => Unsupported;
+}
+
+/// A client leaves. Its runs are stopped at once; a copy of the job that comes meanwhile begins when
+/// they are over, with higher run numbers.
+#[test]
+fn a_copy_waits_for_the_runs_of_the_one_before() {
+    let mut bench = Bench::with_workers(2);
+    let starts = bench.submit(job(1, 0, vec![step(1, 900)]));
+    bench.feed(DispatchEvent::ClientGone {
+        waiter: WaiterId(1),
+    });
+    assert_eq!(bench.stops(), 1);
+    let mut copy = job(1, 0, vec![step(1, 900)]);
+    copy.waiter = WaiterId(2);
+    assert!(bench.submit(copy).is_empty());
+    bench.end(starts[0], RunEnd::Stopped);
+    assert_eq!(bench.starts()[0].1.number, 2);
+}
+
+/// An agent's session breaks while a task runs there. The task is not started elsewhere before the run is certainly
+/// over, and then it is.
+#[test]
+fn a_run_in_doubt_is_waited_for() {
+    let mut bench = Bench::with_workers(2);
+    let starts = bench.submit(job(1, 0, vec![step(1, 900)]));
+    let (lost, _) = starts[0];
+    bench.feed(DispatchEvent::LinkLost { link: LinkId(lost) });
+    let over_after_ms = RunLimits::for_resend(1_300, 50).over_after_ms();
+    bench.pass_ms(over_after_ms - 20);
+    assert!(bench.starts().is_empty());
+    bench.pass_ms(40);
+    assert_eq!(bench.starts().len(), 1);
+    assert_ne!(bench.starts()[0].0, lost);
+}
+
+/// The agent comes back before that and says hello, which tells that nothing runs any more.
+#[test]
+fn a_hello_settles_runs_in_doubt() {
+    let mut bench = Bench::with_workers(1);
+    bench.submit(job(1, 0, vec![step(1, 900)]));
+    bench.feed(DispatchEvent::LinkLost { link: LinkId(1) });
+    bench.pass_ms(100);
+    bench.connect(1);
+    assert_eq!(bench.starts()[0].1.number, 2);
+}
+
+/// An entry wakes after seconds and finds two hellos of one agent in its sockets. The older one is read last and
+/// says nothing about what was ordered on the newer session.
+#[test]
+fn an_older_hello_is_refused() {
+    let mut bench = Bench::with_workers(1);
+    bench.submit(job(1, 0, vec![step(1, 900)]));
+    let old = AgentFrame::Hello {
+        agent: "agent-1".to_owned(),
+        stamp_us: 1,
+    };
+    bench.frame(9, old);
+    assert!(bench.starts().is_empty());
+    assert!(
+        bench
+            .actions
+            .contains(&DispatchAction::Close { link: LinkId(9) })
+    );
+}
+
+/// An entry's host is suspended for seconds while jobs run. On waking it gives them up, since their clients may have
+/// sent them elsewhere, and orders nothing before it has read who has gone.
+#[test]
+fn an_entry_that_wakes_gives_its_jobs_up() {
+    let mut bench = Bench::with_workers(2);
+    bench.submit(job(1, 0, vec![step(1, 900)]));
+    bench.now = bench.now.plus_ms(2_000);
+    bench.feed(DispatchEvent::Tick);
+    assert_eq!(bench.answers(), [Answer::GivenUp(GiveUpReason::Isolated)]);
+    bench.connect(1);
+    assert!(bench.submit(job(2, 0, vec![step(1, 50)])).is_empty());
+    bench.pass_ms(120);
+    assert_eq!(bench.starts().len(), 1);
+}
+
+#[test]
+fn nothing_is_placed_in_a_zone_that_is_out() {
+    let mut bench = Bench::with_workers(2);
+    bench.feed(DispatchEvent::News(News {
+        version: 5,
+        evacuated: BTreeSet::from(["south".to_owned()]),
+        document: None,
+    }));
+    let starts = bench.submit(job(1, 0, vec![step(4, 50)]));
+    assert!(starts.iter().all(|(worker, _)| *worker == 2), "{starts:?}");
+    assert_eq!(starts.len(), 2);
+}
+
+/// A burst fills all workers with long tasks, and an urgent job comes. It gets the next room, ahead of what
+/// waits longer on a queue that is less urgent.
+#[test]
+fn urgent_tasks_go_first() {
+    let mut bench = Bench::with_workers(1);
+    let running = bench.submit(job(1, 2, vec![step(2, 900)]));
+    bench.submit(job(2, 2, vec![step(1, 900)]));
+    bench.submit(job(3, 0, vec![step(1, 60)]));
+    bench.end(running[0], RunEnd::Done);
+    bench.room(1, 1, 2);
+    assert_eq!(bench.starts()[0].1.task.job, JobId(3));
+}
+
+/// All workers are busy for seconds. A job whose answer would be of no more use is refused then, not when its
+/// client stops waiting, and is told when to come back.
+#[test]
+fn a_job_that_can_not_be_of_use_is_refused_early() {
+    let mut bench = Bench::with_workers(1);
+    bench.submit(job(1, 0, vec![step(2, 2_900)]));
+    bench.submit(job(2, 0, vec![step(1, 60)]));
+    // Three times the objective of 156 ms, less the task's 60.
+    bench.pass_ms(380);
+    assert!(bench.answers().is_empty());
+    bench.pass_ms(60);
+    let answers = bench.answers();
+    assert!(
+        matches!(
+            answers[..],
+            [Answer::NotRun {
+                reason: RefusalReason::Overloaded,
+                retry_after_ms: 1..
+            }]
+        ),
+        "{answers:?}"
+    );
+}
+
+/// A worker stands still and looks healthy. Its run is stopped after four times its estimate, and starts
+/// elsewhere only when the agent has said that it is over.
+#[test]
+fn a_run_that_stands_still_is_moved() {
+    let mut bench = Bench::with_workers(2);
+    let starts = bench.submit(job(1, 0, vec![step(1, 100)]));
+    bench.pass_ms(380);
+    assert_eq!(bench.stops(), 0);
+    bench.pass_ms(40);
+    assert_eq!((bench.stops(), bench.starts().len()), (1, 0));
+    bench.end(starts[0], RunEnd::Stopped);
+    assert_ne!(bench.starts()[0].0, starts[0].0);
+}
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -223,8 +223,21 @@
         })
     }
 
-    /// Ends a run and tells its entry.
+    /// Ends a run and tells its entry; the cause is that of its stop, if it was stopped.
     pub(super) fn end_run(&mut self, now: Instant, task: TaskId, end: RunEnd) {
+        let stop = self.runs.get(&task).and_then(|run| run.stop);
+        let cause = stop.map_or("", |stop| stop.cause);
+        self.end_run_because(now, task, end, cause);
+    }
+
+    /// Ends a run for this cause and tells its entry.
+    pub(super) fn end_run_because(
+        &mut self,
+        now: Instant,
+        task: TaskId,
+        end: RunEnd,
+        cause: &'static str,
+    ) {
         let Some(run) = self.runs.remove(&task) else {
             return;
         };
@@ -235,7 +248,7 @@
                 run: run.order.run.to_string(),
                 end: end.as_str(),
                 ran_ms,
-                cause: run.stop.map_or("", |stop| stop.cause),
+                cause,
             });
         }
         if self.sessions.contains_key(&run.session) {
--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -180,14 +180,7 @@
             .map(|(task, _)| *task)
             .collect();
         for task in &confirmed {
-            self.note(ExecutionNote::RunEnded {
-                job: task.job.to_string(),
-                run: task.to_string(),
-                end: RunEnd::Lost.as_str(),
-                ran_ms: 0,
-                cause,
-            });
-            self.end_run(now, *task, RunEnd::Lost);
+            self.end_run_because(now, *task, RunEnd::Lost, cause);
         }
         confirmed.len()
     }
--- a/src/site_entry/dispatch_loop.rs
+++ b/src/site_entry/dispatch_loop.rs
@@ -190,7 +190,8 @@
                 LineRank::Notable
             }
             DispatchNote::JobTaken { .. } => LineRank::Routine,
-            DispatchNote::JobJoined { .. }
+            DispatchNote::JobRefused { .. }
+            | DispatchNote::JobJoined { .. }
             | DispatchNote::JobHeld { .. }
             | DispatchNote::Woke { .. }
             | DispatchNote::JobIsolated { .. }
--- a/src/site_entry/front.rs
+++ b/src/site_entry/front.rs
@@ -1,7 +1,7 @@
 //! Clients' calls.
 
 use {
-    super::{dispatch_loop::LoopInput, state::EntryState},
+    super::{dispatch_loop::LoopInput, process_note::ProcessNote, state::EntryState},
     crate::{
         adapters::http::{HttpAnswer, HttpCall, HttpHandler},
         core::{
@@ -10,7 +10,7 @@
             work::JobId,
         },
         platform::{ClientAction, PlatformClients},
-        ports::{Counter, Metrics},
+        ports::{Counter, DecisionLog, LineRank, Metrics, note},
     },
     async_trait::async_trait,
     std::sync::{
@@ -30,6 +30,7 @@
     pub(super) state: Arc<EntryState>,
     pub(super) inputs: mpsc::UnboundedSender<LoopInput>,
     pub(super) metrics: Arc<dyn Metrics>,
+    pub(super) decisions: Arc<dyn DecisionLog>,
     pub(super) next_waiter: AtomicU64,
 }
 
@@ -59,8 +60,7 @@
             Ok(request) => request,
             Err(error) => {
                 log::info!(job:% = id, error:% = error; "a job can't be read");
-                self.metrics
-                    .count(Counter::Refusals, RefusalReason::BadJob.as_str());
+                self.turn_away(call, RefusalReason::BadJob.as_str());
                 return PlatformClients::bad_request();
             }
         };
@@ -95,6 +95,17 @@
         }
     }
 
+    /// Counts and writes down that a call gets no further.
+    fn turn_away(&self, call: &HttpCall, reason: &'static str) {
+        self.metrics.count(Counter::Refusals, reason);
+        let refused = ProcessNote::CallRefused {
+            call: format!("{} {}{}", call.method, call.host, call.path),
+            reason,
+            config_version: self.state.config().map_or(0, |config| config.version),
+        };
+        note(&*self.decisions, LineRank::Routine, &refused);
+    }
+
     async fn pending(&self, route: &Route) -> HttpAnswer {
         let (count, counted) = oneshot::channel();
         let route = route.name.clone();
@@ -107,11 +118,11 @@
 
     async fn answer_call(&self, call: &HttpCall) -> HttpAnswer {
         let Some(config) = self.state.config() else {
-            self.metrics.count(Counter::Refusals, "no_configuration");
+            self.turn_away(call, "no_configuration");
             return PlatformClients::not_configured(NOT_CONFIGURED_RETRY_MS);
         };
         let Some(route) = config.routes.find(&call.host, &call.path) else {
-            self.metrics.count(Counter::Refusals, "no_route");
+            self.turn_away(call, "no_route");
             return PlatformClients::no_route();
         };
         let rest = call.path.get(route.path_prefix.len()..).unwrap_or_default();
--- a/src/site_entry/process_note.rs
+++ b/src/site_entry/process_note.rs
@@ -30,6 +30,15 @@
         /// What was made of it.
         outcome: &'static str,
     },
+    /// A client's call was turned away at the door.
+    CallRefused {
+        /// What it named: method, host and path.
+        call: String,
+        /// Why.
+        reason: &'static str,
+        /// Version of the configuration that decided it; zero before the first.
+        config_version: u64,
+    },
     /// The store does not answer.
     StoreLost {
         /// What was asked.
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -87,6 +87,7 @@
         state: Arc::clone(&state),
         inputs: inputs.clone(),
         metrics: Arc::clone(&metrics),
+        decisions: Arc::clone(&decisions),
         next_waiter: AtomicU64::new(1),
     });
     let ready: Arc<dyn HttpHandler> = Arc::new(ReadyProbe {
