--- /dev/null
+++ b/src/site_entry/tests/events.rs
@@ -0,0 +1,52 @@
+//! Tests that the operators' page names what is written down.
+
+/// Every event of an entry, an agent, and a process as a whole.
+const EVENTS: [&str; 37] = [
+    "job_taken",
+    "job_refused",
+    "job_joined",
+    "job_held",
+    "job_answered",
+    "job_isolated",
+    "run_lost",
+    "run_overdue",
+    "run_not_started",
+    "run_ended",
+    "order_unanswered",
+    "stray_run",
+    "agent_connected",
+    "agent_lost",
+    "entry_connected",
+    "entry_lost",
+    "worker_seen",
+    "worker_ready",
+    "worker_changed",
+    "worker_draining",
+    "worker_lost",
+    "worker_ejected",
+    "fenced",
+    "news_in_force",
+    "config_in_force",
+    "config_unreadable",
+    "news_taken",
+    "store_lost",
+    "store_regained",
+    "woke",
+    "hello_outdated",
+    "started",
+    "stopping",
+    "stopped",
+    "reloaded",
+    "call_refused",
+    "lines_dropped",
+];
+
+#[test]
+fn the_page_names_every_event() {
+    let page = include_str!("../../../docs/OPERATIONS.md");
+    let missing: Vec<&str> = EVENTS
+        .into_iter()
+        .filter(|event| !page.contains(&format!("`{event}`")))
+        .collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
--- a/src/site_entry/tests/mod.rs
+++ b/src/site_entry/tests/mod.rs
@@ -1,4 +1,5 @@
 //! Tests of an entry's parts against fakes.
 
+mod events;
 mod fakes;
 mod news;
