An order that its worker may have begun is never called "not started"

Cause: an order under way was settled by the lists of the worker's next life, or by the end of a silent worker's lease, as "not started"; both leave open whether it had begun. Ruled out: the entry's answer (it went by the agent's word). Two tests seen failing first.

--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -5,11 +5,7 @@
         ExecutionAction, ExecutionNote, Executor, HoldCall, run::StartState,
         worker_state::ClockReading,
     },
-    crate::core::{
-        link::{NotStartedReason, RunEnd},
-        time::Instant,
-        work::TaskId,
-    },
+    crate::core::{link::RunEnd, time::Instant, work::TaskId},
 };
 
 /// First step by which a token is raised that the worker rejects; doubled each time.
@@ -165,8 +161,9 @@
     fn lose_all_runs(&mut self, now: Instant, cause: &'static str) -> usize {
         let confirmed = self.lose_confirmed_runs(now, cause);
         let unresolved: Vec<TaskId> = self.runs.keys().copied().collect();
+        // Their worker may have begun them before it fell silent.
         for task in &unresolved {
-            self.end_not_started(now, *task, NotStartedReason::OrderLost);
+            self.end_run_because(now, *task, RunEnd::Lost, cause);
         }
         confirmed + unresolved.len()
     }
--- a/src/core/execution/orders.rs
+++ b/src/core/execution/orders.rs
@@ -157,12 +157,20 @@
         self.ask_lists();
     }
 
-    /// Doubts all runs: the worker's next lists tell which of them it has.
+    /// Doubts all runs when another life of the worker begins: its lists tell which of them it has.
+    ///
+    /// Guards against a false "not started": the life before may have begun an order whose answer
+    /// never came, so what the new one does not list may have run.
     pub(super) fn doubt_all_runs(&mut self) {
         let doubted: Vec<TaskId> = self.runs.keys().copied().collect();
         let token = self.token;
         for task in doubted {
             self.doubt_run(task, token);
+            if let Some(run) = self.runs.get_mut(&task)
+                && let StartState::Unresolved { begun, .. } = &mut run.start
+            {
+                *begun = true;
+            }
         }
     }
 
--- a/src/core/execution/tests.rs
+++ b/src/core/execution/tests.rs
@@ -414,3 +414,36 @@
     bench.lists(look, &[], &[end]);
     assert!(bench.ends().is_empty());
 }
+
+/// A start is under way when its worker's host loses power: the task began, the answer never came, and the worker
+/// that comes next lists nothing. The client was told "not run", which was false.
+#[test]
+fn an_order_that_its_worker_may_have_begun_is_not_called_not_started() {
+    let mut bench = Bench::ready();
+    bench.frame(EntryFrame::Start(order(1)));
+    bench.heartbeat(BORN_MS + 500, 1, false);
+    let call = bench.holds().remove(0);
+    let answer = HoldAnswer::Lists {
+        born_unix_ms: Some(BORN_MS + 500),
+        clock_ms: 40,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    bench.feed(ExecutionEvent::HoldAnswered { call, answer });
+    assert_eq!(bench.ends(), [RunEnd::Lost]);
+}
+
+/// The same where the worker stays silent until its lease is over.
+#[test]
+fn an_order_to_a_worker_that_fell_silent_may_have_run() {
+    let mut bench = Bench::ready();
+    bench.start(1, StartAnswer::Unanswered);
+    for _ in 0..100 {
+        if !bench.ends().is_empty() {
+            break;
+        }
+        bench.tick_after(20);
+        bench.beat_quietly();
+    }
+    assert_eq!(bench.ends(), [RunEnd::Lost]);
+}
