--- a/src/adapters/backend/gated_connection.rs
+++ b/src/adapters/backend/gated_connection.rs
@@ -1,25 +1,23 @@
 //! A connection to the backend server on which no request is written without a permit.
 
 use {
-    crate::{core::gate::SharedPermit, ports::TimerService},
+    crate::{
+        adapters::socket::{ObservedSocket, SocketObserver},
+        core::gate::SharedPermit,
+        ports::TimerService,
+    },
     bytes::Bytes,
     http::{Request, Response},
     http_body_util::Full,
-    hyper::{
-        body::Incoming,
-        client::conn::http1,
-        rt::{Read, ReadBufCursor, Write},
-    },
+    hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::{
         io,
         net::SocketAddr,
-        pin::Pin,
         sync::{
             Arc,
             atomic::{AtomicU8, Ordering},
         },
-        task::{Context, Poll},
     },
     tokio::net::TcpStream,
 };
@@ -85,6 +83,12 @@
     }
 }
 
+impl SocketObserver for Arc<WriteGate> {
+    fn before_write(&self) -> io::Result<()> {
+        self.check()
+    }
+}
+
 /// An open connection; one request at a time.
 #[derive(Debug)]
 pub(super) struct GatedConnection {
@@ -98,10 +102,7 @@
         let socket = TcpStream::connect(addr).await?;
         socket.set_nodelay(true)?;
         let gate = Arc::new(gate);
-        let stream = GatedStream {
-            socket: TokioIo::new(socket),
-            gate: Arc::clone(&gate),
-        };
+        let stream = TokioIo::new(ObservedSocket::new(socket, Arc::clone(&gate)));
         let (sender, connection) = http1::handshake(stream).await.map_err(io::Error::other)?;
         // Its end shows in the request that is under way, or when the next one is tried.
         tokio::spawn(async move { connection.await.ok() });
@@ -127,52 +128,3 @@
         self.sender.send_request(request).await
     }
 }
-
-/// The socket with the check in front of its writes.
-#[derive(Debug)]
-struct GatedStream {
-    socket: TokioIo<TcpStream>,
-    gate: Arc<WriteGate>,
-}
-
-impl Read for GatedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(context, buffer)
-    }
-}
-
-impl Write for GatedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.gate.check()?;
-        Pin::new(&mut self.socket).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.gate.check()?;
-        Pin::new(&mut self.socket).poll_write_vectored(context, parts)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
-    }
-}
--- a/src/adapters/http/timed_socket.rs
+++ b/src/adapters/http/timed_socket.rs
@@ -1,17 +1,11 @@
 //! When the other end of a connection last sent something.
 
 use {
+    crate::adapters::socket::{ObservedSocket, SocketObserver},
     std::{
-        io::{self, IoSlice},
-        pin::Pin,
         sync::{Arc, Mutex, PoisonError},
-        task::{Context, Poll},
         time::Instant,
     },
-    tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
-        net::TcpStream,
-    },
 };
 
 #[derive(Debug, Clone, Copy)]
@@ -96,61 +90,11 @@
     }
 }
 
-/// A socket that notes when bytes come in.
-#[derive(Debug)]
-pub(super) struct TimedSocket {
-    socket: TcpStream,
-    clock: Arc<ConnectionClock>,
-}
-
-impl TimedSocket {
-    /// Notes to this clock.
-    pub(super) const fn new(socket: TcpStream, clock: Arc<ConnectionClock>) -> Self {
-        Self { socket, clock }
-    }
-}
-
-impl AsyncRead for TimedSocket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let outcome = Pin::new(&mut self.socket).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.clock.note_bytes();
-        }
-        outcome
+impl SocketObserver for Arc<ConnectionClock> {
+    fn on_read(&self, _bytes: usize) {
+        self.note_bytes();
     }
 }
 
-impl AsyncWrite for TimedSocket {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
-    }
-}
+/// A socket that notes when bytes come in.
+pub(super) type TimedSocket = ObservedSocket<Arc<ConnectionClock>>;
--- a/src/adapters/link/frame_link.rs
+++ b/src/adapters/link/frame_link.rs
@@ -3,10 +3,10 @@
 use {
     super::FrameDuplex,
     crate::{
-        adapters::peer::{CountedSocket, FrameReader, StreamError, encode_into, send_all},
+        adapters::peer::{SessionEnds, counted, run_session},
         ports::{Metrics, PeerError},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     h2::{RecvStream, SendStream},
     http::{Request, Response},
     serde::{Serialize, de::DeserializeOwned},
@@ -61,7 +61,7 @@
     let (mut sender, connection) = h2::client::Builder::new()
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
-        .handshake(CountedSocket::new(socket, metrics))
+        .handshake(counted(socket, metrics))
         .await
         .map_err(unreachable)?;
     let request = Request::post(format!("http://{to}{LINK_PATH}"))
@@ -75,7 +75,7 @@
             Ok(response) => {
                 // The caller may have given up waiting; the session then ends with its sender.
                 let _ = answered.send(Ok(()));
-                run_session(response.into_body(), body, ends).await;
+                pump(response.into_body(), body, ends).await;
             }
             Err(error) => {
                 let _ = answered.send(Err(error));
@@ -142,7 +142,7 @@
     let handshake = h2::server::Builder::new()
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
-        .handshake::<_, Bytes>(CountedSocket::new(socket, metrics));
+        .handshake::<_, Bytes>(counted(socket, metrics));
     let taking = async {
         let mut connection = handshake.await.map_err(unreachable)?;
         let stream = connection.accept().await;
@@ -163,63 +163,28 @@
     tokio::select! {
         // No second stream is taken; this drives the connection until it closes.
         _ = connection.accept() => {}
-        () = run_session(request.into_body(), body, ends) => {}
+        () = pump(request.into_body(), body, ends) => {}
     }
     Ok(())
 }
 
-/// The session's inner ends.
-struct Ends<In, Out> {
-    frames: mpsc::UnboundedReceiver<Out>,
-    received: mpsc::Sender<In>,
-}
-
-fn duplex<In, Out>() -> (FrameDuplex<In, Out>, Ends<In, Out>) {
+fn duplex<In, Out>() -> (FrameDuplex<In, Out>, SessionEnds<In, Out>) {
     let (outgoing, frames) = mpsc::unbounded_channel();
     let (received, incoming) = mpsc::channel(BUFFER_FRAMES);
-    (
-        FrameDuplex { incoming, outgoing },
-        Ends { frames, received },
-    )
+    let ends = SessionEnds {
+        outgoing: frames,
+        received,
+    };
+    (FrameDuplex { incoming, outgoing }, ends)
 }
 
 /// Moves frames both ways until either side ends.
-async fn run_session<In, Out>(stream: RecvStream, mut body: SendStream<Bytes>, ends: Ends<In, Out>)
+async fn pump<In, Out>(stream: RecvStream, body: SendStream<Bytes>, ends: SessionEnds<In, Out>)
 where
-    In: DeserializeOwned + Send + 'static,
-    Out: Serialize + Send + 'static,
+    In: DeserializeOwned,
+    Out: Serialize,
 {
-    let Ends {
-        mut frames,
-        received,
-    } = ends;
-    let read = async {
-        let mut reader = FrameReader::new(stream);
-        while let Ok(frame) = reader.next().await {
-            if received.send(frame).await.is_err() {
-                return;
-            }
-        }
-    };
-    let write = async {
-        while let Some(frame) = frames.recv().await {
-            let mut buffer = BytesMut::new();
-            let mut next = Some(frame);
-            // Frames that wait are sent together.
-            while let Some(frame) = next {
-                encode_into(&mut buffer, &frame)?;
-                next = frames.try_recv().ok();
-            }
-            send_all(&mut body, buffer.freeze(), false).await?;
-        }
-        Ok::<(), StreamError>(())
-    };
-    tokio::select! {
-        () = read => {}
-        result = write => {
-            if let Err(error) = result {
-                log::debug!(error:% = error; "a session broke");
-            }
-        }
+    if let Err(error) = run_session(stream, body, ends).await {
+        log::debug!(error:% = error; "a session broke");
     }
 }
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -7,4 +7,5 @@
 pub(crate) mod metrics;
 pub(crate) mod peer;
 pub(crate) mod platform;
+pub(crate) mod socket;
 pub(crate) mod timer;
--- a/src/adapters/peer/h2_client.rs
+++ b/src/adapters/peer/h2_client.rs
@@ -5,7 +5,7 @@
         activity::{Activity, OpenStream},
         awaited_tasks::AwaitedTasks,
         codec::{encode, encode_into},
-        counted_socket::CountedSocket,
+        counted_socket::counted,
         frame_stream::{FrameReader, send_all},
         liveness::until_silent,
     },
@@ -121,7 +121,7 @@
             h2::client::Builder::new()
                 .initial_window_size(STREAM_WINDOW_BYTES)
                 .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-                .handshake(CountedSocket::new(socket, Arc::clone(&self.metrics)))
+                .handshake(counted(socket, Arc::clone(&self.metrics)))
                 .await
                 .map_err(|error| error.to_string())
         };
--- a/src/adapters/peer/h2_server.rs
+++ b/src/adapters/peer/h2_server.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        codec::{encode, encode_into},
-        counted_socket::CountedSocket,
+        codec::encode,
+        counted_socket::counted,
+        frame_pump::{SessionEnds, run_session},
         frame_stream::{FrameReader, StreamError, send_all},
         h2_client::{
             CALL_PATH, CONNECTION_WINDOW_BYTES, MAX_STREAMS, SESSION_PATH, STREAM_WINDOW_BYTES,
@@ -15,7 +16,7 @@
         ports::Metrics,
     },
     async_trait::async_trait,
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     h2::{RecvStream, server::SendResponse},
     http::{Request, Response, StatusCode},
     std::{fmt::Debug, sync::Arc},
@@ -79,7 +80,7 @@
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
-        .handshake(CountedSocket::new(socket, metrics))
+        .handshake(counted(socket, metrics))
         .await;
     let Ok(mut connection) = handshake else {
         return;
@@ -136,35 +137,16 @@
     mut respond: SendResponse<Bytes>,
     handler: Arc<dyn PeerHandler>,
 ) -> Result<(), StreamError> {
-    let (sender, incoming) = mpsc::channel(SESSION_BUFFER_FRAMES);
-    let (outgoing, mut frames) = mpsc::unbounded_channel();
+    let (received, incoming) = mpsc::channel(SESSION_BUFFER_FRAMES);
+    let (outgoing, frames) = mpsc::unbounded_channel();
     if !handler.session(RunnerSession { incoming, outgoing }) {
         respond.send_response(status(StatusCode::NOT_FOUND), true)?;
         return Ok(());
     }
-    let mut stream = respond.send_response(status(StatusCode::OK), false)?;
-    let read = async {
-        let mut reader = FrameReader::new(body);
-        while let Ok(frame) = reader.next().await {
-            if sender.send(frame).await.is_err() {
-                return;
-            }
-        }
-    };
-    let write = async {
-        while let Some(frame) = frames.recv().await {
-            let mut buffer = BytesMut::new();
-            let mut next = Some(frame);
-            while let Some(frame) = next {
-                encode_into(&mut buffer, &frame)?;
-                next = frames.try_recv().ok();
-            }
-            send_all(&mut stream, buffer.freeze(), false).await?;
-        }
-        Ok(())
+    let stream = respond.send_response(status(StatusCode::OK), false)?;
+    let ends = SessionEnds {
+        outgoing: frames,
+        received,
     };
-    tokio::select! {
-        () = read => Ok(()),
-        result = write => result,
-    }
+    run_session(body, stream, ends).await
 }
--- a/src/adapters/peer/mod.rs
+++ b/src/adapters/peer/mod.rs
@@ -4,6 +4,7 @@
 mod awaited_tasks;
 mod codec;
 mod counted_socket;
+mod frame_pump;
 mod frame_stream;
 mod h2_client;
 mod h2_server;
@@ -13,9 +14,8 @@
 mod tests;
 
 pub(crate) use {
-    codec::encode_into,
-    counted_socket::CountedSocket,
-    frame_stream::{FrameReader, StreamError, send_all},
+    counted_socket::counted,
+    frame_pump::{SessionEnds, run_session},
     h2_client::H2Client,
     h2_server::{PeerHandler, RunnerSession, serve_peers},
 };
--- a/src/adapters/timer/mod.rs
+++ b/src/adapters/timer/mod.rs
@@ -1,6 +1,7 @@
 //! The timer service on tokio.
 
+mod backoff;
 mod boot_timer;
 mod tokio_timer;
 
-pub(crate) use {boot_timer::BootTimer, tokio_timer::TokioTimer};
+pub(crate) use {backoff::Backoff, boot_timer::BootTimer, tokio_timer::TokioTimer};
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -13,7 +13,7 @@
             peer::{H2Client, serve_peers},
             timer::TokioTimer,
         },
-        cli::{RunError, stop_signal},
+        cli::{RunError, listen, stop_signal},
         conf::AgentSettings,
         core::{
             gate::SharedPermit,
@@ -29,10 +29,7 @@
         collections::BTreeMap,
         sync::{Arc, Mutex},
     },
-    tokio::{
-        net::TcpListener,
-        sync::{Notify, mpsc},
-    },
+    tokio::sync::{Notify, mpsc},
 };
 
 /// For how long the runner keeps outcomes that their homes have not acknowledged.
@@ -55,9 +52,7 @@
         Arc::clone(&permit),
         Arc::clone(&timer),
     ));
-    let peers = TcpListener::bind(settings.peer_listen)
-        .await
-        .map_err(|error| RunError::Listen(settings.peer_listen, error))?;
+    let peers = listen(settings.peer_listen).await?;
     let id = AgentId(rand::rng().random());
     let agent = start_loops(&settings, id, &metrics, &timer, &network, &backend, permit);
     let handler = Arc::new(AgentPeerHandler {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod errors;
 mod exit;
+mod listen;
 mod mains;
 mod operator_client;
 mod signals;
@@ -14,6 +15,7 @@
         ZonedBackend,
     },
     errors::RunError,
+    listen::listen,
     operator_client::OperatorClient,
     signals::{reload_signals, stop_signal},
 };
--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -30,7 +30,7 @@
     log_settings::{LogFormat, LogSettings},
     section_texts::{merge_sections, section_texts, split_version_mark, with_version_mark},
     service_settings::{AgentProgram, EntryProgram},
-    site_settings::{SiteAgentSettings, SiteEntrySettings},
+    site_settings::{SiteAgentSettings, SiteEntrySettings, SiteSettings},
     table_reader::TableReader,
     zone_edit::with_zone_state,
 };
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -15,7 +15,7 @@
             platform::{BudgetedStore, HttpStore},
             timer::TokioTimer,
         },
-        cli::{RunError, stop_signal},
+        cli::{RunError, listen, stop_signal},
         conf::EntrySettings,
         core::{
             message::PeerEntry,
@@ -26,7 +26,7 @@
     },
     rand::RngExt,
     std::sync::{Arc, Mutex, PoisonError},
-    tokio::{net::TcpListener, task::JoinHandle},
+    tokio::task::JoinHandle,
 };
 
 /// Period of housekeeping, in milliseconds.
@@ -190,9 +190,7 @@
 /// Runs an entry until SIGTERM or SIGINT; requests under way are answered first.
 pub(crate) async fn run_entry(settings: EntrySettings) -> Result<(), RunError> {
     let shared = Shared::new(&settings)?;
-    let peers = TcpListener::bind(settings.peer_listen)
-        .await
-        .map_err(|error| RunError::Listen(settings.peer_listen, error))?;
+    let peers = listen(settings.peer_listen).await?;
     let handler = Arc::new(EntryPeerHandler {
         state: Arc::clone(&shared.state),
     });
--- a/src/site_agent/dialler.rs
+++ b/src/site_agent/dialler.rs
@@ -3,7 +3,7 @@
 use {
     super::execution_loop::LoopInput,
     crate::{
-        adapters::link::dial_link,
+        adapters::{link::dial_link, timer::Backoff},
         core::execution::{ExecutionEvent, SessionId},
         ports::{Change, Counter, Metrics, SiteStore, StoreError},
     },
@@ -14,12 +14,8 @@
             Arc,
             atomic::{AtomicU64, Ordering},
         },
-        time::Duration,
-    },
-    tokio::{
-        sync::{mpsc, oneshot, watch},
-        time::sleep,
     },
+    tokio::sync::{mpsc, oneshot, watch},
 };
 
 /// Longest wait for a change of the list in one call, in milliseconds.
@@ -46,27 +42,30 @@
     /// Follows the list of entries for as long as the process lives.
     pub(super) async fn follow(self: Arc<Self>) {
         let mut dialled: BTreeMap<SocketAddr, watch::Sender<bool>> = BTreeMap::new();
-        let mut pause_ms = FIRST_STORE_PAUSE_MS;
+        let mut backoff = Backoff::new(FIRST_STORE_PAUSE_MS, LAST_STORE_PAUSE_MS);
         loop {
             match self.store.read_entries().await {
                 Ok((entries, version)) => {
-                    pause_ms = FIRST_STORE_PAUSE_MS;
+                    backoff.reset();
                     self.dial_new(&entries, &mut dialled);
                     self.wait_for_change(version).await;
                 }
-                Err(error) => pause(&error, &mut pause_ms).await,
+                Err(error) => pause(&error, &mut backoff).await,
             }
         }
     }
 
     async fn wait_for_change(&self, read_at: u64) {
         let mut after = read_at;
-        let mut pause_ms = FIRST_STORE_PAUSE_MS;
+        let mut backoff = Backoff::new(FIRST_STORE_PAUSE_MS, LAST_STORE_PAUSE_MS);
         loop {
             match self.store.wait_for_entries(after, WAIT_MS).await {
-                Ok(Change::None { version }) => after = version,
+                Ok(Change::None { version }) => {
+                    backoff.reset();
+                    after = version;
+                }
                 Ok(Change::Some) => return,
-                Err(error) => pause(&error, &mut pause_ms).await,
+                Err(error) => pause(&error, &mut backoff).await,
             }
         }
     }
@@ -95,18 +94,17 @@
 
     /// Keeps a session with one entry while it is listed.
     async fn keep(self: Arc<Self>, entry: SocketAddr, is_listed: watch::Receiver<bool>) {
-        let mut pause_ms = FIRST_DIAL_PAUSE_MS;
+        let mut backoff = Backoff::new(FIRST_DIAL_PAUSE_MS, LAST_DIAL_PAUSE_MS);
         while *is_listed.borrow() {
             match dial_link(entry, Arc::clone(&self.metrics)).await {
                 Ok(duplex) => {
-                    pause_ms = FIRST_DIAL_PAUSE_MS;
+                    backoff.reset();
                     self.run_session(entry, duplex).await;
                     self.metrics.count(Counter::PeerLosses, "session");
                 }
                 Err(error) => {
                     log::debug!(entry:% = entry, error:% = error; "an entry can't be reached");
-                    sleep(Duration::from_millis(pause_ms)).await;
-                    pause_ms = (pause_ms * 2).min(LAST_DIAL_PAUSE_MS);
+                    backoff.wait().await;
                 }
             }
         }
@@ -135,8 +133,7 @@
     }
 }
 
-async fn pause(error: &StoreError, pause_ms: &mut u64) {
+async fn pause(error: &StoreError, backoff: &mut Backoff) {
     log::info!(error:% = error; "the list of entries can't be read");
-    sleep(Duration::from_millis(*pause_ms)).await;
-    *pause_ms = (*pause_ms * 2).min(LAST_STORE_PAUSE_MS);
+    backoff.wait().await;
 }
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -13,8 +13,8 @@
             metrics::OtelMetrics,
             timer::BootTimer,
         },
-        cli::{RunError, reload_signals, stop_signal},
-        conf::SiteAgentSettings,
+        cli::{RunError, listen, reload_signals, stop_signal},
+        conf::{SiteAgentSettings, SiteSettings},
         core::execution::{ExecutionEvent, Executor, ExecutorSettings},
         platform::{HttpWorker, PlatformCaller, RowsStore},
         ports::{DecisionLog, LineRank, Metrics, note},
@@ -26,7 +26,6 @@
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
     tokio::{
-        net::TcpListener,
         sync::{mpsc, oneshot, watch},
         time::{Instant, sleep, timeout},
     },
@@ -39,76 +38,128 @@
 /// Time beyond a lease after which nothing runs that an earlier process had started, in milliseconds.
 const LEASE_SLACK_MS: u64 = 60;
 
+/// What the parts of an agent share.
+struct Shared {
+    caller: PlatformCaller,
+    metrics: Arc<dyn Metrics>,
+    decisions: Arc<dyn DecisionLog>,
+    inputs: mpsc::UnboundedSender<LoopInput>,
+}
+
+impl Shared {
+    fn new(
+        site: &SiteSettings,
+        inputs: mpsc::UnboundedSender<LoopInput>,
+    ) -> Result<Self, RunError> {
+        let metrics = OtelMetrics::new().map_err(RunError::metrics)?;
+        let writer = DecisionWriter::start(&site.name).map_err(RunError::Runtime)?;
+        Ok(Self {
+            caller: PlatformCaller::new(),
+            metrics: Arc::new(metrics),
+            decisions: Arc::new(writer),
+            inputs,
+        })
+    }
+
+    fn execution_loop(
+        &self,
+        settings: &SiteAgentSettings,
+        clean_slate: watch::Sender<bool>,
+    ) -> ExecutionLoop {
+        let executor = Executor::new(ExecutorSettings {
+            agent: settings.site.name.clone(),
+            service: settings.service.clone(),
+            limits: settings.site.limits,
+            first_token: first_token(),
+        });
+        ExecutionLoop {
+            executor,
+            worker: Arc::new(HttpWorker::new(self.caller.clone(), settings.worker)),
+            timer: Arc::new(BootTimer),
+            decisions: Arc::clone(&self.decisions),
+            metrics: Arc::clone(&self.metrics),
+            sessions: BTreeMap::new(),
+            clearing: BTreeMap::new(),
+            clean_slate,
+            inputs_back: self.inputs.clone(),
+        }
+    }
+
+    fn dialler(&self, site: &SiteSettings) -> Arc<Dialler> {
+        Arc::new(Dialler {
+            store: Arc::new(RowsStore::new(self.caller.clone(), site.store)),
+            inputs: self.inputs.clone(),
+            metrics: Arc::clone(&self.metrics),
+            last_session: AtomicU64::new(1),
+        })
+    }
+
+    /// Serves the worker and whoever reads the metrics, for as long as the process lives.
+    async fn serve_callers(
+        &self,
+        settings: &SiteAgentSettings,
+        stopped: watch::Receiver<bool>,
+    ) -> Result<(), RunError> {
+        let worker = listen(settings.worker_listen).await?;
+        let readers = listen(settings.site.metrics_listen).await?;
+        let ear: Arc<dyn HttpHandler> = Arc::new(WorkerEar {
+            inputs: self.inputs.clone(),
+            metrics: Arc::clone(&self.metrics),
+        });
+        let probe: Arc<dyn HttpHandler> = Arc::new(ServiceProbe {
+            metrics: Arc::clone(&self.metrics),
+        });
+        tokio::spawn(serve_http(worker, ear, stopped.clone()));
+        tokio::spawn(serve_http(readers, probe, stopped));
+        Ok(())
+    }
+}
+
 /// Runs until the process is told to stop and its runs are over.
 pub(crate) async fn run_site_agent(settings: SiteAgentSettings) -> Result<(), RunError> {
     let site = &settings.site;
-    let metrics: Arc<dyn Metrics> = Arc::new(OtelMetrics::new().map_err(RunError::metrics)?);
-    let writer = DecisionWriter::start(&site.name).map_err(RunError::Runtime)?;
-    let decisions: Arc<dyn DecisionLog> = Arc::new(writer);
     let (inputs, taken) = mpsc::unbounded_channel();
-    let caller = PlatformCaller::new();
-    let (clean_slate, mut is_clean) = watch::channel(false);
-    let executor = Executor::new(ExecutorSettings {
-        agent: site.name.clone(),
-        service: settings.service.clone(),
-        limits: site.limits,
-        first_token: first_token(),
-    });
-    let execution = ExecutionLoop {
-        executor,
-        worker: Arc::new(HttpWorker::new(caller.clone(), settings.worker)),
-        timer: Arc::new(BootTimer),
-        decisions: Arc::clone(&decisions),
-        metrics: Arc::clone(&metrics),
-        sessions: BTreeMap::new(),
-        clearing: BTreeMap::new(),
-        clean_slate,
-        inputs_back: inputs.clone(),
-    };
-    let ear: Arc<dyn HttpHandler> = Arc::new(WorkerEar {
-        inputs: inputs.clone(),
-        metrics: Arc::clone(&metrics),
-    });
-    let probe: Arc<dyn HttpHandler> = Arc::new(ServiceProbe {
-        metrics: Arc::clone(&metrics),
-    });
-    let dialler = Arc::new(Dialler {
-        store: Arc::new(RowsStore::new(caller, site.store)),
-        inputs: inputs.clone(),
-        metrics,
-        last_session: AtomicU64::new(1),
-    });
-    let listen = async |addr| {
-        let bound = TcpListener::bind(addr).await;
-        bound.map_err(|error| RunError::Listen(addr, error))
-    };
+    let (clean_slate, is_clean) = watch::channel(false);
+    let shared = Shared::new(site, inputs)?;
+    let execution = shared.execution_loop(&settings, clean_slate);
     let (_stop, stopped) = watch::channel(false);
-    let worker = listen(settings.worker_listen).await?;
-    let readers = listen(site.metrics_listen).await?;
+    shared.serve_callers(&settings, stopped).await?;
     tokio::spawn(execution.run(taken));
-    tokio::spawn(serve_http(worker, ear, stopped.clone()));
-    tokio::spawn(serve_http(readers, probe, stopped));
-    tokio::spawn(reload_signals(Arc::clone(&decisions)));
+    tokio::spawn(reload_signals(Arc::clone(&shared.decisions)));
     let started = ProcessNote::Started {
         version: env!("CARGO_PKG_VERSION"),
         availability_zone: site.availability_zone.clone(),
     };
-    note(&*decisions, LineRank::Notable, &started);
-    // Guards against two runs of a task: a session's hello says that nothing from before runs
-    // here, but a process that was killed a moment ago may have left runs at the worker. They are
-    // over once the worker's lists under a newer token show none, or else when their lease is.
-    let lapse = Duration::from_millis(site.limits.lapse_ms() + LEASE_SLACK_MS);
-    tokio::spawn(async move {
-        // Either is enough, and the first session then opens half a second earlier.
-        let _ = timeout(lapse, is_clean.wait_for(|clean| *clean)).await;
-        dialler.follow().await;
-    });
+    note(&*shared.decisions, LineRank::Notable, &started);
+    let lapse_ms = site.limits.lapse_ms() + LEASE_SLACK_MS;
+    tokio::spawn(dial_when_clean(shared.dialler(site), is_clean, lapse_ms));
 
     stop_signal().await;
-    end(&inputs, &*decisions, site.stop_grace_s * 1_000).await;
+    end(
+        &shared.inputs,
+        &*shared.decisions,
+        site.stop_grace_s * 1_000,
+    )
+    .await;
     Ok(())
 }
 
+/// Dials entries once nothing of an earlier process runs at the worker.
+///
+/// Guards against two runs of a task: a session's hello says that nothing from before runs
+/// here, but a process that was killed a moment ago may have left runs at the worker. They are
+/// over once the worker's lists under a newer token show none, or else when their lease is.
+async fn dial_when_clean(
+    dialler: Arc<Dialler>,
+    mut is_clean: watch::Receiver<bool>,
+    lapse_ms: u64,
+) {
+    let lapse = Duration::from_millis(lapse_ms);
+    // Either is enough, and the first session then opens half a second earlier.
+    let _ = timeout(lapse, is_clean.wait_for(|clean| *clean)).await;
+    dialler.follow().await;
+}
+
 /// A fencing token above those of this agent's earlier processes, as long as the time of day is right.
 ///
 /// Where it isn't, the worker rejects the token and the executor raises it.
--- a/src/site_entry/dispatch_loop.rs
+++ b/src/site_entry/dispatch_loop.rs
@@ -10,7 +10,6 @@
                 Submission, WaiterId,
             },
             link::{AgentFrame, EntryFrame},
-            time::Instant,
         },
         ports::{Counter, DecisionLog, Gauge, LineRank, Metrics, Span, TimerService, note},
     },
@@ -91,7 +90,7 @@
             }
             let now = self.timer.now();
             let actions = self.dispatcher.handle(now, events);
-            self.carry_out(now, actions);
+            self.carry_out(actions);
             self.state.set_has_workers(self.dispatcher.has_workers());
         }
     }
@@ -129,7 +128,7 @@
         ));
     }
 
-    fn carry_out(&mut self, now: Instant, actions: Vec<DispatchAction>) {
+    fn carry_out(&mut self, actions: Vec<DispatchAction>) {
         for action in actions {
             match action {
                 DispatchAction::Send { link, frame } => {
@@ -158,7 +157,6 @@
         }
         let open = u64::try_from(self.dispatcher.open_jobs()).unwrap_or(u64::MAX);
         self.metrics.set(Gauge::JobsRunning, open);
-        let _ = now;
     }
 
     fn write_down(&self, decision: &DispatchNote) {
--- a/src/site_entry/news_keeper.rs
+++ b/src/site_entry/news_keeper.rs
@@ -3,6 +3,7 @@
 use {
     super::{dispatch_loop::LoopInput, process_note::ProcessNote, state::EntryState},
     crate::{
+        adapters::timer::Backoff,
         core::{dispatch::DispatchEvent, link::News},
         platform::read_config,
         ports::{Change, Counter, DecisionLog, LineRank, Metrics, SiteStore, StoreError, note},
@@ -10,9 +11,9 @@
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
-        time::{Duration, Instant},
+        time::Instant,
     },
-    tokio::{sync::mpsc, time::sleep},
+    tokio::sync::mpsc,
 };
 
 /// Longest wait for a change in one call, in milliseconds.
@@ -29,7 +30,7 @@
 struct StoreWatch {
     call: &'static str,
     lost_at: Option<Instant>,
-    pause_ms: u64,
+    backoff: Backoff,
 }
 
 impl StoreWatch {
@@ -37,7 +38,7 @@
         Self {
             call,
             lost_at: None,
-            pause_ms: FIRST_PAUSE_MS,
+            backoff: Backoff::new(FIRST_PAUSE_MS, LAST_PAUSE_MS),
         }
     }
 }
@@ -104,7 +105,7 @@
 
     fn regained(&self, watch: &mut StoreWatch) {
         self.metrics.count(Counter::StoreCalls, "answered");
-        watch.pause_ms = FIRST_PAUSE_MS;
+        watch.backoff.reset();
         if let Some(lost_at) = watch.lost_at.take() {
             let away_ms = u64::try_from(lost_at.elapsed().as_millis()).unwrap_or(u64::MAX);
             let call = watch.call;
@@ -127,10 +128,7 @@
             };
             note(&*self.decisions, LineRank::Notable, &lost);
         }
-        // A quarter up or down, so that entries that lost the store together don't return together.
-        let jitter = rand::random_range(75..=125);
-        sleep(Duration::from_millis(watch.pause_ms * jitter / 100)).await;
-        watch.pause_ms = (watch.pause_ms * 2).min(LAST_PAUSE_MS);
+        watch.backoff.wait().await;
     }
 
     /// Goes by news, unless newer ones are known or they can't be read.
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -17,20 +17,21 @@
             metrics::OtelMetrics,
             timer::BootTimer,
         },
-        cli::{RunError, reload_signals, stop_signal},
-        conf::SiteEntrySettings,
-        core::dispatch::{DispatchEvent, DispatchSettings, Dispatcher},
+        cli::{RunError, listen, reload_signals, stop_signal},
+        conf::{SiteEntrySettings, SiteSettings},
+        core::{
+            dispatch::{DispatchEvent, DispatchSettings, Dispatcher},
+            work::RunLimits,
+        },
         platform::{PlatformCaller, RowsStore},
         ports::{DecisionLog, LineRank, Metrics, SiteStore, note},
     },
     std::{
         collections::BTreeMap,
-        net::SocketAddr,
         sync::{Arc, Mutex, atomic::AtomicU64},
         time::Duration,
     },
     tokio::{
-        net::TcpListener,
         sync::{mpsc, oneshot, watch},
         time::{Instant, sleep, sleep_until},
     },
@@ -44,88 +45,128 @@
 /// Pause between looks at whether all jobs have ended, in milliseconds.
 const LOOK_MS: u64 = 50;
 
-pub(super) async fn listen(addr: SocketAddr) -> Result<TcpListener, RunError> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|error| RunError::Listen(addr, error))
+/// What the parts of an entry share.
+struct Shared {
+    state: Arc<EntryState>,
+    metrics: Arc<dyn Metrics>,
+    decisions: Arc<dyn DecisionLog>,
+    store: Arc<dyn SiteStore>,
+    inputs: mpsc::UnboundedSender<LoopInput>,
+}
+
+impl Shared {
+    fn new(
+        site: &SiteSettings,
+        inputs: mpsc::UnboundedSender<LoopInput>,
+    ) -> Result<Self, RunError> {
+        let metrics = OtelMetrics::new().map_err(RunError::metrics)?;
+        let writer = DecisionWriter::start(&site.name).map_err(RunError::Runtime)?;
+        Ok(Self {
+            state: Arc::new(EntryState::default()),
+            metrics: Arc::new(metrics),
+            decisions: Arc::new(writer),
+            store: Arc::new(RowsStore::new(PlatformCaller::new(), site.store)),
+            inputs,
+        })
+    }
+
+    fn news_keeper(&self) -> Arc<NewsKeeper> {
+        Arc::new(NewsKeeper {
+            store: Arc::clone(&self.store),
+            state: Arc::clone(&self.state),
+            inputs: self.inputs.clone(),
+            decisions: Arc::clone(&self.decisions),
+            metrics: Arc::clone(&self.metrics),
+            newest: Mutex::new(None),
+        })
+    }
+
+    fn dispatch_loop(&self, limits: RunLimits, news: Arc<NewsKeeper>) -> DispatchLoop {
+        DispatchLoop {
+            dispatcher: Dispatcher::new(DispatchSettings { limits }),
+            timer: Arc::new(BootTimer),
+            state: Arc::clone(&self.state),
+            news,
+            decisions: Arc::clone(&self.decisions),
+            metrics: Arc::clone(&self.metrics),
+            waiters: BTreeMap::new(),
+            links: BTreeMap::new(),
+            last_link: 0,
+            inputs_back: self.inputs.clone(),
+        }
+    }
+
+    fn front(&self) -> Arc<dyn HttpHandler> {
+        Arc::new(Front {
+            state: Arc::clone(&self.state),
+            inputs: self.inputs.clone(),
+            metrics: Arc::clone(&self.metrics),
+            decisions: Arc::clone(&self.decisions),
+            next_waiter: AtomicU64::new(1),
+        })
+    }
+
+    fn ready_probe(&self) -> Arc<dyn HttpHandler> {
+        Arc::new(ReadyProbe {
+            state: Arc::clone(&self.state),
+        })
+    }
+
+    fn service_probe(&self) -> Arc<dyn HttpHandler> {
+        Arc::new(ServiceProbe {
+            metrics: Arc::clone(&self.metrics),
+        })
+    }
+
+    fn note(&self, change: &ProcessNote) {
+        note(&*self.decisions, LineRank::Notable, change);
+    }
+}
+
+/// Serves clients, the balancer and whoever reads the metrics, until `stopped` turns true.
+async fn serve_callers(
+    settings: &SiteEntrySettings,
+    shared: &Shared,
+    stopped: watch::Receiver<bool>,
+) -> Result<(), RunError> {
+    let clients = listen(settings.client_listen).await?;
+    let balancer = listen(settings.ready_listen).await?;
+    let readers = listen(settings.site.metrics_listen).await?;
+    tokio::spawn(serve_http(clients, shared.front(), stopped.clone()));
+    tokio::spawn(serve_http(balancer, shared.ready_probe(), stopped.clone()));
+    tokio::spawn(serve_http(readers, shared.service_probe(), stopped));
+    Ok(())
 }
 
 /// Runs until the process is told to stop and its jobs have ended.
 pub(crate) async fn run_site_entry(settings: SiteEntrySettings) -> Result<(), RunError> {
-    let metrics: Arc<dyn Metrics> = Arc::new(OtelMetrics::new().map_err(RunError::metrics)?);
-    let writer = DecisionWriter::start(&settings.site.name).map_err(RunError::Runtime)?;
-    let decisions: Arc<dyn DecisionLog> = Arc::new(writer);
-    let state = Arc::new(EntryState::default());
     let (inputs, taken) = mpsc::unbounded_channel();
     let (opened, links) = mpsc::unbounded_channel();
-    let store: Arc<dyn SiteStore> =
-        Arc::new(RowsStore::new(PlatformCaller::new(), settings.site.store));
-    let news = Arc::new(NewsKeeper {
-        store: Arc::clone(&store),
-        state: Arc::clone(&state),
-        inputs: inputs.clone(),
-        decisions: Arc::clone(&decisions),
-        metrics: Arc::clone(&metrics),
-        newest: Mutex::new(None),
-    });
-    let dispatcher = Dispatcher::new(DispatchSettings {
-        limits: settings.site.limits,
-    });
-    let dispatch = DispatchLoop {
-        dispatcher,
-        timer: Arc::new(BootTimer),
-        state: Arc::clone(&state),
-        news: Arc::clone(&news),
-        decisions: Arc::clone(&decisions),
-        metrics: Arc::clone(&metrics),
-        waiters: BTreeMap::new(),
-        links: BTreeMap::new(),
-        last_link: 0,
-        inputs_back: inputs.clone(),
-    };
-    let front: Arc<dyn HttpHandler> = Arc::new(Front {
-        state: Arc::clone(&state),
-        inputs: inputs.clone(),
-        metrics: Arc::clone(&metrics),
-        decisions: Arc::clone(&decisions),
-        next_waiter: AtomicU64::new(1),
-    });
-    let ready: Arc<dyn HttpHandler> = Arc::new(ReadyProbe {
-        state: Arc::clone(&state),
-    });
-    let probe: Arc<dyn HttpHandler> = Arc::new(ServiceProbe {
-        metrics: Arc::clone(&metrics),
-    });
-    let (stop, stopped) = watch::channel(false);
-    let clients = listen(settings.client_listen).await?;
+    let shared = Shared::new(&settings.site, inputs)?;
+    let news = shared.news_keeper();
+    let dispatch = shared.dispatch_loop(settings.site.limits, Arc::clone(&news));
     let agents = listen(settings.link_listen).await?;
-    let balancer = listen(settings.ready_listen).await?;
-    let readers = listen(settings.site.metrics_listen).await?;
+    let (stop, stopped) = watch::channel(false);
+    serve_callers(&settings, &shared, stopped).await?;
     tokio::spawn(dispatch.run(taken, links));
-    tokio::spawn(serve_links(agents, opened, Arc::clone(&metrics)));
-    tokio::spawn(serve_http(clients, front, stopped.clone()));
-    tokio::spawn(serve_http(balancer, ready, stopped.clone()));
-    tokio::spawn(serve_http(readers, probe, stopped));
+    tokio::spawn(serve_links(agents, opened, Arc::clone(&shared.metrics)));
     tokio::spawn(Arc::clone(&news).follow());
     let link_addr = settings.link_addr;
-    let joining = Arc::clone(&news);
-    tokio::spawn(async move { joining.join(link_addr).await });
-    tokio::spawn(reload_signals(Arc::clone(&decisions)));
-    let started = ProcessNote::Started {
+    tokio::spawn(async move { news.join(link_addr).await });
+    tokio::spawn(reload_signals(Arc::clone(&shared.decisions)));
+    shared.note(&ProcessNote::Started {
         version: env!("CARGO_PKG_VERSION"),
         availability_zone: settings.site.availability_zone.clone(),
-    };
-    note(&*decisions, LineRank::Notable, &started);
+    });
 
     stop_signal().await;
+    let store = Arc::clone(&shared.store);
+    let removing = tokio::spawn(async move { store.remove_entry(link_addr).await });
     let ending = Ending {
         grace_ms: settings.site.stop_grace_s * 1_000,
-        state,
-        inputs,
-        decisions,
+        shared,
         stop,
     };
-    let removing = tokio::spawn(async move { store.remove_entry(link_addr).await });
     ending.run().await;
     removing.abort();
     Ok(())
@@ -134,16 +175,19 @@
 /// A planned stop.
 struct Ending {
     grace_ms: u64,
-    state: Arc<EntryState>,
-    inputs: mpsc::UnboundedSender<LoopInput>,
-    decisions: Arc<dyn DecisionLog>,
+    shared: Shared,
     stop: watch::Sender<bool>,
 }
 
 impl Ending {
     async fn open_jobs(&self) -> usize {
         let (count, counted) = oneshot::channel();
-        if self.inputs.send(LoopInput::CountOpen { count }).is_err() {
+        if self
+            .shared
+            .inputs
+            .send(LoopInput::CountOpen { count })
+            .is_err()
+        {
             return 0;
         }
         counted.await.unwrap_or(0)
@@ -153,14 +197,16 @@
     async fn run(self) {
         let begun_at = Instant::now();
         let open = self.open_jobs().await;
-        let stopping = ProcessNote::Stopping {
+        self.shared.note(&ProcessNote::Stopping {
             open,
             grace_ms: self.grace_ms,
-        };
-        note(&*self.decisions, LineRank::Notable, &stopping);
-        self.state.leave();
+        });
+        self.shared.state.leave();
         // The loop ends only with the process.
-        let _ = self.inputs.send(LoopInput::Event(DispatchEvent::Leave));
+        let _ = self
+            .shared
+            .inputs
+            .send(LoopInput::Event(DispatchEvent::Leave));
         let last_at = begun_at + Duration::from_millis(self.grace_ms.saturating_sub(LAST_MS));
         let balanced_at = begun_at + Duration::from_millis(BALANCER_MS);
         sleep_until(balanced_at.min(last_at)).await;
@@ -171,11 +217,7 @@
         // Answers that were just given are still on their way out.
         sleep(Duration::from_millis(LOOK_MS)).await;
         let open = self.open_jobs().await;
-        note(
-            &*self.decisions,
-            LineRank::Notable,
-            &ProcessNote::Stopped { open },
-        );
+        self.shared.note(&ProcessNote::Stopped { open });
         sleep(Duration::from_millis(LOOK_MS)).await;
     }
 }
