Entries draw workers by free room, and have no more under way at each than their share of it

Ruled out: the store and the sessions as the cause of those refusals (sessions were open, reports current). Change: a report says how many entries share the agent; an entry has no more orders under way than its share of the reported room; a worker is drawn with the square of its free share as weight. The queue is walked without copying it.

--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -14,6 +14,8 @@
         time::Instant,
         work::{JobId, RunLimits},
     },
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
     slotmap::SlotMap,
     std::{collections::BTreeMap, mem},
 };
@@ -23,6 +25,8 @@
 pub(crate) struct DispatchSettings {
     /// Bounds that agents go by, too.
     pub(crate) limits: RunLimits,
+    /// Seed of the draws among workers; entries with the same one would choose alike.
+    pub(crate) seed: u64,
 }
 
 /// Keeps the jobs that its entry took and hands their tasks to agents.
@@ -41,6 +45,7 @@
     pub(super) news: Option<News>,
     pub(super) leaving_since: Option<Instant>,
     pub(super) contact: Contact,
+    pub(super) rng: ChaCha8Rng,
     pub(super) actions: Vec<DispatchAction>,
 }
 
@@ -48,6 +53,7 @@
     /// A dispatcher without jobs and agents.
     pub(crate) fn new(settings: DispatchSettings) -> Self {
         Self {
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
             settings,
             jobs: SlotMap::with_key(),
             by_id: BTreeMap::new(),
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Keeps clients' jobs at an entry and hands their tasks to agents.
 
+mod choice;
 mod contact;
 mod dispatch_event;
 mod dispatch_note;
--- a/src/core/dispatch/placing.rs
+++ b/src/core/dispatch/placing.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         DispatchAction, Dispatcher,
+        choice::Choice,
         dispatch_event::Zones,
         job::{Job, Task, TaskState},
         queue::Waiting,
@@ -20,19 +21,22 @@
 /// Tasks of one service are much alike, so the next ones fit nowhere either; looking at all of them
 /// at each event would take more processor time than the entry has.
 const MISSES: usize = 24;
-/// Worth of a worker in the rack of the task's data, in shares of its room.
-const DATA_RACK_BONUS: f64 = 10.0;
-/// Cost of a worker where the task's last run ended badly, in shares of its room.
-const AVOID_MALUS: f64 = 5.0;
+/// Factor for a worker in the rack of the task's data: any other takes half as long again, or twice.
+const DATA_RACK_BONUS: f64 = 1e6;
+/// Factor for the worker where the task's last run ended badly: only if there is no other.
+const AVOID_MALUS: f64 = 1e-6;
+/// Least weight, for workers without a processor's share left and tasks that need none.
+const LEAST_WEIGHT: f64 = 1e-4;
 
 impl Dispatcher {
     /// Hands waiting tasks to workers with room.
     pub(super) fn place_tasks(&mut self, now: Instant) {
         let mut misses = 0;
-        for waiting in self.queue.in_order() {
-            if misses >= MISSES {
-                return;
-            }
+        let mut looked_at = None;
+        while misses < MISSES
+            && let Some(waiting) = self.queue.after(looked_at.as_ref())
+        {
+            looked_at = Some(waiting);
             if !waiting.holds(now) {
                 self.requeue(now, waiting);
                 continue;
@@ -53,7 +57,7 @@
         self.enqueue(now, waiting.job, waiting.task);
     }
 
-    /// Orders a task at the best worker that has room for it; whether there is one.
+    /// Orders a task at a worker that has room for it; whether there is one.
     fn place(&mut self, now: Instant, waiting: &Waiting) -> bool {
         let Some(job) = self.jobs.get(waiting.job) else {
             self.queue.remove(waiting);
@@ -66,38 +70,24 @@
         if task.not_before > now {
             return false;
         }
-        let Some(worker) = self.best_worker(now, job, task, step) else {
-            return false;
-        };
-        self.queue.remove(waiting);
-        self.order(now, waiting, worker);
-        true
-    }
-
-    fn best_worker(
-        &self,
-        now: Instant,
-        job: &Job,
-        task: &Task,
-        step: &StepSpec,
-    ) -> Option<WorkerKey> {
         let none = Zones::new();
         let evacuated = self.news.as_ref().map_or(&none, |news| &news.evacuated);
-        let mut best: Option<(f64, WorkerKey)> = None;
+        let mut choice = Choice::new(&mut self.rng);
         for (key, worker) in &self.workers {
-            if !is_usable(now, worker, job, step, evacuated) {
-                continue;
-            }
-            let room = worker.free();
-            if !step.needs.fits(room) || is_crowded(worker, job, task, step) {
-                continue;
-            }
-            let rank = rank(worker, room, step, task.avoid == Some(key));
-            if best.is_none_or(|(known, _)| rank > known) {
-                best = Some((rank, key));
+            if is_usable(now, worker, job, step, evacuated)
+                && step.needs.fits(worker.free())
+                && worker.may_order(step.needs)
+                && !is_crowded(worker, job, task, step)
+            {
+                choice.offer(key, weight(worker, step, task.avoid == Some(key)));
             }
         }
-        best.map(|(_, key)| key)
+        let Some(worker) = choice.made() else {
+            return false;
+        };
+        self.queue.remove(waiting);
+        self.order(now, waiting, worker);
+        true
     }
 
     fn order(&mut self, now: Instant, waiting: &Waiting, key: WorkerKey) {
@@ -162,25 +152,27 @@
         && worker.runs.len() < usize::from(worker.health.most_tasks(now))
 }
 
-/// How good the worker is for the task: the share of its room that is free, less where it is slow.
+/// How good the worker is for the task, as the weight of a draw.
 ///
-/// The emptiest worker first keeps entries apart that choose at the same time: their figures are some
-/// milliseconds old, and only a worker that is nearly full turns orders away.
-fn rank(worker: &WorkerLink, room: Needs, step: &StepSpec, avoid: bool) -> f64 {
+/// Load that this answers: several entries that choose among the same workers by figures some milliseconds old.
+/// Were the emptiest worker always taken, all of them would take the same one, and it would turn
+/// most of their orders away. A draw spreads them over what is free; the square makes an empty
+/// worker four times as likely as one that is half full.
+fn weight(worker: &WorkerLink, step: &StepSpec, avoid: bool) -> f64 {
     let capacity = worker
         .view
         .as_ref()
         .map_or(1, |view| view.capacity.cpu_milli.max(1));
-    let share = f64::from(room.cpu_milli) / f64::from(capacity);
+    let share = f64::from(worker.free().cpu_milli) / f64::from(capacity);
     let near = step.data_rack.as_ref().is_some_and(|rack| {
         worker
             .view
             .as_ref()
             .is_some_and(|view| view.labels.contains(rack))
     });
-    let bonus = if near { DATA_RACK_BONUS } else { 0.0 };
-    let malus = if avoid { AVOID_MALUS } else { 0.0 };
-    share / worker.slowness + bonus - malus
+    let bonus = if near { DATA_RACK_BONUS } else { 1.0 };
+    let malus = if avoid { AVOID_MALUS } else { 1.0 };
+    (share / worker.slowness).powi(2).max(LEAST_WEIGHT) * bonus * malus
 }
 
 /// Whether the worker has as many tasks of the step as it may.
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -7,7 +7,7 @@
 use {
     super::job::{Job, JobKey},
     crate::core::time::Instant,
-    std::collections::BTreeSet,
+    std::{collections::BTreeSet, ops::Bound},
 };
 
 /// A task counts as in time if it may take this many hundredths of its estimate.
@@ -98,9 +98,15 @@
         self.waiting.len()
     }
 
-    /// All of them in the order of starts.
-    pub(super) fn in_order(&self) -> Vec<Waiting> {
-        self.waiting.iter().copied().collect()
+    /// The first in the order of starts, or the one that follows another.
+    pub(super) fn after(&self, before: Option<&Waiting>) -> Option<Waiting> {
+        match before {
+            None => self.waiting.first().copied(),
+            Some(before) => {
+                let beyond = (Bound::Excluded(before), Bound::Unbounded);
+                self.waiting.range(beyond).next().copied()
+            }
+        }
     }
 
     pub(super) fn drop_job(&mut self, job: JobKey) {
--- a/src/core/dispatch/tests.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -1,12 +1,14 @@
 //! Directed tests of the dispatcher; the seeded harness plays it with everything else.
 
+mod several_entries;
+
 use {
     super::{
         Answer, DispatchAction, DispatchEvent, DispatchSettings, Dispatcher, GiveUpReason, LinkId,
         RefusalReason, Submission, WaiterId,
     },
     crate::core::{
-        link::{AgentFrame, EntryFrame, News, RoomReport, RunEnd, StartOrder},
+        link::{AgentFrame, EntryFrame, News, NotStartedReason, RoomReport, RunEnd, StartOrder},
         routes::Route,
         time::Instant,
         work::{
@@ -79,20 +81,30 @@
 impl Bench {
     /// A dispatcher in touch with so many agents whose workers are free.
     fn with_workers(workers: u64) -> Self {
+        let mut bench = Self::seeded(1);
+        for worker in 1..=workers {
+            bench.connect(worker);
+        }
+        bench
+    }
+
+    /// A dispatcher that knows no agent.
+    fn seeded(seed: u64) -> Self {
         let limits = RunLimits::for_resend(1_300, 50);
-        let mut bench = Self {
-            dispatcher: Dispatcher::new(DispatchSettings { limits }),
+        Self {
+            dispatcher: Dispatcher::new(DispatchSettings { limits, seed }),
             now: Instant::from_millis(10_000),
             stamp_us: 1,
             actions: Vec::new(),
-        };
-        for worker in 1..=workers {
-            bench.connect(worker);
         }
-        bench
     }
 
     fn connect(&mut self, worker: u64) {
+        self.connect_with(worker, ROOM, 1);
+    }
+
+    /// Meets an agent of which so many entries know.
+    fn connect_with(&mut self, worker: u64, cores: u32, entries: u16) {
         self.stamp_us += 1;
         let hello = AgentFrame::Hello {
             agent: format!("agent-{worker}"),
@@ -106,17 +118,27 @@
             },
             service: "shares".to_owned(),
             availability_zone: ["north", "south"][worker as usize % 2].to_owned(),
-            capacity: needs(ROOM),
+            capacity: needs(cores),
             labels: vec![format!("rack-{worker}")],
             draining: false,
         };
         self.frame(worker, AgentFrame::Worker(Some(view)));
-        self.room(worker, ROOM, 0);
+        let report = RoomReport {
+            free: needs(cores),
+            starts_seen: 0,
+            entries,
+        };
+        self.frame(worker, AgentFrame::Room(report));
     }
 
     fn room(&mut self, worker: u64, cores: u32, starts_seen: u32) {
         let free = needs(cores);
-        self.frame(worker, AgentFrame::Room(RoomReport { free, starts_seen }));
+        let report = RoomReport {
+            free,
+            starts_seen,
+            entries: 1,
+        };
+        self.frame(worker, AgentFrame::Room(report));
     }
 
     fn feed(&mut self, event: DispatchEvent) {
--- /dev/null
+++ b/src/core/dispatch/tests/several_entries.rs
@@ -0,0 +1,172 @@
+//! Entries that choose among the same workers.
+
+use {super::*, std::collections::BTreeMap};
+
+const ENTRIES: u64 = 8;
+const WORKERS: u64 = 50;
+const SLOTS: u32 = 12;
+
+/// A worker and its agent, which turns away what does not fit.
+#[derive(Debug, Default)]
+struct AgentModel {
+    running: u32,
+    turned_away: u32,
+    starts_seen: BTreeMap<usize, u32>,
+}
+
+impl AgentModel {
+    fn take(&mut self, entry: usize) -> bool {
+        *self.starts_seen.entry(entry).or_default() += 1;
+        let fits = self.running < SLOTS;
+        if fits {
+            self.running += 1;
+        } else {
+            self.turned_away += 1;
+        }
+        fits
+    }
+
+    fn report(&self, entry: usize) -> AgentFrame {
+        AgentFrame::Room(RoomReport {
+            free: needs(SLOTS - self.running),
+            starts_seen: self.starts_seen.get(&entry).copied().unwrap_or_default(),
+            entries: ENTRIES as u16,
+        })
+    }
+}
+
+/// A site on which entries and agents take turns.
+struct Site {
+    entries: Vec<Bench>,
+    agents: BTreeMap<u64, AgentModel>,
+    orders: Vec<(usize, u64, RunId)>,
+}
+
+impl Site {
+    fn new() -> Self {
+        Self {
+            entries: (0..ENTRIES).map(Bench::seeded).collect(),
+            agents: (1..=WORKERS).map(|w| (w, AgentModel::default())).collect(),
+            orders: Vec::new(),
+        }
+    }
+
+    fn collect_orders(&mut self, entry: usize) {
+        let starts = self.entries[entry].starts();
+        self.orders
+            .extend(starts.into_iter().map(|(worker, run)| (entry, worker, run)));
+    }
+
+    /// All orders under way arrive, one of each entry at a time, and are answered with a report.
+    fn deliver(&mut self) {
+        let orders = std::mem::take(&mut self.orders);
+        let mut answers = Vec::new();
+        let mut by_entry: Vec<Vec<_>> = vec![Vec::new(); ENTRIES as usize];
+        for order in orders.into_iter().rev() {
+            by_entry[order.0].push(order);
+        }
+        while by_entry.iter().any(|orders| !orders.is_empty()) {
+            for orders in &mut by_entry {
+                if let Some((entry, worker, run)) = orders.pop() {
+                    let taken = self.agents.get_mut(&worker).unwrap().take(entry);
+                    answers.push((entry, worker, run, taken));
+                }
+            }
+        }
+        for (entry, worker, run, taken) in answers {
+            let report = self.agents[&worker].report(entry);
+            self.entries[entry].frame(worker, report);
+            self.collect_orders(entry);
+            if !taken {
+                let end = RunEnd::NotStarted(NotStartedReason::NoRoom);
+                self.entries[entry].end((worker, run), end);
+                self.collect_orders(entry);
+            }
+        }
+    }
+
+    fn running(&self) -> u32 {
+        self.agents.values().map(|agent| agent.running).sum()
+    }
+
+    fn turned_away(&self) -> u32 {
+        self.agents.values().map(|agent| agent.turned_away).sum()
+    }
+}
+
+/// After a power loss for all, clients' jobs wait at every entry before the first agent is met. Each entry
+/// then sees the same empty workers. When each filled them by itself, eight times what the site has room for was
+/// ordered and seven of eight orders were turned away and sent elsewhere, thousands in a second, while
+/// the jobs grew late. Cause: an entry took all the room in a report for its own.
+#[test]
+fn queues_that_meet_empty_workers_fill_them_without_a_storm() {
+    let mut site = Site::new();
+    for entry in 0..ENTRIES as usize {
+        for number in 0..40 {
+            let id = entry as u64 * 1_000 + number + 1;
+            site.entries[entry].submit(job(id, 0, vec![step(4, 500)]));
+        }
+        for worker in 1..=WORKERS {
+            site.entries[entry].connect_with(worker, SLOTS, ENTRIES as u16);
+            site.collect_orders(entry);
+        }
+    }
+    for _ in 0..6 {
+        site.deliver();
+    }
+    let room = WORKERS as u32 * SLOTS;
+    assert_eq!(site.running(), room, "the site's room is in use");
+    assert!(
+        site.turned_away() < room / 2,
+        "{} orders were turned away for {room} slots",
+        site.turned_away()
+    );
+}
+
+/// On a busy but not overloaded site several entries place tasks at the same moment, by the same reports. When each
+/// took the emptiest worker, all took the same one, which had no room for most of them: a message
+/// each way and two milliseconds more for every third task. Cause: the same order of preference everywhere.
+#[test]
+fn entries_that_choose_at_once_choose_different_workers() {
+    let mut site = Site::new();
+    for agent in site.agents.values_mut() {
+        agent.running = SLOTS - 2;
+    }
+    // One worker is emptier than all others.
+    site.agents.get_mut(&1).unwrap().running = SLOTS - 3;
+    for entry in 0..ENTRIES as usize {
+        for worker in 1..=WORKERS {
+            let free = SLOTS - site.agents[&worker].running;
+            site.entries[entry].connect_with(worker, free, ENTRIES as u16);
+        }
+        for number in 0..3 {
+            let id = entry as u64 * 1_000 + number + 1;
+            site.entries[entry].submit(job(id, 0, vec![step(1, 500)]));
+            site.collect_orders(entry);
+        }
+    }
+    site.deliver();
+    assert!(
+        site.turned_away() <= 2,
+        "{} of 24 orders were turned away",
+        site.turned_away()
+    );
+}
+
+/// A single busy entry must not be kept from room that the others leave: its share grows with each report.
+#[test]
+fn one_busy_entry_gets_all_the_room() {
+    let mut site = Site::new();
+    for worker in 1..=WORKERS {
+        site.entries[0].connect_with(worker, SLOTS, ENTRIES as u16);
+    }
+    for number in 1..=200 {
+        site.entries[0].submit(job(number, 0, vec![step(4, 500)]));
+        site.collect_orders(0);
+    }
+    for _ in 0..20 {
+        site.deliver();
+    }
+    assert_eq!(site.running(), WORKERS as u32 * SLOTS);
+    assert_eq!(site.turned_away(), 0);
+}
--- a/src/core/dispatch/worker_link.rs
+++ b/src/core/dispatch/worker_link.rs
@@ -127,6 +127,19 @@
         ordered.fold(self.report.free, |free, (_, needs)| free.minus(*needs))
     }
 
+    /// Whether another order like this may be sent before the agent's next report.
+    ///
+    /// Answers load that comes to all entries at once, above all the queues that have formed when the agents
+    /// of a whole site are met again. Guards against orders that cross: each entry sees the same
+    /// room and would fill it by itself, and the worker would turn all but one of them away, again and
+    /// again. An entry therefore has no more under way than its share of the room that was reported;
+    /// one that orders alone doubles what it has there with each report, two milliseconds apart.
+    pub(super) fn may_order(&self, needs: Needs) -> bool {
+        let entries = u32::from(self.report.entries).max(1);
+        let share = needs.times_in(self.report.free).div_ceil(entries);
+        u32::try_from(self.unreported.len()).is_ok_and(|under_way| under_way < share)
+    }
+
     /// Learns how its run times compare with the estimates.
     pub(super) fn note_run(&mut self, ran_ms: u64, estimate_ms: u64) {
         if estimate_ms == 0 {
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -289,10 +289,12 @@
             Some(worker) if worker.ready => self.free(),
             Some(_) | None => Needs::default(),
         };
+        let entries = u16::try_from(self.sessions.len()).unwrap_or(u16::MAX);
         for (session, link) in &mut self.sessions {
             let report = RoomReport {
                 free,
                 starts_seen: link.starts_seen,
+                entries,
             };
             let is_due = link.room_due || now.millis_since(link.reported_at) >= ROOM_REPORT_MS;
             if link.reported == Some(report) || !is_due {
--- a/src/core/link/agent_frame.rs
+++ b/src/core/link/agent_frame.rs
@@ -68,6 +68,8 @@
     pub(crate) free: Needs,
     /// Start orders of this session that the figure takes account of.
     pub(crate) starts_seen: u32,
+    /// Entries that have a session with the agent and may order there, too.
+    pub(crate) entries: u16,
 }
 
 /// A frame from an agent to an entry.
--- a/src/core/tests/world.rs
+++ b/src/core/tests/world.rs
@@ -403,6 +403,7 @@
     fn start_entry(&mut self, entry: usize) {
         let settings = DispatchSettings {
             limits: self.setup.entry_limits,
+            seed: entry as u64,
         };
         let process = &mut self.entries[entry];
         process.life += 1;
--- a/src/core/work/needs.rs
+++ b/src/core/work/needs.rs
@@ -21,6 +21,14 @@
             && self.accelerators <= free.accelerators
     }
 
+    /// How many times this fits into what is free.
+    pub(crate) fn times_in(self, free: Self) -> u32 {
+        let times = |need: u32, free: u32| free.checked_div(need).unwrap_or(u32::MAX);
+        times(self.cpu_milli, free.cpu_milli)
+            .min(times(self.memory_mb, free.memory_mb))
+            .min(times(self.accelerators, free.accelerators))
+    }
+
     /// What is left after taking `other` away, at least nothing.
     pub(crate) const fn minus(self, other: Self) -> Self {
         Self {
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -83,7 +83,10 @@
 
     fn dispatch_loop(&self, limits: RunLimits, news: Arc<NewsKeeper>) -> DispatchLoop {
         DispatchLoop {
-            dispatcher: Dispatcher::new(DispatchSettings { limits }),
+            dispatcher: Dispatcher::new(DispatchSettings {
+                limits,
+                seed: rand::random(),
+            }),
             timer: Arc::new(BootTimer),
             state: Arc::clone(&self.state),
             news,
