The list of entries lies in three parts of the store; agents begin with seeds where they can't read it

Ruled out: the entries (configuration in force at 36.0 in all eight), the agents' start (worker_ready at 36.1). Change: three copies in parts of their own; agents read any, entries write all; a removal holds only for the row's own version (one carried out late could take a newer process off the list); agents wait 200 to 800 ms after a change before they read, so that entries that come together cost few calls; entries take links at the control address, so that agents' settings have seeds. Tests, seen failing with one copy and without seeds: an_agent_finds_the_entries_while_parts_of_the_store_are_away, an_agent_that_the_store_turns_away_begins_with_its_seeds.

--- a/src/conf/site_settings.rs
+++ b/src/conf/site_settings.rs
@@ -81,6 +81,8 @@
     pub(crate) worker: SocketAddr,
     /// Where the worker reports.
     pub(crate) worker_listen: SocketAddr,
+    /// Entries to begin with where the list of them can't be read; some may be gone.
+    pub(crate) seeds: Vec<SocketAddr>,
 }
 
 impl SiteAgentSettings {
@@ -91,6 +93,7 @@
             service: reader.name("service"),
             worker: reader.socket_addr("worker"),
             worker_listen: reader.socket_addr("worker_listen"),
+            seeds: reader.socket_addrs("seeds"),
         }
     }
 }
--- a/src/platform/rows_store.rs
+++ b/src/platform/rows_store.rs
@@ -4,7 +4,7 @@
     super::{PlatformCaller, PlatformError, platform_caller::PlatformCall},
     crate::{
         core::link::News,
-        ports::{Change, SiteStore, StoreError},
+        ports::{Change, ListCopy, SiteStore, StoreError},
     },
     async_trait::async_trait,
     base64::{Engine, engine::general_purpose::STANDARD},
@@ -40,28 +40,35 @@
     rows: Vec<RowBody>,
     #[serde(default)]
     truncated: bool,
-    /// The store's newest version, not that of a row.
+    /// The store's newest version, not that of a row; after a transaction, the version that it made.
     ver: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug, Clone, Copy, Serialize)]
 struct RowKey<'a> {
     table: &'a str,
     part: &'a str,
     key: &'a str,
 }
 
+/// A row that must have this version for the transaction to be applied.
+#[derive(Debug, Serialize)]
+struct ExpectedRow<'a> {
+    #[serde(flatten)]
+    row: RowKey<'a>,
+    ver: u64,
+}
+
 #[derive(Debug, Serialize)]
 struct PutRow<'a> {
-    table: &'a str,
-    part: &'a str,
-    key: &'a str,
+    #[serde(flatten)]
+    row: RowKey<'a>,
     value: String,
 }
 
 #[derive(Debug, Default, Serialize)]
 struct TransactionBody<'a> {
-    expect_rev: [(); 0],
+    expect_rev: Vec<ExpectedRow<'a>>,
     puts: Vec<PutRow<'a>>,
     remove: Vec<RowKey<'a>>,
 }
@@ -96,12 +103,12 @@
             .await
     }
 
-    /// All rows of a table without parts, and the store's version.
-    async fn rows(&self, table: &str) -> Result<(Vec<RowBody>, u64), PlatformError> {
+    /// All rows of one part of a table, and the store's version.
+    async fn rows(&self, table: &str, part: &str) -> Result<(Vec<RowBody>, u64), PlatformError> {
         let mut rows: Vec<RowBody> = Vec::new();
         let mut from = String::new();
         loop {
-            let path = format!("/v1/rows-get?table={table}&part={from}");
+            let path = format!("/v1/rows-get?table={table}&part={part}{from}");
             let (status, body) = self.get(path, CALL_TIMEOUT_MS).await?;
             if status != StatusCode::OK {
                 return Err(PlatformError::Refused(status));
@@ -134,7 +141,8 @@
         }
     }
 
-    async fn transact(&self, body: &TransactionBody<'_>) -> Result<(), PlatformError> {
+    /// Applies a transaction; the version that it made, or `None` where a row had another version than expected.
+    async fn transact(&self, body: &TransactionBody<'_>) -> Result<Option<u64>, PlatformError> {
         let body = serde_json::to_vec(body)
             .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
         let call = PlatformCall {
@@ -146,7 +154,8 @@
             timeout_ms: CALL_TIMEOUT_MS,
         };
         match self.caller.call(call).await? {
-            (StatusCode::OK, _) => Ok(()),
+            (StatusCode::OK, body) => Ok(Some(parse(&body)?.ver)),
+            (StatusCode::PRECONDITION_FAILED, _) => Ok(None),
             (status, _) => Err(PlatformError::Refused(status)),
         }
     }
@@ -159,7 +168,7 @@
 #[async_trait]
 impl SiteStore for RowsStore {
     async fn read_news(&self) -> Result<News, StoreError> {
-        let (rows, version) = self.rows(OPERATORS_TABLE).await?;
+        let (rows, version) = self.rows(OPERATORS_TABLE, "").await?;
         let mut evacuated = BTreeSet::new();
         let mut document = None;
         for row in rows {
@@ -183,8 +192,9 @@
         Ok(self.wait(OPERATORS_TABLE, after, wait_ms).await?)
     }
 
-    async fn read_entries(&self) -> Result<(Vec<SocketAddr>, u64), StoreError> {
-        let (rows, version) = self.rows(ENTRIES_TABLE).await?;
+    async fn read_entries(&self, copy: ListCopy) -> Result<(Vec<SocketAddr>, u64), StoreError> {
+        let part = copy.number().to_string();
+        let (rows, version) = self.rows(ENTRIES_TABLE, &part).await?;
         let entries = rows.iter().filter_map(|row| row.key.parse().ok());
         Ok((entries.collect(), version))
     }
@@ -193,32 +203,45 @@
         Ok(self.wait(ENTRIES_TABLE, after, wait_ms).await?)
     }
 
-    async fn add_entry(&self, entry: SocketAddr) -> Result<(), StoreError> {
-        let key = entry.to_string();
+    async fn add_entry(&self, entry: SocketAddr, copy: ListCopy) -> Result<u64, StoreError> {
+        let (key, part) = (entry.to_string(), copy.number().to_string());
         let put = PutRow {
-            table: ENTRIES_TABLE,
-            part: "",
-            key: &key,
+            row: entry_row(&key, &part),
             value: String::new(),
         };
         let body = TransactionBody {
             puts: vec![put],
             ..TransactionBody::default()
         };
-        Ok(self.transact(&body).await?)
+        let version = self.transact(&body).await?;
+        // Without an expected version there is nothing that could fail it.
+        let conflict = || PlatformError::Refused(StatusCode::PRECONDITION_FAILED);
+        Ok(version.ok_or_else(conflict)?)
     }
 
-    async fn remove_entry(&self, entry: SocketAddr) -> Result<(), StoreError> {
-        let key = entry.to_string();
-        let row = RowKey {
-            table: ENTRIES_TABLE,
-            part: "",
-            key: &key,
-        };
+    async fn remove_entry(
+        &self,
+        entry: SocketAddr,
+        copy: ListCopy,
+        version: u64,
+    ) -> Result<(), StoreError> {
+        let (key, part) = (entry.to_string(), copy.number().to_string());
+        let row = entry_row(&key, &part);
         let body = TransactionBody {
+            expect_rev: vec![ExpectedRow { row, ver: version }],
             remove: vec![row],
             ..TransactionBody::default()
         };
-        Ok(self.transact(&body).await?)
+        // A row of another version belongs to a newer process.
+        self.transact(&body).await?;
+        Ok(())
+    }
+}
+
+const fn entry_row<'a>(key: &'a str, part: &'a str) -> RowKey<'a> {
+    RowKey {
+        table: ENTRIES_TABLE,
+        part,
+        key,
     }
 }
--- a/src/ports/site_store.rs
+++ b/src/ports/site_store.rs
@@ -19,6 +19,24 @@
     Some,
 }
 
+/// One of the copies of the list of entries.
+///
+/// Each lies in a part of the store of its own. Guards against a store that is down in part: with a
+/// single list, agents that start while its part is away find no entry, although the entries are at
+/// work. A part in four may be away at once; then all three are in one case of 64.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ListCopy(u8);
+
+impl ListCopy {
+    /// All copies.
+    pub(crate) const ALL: [Self; 3] = [Self(0), Self(1), Self(2)];
+
+    /// The copy's number.
+    pub(crate) const fn number(self) -> u8 {
+        self.0
+    }
+}
+
 /// What operators have set, and where entries are.
 #[async_trait]
 pub(crate) trait SiteStore: Debug + Send + Sync {
@@ -29,14 +47,22 @@
     async fn wait_for_news(&self, after: u64, wait_ms: u64) -> Result<Change, StoreError>;
 
     /// Reads where entries are, and the store's version.
-    async fn read_entries(&self) -> Result<(Vec<SocketAddr>, u64), StoreError>;
+    async fn read_entries(&self, copy: ListCopy) -> Result<(Vec<SocketAddr>, u64), StoreError>;
 
-    /// Waits up to `wait_ms` for a change of it after a version.
+    /// Waits up to `wait_ms` for a change of any copy after a version.
     async fn wait_for_entries(&self, after: u64, wait_ms: u64) -> Result<Change, StoreError>;
 
-    /// Adds an entry; doing it again changes nothing.
-    async fn add_entry(&self, entry: SocketAddr) -> Result<(), StoreError>;
+    /// Puts an entry into a copy; the version of its row there.
+    async fn add_entry(&self, entry: SocketAddr, copy: ListCopy) -> Result<u64, StoreError>;
 
-    /// Removes an entry; doing it again changes nothing.
-    async fn remove_entry(&self, entry: SocketAddr) -> Result<(), StoreError>;
+    /// Removes an entry from a copy unless its row is no longer of this version.
+    ///
+    /// Guards against a removal that is carried out seconds late, when a newer process is at work
+    /// at the address and has put it into the list again.
+    async fn remove_entry(
+        &self,
+        entry: SocketAddr,
+        copy: ListCopy,
+        version: u64,
+    ) -> Result<(), StoreError>;
 }
--- a/src/site_agent/dialler.rs
+++ b/src/site_agent/dialler.rs
@@ -5,7 +5,7 @@
     crate::{
         adapters::{link::dial_link, timer::Backoff},
         core::execution::{ExecutionEvent, SessionId},
-        ports::{Change, Counter, Metrics, SiteStore, StoreError},
+        ports::{Change, Counter, ListCopy, Metrics, SiteStore, StoreError},
     },
     std::{
         collections::BTreeMap,
@@ -14,8 +14,12 @@
             Arc,
             atomic::{AtomicU64, Ordering},
         },
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot, watch},
+        time::sleep,
     },
-    tokio::sync::{mpsc, oneshot, watch},
 };
 
 /// Longest wait for a change of the list in one call, in milliseconds.
@@ -23,6 +27,11 @@
 /// Pauses after calls to the store that failed, in milliseconds; the first is doubled up to the last.
 const FIRST_STORE_PAUSE_MS: u64 = 100;
 const LAST_STORE_PAUSE_MS: u64 = 1_000;
+/// Pause between a change of the list and reading it, in milliseconds, at least and at most.
+///
+/// An entry is three changes, and all entries may start together. Without the pause each change would be two
+/// calls of each agent: at 1,500 agents and 24 changes ten times what the store takes in a second.
+const SETTLE_MS: (u64, u64) = (200, 800);
 /// Pauses after an entry could not be reached, in milliseconds; the first is doubled up to the last.
 ///
 /// An entry that starts again is met within the last one; one that is gone for good costs a packet each.
@@ -36,6 +45,8 @@
     pub(super) inputs: mpsc::UnboundedSender<LoopInput>,
     pub(super) metrics: Arc<dyn Metrics>,
     pub(super) last_session: AtomicU64,
+    /// Entries to begin with where the list can't be read; some may be gone.
+    pub(super) seeds: Vec<SocketAddr>,
 }
 
 impl Dialler {
@@ -44,28 +55,48 @@
         let mut dialled: BTreeMap<SocketAddr, watch::Sender<bool>> = BTreeMap::new();
         let mut backoff = Backoff::new(FIRST_STORE_PAUSE_MS, LAST_STORE_PAUSE_MS);
         loop {
-            match self.store.read_entries().await {
+            match self.read_list().await {
                 Ok((entries, version)) => {
                     backoff.reset();
                     self.dial_new(&entries, &mut dialled);
-                    self.wait_for_change(version).await;
+                    match self.wait_for_change(version).await {
+                        Ok(()) => settle().await,
+                        Err(error) => pause(&error, &mut backoff).await,
+                    }
+                }
+                Err(error) => {
+                    if dialled.is_empty() {
+                        self.dial_new(&self.seeds, &mut dialled);
+                    }
+                    pause(&error, &mut backoff).await;
                 }
-                Err(error) => pause(&error, &mut backoff).await,
             }
         }
     }
 
-    async fn wait_for_change(&self, read_at: u64) {
+    /// Reads the first copy of the list that can be read, beginning with any.
+    async fn read_list(&self) -> Result<(Vec<SocketAddr>, u64), StoreError> {
+        let mut copies = ListCopy::ALL;
+        let first = rand::random_range(0..copies.len());
+        copies.rotate_left(first);
+        let [first, others @ ..] = copies;
+        let mut read = self.store.read_entries(first).await;
+        for copy in others {
+            if read.is_ok() {
+                return read;
+            }
+            read = self.store.read_entries(copy).await;
+        }
+        read
+    }
+
+    /// Returns once some copy of the list has changed.
+    async fn wait_for_change(&self, read_at: u64) -> Result<(), StoreError> {
         let mut after = read_at;
-        let mut backoff = Backoff::new(FIRST_STORE_PAUSE_MS, LAST_STORE_PAUSE_MS);
         loop {
-            match self.store.wait_for_entries(after, WAIT_MS).await {
-                Ok(Change::None { version }) => {
-                    backoff.reset();
-                    after = version;
-                }
-                Ok(Change::Some) => return,
-                Err(error) => pause(&error, &mut backoff).await,
+            match self.store.wait_for_entries(after, WAIT_MS).await? {
+                Change::None { version } => after = version,
+                Change::Some => return Ok(()),
             }
         }
     }
@@ -133,6 +164,12 @@
     }
 }
 
+/// Waits until the other entries that come or go at the same moment are on the list, too.
+async fn settle() {
+    let (least, most) = SETTLE_MS;
+    sleep(Duration::from_millis(rand::random_range(least..=most))).await;
+}
+
 async fn pause(error: &StoreError, backoff: &mut Backoff) {
     log::info!(error:% = error; "the list of entries can't be read");
     backoff.wait().await;
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -85,12 +85,13 @@
         }
     }
 
-    fn dialler(&self, site: &SiteSettings) -> Arc<Dialler> {
+    fn dialler(&self, settings: &SiteAgentSettings) -> Arc<Dialler> {
         Arc::new(Dialler {
-            store: Arc::new(RowsStore::new(self.caller.clone(), site.store)),
+            store: Arc::new(RowsStore::new(self.caller.clone(), settings.site.store)),
             inputs: self.inputs.clone(),
             metrics: Arc::clone(&self.metrics),
             last_session: AtomicU64::new(1),
+            seeds: settings.seeds.clone(),
         })
     }
 
@@ -132,7 +133,11 @@
     };
     note(&*shared.decisions, LineRank::Notable, &started);
     let lapse_ms = site.limits.lapse_ms() + LEASE_SLACK_MS;
-    tokio::spawn(dial_when_clean(shared.dialler(site), is_clean, lapse_ms));
+    tokio::spawn(dial_when_clean(
+        shared.dialler(&settings),
+        is_clean,
+        lapse_ms,
+    ));
 
     stop_signal().await;
     end(
--- a/src/site_entry/mod.rs
+++ b/src/site_entry/mod.rs
@@ -2,11 +2,13 @@
 
 mod dispatch_loop;
 mod front;
+mod listing;
 mod news_keeper;
 mod process_note;
 mod ready_probe;
 mod run;
 mod state;
+mod store_watch;
 
 #[cfg(test)]
 mod tests;
--- a/src/site_entry/news_keeper.rs
+++ b/src/site_entry/news_keeper.rs
@@ -1,18 +1,16 @@
-//! Keeps what operators have set up to date, and this entry on the list of entries.
+//! Keeps what operators have set up to date.
 
 use {
-    super::{dispatch_loop::LoopInput, process_note::ProcessNote, state::EntryState},
+    super::{
+        dispatch_loop::LoopInput, process_note::ProcessNote, state::EntryState,
+        store_watch::StoreWatch,
+    },
     crate::{
-        adapters::timer::Backoff,
         core::{dispatch::DispatchEvent, link::News},
         platform::read_config,
-        ports::{Change, Counter, DecisionLog, LineRank, Metrics, SiteStore, StoreError, note},
-    },
-    std::{
-        net::SocketAddr,
-        sync::{Arc, Mutex, PoisonError},
-        time::Instant,
+        ports::{Change, DecisionLog, LineRank, Metrics, SiteStore, note},
     },
+    std::sync::{Arc, Mutex, PoisonError},
     tokio::sync::mpsc,
 };
 
@@ -21,28 +19,6 @@
 /// A connection that has gone silent is found half a second after it; a change must be in
 /// force two seconds after it was made.
 const WAIT_MS: u64 = 1_000;
-/// Pauses after calls that failed, in milliseconds; the first is doubled up to the last.
-const FIRST_PAUSE_MS: u64 = 50;
-const LAST_PAUSE_MS: u64 = 400;
-
-/// A dependency that may be away.
-#[derive(Debug)]
-struct StoreWatch {
-    call: &'static str,
-    lost_at: Option<Instant>,
-    backoff: Backoff,
-}
-
-impl StoreWatch {
-    const fn new(call: &'static str) -> Self {
-        Self {
-            call,
-            lost_at: None,
-            backoff: Backoff::new(FIRST_PAUSE_MS, LAST_PAUSE_MS),
-        }
-    }
-}
-
 /// Reads news, passes them on, and remembers the newest.
 #[derive(Debug)]
 pub(super) struct NewsKeeper {
@@ -57,16 +33,16 @@
 impl NewsKeeper {
     /// Follows the operators' rows for as long as the process lives.
     pub(super) async fn follow(self: Arc<Self>) {
-        let mut watch = StoreWatch::new("news");
+        let mut watch = StoreWatch::new("news", &self.decisions, &self.metrics);
         loop {
             match self.store.read_news().await {
                 Ok(news) => {
-                    self.regained(&mut watch);
+                    watch.regained();
                     let version = news.version;
                     self.take(news, "store");
                     self.wait_for_change(version, &mut watch).await;
                 }
-                Err(error) => self.lost(&mut watch, &error).await,
+                Err(error) => watch.lost(&error).await,
             }
         }
     }
@@ -77,60 +53,18 @@
         loop {
             match self.store.wait_for_news(after, WAIT_MS).await {
                 Ok(Change::None { version }) => {
-                    self.regained(watch);
+                    watch.regained();
                     after = version;
                 }
                 Ok(Change::Some) => {
-                    self.regained(watch);
-                    return;
-                }
-                Err(error) => self.lost(watch, &error).await,
-            }
-        }
-    }
-
-    /// Puts this entry on the list.
-    pub(super) async fn join(&self, entry: SocketAddr) {
-        let mut watch = StoreWatch::new("join");
-        loop {
-            match self.store.add_entry(entry).await {
-                Ok(()) => {
-                    self.regained(&mut watch);
+                    watch.regained();
                     return;
                 }
-                Err(error) => self.lost(&mut watch, &error).await,
+                Err(error) => watch.lost(&error).await,
             }
         }
     }
 
-    fn regained(&self, watch: &mut StoreWatch) {
-        self.metrics.count(Counter::StoreCalls, "answered");
-        watch.backoff.reset();
-        if let Some(lost_at) = watch.lost_at.take() {
-            let away_ms = u64::try_from(lost_at.elapsed().as_millis()).unwrap_or(u64::MAX);
-            let call = watch.call;
-            let regained = ProcessNote::StoreRegained { call, away_ms };
-            note(&*self.decisions, LineRank::Notable, &regained);
-        }
-    }
-
-    async fn lost(&self, watch: &mut StoreWatch, error: &StoreError) {
-        let outcome = match error {
-            StoreError::Unavailable(_) => "unavailable",
-            StoreError::OutcomeUnknown(_) => "outcome_unknown",
-        };
-        self.metrics.count(Counter::StoreCalls, outcome);
-        if watch.lost_at.is_none() {
-            watch.lost_at = Some(Instant::now());
-            let lost = ProcessNote::StoreLost {
-                call: watch.call,
-                cause: error.to_string(),
-            };
-            note(&*self.decisions, LineRank::Notable, &lost);
-        }
-        watch.backoff.wait().await;
-    }
-
     /// Goes by news, unless newer ones are known or they can't be read.
     pub(super) fn take(&self, news: News, source: &'static str) {
         let mut newest = self.newest.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -4,6 +4,7 @@
     super::{
         dispatch_loop::{DispatchLoop, LoopInput},
         front::Front,
+        listing::Listing,
         news_keeper::NewsKeeper,
         process_note::ProcessNote,
         ready_probe::{ReadyProbe, ServiceProbe},
@@ -24,10 +25,11 @@
             work::RunLimits,
         },
         platform::{PlatformCaller, RowsStore},
-        ports::{DecisionLog, LineRank, Metrics, SiteStore, note},
+        ports::{DecisionLog, LineRank, ListCopy, Metrics, SiteStore, note},
     },
     std::{
         collections::BTreeMap,
+        net::SocketAddr,
         sync::{Arc, Mutex, atomic::AtomicU64},
         time::Duration,
     },
@@ -81,6 +83,16 @@
         })
     }
 
+    fn listing(&self, entry: SocketAddr) -> Arc<Listing> {
+        Arc::new(Listing {
+            store: Arc::clone(&self.store),
+            decisions: Arc::clone(&self.decisions),
+            metrics: Arc::clone(&self.metrics),
+            entry,
+            rows: Mutex::default(),
+        })
+    }
+
     fn dispatch_loop(&self, limits: RunLimits, news: Arc<NewsKeeper>) -> DispatchLoop {
         DispatchLoop {
             dispatcher: Dispatcher::new(DispatchSettings {
@@ -147,15 +159,17 @@
     let (opened, links) = mpsc::unbounded_channel();
     let shared = Shared::new(&settings.site, inputs)?;
     let news = shared.news_keeper();
+    let listing = shared.listing(settings.link_addr);
     let dispatch = shared.dispatch_loop(settings.site.limits, Arc::clone(&news));
     let agents = listen(settings.link_listen).await?;
     let (stop, stopped) = watch::channel(false);
     serve_callers(&settings, &shared, stopped).await?;
     tokio::spawn(dispatch.run(taken, links));
     tokio::spawn(serve_links(agents, opened, Arc::clone(&shared.metrics)));
-    tokio::spawn(Arc::clone(&news).follow());
-    let link_addr = settings.link_addr;
-    tokio::spawn(async move { news.join(link_addr).await });
+    tokio::spawn(news.follow());
+    for copy in ListCopy::ALL {
+        tokio::spawn(Arc::clone(&listing).join(copy));
+    }
     tokio::spawn(reload_signals(Arc::clone(&shared.decisions)));
     shared.note(&ProcessNote::Started {
         version: env!("CARGO_PKG_VERSION"),
@@ -163,15 +177,14 @@
     });
 
     stop_signal().await;
-    let store = Arc::clone(&shared.store);
-    let removing = tokio::spawn(async move { store.remove_entry(link_addr).await });
+    let leaving = tokio::spawn(listing.leave());
     let ending = Ending {
         grace_ms: settings.site.stop_grace_s * 1_000,
         shared,
         stop,
     };
     ending.run().await;
-    removing.abort();
+    leaving.abort();
     Ok(())
 }
 
--- a/src/site_entry/tests/fakes.rs
+++ b/src/site_entry/tests/fakes.rs
@@ -4,7 +4,8 @@
     crate::{
         core::link::News,
         ports::{
-            Change, Counter, DecisionLog, Gauge, LineRank, Metrics, SiteStore, Span, StoreError,
+            Change, Counter, DecisionLog, Gauge, LineRank, ListCopy, Metrics, SiteStore, Span,
+            StoreError,
         },
     },
     async_trait::async_trait,
@@ -54,7 +55,7 @@
         away()
     }
 
-    async fn read_entries(&self) -> Result<(Vec<SocketAddr>, u64), StoreError> {
+    async fn read_entries(&self, _: ListCopy) -> Result<(Vec<SocketAddr>, u64), StoreError> {
         away()
     }
 
@@ -62,11 +63,11 @@
         away()
     }
 
-    async fn add_entry(&self, _: SocketAddr) -> Result<(), StoreError> {
+    async fn add_entry(&self, _: SocketAddr, _: ListCopy) -> Result<u64, StoreError> {
         away()
     }
 
-    async fn remove_entry(&self, _: SocketAddr) -> Result<(), StoreError> {
+    async fn remove_entry(&self, _: SocketAddr, _: ListCopy, _: u64) -> Result<(), StoreError> {
         away()
     }
 }
--- a/src/standin/site_store.rs
+++ b/src/standin/site_store.rs
@@ -33,6 +33,8 @@
     slow_ms: u64,
     /// The answers of this many transactions are lost after they took effect.
     lose_answers: u32,
+    /// Calls that touch one of these parts, of any table, are refused.
+    down_parts: Vec<String>,
     /// Forget all changes once.
     forget_history: bool,
 }
@@ -107,6 +109,20 @@
         .map_or("", |(_, value)| value)
 }
 
+/// The parts that a call reads or writes.
+fn parts(call: &HttpCall) -> Vec<String> {
+    match call.path.as_str() {
+        "/v1/rows-get" => vec![query(call, "part").to_owned()],
+        "/v1/rows-tx" => {
+            // A body that can't be read is refused by the call itself.
+            let body: TransactionBody = serde_json::from_slice(&call.body).unwrap_or_default();
+            let rows = body.expect_rev.iter().chain(&body.puts).chain(&body.remove);
+            rows.map(|row| row.part.clone()).collect()
+        }
+        _ => Vec::new(),
+    }
+}
+
 impl SiteStore {
     fn rows(&self) -> MutexGuard<'_, RowsModel> {
         self.rows.lock().unwrap_or_else(PoisonError::into_inner)
@@ -199,14 +215,14 @@
     }
 
     /// Waits as the faults say; `Some` if the call gets no further.
-    async fn hindrance(&self) -> Option<HttpAnswer> {
+    async fn hindrance(&self, call: &HttpCall) -> Option<HttpAnswer> {
         let faults = self.faults().clone();
         sleep(Duration::from_millis(faults.slow_ms)).await;
         if faults.silent {
             std::future::pending::<()>().await;
         }
-        faults
-            .down
+        let is_down = |part: &String| parts(call).contains(part);
+        (faults.down || faults.down_parts.iter().any(is_down))
             .then(|| HttpAnswer::empty(StatusCode::SERVICE_UNAVAILABLE))
     }
 
@@ -224,7 +240,7 @@
         if call.path == "/faults" {
             return self.set_faults(&call);
         }
-        if let Some(refusal) = self.hindrance().await {
+        if let Some(refusal) = self.hindrance(&call).await {
             return refusal;
         }
         match (&call.method, call.path.as_str()) {
--- a/tests/processes/site.rs
+++ b/tests/processes/site.rs
@@ -21,6 +21,17 @@
         .collect()
 }
 
+/// Waits until an entry answers a job with success; before it has met an agent it refuses short ones.
+async fn serves(site: &Site, entry: usize) {
+    let what = format!("entry {entry} serves");
+    eventually(&what, Duration::from_secs(10), || async {
+        let id = format!("{:016x}", rand::random::<u64>());
+        let reply = site.submit(entry, &id, &site_job(2, 30)).await;
+        reply.is_ok_and(|reply| reply.body == r#"{"state":"completed"}"#)
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_calm_site_answers_each_job_once() {
     let site = Site::start("calm", 2, 3).await;
@@ -116,6 +127,29 @@
     assert_eq!(reply.body, r#"{"state":"completed"}"#);
 }
 
+/// Two of three parts of the store in which entries are listed are away when an agent starts anew. It finds the
+/// entries all the same, and clients get their answers. With one list, in one part, it found none until the store was whole.
+#[tokio::test]
+async fn an_agent_finds_the_entries_while_parts_of_the_store_are_away() {
+    let mut site = Site::start("parts", 2, 1).await;
+    site.store_faults(&json!({"down_parts": ["0", "2"]})).await;
+    site.restart_agent(0);
+    for entry in 0..2 {
+        serves(&site, entry).await;
+    }
+}
+
+/// The store turns an agent's host away when the agent starts anew. It begins with the entries that its settings name,
+/// and clients get their answers. Without them its worker stood idle until the store served it again.
+#[tokio::test]
+async fn an_agent_that_the_store_turns_away_begins_with_its_seeds() {
+    let mut site = Site::start("seeds", 1, 1).await;
+    site.set_seed(0, 0);
+    site.store_faults(&json!({"down": true})).await;
+    site.restart_agent(0);
+    serves(&site, 0).await;
+}
+
 /// The store falls silent for seconds. Jobs are answered as before, and the change that the
 /// operator made meanwhile is in force soon after the store's return.
 #[tokio::test]
--- a/tests/processes/support/site.rs
+++ b/tests/processes/support/site.rs
@@ -22,6 +22,7 @@
 pub struct SiteEntry {
     pub process: Process,
     pub clients: SocketAddr,
+    pub links: SocketAddr,
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
     settings: PathBuf,
@@ -115,11 +116,11 @@
     }
 
     fn add_entry(&mut self, number: usize) {
-        let (clients, ready, metrics) = (free_addr(), free_addr(), free_addr());
+        let (clients, ready, metrics, links) = (free_addr(), free_addr(), free_addr(), free_addr());
         let text = format!(
             "{}client_listen = \"{clients}\"\nready_listen = \"{ready}\"\nlink_listen = \"{}\"\n",
             common(&format!("entry-{number}"), "north", self.store, metrics),
-            free_addr()
+            links
         );
         let settings = self.folder.join(format!("entry-{number}.toml"));
         fs::write(&settings, text).expect("settings");
@@ -127,6 +128,7 @@
         self.entries.push(SiteEntry {
             process,
             clients,
+            links,
             ready,
             metrics,
             settings,
@@ -187,6 +189,14 @@
         worker.agent = start_agent(&worker.settings, &self.folder);
     }
 
+    /// Gives an agent an entry to begin with where it can't read the list; in force when it starts anew.
+    pub fn set_seed(&self, agent: usize, entry: usize) {
+        let settings = &self.workers[agent].settings;
+        let text = fs::read_to_string(settings).expect("settings");
+        let seed = format!("seeds = [\"{}\"]\n", self.entries[entry].links);
+        fs::write(settings, text + &seed).expect("settings");
+    }
+
     /// Hands a job in and waits for its answer.
     pub async fn submit(&self, entry: usize, id: &str, body: &Value) -> Result<Reply, String> {
         submit_to(self.entries[entry].clients, id, body.clone()).await
