Overtaken lists tell no stray runs; a job of which nothing was started is 'not run' when its entry is cut off

(2) 681 jobs of which nothing had started were given up as 'may have run' (504) when the entry had met no agent for a second after the power loss; clients of tasks that must not run twice can do nothing with that. Tests, both seen failing: lists_that_were_overtaken_tell_no_stray_runs, a_job_that_never_met_an_agent_has_not_run.

--- a/src/core/dispatch/contact.rs
+++ b/src/core/dispatch/contact.rs
@@ -1,7 +1,10 @@
 //! An entry that was suspended or cut off.
 
 use {
-    super::{Answer, DispatchAction, DispatchNote, Dispatcher, GiveUpReason, LinkId, job::JobKey},
+    super::{
+        Answer, DispatchAction, DispatchNote, Dispatcher, GiveUpReason, LinkId,
+        intake::final_answer, job::JobKey,
+    },
     crate::core::time::Instant,
 };
 
@@ -59,7 +62,8 @@
     ///
     /// Without word from any agent for long, this entry may be the one that is cut off: its agents have stopped
     /// what it had started, and a client that broke off, unseen from here, may have sent its
-    /// job to another entry. A client that still waits sends it again on this answer.
+    /// job to another entry. A client that still waits sends its job again on "may have run", and comes
+    /// back to an entry that has agents where nothing of it was started.
     pub(super) fn end_isolated_jobs(&mut self, now: Instant) {
         let isolation_ms = self.settings.limits.isolation_ms;
         let heard_at = self.contact.heard_at;
@@ -67,16 +71,19 @@
         if !is_isolated(heard_at) {
             return;
         }
-        let isolated: Vec<(JobKey, String)> = self
+        let isolated: Vec<(JobKey, String, Answer)> = self
             .jobs
             .iter()
             .filter(|(_, job)| !job.closed && is_isolated(job.received_at))
-            .map(|(key, job)| (key, job.id.to_string()))
+            .map(|(key, job)| {
+                let answer = final_answer(job, GiveUpReason::Isolated);
+                (key, job.id.to_string(), answer)
+            })
             .collect();
         let heard_ms_ago = now.millis_since(heard_at);
-        for (key, job) in isolated {
+        for (key, job, answer) in isolated {
             self.note(DispatchNote::JobIsolated { job, heard_ms_ago });
-            self.answer(now, key, Answer::GivenUp(GiveUpReason::Isolated));
+            self.answer(now, key, answer);
         }
     }
 }
--- a/src/core/dispatch/dispatch_event.rs
+++ b/src/core/dispatch/dispatch_event.rs
@@ -26,6 +26,8 @@
         DeadlinePassed => "deadline_passed",
         /// The entry is about to end.
         Leaving => "leaving",
+        /// This entry had no word from any agent for too long.
+        Isolated => "isolated",
     }
 }
 
--- a/src/core/dispatch/intake.rs
+++ b/src/core/dispatch/intake.rs
@@ -30,7 +30,9 @@
         if let Some(reason) = self.refusal(now, &submission) {
             let retry_after_ms = match reason {
                 RefusalReason::Leaving => LEAVING_RETRY_MS,
-                RefusalReason::Overloaded | RefusalReason::DeadlinePassed => OVERLOAD_RETRY_MS,
+                RefusalReason::Overloaded
+                | RefusalReason::DeadlinePassed
+                | RefusalReason::Isolated => OVERLOAD_RETRY_MS,
                 RefusalReason::Unsupported | RefusalReason::BadJob | RefusalReason::TooLarge => 0,
             };
             let feature = submission.request.unsupported;
@@ -177,15 +179,14 @@
 }
 
 /// "Not run" where that is certain, else that tasks may have run.
-fn final_answer(job: &Job, reason: GiveUpReason) -> Answer {
+pub(super) fn final_answer(job: &Job, reason: GiveUpReason) -> Answer {
     if job.may_have_run || job.open_runs > 0 {
         return Answer::GivenUp(reason);
     }
     let refusal = match reason {
         GiveUpReason::DeadlinePassed => RefusalReason::DeadlinePassed,
-        GiveUpReason::Overloaded | GiveUpReason::ClientGone | GiveUpReason::Isolated => {
-            RefusalReason::Overloaded
-        }
+        GiveUpReason::Isolated => RefusalReason::Isolated,
+        GiveUpReason::Overloaded | GiveUpReason::ClientGone => RefusalReason::Overloaded,
     };
     Answer::NotRun {
         reason: refusal,
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -351,6 +351,21 @@
     );
 }
 
+/// An entry has met no agent for a second, after a power loss for all. Its clients hear that nothing of their jobs ran and when to
+/// come back. It used to say that tasks may have run, which a client can't act on where a task must
+/// not run twice.
+#[test]
+fn a_job_that_never_met_an_agent_has_not_run() {
+    let mut bench = Bench::seeded(1);
+    bench.submit(job(1, 0, vec![step(1, 900)]));
+    bench.pass_ms(1_000);
+    let answers = bench.answers();
+    let reason = RefusalReason::Isolated;
+    assert!(
+        matches!(answers[..], [Answer::NotRun { reason: r, retry_after_ms }] if r == reason && retry_after_ms > 0)
+    );
+}
+
 /// An entry's host is suspended for seconds while jobs run. On waking it gives them up, since their clients may have
 /// sent them elsewhere, and orders nothing before it has read who has gone.
 #[test]
--- a/src/core/execution/holds.rs
+++ b/src/core/execution/holds.rs
@@ -31,9 +31,10 @@
                     self.suspect_new_life(call, born_unix_ms);
                     return;
                 }
+                let overtaken = self.is_overtaken(clock_ms);
                 self.read_clock(now, clock_ms);
                 self.take_ends(now, &ended);
-                self.take_running(now, call, &running);
+                self.take_running(now, call, &running, overtaken);
             }
             HoldAnswer::Fenced => {
                 self.note_worker_answer(now);
@@ -71,6 +72,12 @@
         }
     }
 
+    /// Whether lists were made before others that have been taken in.
+    fn is_overtaken(&self, clock_ms: u64) -> bool {
+        let clock = self.worker.as_ref().and_then(|worker| worker.clock);
+        clock.is_some_and(|known| clock_ms < known.clock_ms)
+    }
+
     fn read_clock(&mut self, now: Instant, clock_ms: u64) {
         let Some(worker) = &mut self.worker else {
             return;
@@ -113,9 +120,23 @@
         }
     }
 
-    fn take_running(&mut self, now: Instant, call: &HoldCall, running: &[ListedRun]) {
+    /// Takes in what runs.
+    ///
+    /// Guards against stops for runs that have ended: answers on different connections overtake each other, and
+    /// an older list still names what a newer one has told the end of. Only the newest tells strays.
+    fn take_running(
+        &mut self,
+        now: Instant,
+        call: &HoldCall,
+        running: &[ListedRun],
+        overtaken: bool,
+    ) {
         let listed: BTreeMap<TaskId, u32> =
             running.iter().map(|run| (run.task, run.number)).collect();
+        if overtaken {
+            self.settle_runs(now, call, &listed);
+            return;
+        }
         let strays = self.stop_strays(&listed);
         self.settle_runs(now, call, &listed);
         self.end_first_look(call, strays);
--- a/src/core/execution/tests.rs
+++ b/src/core/execution/tests.rs
@@ -120,9 +120,14 @@
     }
 
     fn lists(&mut self, call: HoldCall, running: &[RunId], ended: &[ListedEnd]) {
+        self.lists_at(1_000, call, running, ended);
+    }
+
+    /// The lists as the worker made them when its clock showed this time.
+    fn lists_at(&mut self, clock_ms: u64, call: HoldCall, running: &[RunId], ended: &[ListedEnd]) {
         let answer = HoldAnswer::Lists {
             born_unix_ms: Some(BORN_MS),
-            clock_ms: 1_000,
+            clock_ms,
             running: running
                 .iter()
                 .map(|run| ListedRun {
@@ -238,6 +243,30 @@
     assert!(bench.actions.contains(&closed));
 }
 
+/// Two looks at a worker are under way. The later one tells a run's end, and the earlier one, whose answer was overtaken, still
+/// lists the run. It used to be taken for a run that nobody started, and was stopped and noted, twenty
+/// times a second on a busy site.
+#[test]
+fn lists_that_were_overtaken_tell_no_stray_runs() {
+    let mut bench = Bench::ready();
+    bench.start(1, StartAnswer::Accepted);
+    bench.tick_after(120);
+    let earlier = bench.holds().remove(0);
+    let ended = ListedEnd {
+        sequence: 1,
+        task: run(1).task,
+        number: 1,
+        end: RunEnd::Done,
+    };
+    bench.lists_at(1_121, earlier.clone(), &[], &[ended]);
+    assert_eq!(bench.ends(), [RunEnd::Done]);
+    bench.lists_at(1_120, earlier.clone(), &[run(1)], &[]);
+    assert_eq!(bench.stops(), 0);
+    // A list that is as new tells of a run that really goes on.
+    bench.lists_at(1_121, earlier, &[run(1)], &[]);
+    assert_eq!(bench.stops(), 1);
+}
+
 /// Bytes of an entry are held up for seconds and then arrive at once. The echo in them is old and gives no right.
 #[test]
 fn an_old_echo_gives_no_right() {
