An agent offers a free slot to one waiting entry at a time

Each slot that became free was told to all eight entries; all ordered, one was served. Change: an entry that was turned away is told of room when it is its turn (fewest runs here first), for 10 ms alone. Tests, seen failing when all are told: a_free_slot_is_offered_to_one_entry_that_waits, who_has_fewest_runs_is_offered_room_first.

--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        ExecutionAction, ExecutionEvent, ExecutionNote, SessionId, run::Run, sessions::EntryLink,
-        worker_state::WorkerState,
+        ExecutionAction, ExecutionEvent, ExecutionNote, SessionId, room::Offer, run::Run,
+        sessions::EntryLink, worker_state::WorkerState,
     },
     crate::core::{
         link::{AgentFrame, News, RunEnd},
@@ -43,6 +43,8 @@
     pub(super) token_step: u64,
     pub(super) last_hold: u64,
     pub(super) leaving: bool,
+    /// Room that is offered to one entry alone, while several wait for some.
+    pub(super) offer: Option<Offer>,
     pub(super) actions: Vec<ExecutionAction>,
 }
 
@@ -60,6 +62,7 @@
             news: None,
             last_hold: 0,
             leaving: false,
+            offer: None,
             actions: Vec::new(),
         }
     }
@@ -263,7 +266,7 @@
             });
         }
         if let Some(link) = self.sessions.get_mut(&run.session) {
-            link.room_due = true;
+            link.room.due = true;
         }
     }
 
--- a/src/core/execution/orders.rs
+++ b/src/core/execution/orders.rs
@@ -104,7 +104,11 @@
                 self.retry_start(now, call.task, NotStartedReason::Rejected);
             }
             StartAnswer::Late => self.retry_start(now, call.task, NotStartedReason::Rejected),
-            StartAnswer::NoRoom => self.end_not_started(now, call.task, NotStartedReason::NoRoom),
+            StartAnswer::NoRoom => {
+                let (session, needs) = (run.session, run.order.needs);
+                self.note_wish(now, session, needs);
+                self.end_not_started(now, call.task, NotStartedReason::NoRoom);
+            }
             StartAnswer::Unhealthy => {
                 self.end_not_started(now, call.task, NotStartedReason::Unhealthy);
             }
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -3,20 +3,16 @@
 use {
     super::{
         ExecutionAction, ExecutionNote, Executor, SessionId,
+        room::ToldRoom,
         run::{Run, StopState},
     },
     crate::core::{
-        link::{AgentFrame, EntryFrame, News, NotStartedReason, RoomReport, RunEnd, StartOrder},
+        link::{AgentFrame, EntryFrame, News, NotStartedReason, RunEnd, StartOrder},
         time::Instant,
-        work::{Needs, RunId, TaskId},
+        work::{RunId, TaskId},
     },
 };
 
-/// Least pause between reports of free room that nobody waits for, in milliseconds.
-///
-/// A task runs 50 ms or more, so a figure of this age is off by less than one task in two; shorter
-/// pauses cost a message for each start and entry.
-const ROOM_REPORT_MS: u64 = 20;
 /// Pause before news is passed to an entry that goes by older ones, in milliseconds.
 ///
 /// An entry that reaches the store has newer news within a few milliseconds of the others.
@@ -33,12 +29,8 @@
     pub(super) heard_at: Instant,
     /// Start orders taken in.
     pub(super) starts_seen: u32,
-    /// The newest report of free room.
-    pub(super) reported: Option<RoomReport>,
-    /// When it was made.
-    pub(super) reported_at: Instant,
-    /// A run of this session ended or was refused since.
-    pub(super) room_due: bool,
+    /// What the entry was told of free room.
+    pub(super) room: ToldRoom,
     /// The entry goes by older news than this agent knows since then.
     pub(super) behind_since: Option<Instant>,
 }
@@ -54,9 +46,7 @@
             right_until: now,
             heard_at: now,
             starts_seen: 0,
-            reported: None,
-            reported_at: now,
-            room_due: true,
+            room: ToldRoom::new(now),
             behind_since: None,
         };
         self.sessions.insert(session, link);
@@ -147,8 +137,11 @@
             return;
         };
         link.starts_seen += 1;
-        link.room_due = true;
+        link.room.due = true;
         if let Some(reason) = self.refusal(now, session, &order) {
+            if reason == NotStartedReason::NoRoom {
+                self.note_wish(now, session, order.needs);
+            }
             self.refuse(session, order.run, reason);
             return;
         }
@@ -283,33 +276,6 @@
         }
     }
 
-    /// Tells entries what is free: at once those whose own runs changed it, the others now and then.
-    pub(super) fn report_room(&mut self, now: Instant) {
-        let free = match self.worker.as_ref() {
-            Some(worker) if worker.ready => self.free(),
-            Some(_) | None => Needs::default(),
-        };
-        let entries = u16::try_from(self.sessions.len()).unwrap_or(u16::MAX);
-        for (session, link) in &mut self.sessions {
-            let report = RoomReport {
-                free,
-                starts_seen: link.starts_seen,
-                entries,
-            };
-            let is_due = link.room_due || now.millis_since(link.reported_at) >= ROOM_REPORT_MS;
-            if link.reported == Some(report) || !is_due {
-                continue;
-            }
-            link.reported = Some(report);
-            link.reported_at = now;
-            link.room_due = false;
-            self.actions.push(ExecutionAction::Send {
-                session: *session,
-                frame: AgentFrame::Room(report),
-            });
-        }
-    }
-
     /// Marks a run to be stopped and tells the worker.
     pub(super) fn stop_run(&mut self, now: Instant, task: TaskId, cause: &'static str) {
         let Some(run) = self.runs.get_mut(&task) else {
--- a/src/core/execution/tests.rs
+++ b/src/core/execution/tests.rs
@@ -243,6 +243,92 @@
     assert!(bench.actions.contains(&closed));
 }
 
+/// What an entry was last told of free room, in cores.
+fn told_room(bench: &Bench, to: SessionId) -> Option<u32> {
+    let mut reports = bench
+        .actions
+        .iter()
+        .rev()
+        .filter_map(|action| match action {
+            ExecutionAction::Send {
+                session,
+                frame: AgentFrame::Room(report),
+            } if *session == to => Some(report.free.cpu_milli / 1_000),
+            _ => None,
+        });
+    reports.next()
+}
+
+/// A worker of two slots that is full, and two more entries that were turned away.
+fn full_worker_with_two_waiting() -> Bench {
+    let mut bench = Bench::ready();
+    bench.start(1, StartAnswer::Accepted);
+    bench.start(2, StartAnswer::Accepted);
+    for session in [SessionId(2), SessionId(3)] {
+        let entry = format!("entry-{}", session.0);
+        bench.feed(ExecutionEvent::SessionOpened { session, entry });
+        let echo_us = bench.now.as_micros();
+        let frame = EntryFrame::Beat {
+            echo_us,
+            news_version: 0,
+        };
+        bench.feed(ExecutionEvent::Frame { session, frame });
+        let frame = EntryFrame::Start(order(10 + session.0));
+        bench.feed(ExecutionEvent::Frame { session, frame });
+        assert_eq!(told_room(&bench, session), Some(0));
+    }
+    bench
+}
+
+/// A look at the worker that was made after all others.
+fn some_look() -> HoldCall {
+    HoldCall {
+        worker: "w".to_owned(),
+        sequence: 1_000,
+        token: 100,
+        lease_until_ms: None,
+        ends_seen: 0,
+        wait_ms: 0,
+    }
+}
+
+fn end_of(job: u64) -> ListedEnd {
+    ListedEnd {
+        sequence: job,
+        task: run(job).task,
+        number: 1,
+        end: RunEnd::Done,
+    }
+}
+
+/// More work waits at three entries than a worker can take. When a slot becomes free, one of those that were turned away is
+/// told of it, and no other that waits. All used to be told, all ordered, and all but one were turned away again.
+#[test]
+fn a_free_slot_is_offered_to_one_entry_that_waits() {
+    let mut bench = full_worker_with_two_waiting();
+    bench.lists(some_look(), &[run(2)], &[end_of(1)]);
+    assert_eq!(told_room(&bench, SessionId(2)), Some(1));
+    assert_eq!(told_room(&bench, SessionId(3)), None);
+    // Left alone, the slot goes to the next one, and the first is told the truth again.
+    bench.tick_after(12);
+    assert_eq!(told_room(&bench, SessionId(3)), Some(1));
+}
+
+/// The entry that took the offered slot waits its turn behind the one that runs nothing here.
+#[test]
+fn who_has_fewest_runs_is_offered_room_first() {
+    let mut bench = full_worker_with_two_waiting();
+    bench.lists(some_look(), &[run(2)], &[end_of(1)]);
+    let frame = EntryFrame::Start(order(12));
+    let session = SessionId(2);
+    bench.feed(ExecutionEvent::Frame { session, frame });
+    assert_eq!(bench.starts().len(), 1);
+    assert_eq!(told_room(&bench, SessionId(2)), Some(0));
+    bench.lists(some_look(), &[run(12)], &[end_of(2)]);
+    assert_eq!(told_room(&bench, SessionId(3)), Some(1));
+    assert_eq!(told_room(&bench, SessionId(2)), None);
+}
+
 /// Two looks at a worker are under way. The later one tells a run's end, and the earlier one, whose answer was overtaken, still
 /// lists the run. It used to be taken for a run that nobody started, and was stopped and noted, twenty
 /// times a second on a busy site.
