--- a/src/core/execution/tests.rs
+++ b/src/core/execution/tests.rs
@@ -306,6 +306,8 @@
 #[test]
 fn a_free_slot_is_offered_to_one_entry_that_waits() {
     let mut bench = full_worker_with_two_waiting();
+    // By then a report to each of them would be due.
+    bench.tick_after(30);
     bench.lists(some_look(), &[run(2)], &[end_of(1)]);
     assert_eq!(told_room(&bench, SessionId(2)), Some(1));
     assert_eq!(told_room(&bench, SessionId(3)), None);
@@ -318,12 +320,15 @@
 #[test]
 fn who_has_fewest_runs_is_offered_room_first() {
     let mut bench = full_worker_with_two_waiting();
+    // By then a report to each of them would be due.
+    bench.tick_after(30);
     bench.lists(some_look(), &[run(2)], &[end_of(1)]);
     let frame = EntryFrame::Start(order(12));
     let session = SessionId(2);
     bench.feed(ExecutionEvent::Frame { session, frame });
     assert_eq!(bench.starts().len(), 1);
     assert_eq!(told_room(&bench, SessionId(2)), Some(0));
+    bench.tick_after(30);
     bench.lists(some_look(), &[run(12)], &[end_of(2)]);
     assert_eq!(told_room(&bench, SessionId(3)), Some(1));
     assert_eq!(told_room(&bench, SessionId(2)), None);
