--- a/src/core/dispatch/placing.rs
+++ b/src/core/dispatch/placing.rs
@@ -5,7 +5,7 @@
         DispatchAction, Dispatcher,
         choice::Choice,
         dispatch_event::Zones,
-        job::{Job, Task, TaskState},
+        job::{Job, JobKey, Task, TaskState},
         queue::Waiting,
         worker_link::{OpenRun, WorkerKey, WorkerLink},
     },
@@ -87,9 +87,24 @@
         };
         self.queue.remove(waiting);
         self.order(now, waiting, worker);
+        if waiting.untouched {
+            self.place_rest(now, waiting.job);
+        }
         true
     }
 
+    /// Goes on with a job of which the first task has just been ordered; what finds no room goes before
+    /// jobs that have not begun.
+    fn place_rest(&mut self, now: Instant, key: JobKey) {
+        for waiting in self.queue.take_job(key) {
+            self.enqueue(now, key, waiting.task);
+        }
+        let mut has_room = true;
+        while has_room && let Some(waiting) = self.queue.first_of(key) {
+            has_room = self.place(now, &waiting);
+        }
+    }
+
     fn order(&mut self, now: Instant, waiting: &Waiting, key: WorkerKey) {
         let (Some(job), Some(worker)) = (self.jobs.get_mut(waiting.job), self.workers.get_mut(key))
         else {
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -37,6 +37,12 @@
     pub(super) prospect: Prospect,
     /// The queue's priority; lower values go first.
     pub(super) priority: u32,
+    /// Nothing of the job has been ordered.
+    ///
+    /// Load that this answers: a queue that never empties. Room ends somewhere within a job, and ordered by
+    /// time alone the rest of it would wait behind others until it is of no use, and what ran of it
+    /// was in vain. Of two jobs alike, the rest of one that has begun costs less for the same answer.
+    pub(super) untouched: bool,
     /// The latest start for that prospect.
     pub(super) latest_start: Instant,
     /// The job.
@@ -54,6 +60,7 @@
         let waiting = |prospect, latest_start| Self {
             prospect,
             priority: job.route.priority,
+            untouched: job.starts == 0,
             latest_start,
             job: key,
             task,
@@ -112,4 +119,19 @@
     pub(super) fn drop_job(&mut self, job: JobKey) {
         self.waiting.retain(|waiting| waiting.job != job);
     }
+
+    /// The first of a job's tasks that wait.
+    pub(super) fn first_of(&self, job: JobKey) -> Option<Waiting> {
+        self.waiting
+            .iter()
+            .find(|waiting| waiting.job == job)
+            .copied()
+    }
+
+    /// Takes out the tasks of a job that wait, in their order.
+    pub(super) fn take_job(&mut self, job: JobKey) -> Vec<Waiting> {
+        self.waiting
+            .extract_if(.., |waiting| waiting.job == job)
+            .collect()
+    }
 }
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -409,6 +409,21 @@
 
 /// All workers are busy for seconds. A job whose answer would be of no more use is refused then, not when its
 /// client stops waiting, and is told when to come back.
+/// More work comes than can be done. A job of four tasks gets the two slots that are free, and another one that must start
+/// sooner comes after it. The first goes on with the next slot: ordered by time alone it used to wait half done until its
+/// answer was of no use, and what had run of it was in vain.
+#[test]
+fn a_job_that_has_begun_goes_before_one_that_has_not() {
+    let mut bench = Bench::with_workers(1);
+    let begun = bench.submit(job(1, 0, vec![step(4, 400)]));
+    assert_eq!(begun.len(), 2);
+    assert!(bench.submit(job(2, 0, vec![step(2, 100)])).is_empty());
+    bench.end(begun[0], RunEnd::Done);
+    bench.room(1, 1, 2);
+    let next = bench.starts();
+    assert_eq!(next[0].1.task.job, JobId(1));
+}
+
 #[test]
 fn a_job_that_can_not_be_of_use_is_refused_early() {
     let mut bench = Bench::with_workers(1);
--- a/src/core/execution/tests.rs
+++ b/src/core/execution/tests.rs
@@ -316,7 +316,8 @@
 #[test]
 fn a_free_slot_is_offered_to_one_entry_that_waits() {
     let mut bench = full_worker_with_two_waiting();
-    // By then a report to each of them would be due.
+    // By then a report to each of them would be due, also after they have been told of each other.
+    bench.tick_after(30);
     bench.tick_after(30);
     bench.lists(some_look(), &[run(2)], &[end_of(1)]);
     let (first, other) = offered_and_other(&bench);
@@ -331,7 +332,8 @@
 #[test]
 fn who_has_fewest_runs_is_offered_room_first() {
     let mut bench = full_worker_with_two_waiting();
-    // By then a report to each of them would be due.
+    // By then a report to each of them would be due, also after they have been told of each other.
+    bench.tick_after(30);
     bench.tick_after(30);
     bench.lists(some_look(), &[run(2)], &[end_of(1)]);
     let (first, other) = offered_and_other(&bench);
