Finish what has begun first; begin a job only while there is time for all its tasks to start

Change: the rest of a begun job goes before all else; an untouched job's latest start leaves time for its tasks to start one after another at the pace at which this entry's runs end. The rule of the last fifth of a late job is contained in that.

--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -6,6 +6,7 @@
         WaiterId,
         contact::Contact,
         job::{Job, JobKey},
+        pace::Pace,
         queue::{TaskQueue, Waiting},
         worker_link::{WorkerKey, WorkerLink},
     },
@@ -45,6 +46,8 @@
     pub(super) news: Option<News>,
     pub(super) leaving_since: Option<Instant>,
     pub(super) contact: Contact,
+    /// How fast room comes free, at the beginning of the events that are handled.
+    pub(super) pace: Pace,
     pub(super) rng: ChaCha8Rng,
     pub(super) actions: Vec<DispatchAction>,
 }
@@ -66,6 +69,7 @@
             news: None,
             leaving_since: None,
             contact: Contact::default(),
+            pace: Pace::default(),
             actions: Vec::new(),
         }
     }
@@ -96,6 +100,9 @@
         events: impl IntoIterator<Item = DispatchEvent>,
     ) -> Vec<DispatchAction> {
         self.note_gap(now);
+        if !self.queue.is_empty() {
+            self.pace = Pace::of(self.workers.values());
+        }
         for event in events {
             self.react(now, event);
         }
@@ -187,12 +194,21 @@
         let Some(job) = self.jobs.get(key) else {
             return;
         };
-        match Waiting::new(now, key, job, task) {
+        let spread_ms = self.spread_ms(job);
+        match Waiting::new(now, key, job, task, spread_ms) {
             Some(waiting) => self.queue.insert(waiting),
             None => self.give_up(now, key),
         }
     }
 
+    /// Time in which the waiting tasks of a job start one after another, in milliseconds; none where nothing waits.
+    fn spread_ms(&self, job: &Job) -> u64 {
+        if self.queue.is_empty() {
+            return 0;
+        }
+        self.pace.time_for_ms(job.waiting_tasks())
+    }
+
     pub(super) fn note(&mut self, note: DispatchNote) {
         self.actions.push(DispatchAction::Note(note));
     }
--- a/src/core/dispatch/intake.rs
+++ b/src/core/dispatch/intake.rs
@@ -180,7 +180,7 @@
 
 /// "Not run" where that is certain, else that tasks may have run.
 pub(super) fn final_answer(job: &Job, reason: GiveUpReason) -> Answer {
-    if job.may_have_run || job.open_runs > 0 {
+    if job.has_begun() {
         return Answer::GivenUp(reason);
     }
     let refusal = match reason {
--- a/src/core/dispatch/job.rs
+++ b/src/core/dispatch/job.rs
@@ -137,6 +137,19 @@
         until.minus_ms(estimate_ms)
     }
 
+    /// Whether something of it runs or may have run.
+    pub(super) const fn has_begun(&self) -> bool {
+        self.may_have_run || self.open_runs > 0
+    }
+
+    /// Tasks that wait for a worker.
+    pub(super) fn waiting_tasks(&self) -> usize {
+        let tasks = self.tasks.iter();
+        tasks
+            .filter(|task| task.state == TaskState::Waiting)
+            .count()
+    }
+
     /// Whether all tasks of a step are done.
     fn is_step_done(&self, step: u16) -> bool {
         let mut of_step = self.tasks.iter().filter(|task| task.step == step);
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod job;
 mod links;
 mod overdue;
+mod pace;
 mod placing;
 mod queue;
 mod worker_link;
--- a/src/core/dispatch/placing.rs
+++ b/src/core/dispatch/placing.rs
@@ -6,7 +6,7 @@
         choice::Choice,
         dispatch_event::Zones,
         job::{Job, JobKey, Task, TaskState},
-        queue::Waiting,
+        queue::{Prospect, Waiting},
         worker_link::{OpenRun, WorkerKey, WorkerLink},
     },
     crate::core::{
@@ -87,7 +87,7 @@
         };
         self.queue.remove(waiting);
         self.order(now, waiting, worker);
-        if waiting.untouched {
+        if waiting.prospect != Prospect::Begun {
             self.place_rest(now, waiting.job);
         }
         true
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -1,8 +1,8 @@
 //! The order in which waiting tasks get a worker.
 //!
 //! Load that this answers: more work than the workers can do in time, for seconds. A queue in order of arrival
-//! would make everything late by the same time; this one keeps serving what can still be in time, then
-//! what is late and of use. What can be neither is given up.
+//! would make everything late by the same time. This one finishes what has begun, then serves what can
+//! still be in time, then what is late and of use. What can be neither is given up.
 
 use {
     super::job::{Job, JobKey},
@@ -15,15 +15,16 @@
 /// Estimates are off by four tenths or so; without a margin a queue in overload would start each task at
 /// its last moment, and half of them would be late.
 const IN_TIME_PERCENT: u64 = 125;
-/// A late job with at most this share of its tasks left goes with those in time, in hundredths.
-///
-/// A late answer is worth a fifth of one in time, so its last fifth of work is worth as much as
-/// any other.
-const LAST_PERCENT: usize = 20;
 
 /// What starting a task now would lead to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Prospect {
+    /// A whole answer instead of "may have run".
+    ///
+    /// Guards against jobs of which a part runs and the rest waits until it is of no use: their clients can't
+    /// repeat them, and what ran was in vain. At most a job or two of an entry are in this state
+    /// at a time, so more urgent ones wait for some ten milliseconds longer.
+    Begun,
     /// An answer in time.
     InTime,
     /// A late answer that is still of use.
@@ -37,12 +38,6 @@
     pub(super) prospect: Prospect,
     /// The queue's priority; lower values go first.
     pub(super) priority: u32,
-    /// Nothing of the job has been ordered.
-    ///
-    /// Load that this answers: a queue that never empties. Room ends somewhere within a job, and ordered by
-    /// time alone the rest of it would wait behind others until it is of no use, and what ran of it
-    /// was in vain. Of two jobs alike, the rest of one that has begun costs less for the same answer.
-    pub(super) untouched: bool,
     /// The latest start for that prospect.
     pub(super) latest_start: Instant,
     /// The job.
@@ -53,31 +48,39 @@
 
 impl Waiting {
     /// A task that begins to wait or whose prospect has passed; `None` if it is of no use any more.
-    pub(super) fn new(now: Instant, key: JobKey, job: &Job, task: usize) -> Option<Self> {
+    ///
+    /// All tasks of a job take `spread_ms` to start one after another. A job begins only while there is time
+    /// for that, too: begun at the last moment, it would be late by as much.
+    pub(super) fn new(
+        now: Instant,
+        key: JobKey,
+        job: &Job,
+        task: usize,
+        spread_ms: u64,
+    ) -> Option<Self> {
         let estimate_ms = job.step(task).map_or(0, |step| step.estimate_ms);
         let in_time = job.latest_start(estimate_ms * IN_TIME_PERCENT / 100);
         let useful = job.last_useful_start(estimate_ms);
-        let waiting = |prospect, latest_start| Self {
-            prospect,
-            priority: job.route.priority,
-            untouched: job.starts == 0,
-            latest_start,
-            job: key,
-            task,
+        let waiting = |prospect, latest_start| {
+            Some(Self {
+                prospect,
+                priority: job.route.priority,
+                latest_start,
+                job: key,
+                task,
+            })
         };
-        if now <= in_time {
-            return Some(waiting(Prospect::InTime, in_time));
-        }
         if now > useful {
             return None;
         }
-        let is_last = job.left * 100 <= job.tasks.len() * LAST_PERCENT;
-        let prospect = if is_last {
-            Prospect::InTime
-        } else {
-            Prospect::Late
-        };
-        Some(waiting(prospect, useful))
+        if job.has_begun() {
+            return waiting(Prospect::Begun, useful);
+        }
+        let in_time = in_time.minus_ms(spread_ms);
+        if now <= in_time {
+            return waiting(Prospect::InTime, in_time);
+        }
+        waiting(Prospect::Late, useful)
     }
 
     /// Whether the prospect still holds.
@@ -105,6 +108,10 @@
         self.waiting.len()
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
     /// The first in the order of starts, or the one that follows another.
     pub(super) fn after(&self, before: Option<&Waiting>) -> Option<Waiting> {
         match before {
