--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -49,6 +49,8 @@
     /// How fast room comes free, at the beginning of the events that are handled.
     pub(super) pace: Pace,
     pub(super) rng: ChaCha8Rng,
+    /// Workers whose agents have told of room in the events that are handled.
+    pub(super) told_room: Vec<WorkerKey>,
     pub(super) actions: Vec<DispatchAction>,
 }
 
@@ -70,6 +72,7 @@
             leaving_since: None,
             contact: Contact::default(),
             pace: Pace::default(),
+            told_room: Vec::new(),
             actions: Vec::new(),
         }
     }
@@ -109,6 +112,7 @@
         if self.contact.may_start(now) {
             self.place_tasks(now);
         }
+        self.decline_offers();
         mem::take(&mut self.actions)
     }
 
--- a/src/core/dispatch/ends.rs
+++ b/src/core/dispatch/ends.rs
@@ -71,7 +71,8 @@
             link.note_run(ran_ms, open.estimate_ms);
         }
         match end {
-            RunEnd::NotStarted(NotStartedReason::NoRoom | NotStartedReason::TaskBusy) => {}
+            RunEnd::NotStarted(NotStartedReason::NoRoom) => link.note_no_room(),
+            RunEnd::NotStarted(NotStartedReason::TaskBusy) => {}
             RunEnd::NotStarted(_) => link.paused_until = now.plus_ms(REJECTED_PAUSE_MS),
             RunEnd::Done | RunEnd::Failed | RunEnd::Stopped | RunEnd::Lost => {}
         }
--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -50,7 +50,10 @@
                 worker.view = view;
                 self.note(note);
             }
-            AgentFrame::Room(report) => worker.note_room(report),
+            AgentFrame::Room(report) => {
+                worker.note_room(report);
+                self.told_room.push(key);
+            }
             AgentFrame::Ended { run, end, ran_ms } => self.on_ended(now, key, run, end, ran_ms),
             AgentFrame::News(news) => self.actions.push(DispatchAction::TakeNews(news)),
         }
--- a/src/core/dispatch/placing.rs
+++ b/src/core/dispatch/placing.rs
@@ -6,7 +6,7 @@
         choice::Choice,
         dispatch_event::Zones,
         job::{Job, JobKey, Task, TaskState},
-        queue::{Prospect, Waiting},
+        queue::Waiting,
         worker_link::{OpenRun, WorkerKey, WorkerLink},
     },
     crate::core::{
@@ -14,6 +14,7 @@
         time::Instant,
         work::{Needs, StepSpec},
     },
+    std::mem,
 };
 
 /// Waiting tasks for which no worker has room before the others are left for the next event.
@@ -47,6 +48,21 @@
         }
     }
 
+    /// Tells agents whose offers of room were not taken up.
+    pub(super) fn decline_offers(&mut self) {
+        for key in mem::take(&mut self.told_room) {
+            let Some(worker) = self.workers.get_mut(key) else {
+                continue;
+            };
+            if let Some(link) = worker.link
+                && worker.declines()
+            {
+                let frame = EntryFrame::Decline;
+                self.actions.push(DispatchAction::Send { link, frame });
+            }
+        }
+    }
+
     /// Puts a task whose prospect has passed where it now belongs, or gives its job up.
     fn requeue(&mut self, now: Instant, waiting: Waiting) {
         if self.jobs.get(waiting.job).is_none_or(|job| job.closed) {
@@ -87,7 +103,7 @@
         };
         self.queue.remove(waiting);
         self.order(now, waiting, worker);
-        if waiting.prospect != Prospect::Begun {
+        if waiting.untouched {
             self.place_rest(now, waiting.job);
         }
         true
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -1,8 +1,8 @@
 //! The order in which waiting tasks get a worker.
 //!
 //! Load that this answers: more work than the workers can do in time, for seconds. A queue in order of arrival
-//! would make everything late by the same time. This one finishes what has begun, then serves what can
-//! still be in time, then what is late and of use. What can be neither is given up.
+//! would make everything late by the same time. This one serves what can still be in time, and of each priority
+//! what has begun first, then what is late and of use. What can be neither is given up.
 
 use {
     super::job::{Job, JobKey},
@@ -19,13 +19,7 @@
 /// What starting a task now would lead to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Prospect {
-    /// A whole answer instead of "may have run".
-    ///
-    /// Guards against jobs of which a part runs and the rest waits until it is of no use: their clients can't
-    /// repeat them, and what ran was in vain. At most a job or two of an entry are in this state
-    /// at a time, so more urgent ones wait for some ten milliseconds longer.
-    Begun,
-    /// An answer in time.
+    /// An answer in time, or at least a whole one of a job that has begun.
     InTime,
     /// A late answer that is still of use.
     Late,
@@ -38,6 +32,11 @@
     pub(super) prospect: Prospect,
     /// The queue's priority; lower values go first.
     pub(super) priority: u32,
+    /// Nothing of the job has begun.
+    ///
+    /// Guards against jobs of which a part runs and the rest waits until it is of no use: their clients can't
+    /// repeat them, and what ran was in vain. Of two jobs alike the rest of a begun one costs less, too.
+    pub(super) untouched: bool,
     /// The latest start for that prospect.
     pub(super) latest_start: Instant,
     /// The job.
@@ -65,6 +64,7 @@
             Some(Self {
                 prospect,
                 priority: job.route.priority,
+                untouched: !job.has_begun(),
                 latest_start,
                 job: key,
                 task,
@@ -74,7 +74,7 @@
             return None;
         }
         if job.has_begun() {
-            return waiting(Prospect::Begun, useful);
+            return waiting(Prospect::InTime, useful);
         }
         let in_time = in_time.minus_ms(spread_ms);
         if now <= in_time {
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -424,6 +424,26 @@
     assert_eq!(next[0].1.task.job, JobId(1));
 }
 
+/// An order is turned away and its task finds room elsewhere. When the first worker's agent offers room on that account, the
+/// entry says once that it has nothing to start there.
+#[test]
+fn an_offer_that_is_not_needed_is_declined() {
+    let mut bench = Bench::with_workers(2);
+    let starts = bench.submit(job(1, 0, vec![step(1, 400)]));
+    let (worker, _) = starts[0];
+    bench.end(starts[0], RunEnd::NotStarted(NotStartedReason::NoRoom));
+    let declines = |bench: &Bench| {
+        let is_decline = |action: &&DispatchAction| matches!(action, DispatchAction::Send { link, frame: EntryFrame::Decline } if link.0 == worker);
+        bench.actions.iter().filter(is_decline).count()
+    };
+    bench.room(worker, 0, 1);
+    assert_eq!(declines(&bench), 0);
+    bench.room(worker, 1, 2);
+    assert_eq!(declines(&bench), 1);
+    bench.room(worker, 2, 2);
+    assert_eq!(declines(&bench), 0);
+}
+
 #[test]
 fn a_job_that_can_not_be_of_use_is_refused_early() {
     let mut bench = Bench::with_workers(1);
--- a/src/core/dispatch/worker_link.rs
+++ b/src/core/dispatch/worker_link.rs
@@ -59,6 +59,8 @@
     pub(super) paused_until: Instant,
     /// Run time divided by the clients' estimates.
     pub(super) slowness: f64,
+    /// An order was turned away for want of room; the agent keeps that in mind and offers room in turn.
+    wishes: bool,
     report: RoomReport,
     starts_sent: u32,
     /// Orders that the report does not take account of.
@@ -79,6 +81,7 @@
             health: RunnerHealth::default(),
             paused_until: now,
             slowness: 1.0,
+            wishes: false,
             report: RoomReport::default(),
             starts_sent: 0,
             unreported: VecDeque::new(),
@@ -93,6 +96,7 @@
         self.beat_at = None;
         self.stamp_us = stamp_us;
         self.stamped_at = now;
+        self.wishes = false;
         self.report = RoomReport::default();
         self.starts_sent = 0;
         self.unreported.clear();
@@ -121,6 +125,19 @@
         }
     }
 
+    /// Notes that an order was turned away for want of room.
+    pub(super) const fn note_no_room(&mut self) {
+        self.wishes = true;
+    }
+
+    /// Whether room that the agent offers on account of an order that it turned away is left unused; it is
+    /// to be told so once.
+    pub(super) fn declines(&mut self) -> bool {
+        let declines = self.wishes && self.report.free.cpu_milli > 0 && self.unreported.is_empty();
+        self.wishes &= !declines;
+        declines
+    }
+
     /// What is free there, less what was ordered since the agent's report.
     pub(super) fn free(&self) -> Needs {
         let ordered = self.unreported.iter();
--- a/src/core/execution/room.rs
+++ b/src/core/execution/room.rs
@@ -84,6 +84,16 @@
         });
     }
 
+    /// Notes that an entry has nothing more to start here: what was offered to it goes to the next one at once.
+    pub(super) fn end_wish(&mut self, session: SessionId) {
+        if let Some(link) = self.sessions.get_mut(&session) {
+            link.room.wish = None;
+        }
+        if self.offer.is_some_and(|offer| offer.session == session) {
+            self.offer = None;
+        }
+    }
+
     fn forget_old_wishes(&mut self, now: Instant) {
         let is_old = |wish: Wish| now.millis_since(wish.renewed_at) >= WISH_MS;
         for link in self.sessions.values_mut() {
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -75,6 +75,7 @@
             } => self.on_beat(now, session, echo_us, news_version),
             EntryFrame::Start(order) => self.on_start(now, session, order),
             EntryFrame::Stop { run } => self.on_stop(now, session, run),
+            EntryFrame::Decline => self.end_wish(session),
             EntryFrame::News(news) => self.take_news(news),
         }
     }
--- a/src/core/execution/tests.rs
+++ b/src/core/execution/tests.rs
@@ -328,6 +328,19 @@
     assert_eq!(told_room(&bench, first), None);
 }
 
+/// An entry is offered a slot that it no longer needs. Its word passes the slot on at once; it used to stand idle for
+/// the length of the offer, up to a tenth of a worker's time in overload.
+#[test]
+fn a_declined_slot_is_offered_to_the_next_entry() {
+    let mut bench = full_worker_with_two_waiting();
+    bench.lists(some_look(), &[run(2)], &[end_of(1)]);
+    let (first, other) = offered_and_other(&bench);
+    let frame = EntryFrame::Decline;
+    let session = first;
+    bench.feed(ExecutionEvent::Frame { session, frame });
+    assert_eq!(told_room(&bench, other), Some(1));
+}
+
 /// The entry that took the offered slot waits its turn behind the one that runs nothing here.
 #[test]
 fn who_has_fewest_runs_is_offered_room_first() {
--- a/src/core/link/entry_frame.rs
+++ b/src/core/link/entry_frame.rs
@@ -37,6 +37,8 @@
         /// The run.
         run: RunId,
     },
+    /// The room that was offered is not needed: the tasks that waited for it run elsewhere or were given up.
+    Decline,
     /// What operators have set.
     News(News),
 }
