Jobs that will not get their turn are refused at once

Change: a job that finds no room is refused at once if what is in front of it takes longer than it has, at the pace at which this entry's runs end; a late answer counts only with the pace that new arrivals leave. Not while a worker is known to have room. Tests: what_will_not_get_its_turn_is_refused_at_once (seen failing), what_has_time_to_wait_is_not_refused.

--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -4,6 +4,7 @@
     super::{
         Answer, DispatchAction, DispatchEvent, DispatchNote, LinkId, RefusalReason, Submission,
         WaiterId,
+        arrival_rate::ArrivalRate,
         contact::Contact,
         job::{Job, JobKey},
         pace::Pace,
@@ -49,6 +50,10 @@
     /// How fast room comes free, at the beginning of the events that are handled.
     pub(super) pace: Pace,
     pub(super) rng: ChaCha8Rng,
+    /// How fast work comes.
+    pub(super) arrivals: ArrivalRate,
+    /// Jobs that were taken in with the events that are handled.
+    pub(super) new_jobs: Vec<JobKey>,
     /// Workers whose agents have told of room in the events that are handled.
     pub(super) told_room: Vec<WorkerKey>,
     pub(super) actions: Vec<DispatchAction>,
@@ -72,6 +77,8 @@
             leaving_since: None,
             contact: Contact::default(),
             pace: Pace::default(),
+            arrivals: ArrivalRate::default(),
+            new_jobs: Vec::new(),
             told_room: Vec::new(),
             actions: Vec::new(),
         }
@@ -112,6 +119,7 @@
         if self.contact.may_start(now) {
             self.place_tasks(now);
         }
+        self.judge_new_jobs(now);
         self.decline_offers();
         mem::take(&mut self.actions)
     }
--- a/src/core/dispatch/intake.rs
+++ b/src/core/dispatch/intake.rs
@@ -98,7 +98,9 @@
             objective_ms: job.objective_ms,
             queued: self.queue.len(),
         };
+        self.arrivals.note(now, job.tasks.len());
         let key = self.jobs.insert(job);
+        self.new_jobs.push(key);
         self.by_id.insert(id, key);
         self.by_waiter.insert(waiter, key);
         self.note(note);
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Keeps clients' jobs at an entry and hands their tasks to agents.
 
+mod arrival_rate;
 mod choice;
 mod contact;
 mod dispatch_event;
@@ -9,6 +10,7 @@
 mod intake;
 mod job;
 mod links;
+mod outlook;
 mod overdue;
 mod pace;
 mod placing;
--- a/src/core/dispatch/pace.rs
+++ b/src/core/dispatch/pace.rs
@@ -29,6 +29,17 @@
         Self { ends_per_s }
     }
 
+    /// Whether there are runs enough to tell.
+    pub(super) fn is_known(self) -> bool {
+        self.ends_per_s > 0.0
+    }
+
+    /// What is left of the pace when so many tasks come a second; `None` for nothing.
+    pub(super) fn less(self, arrivals_per_s: f64) -> Option<Self> {
+        let ends_per_s = self.ends_per_s - arrivals_per_s;
+        (ends_per_s > 0.0).then_some(Self { ends_per_s })
+    }
+
     /// Time until so many tasks have started, in milliseconds; zero where nobody knows.
     pub(super) fn time_for_ms(self, tasks: usize) -> u64 {
         if self.ends_per_s <= 0.0 {
--- a/src/core/dispatch/placing.rs
+++ b/src/core/dispatch/placing.rs
@@ -63,16 +63,6 @@
         }
     }
 
-    /// Puts a task whose prospect has passed where it now belongs, or gives its job up.
-    fn requeue(&mut self, now: Instant, waiting: Waiting) {
-        if self.jobs.get(waiting.job).is_none_or(|job| job.closed) {
-            self.queue.remove(&waiting);
-            return;
-        }
-        self.queue.remove(&waiting);
-        self.enqueue(now, waiting.job, waiting.task);
-    }
-
     /// Orders a task at a worker that has room for it; whether there is one.
     fn place(&mut self, now: Instant, waiting: &Waiting) -> bool {
         let Some(job) = self.jobs.get(waiting.job) else {
@@ -163,7 +153,7 @@
 }
 
 /// Whether the worker may be given tasks of this step at all.
-fn is_usable(
+pub(super) fn is_usable(
     now: Instant,
     worker: &WorkerLink,
     job: &Job,
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -127,6 +127,11 @@
         self.waiting.retain(|waiting| waiting.job != job);
     }
 
+    /// Tasks that start before another.
+    pub(super) fn ahead_of(&self, waiting: &Waiting) -> usize {
+        self.waiting.range(..waiting).count()
+    }
+
     /// The first of a job's tasks that wait.
     pub(super) fn first_of(&self, job: JobKey) -> Option<Waiting> {
         self.waiting
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -424,6 +424,37 @@
     assert_eq!(next[0].1.task.job, JobId(1));
 }
 
+/// Three workers are full for half a second, and jobs come that must begin within a tenth of one. The first waits for its turn; those behind
+/// it hear at once that they have not run, and when to come back. They used to be held until their answer was of no
+/// use, and were refused then.
+#[test]
+fn what_will_not_get_its_turn_is_refused_at_once() {
+    let mut bench = Bench::with_workers(3);
+    assert_eq!(bench.submit(job(1, 0, vec![step(6, 500)])).len(), 6);
+    bench.submit(job(2, 0, vec![step(4, 100)]));
+    assert!(bench.answers().is_empty());
+    for number in 3..6 {
+        bench.submit(job(number, 0, vec![step(4, 100)]));
+        let answers = bench.answers();
+        assert!(
+            matches!(answers[..], [Answer::NotRun { retry_after_ms, .. }] if retry_after_ms >= 1_000),
+            "{answers:?}"
+        );
+    }
+}
+
+/// The same full workers, and a job that has time: it waits and is served.
+#[test]
+fn what_has_time_to_wait_is_not_refused() {
+    let mut bench = Bench::with_workers(3);
+    let starts = bench.submit(job(1, 0, vec![step(6, 500)]));
+    bench.submit(job(2, 0, vec![step(1, 900)]));
+    assert!(bench.answers().is_empty());
+    bench.end(starts[0], RunEnd::Done);
+    bench.room(starts[0].0, 1, 2);
+    assert_eq!(bench.starts()[0].1.task.job, JobId(2));
+}
+
 /// An order is turned away and its task finds room elsewhere. When the first worker's agent offers room on that account, the
 /// entry says once that it has nothing to start there.
 #[test]
