--- a/src/core/dispatch/outlook.rs
+++ b/src/core/dispatch/outlook.rs
@@ -6,7 +6,7 @@
         dispatch_event::Zones,
         job::{Job, JobKey},
         placing::is_usable,
-        queue::Waiting,
+        queue::{Prospect, Waiting},
     },
     crate::core::time::Instant,
     std::mem,
@@ -33,7 +33,8 @@
             }
             let ahead = self.queue.ahead_of(&waiting);
             let wait_ms = self.pace.time_for_ms(ahead);
-            if now.plus_ms(wait_ms) > waiting.latest_start {
+            let is_in_time = waiting.prospect == Prospect::InTime;
+            if !is_in_time || now.plus_ms(wait_ms) > waiting.latest_start {
                 self.refuse_if_hopeless(now, key);
             }
         }
