Harness: clients come back when they were told to; jobs served count against all jobs, and few may hear nothing

Clients now come back at the time that a refusal names; a start after nothing but refusals breaks a promise at once, not only when the next answer comes.

--- a/src/core/tests/checks.rs
+++ b/src/core/tests/checks.rs
@@ -15,6 +15,8 @@
     /// Jobs of which a task has begun.
     pub(super) begun: BTreeSet<JobId>,
     pub(super) answers: BTreeMap<&'static str, u32>,
+    /// Clients that stopped waiting without any answer.
+    pub(super) unheard: u32,
     pub(super) starts: u32,
 }
 
--- a/src/core/tests/client_model.rs
+++ b/src/core/tests/client_model.rs
@@ -5,6 +5,13 @@
 /// Pause before a job is sent again, in milliseconds.
 pub(super) const RESEND_MS: u64 = 1_300;
 
+impl ClientModel {
+    /// Whether it has called, waits on nothing, and was told each time that its job has not run.
+    pub(super) const fn was_only_refused(&self) -> bool {
+        self.call.is_none() && self.calls > 0 && self.not_run == self.calls
+    }
+}
+
 /// A client with one job.
 #[derive(Debug)]
 pub(super) struct ClientModel {
@@ -18,6 +25,8 @@
     pub(super) calls: u32,
     /// Calls that were answered with "not run".
     pub(super) not_run: u32,
+    /// It was answered at least once.
+    pub(super) heard: bool,
     /// It has its final answer, or has given up.
     pub(super) ended: bool,
 }
--- a/src/core/tests/seeds.rs
+++ b/src/core/tests/seeds.rs
@@ -1,7 +1,7 @@
 //! Runs of the harness.
 
 use {
-    super::world::{Setup, World},
+    super::world::{JOBS, Setup, World},
     crate::core::work::RunLimits,
 };
 
@@ -31,15 +31,23 @@
 #[test]
 fn no_promise_is_broken_on_the_fixed_seeds() {
     let mut answers = std::collections::BTreeMap::new();
+    let mut unheard = 0;
     for seed in 0..FIXED_SEEDS {
-        for (answer, count) in assert_sound(seed).checks.answers {
-            *answers.entry(answer).or_insert(0) += count;
+        let checks = assert_sound(seed).checks;
+        unheard += u64::from(checks.unheard);
+        for (answer, count) in checks.answers {
+            *answers.entry(answer).or_insert(0) += u64::from(count);
         }
     }
     // The runs are worth something: nearly all jobs are served in spite of the faults, and some are not.
-    let answered: u32 = answers.values().sum();
-    assert!(answers["completed"] * 100 > answered * 92, "{answers:?}");
+    let jobs = FIXED_SEEDS * JOBS;
+    assert!(answers["completed"] * 100 > jobs * 90, "{answers:?}");
     assert!(answers.contains_key("not_run"), "{answers:?}");
+    // Few clients wait in vain: what can't be served is said.
+    assert!(
+        unheard * 100 < jobs * 3,
+        "{unheard} of {jobs} heard nothing"
+    );
 }
 
 /// `RATTANSLIP_SEEDS=FIRST..END cargo test --release more_seeds -- --ignored` plays others.
--- a/src/core/tests/world.rs
+++ b/src/core/tests/world.rs
@@ -38,7 +38,7 @@
 const BUSY_MS: u64 = 12_000;
 /// Time after which all must be over, in milliseconds.
 const END_MS: u64 = 32_000;
-const JOBS: u64 = 60;
+pub(super) const JOBS: u64 = 60;
 const FAULTS: u64 = 7;
 const TICK_MS: u64 = 20;
 const HEARTBEAT_MS: u64 = 1_500;
@@ -263,6 +263,7 @@
             call: None,
             calls: 0,
             not_run: 0,
+            heard: false,
             ended: false,
         });
         let client = number as usize;
@@ -781,6 +782,13 @@
         self.trace(format!("worker {worker}: begins {task}"));
         self.checks.starts += 1;
         self.checks.begun.insert(task.job);
+        let of_task = |client: &&ClientModel| client.job == task.job;
+        if let Some(client) = self.clients.iter().find(of_task)
+            && client.was_only_refused()
+        {
+            let what = format!("{} begins after all its calls were refused", task.job);
+            self.checks.break_promise(what);
+        }
         for other in 0..WORKERS {
             self.tick_ends(other);
             if other != worker
@@ -901,20 +909,23 @@
         self.trace(format!("client {client}: {name} {reason}"));
         let model = &mut self.clients[client];
         model.call = None;
+        model.heard = true;
         match answer {
             Answer::Completed => {
                 model.ended = true;
                 self.check_complete(client);
             }
             Answer::Failed => model.ended = true,
-            Answer::NotRun { .. } => {
+            Answer::NotRun { retry_after_ms, .. } => {
                 model.not_run += 1;
-                model.ended = true;
-                let (job, refused_only) = (model.job, model.not_run == model.calls);
+                model.ended = retry_after_ms == 0;
+                let (job, refused_only) = (model.job, model.was_only_refused());
                 if refused_only && self.checks.begun.contains(&job) {
                     self.checks
                         .break_promise(format!("{job} was refused and has begun"));
                 }
+                // It comes back when it was told to, if its patience lasts.
+                self.at_ms(retry_after_ms, Event::Submit { client });
             }
             Answer::GivenUp(_) => self.at_ms(RESEND_MS, Event::Submit { client }),
         }
@@ -974,6 +985,9 @@
 
     fn end_client(&mut self, client: usize) {
         let model = &mut self.clients[client];
+        if !model.ended && !model.heard {
+            self.checks.unheard += 1;
+        }
         model.ended = true;
         if let Some(call) = model.call.take() {
             self.tell_gone(call);
