--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,1 +1,111 @@
 //! Tests of the translation.
+
+use {
+    super::{WorkerWord, job_body::read_job, read_config, read_worker_word},
+    crate::core::{link::News, work::UnsupportedFeature},
+    serde_json::{Value, json},
+    std::{collections::BTreeSet, sync::Arc},
+};
+
+const HEARTBEAT: &str = "/v1/Instances.Heartbeat/w-1";
+
+fn heartbeat() -> Value {
+    json!({
+        "service": "shares", "address": "10.0.0.9:8080", "zone": "north", "version": "v1", "slots": 8,
+        "state": "ready", "cold_remaining_ms": 0, "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 1},
+        "labels": ["a", "r1-3"], "clock_ms": 482_113, "seq": 4, "born": 1_700_000_000_000_u64
+    })
+}
+
+fn read_heartbeat(body: &[u8]) -> Option<WorkerWord> {
+    read_worker_word(HEARTBEAT, body)?.ok()
+}
+
+#[test]
+fn a_heartbeat_tells_room_labels_and_life() {
+    let body = heartbeat().to_string();
+    let Some(WorkerWord::Heartbeat { view, sequence }) = read_heartbeat(body.as_bytes()) else {
+        panic!("a heartbeat");
+    };
+    assert_eq!(sequence, 4);
+    assert_eq!(view.life.id, "w-1");
+    assert_eq!(view.life.born_unix_ms, 1_700_000_000_000);
+    assert_eq!(view.capacity.cpu_milli, 16_000);
+    assert_eq!(view.capacity.accelerators, 1);
+    assert_eq!(view.labels, ["a", "r1-3"]);
+    assert!(!view.draining);
+}
+
+/// Another writer's entry looks like a heartbeat and isn't one. Taken for a worker, it would be sent tasks that
+/// nobody runs.
+macro_rules! damaged_heartbeats {
+    ($($name:ident: $damage:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut body = heartbeat();
+                let damage: fn(&mut Value) = $damage;
+                damage(&mut body);
+                assert_eq!(read_heartbeat(body.to_string().as_bytes()), None);
+            }
+        )+
+    };
+}
+
+damaged_heartbeats! {
+    a_state_that_is_unknown_names_no_worker: |body| body["state"] = json!("resting");
+    a_capacity_that_is_text_names_no_worker: |body| body["capacity"]["cpu"] = json!("much");
+    a_missing_zone_names_no_worker: |body| body["zone"] = Value::Null;
+    a_negative_sequence_names_no_worker: |body| body["seq"] = json!(-1);
+    a_birth_that_is_a_fraction_names_no_worker: |body| body["born"] = json!(1.5);
+    a_body_that_is_a_list_names_no_worker: |body| *body = json!([1, 2]);
+}
+
+#[test]
+fn bytes_that_are_no_text_name_no_worker() {
+    assert_eq!(read_heartbeat(&[0xff, 0xfe, 0x00]), None);
+}
+
+macro_rules! unsupported_jobs {
+    ($($name:ident: $change:expr => $feature:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut body = json!({"spec": "x", "best_effort": true, "steps": [{"count": 2, "cpu": 500}]});
+                let change: fn(&mut Value) = $change;
+                change(&mut body);
+                let job = read_job(body.to_string().as_bytes()).expect("a job");
+                assert_eq!(job.unsupported, $feature);
+            }
+        )+
+    };
+}
+
+unsupported_jobs! {
+    a_job_of_best_effort_is_supported: |_| {} => None;
+    a_job_that_is_to_be_kept_is_told_apart: |body| body["best_effort"] = json!(false) =>
+        Some(UnsupportedFeature::Durable);
+    a_gang_is_told_apart: |body| body["steps"][0]["gang"] = json!(true) => Some(UnsupportedFeature::Gang);
+    a_recurring_job_is_told_apart: |body| body["run_count"] = json!(3) => Some(UnsupportedFeature::Recurring);
+    a_lasting_job_is_told_apart: |body| body["long_running"] = json!(true) =>
+        Some(UnsupportedFeature::LongRunning);
+}
+
+/// Operators add fields that this version does not know. The document is read all the same; without its version
+/// it is refused, and the one before stays in force.
+#[test]
+fn a_document_may_hold_fields_that_are_not_known() {
+    let news = |document: &Value| News {
+        version: 9,
+        evacuated: BTreeSet::new(),
+        document: Some(Arc::from(document.to_string().into_bytes())),
+    };
+    let mut document = json!({
+        "version": 12, "colour": "blue",
+        "routes": [{"name": "r", "host": "a.example", "path_prefix": "/r/", "service": "shares", "new": [1]}]
+    });
+    let config = read_config(&news(&document)).expect("a document");
+    assert_eq!((config.version, config.routes.len()), (12, 1));
+    document["version"] = json!("twelve");
+    assert!(read_config(&news(&document)).is_err());
+}
