--- a/src/core/dispatch/intake.rs
+++ b/src/core/dispatch/intake.rs
@@ -21,8 +21,9 @@
 const OVERLOAD_RETRY_MS: u64 = 1_000;
 /// For how long an entry that is to end still takes jobs, in milliseconds.
 ///
-/// The balancer needs two failed probes, a second apart, to send its clients elsewhere.
-const LEAVING_TAKES_MS: u64 = 2_500;
+/// The balancer needs two failed probes, a second apart, to send its clients elsewhere, and clients with an open
+/// connection come until it is closed, a second after that. What is taken last has half the usual grace of 6 s left.
+const LEAVING_TAKES_MS: u64 = 3_000;
 
 impl Dispatcher {
     pub(super) fn on_submit(&mut self, now: Instant, submission: Submission) {
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -510,3 +510,18 @@
     bench.end(starts[0], RunEnd::Stopped);
     assert_ne!(bench.starts()[0].0, starts[0].0);
 }
+
+/// An entry is told to end. Clients whose connections are still open send it jobs until these are closed, three seconds
+/// later, and are served. It used to refuse them for the last half second of that.
+#[test]
+fn an_entry_that_is_to_end_serves_until_its_connections_close() {
+    let mut bench = Bench::with_workers(1);
+    bench.feed(DispatchEvent::Leave);
+    bench.pass_ms(2_900);
+    assert_eq!(bench.submit(job(1, 0, vec![step(1, 50)])).len(), 1);
+    bench.pass_ms(200);
+    assert!(bench.submit(job(2, 0, vec![step(1, 50)])).is_empty());
+    let answers = bench.answers();
+    let reason = RefusalReason::Leaving;
+    assert!(matches!(answers[..], [Answer::NotRun { reason: r, .. }] if r == reason));
+}
