One session with an entry at a time

The entry's restart was on one copy of the list and not yet on another; the agent read the two in turn, forgot the entry's dial and made another. So the copies of this session brought the fault into reach; one list had it too, if an entry left and came back within one session. Ruled out: the silence bound and the lease (both sessions were in touch), the worker (it stopped the runs in 45 ms). Change: an address has one keeper for good, which dials whenever it is listed; the executor refuses a second session with an entry, also while runs of an earlier one are not over. Tests, both seen failing: an_entry_has_one_session_at_a_time, an_entry_that_is_listed_anew_keeps_its_session (three tasks began twice).

--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -10,10 +10,7 @@
         time::Instant,
         work::{Needs, RunLimits, TaskId, WorkerView},
     },
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        mem,
-    },
+    std::{collections::BTreeMap, mem},
 };
 
 /// What an executor takes from its settings.
@@ -36,8 +33,8 @@
     pub(super) worker: Option<WorkerState>,
     pub(super) runs: BTreeMap<TaskId, Run>,
     pub(super) sessions: BTreeMap<SessionId, EntryLink>,
-    /// Lost sessions with runs that are not over.
-    pub(super) clearing: BTreeSet<SessionId>,
+    /// Lost sessions with runs that are not over, and their entries.
+    pub(super) clearing: BTreeMap<SessionId, String>,
     pub(super) news: Option<News>,
     pub(super) token: u64,
     pub(super) token_step: u64,
@@ -58,7 +55,7 @@
             worker: None,
             runs: BTreeMap::new(),
             sessions: BTreeMap::new(),
-            clearing: BTreeSet::new(),
+            clearing: BTreeMap::new(),
             news: None,
             last_hold: 0,
             leaving: false,
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -36,7 +36,24 @@
 }
 
 impl Executor {
+    /// Begins a session with a hello that says that nothing which the entry started here runs any more.
+    ///
+    /// Guards against two runs of a task: that is not true while an earlier session with the entry is open or has runs
+    /// that are not over, and the entry would start them elsewhere. Such a session is given up.
     pub(super) fn on_session_opened(&mut self, now: Instant, session: SessionId, entry: String) {
+        let is_open = self.sessions.values().any(|link| link.entry == entry);
+        let is_clearing = self.clearing.values().any(|earlier| *earlier == entry);
+        if is_open || is_clearing {
+            self.note(ExecutionNote::EntryLost {
+                entry,
+                cause: "second_session",
+                heard_ms_ago: 0,
+                runs: 0,
+            });
+            self.actions.push(ExecutionAction::Close { session });
+            self.actions.push(ExecutionAction::Cleared { session });
+            return;
+        }
         self.note(ExecutionNote::EntryConnected {
             entry: entry.clone(),
         });
@@ -231,12 +248,12 @@
         };
         let tasks = self.tasks_of(session);
         self.note(ExecutionNote::EntryLost {
-            entry: link.entry,
+            entry: link.entry.clone(),
             cause,
             heard_ms_ago: now.millis_since(link.heard_at),
             runs: tasks.len(),
         });
-        self.clearing.insert(session);
+        self.clearing.insert(session, link.entry);
         for task in tasks {
             self.stop_run(now, task, "entry_lost");
         }
@@ -270,7 +287,7 @@
     pub(super) fn clear_sessions(&mut self) {
         let runs = &self.runs;
         let is_clear = |session: &SessionId| runs.values().all(|run| run.session != *session);
-        let clear: Vec<SessionId> = self.clearing.iter().copied().filter(is_clear).collect();
+        let clear: Vec<SessionId> = self.clearing.keys().copied().filter(is_clear).collect();
         for session in clear {
             self.clearing.remove(&session);
             self.actions.push(ExecutionAction::Cleared { session });
--- a/src/core/execution/tests.rs
+++ b/src/core/execution/tests.rs
@@ -361,6 +361,33 @@
     assert_eq!(told_room(&bench, first), None);
 }
 
+/// The list of entries loses an entry and has it again while its session lives, and the agent dials it a second time. The
+/// hello of the second session told the entry that nothing of the first runs here: it started its tasks
+/// elsewhere, and for some tens of milliseconds they had two runs.
+#[test]
+fn an_entry_has_one_session_at_a_time() {
+    let mut bench = Bench::ready();
+    bench.start(1, StartAnswer::Accepted);
+    let second = SessionId(2);
+    let opens = || ExecutionEvent::SessionOpened {
+        session: second,
+        entry: "entry".to_owned(),
+    };
+    let is_hello = |action: &ExecutionAction| matches!(action, ExecutionAction::Send { session, frame: AgentFrame::Hello { .. } } if *session == second);
+    bench.feed(opens());
+    assert!(!bench.actions.iter().any(is_hello));
+    assert!(
+        bench
+            .actions
+            .contains(&ExecutionAction::Close { session: second })
+    );
+    // Nor while the first one's run is not over.
+    let session = SESSION;
+    bench.feed(ExecutionEvent::SessionLost { session });
+    bench.feed(opens());
+    assert!(!bench.actions.iter().any(is_hello));
+}
+
 /// Two looks at a worker are under way. The later one tells a run's end, and the earlier one, whose answer was overtaken, still
 /// lists the run. It used to be taken for a run that nobody started, and was stopped and noted, twenty
 /// times a second on a busy site.
--- a/src/site_agent/dialler.rs
+++ b/src/site_agent/dialler.rs
@@ -106,14 +106,10 @@
         entries: &[SocketAddr],
         dialled: &mut BTreeMap<SocketAddr, watch::Sender<bool>>,
     ) {
-        // An entry that has left keeps its session until it ends; it is dialled no more.
-        dialled.retain(|entry, listed| {
-            let stays = entries.contains(entry);
-            if !stays {
-                listed.send_replace(false);
-            }
-            stays
-        });
+        // An entry that has left keeps its session until it ends; it is dialled no more while it is not listed.
+        for (entry, listed) in &*dialled {
+            listed.send_replace(entries.contains(entry));
+        }
         for entry in entries {
             dialled.entry(*entry).or_insert_with(|| {
                 let (listed, is_listed) = watch::channel(true);
@@ -123,10 +119,15 @@
         }
     }
 
-    /// Keeps a session with one entry while it is listed.
-    async fn keep(self: Arc<Self>, entry: SocketAddr, is_listed: watch::Receiver<bool>) {
+    /// Keeps a session with one entry whenever it is listed.
+    ///
+    /// An address has one keeper for good. Guards against two sessions with one entry: the list may lose an entry and
+    /// have it again while its session lives, and a second hello would tell the entry that nothing of
+    /// the first session runs.
+    async fn keep(self: Arc<Self>, entry: SocketAddr, mut is_listed: watch::Receiver<bool>) {
         let mut backoff = Backoff::new(FIRST_DIAL_PAUSE_MS, LAST_DIAL_PAUSE_MS);
-        while *is_listed.borrow() {
+        // The sender is gone only with the process.
+        while is_listed.wait_for(|listed| *listed).await.is_ok() {
             match dial_link(entry, Arc::clone(&self.metrics)).await {
                 Ok(duplex) => {
                     backoff.reset();
--- a/tests/processes/site.rs
+++ b/tests/processes/site.rs
@@ -139,6 +139,26 @@
     }
 }
 
+/// The list of entries loses an entry and has it again, as when its copies differ for a moment, while a job runs. The agent keeps
+/// the one session that it has; a second one used to tell the entry that nothing runs, and the job's tasks began twice.
+#[tokio::test]
+async fn an_entry_that_is_listed_anew_keeps_its_session() {
+    let site = Site::start("relisted", 1, 1).await;
+    serves(&site, 0).await;
+    let entry = site.entries[0].clients;
+    let submitting = tokio::spawn(submit_to(entry, "00000000000000e1", site_job(3, 4_000)));
+    for listed in [false, true] {
+        site.list_entry(0, listed).await;
+        // Longer than an agent waits after a change before it reads the list.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+    }
+    let reply = submitting.await.expect("task").expect("reply");
+    assert_eq!(reply.body, r#"{"state":"completed"}"#);
+    assert_eq!(begun_twice(&site), Vec::<String>::new());
+    let met = site.lines("agent-0").matches("entry_connected").count();
+    assert_eq!(met, 1);
+}
+
 /// The store turns an agent's host away when the agent starts anew. It begins with the entries that its settings name,
 /// and clients get their answers. Without them its worker stood idle until the store served it again.
 #[tokio::test]
--- a/tests/processes/support/site.rs
+++ b/tests/processes/support/site.rs
@@ -197,6 +197,18 @@
         fs::write(settings, text + &seed).expect("settings");
     }
 
+    /// Puts an entry into all copies of the list, or takes it off.
+    pub async fn list_entry(&self, entry: usize, listed: bool) {
+        let key = self.entries[entry].links.to_string();
+        for part in ["0", "1", "2"] {
+            let row = json!({"table": "rattanslip_entries", "part": part, "key": key, "value": ""});
+            let change = if listed { "puts" } else { "remove" };
+            let body = json!({ change: [row] }).to_string();
+            let reply = request("POST", self.store, "/v1/rows-tx", &[], &body).await;
+            assert_eq!(reply.status, 200);
+        }
+    }
+
     /// Hands a job in and waits for its answer.
     pub async fn submit(&self, entry: usize, id: &str, body: &Value) -> Result<Reply, String> {
         submit_to(self.entries[entry].clients, id, body.clone()).await
