--- a/src/core/dispatch/arrival_rate.rs
+++ b/src/core/dispatch/arrival_rate.rs
@@ -2,10 +2,6 @@
 
 use crate::core::time::Instant;
 
-/// Time over which arrivals fade, in microseconds: long enough for some hundred tasks at the smallest
-/// site's share of an entry, short enough to see a burst of four seconds begin and end.
-const MEMORY_US: f64 = 1_000_000.0;
-
 /// Tasks that were handed in of late.
 #[derive(Debug, Default)]
 pub(super) struct ArrivalRate {
@@ -14,6 +10,10 @@
 }
 
 impl ArrivalRate {
+    /// Time over which arrivals fade, in milliseconds: long enough for some hundred tasks at the smallest
+    /// site's share of an entry, short enough to see a burst of four seconds begin and end.
+    pub(super) const MEMORY_MS: u64 = 1_000;
+
     /// Notes tasks of a job that was taken in.
     pub(super) fn note(&mut self, now: Instant, tasks: usize) {
         self.faded_tasks = self.faded_tasks * self.fading(now) + tasks as f64;
@@ -22,10 +22,10 @@
 
     /// Tasks a second.
     pub(super) fn per_s(&self, now: Instant) -> f64 {
-        self.faded_tasks * self.fading(now) * 1_000_000.0 / MEMORY_US
+        self.faded_tasks * self.fading(now) * 1_000.0 / Self::MEMORY_MS as f64
     }
 
     fn fading(&self, now: Instant) -> f64 {
-        (-(now.micros_since(self.noted_at) as f64) / MEMORY_US).exp()
+        (-(now.micros_since(self.noted_at) as f64) / (Self::MEMORY_MS as f64 * 1_000.0)).exp()
     }
 }
--- a/src/core/dispatch/outlook.rs
+++ b/src/core/dispatch/outlook.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Answer, Dispatcher, RefusalReason,
+        arrival_rate::ArrivalRate,
         dispatch_event::Zones,
         job::{Job, JobKey},
         placing::is_usable,
@@ -48,10 +49,16 @@
         if job.has_begun() || !self.pace.is_known() || self.room_is_known(now, job) {
             return;
         }
+        let last_start = last_useful_start(job);
+        // What the last second shows says nothing about the fourth one from now.
+        if last_start > now.plus_ms(ArrivalRate::MEMORY_MS) {
+            return;
+        }
         let left_over = self.pace.less(self.arrivals.per_s(now));
-        let ahead = self.queue.len() - job.waiting_tasks().min(self.queue.len());
+        let waiting = self.queue.first_of(key);
+        let ahead = waiting.map_or(0, |waiting| self.queue.ahead_of(&waiting));
         let is_hopeless = match left_over {
-            Some(pace) => now.plus_ms(pace.time_for_ms(ahead)) > last_useful_start(job),
+            Some(pace) => now.plus_ms(pace.time_for_ms(ahead)) > last_start,
             None => true,
         };
         if is_hopeless {
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -443,6 +443,21 @@
     }
 }
 
+/// The same full workers, and jobs that can wait for seconds come together. None is refused on what one second shows: the
+/// burst may be over in the next. They used to be refused although their answers would have been of use for
+/// three seconds more.
+#[test]
+fn a_burst_does_not_refuse_what_can_wait_for_seconds() {
+    let mut bench = Bench::with_workers(3);
+    bench.submit(job(1, 0, vec![step(6, 500)]));
+    for number in 2..6 {
+        let mut patient = job(number, 0, vec![step(4, 900)]);
+        patient.time_left_ms = 6_000;
+        bench.submit(patient);
+        assert!(bench.answers().is_empty());
+    }
+}
+
 /// The same full workers, and a job that has time: it waits and is served.
 #[test]
 fn what_has_time_to_wait_is_not_refused() {
