Tidy: one wiring of what entries and agents share, a job's place in the queue is counted once

SiteProcess holds what site_entry/run.rs and site_agent/run.rs both wrote: metrics, decision lines, the metrics address, the line at start. free_for answers 'may be used and has room' for placing and for refusing; the empty set of zones that each made for it is gone, and a worker's free room is reckoned once for each draw. refuse_if_hopeless takes the place in the queue that its callers know (the queue was walked twice) and looks at the workers last. A comment of may_order said 'doubles' where it is a share. Behaviour as before.

--- a/src/core/dispatch/dispatch_event.rs
+++ b/src/core/dispatch/dispatch_event.rs
@@ -8,7 +8,7 @@
         verdict::reasons,
         work::{JobId, JobRequest},
     },
-    std::{collections::BTreeSet, sync::Arc},
+    std::sync::Arc,
 };
 
 reasons! {
@@ -143,6 +143,3 @@
     /// Write a line of the log.
     Note(DispatchNote),
 }
-
-/// Zones that are taken out, shared with the news.
-pub(super) type Zones = BTreeSet<String>;
--- a/src/core/dispatch/outlook.rs
+++ b/src/core/dispatch/outlook.rs
@@ -4,9 +4,8 @@
     super::{
         Answer, Dispatcher, RefusalReason,
         arrival_rate::ArrivalRate,
-        dispatch_event::Zones,
         job::{Job, JobKey},
-        placing::is_usable,
+        placing::free_for,
         queue::{Prospect, Waiting},
     },
     crate::core::time::Instant,
@@ -36,27 +35,24 @@
             let wait_ms = self.pace.time_for_ms(ahead);
             let is_in_time = waiting.prospect == Prospect::InTime;
             if !is_in_time || now.plus_ms(wait_ms) > waiting.latest_start {
-                self.refuse_if_hopeless(now, key);
+                self.refuse_if_hopeless(now, key, ahead);
             }
         }
     }
 
-    /// Refuses a job of which nothing has begun if it can't be started while its answer is of use.
-    pub(super) fn refuse_if_hopeless(&mut self, now: Instant, key: JobKey) {
+    /// Refuses a job of which nothing has begun if it can't be started while its answer is of use; so many tasks
+    /// go before its own.
+    fn refuse_if_hopeless(&mut self, now: Instant, key: JobKey, ahead: usize) {
         let Some(job) = self.jobs.get(key).filter(|job| !job.closed) else {
             return;
         };
-        if job.has_begun() || !self.pace.is_known() || self.room_is_known(now, job) {
-            return;
-        }
         let last_start = last_useful_start(job);
         // What the last second shows says nothing about the fourth one from now.
-        if last_start > now.plus_ms(ArrivalRate::MEMORY_MS) {
+        let is_far = last_start > now.plus_ms(ArrivalRate::MEMORY_MS);
+        if is_far || job.has_begun() || !self.pace.is_known() || self.room_is_known(now, job) {
             return;
         }
         let left_over = self.pace.less(self.arrivals.per_s(now));
-        let waiting = self.queue.first_of(key);
-        let ahead = waiting.map_or(0, |waiting| self.queue.ahead_of(&waiting));
         let is_hopeless = match left_over {
             Some(pace) => now.plus_ms(pace.time_for_ms(ahead)) > last_start,
             None => true,
@@ -74,13 +70,10 @@
     /// Whether a worker has room for a task of the job, although none may be ordered there at this moment: the
     /// pace says nothing while the site is being filled.
     fn room_is_known(&self, now: Instant, job: &Job) -> bool {
-        let none = Zones::new();
-        let evacuated = self.news.as_ref().map_or(&none, |news| &news.evacuated);
+        let news = self.news.as_ref();
         job.request.steps.iter().any(|step| {
             let mut workers = self.workers.values();
-            workers.any(|worker| {
-                is_usable(now, worker, job, step, evacuated) && step.needs.fits(worker.free())
-            })
+            workers.any(|worker| free_for(now, worker, job, step, news).is_some())
         })
     }
 
@@ -91,7 +84,9 @@
             return;
         }
         self.enqueue(now, waiting.job, waiting.task);
-        self.refuse_if_hopeless(now, waiting.job);
+        if let Some(first) = self.queue.first_of(waiting.job) {
+            self.refuse_if_hopeless(now, waiting.job, self.queue.ahead_of(&first));
+        }
     }
 }
 
--- a/src/core/dispatch/placing.rs
+++ b/src/core/dispatch/placing.rs
@@ -4,13 +4,12 @@
     super::{
         DispatchAction, Dispatcher,
         choice::Choice,
-        dispatch_event::Zones,
         job::{Job, JobKey, Task, TaskState},
         queue::Waiting,
         worker_link::{OpenRun, WorkerKey, WorkerLink},
     },
     crate::core::{
-        link::{EntryFrame, StartOrder},
+        link::{EntryFrame, News, StartOrder},
         time::Instant,
         work::{Needs, StepSpec},
     },
@@ -76,16 +75,13 @@
         if task.not_before > now {
             return false;
         }
-        let none = Zones::new();
-        let evacuated = self.news.as_ref().map_or(&none, |news| &news.evacuated);
         let mut choice = Choice::new(&mut self.rng);
         for (key, worker) in &self.workers {
-            if is_usable(now, worker, job, step, evacuated)
-                && step.needs.fits(worker.free())
+            if let Some(free) = free_for(now, worker, job, step, self.news.as_ref())
                 && worker.may_order(step.needs)
                 && !is_crowded(worker, job, task, step)
             {
-                choice.offer(key, weight(worker, step, task.avoid == Some(key)));
+                choice.offer(key, weight(worker, free, step, task.avoid == Some(key)));
             }
         }
         let Some(worker) = choice.made() else {
@@ -152,25 +148,27 @@
     }
 }
 
-/// Whether the worker may be given tasks of this step at all.
-pub(super) fn is_usable(
+/// What is free at a worker that may be given tasks of this step and has room for one.
+pub(super) fn free_for(
     now: Instant,
     worker: &WorkerLink,
     job: &Job,
     step: &StepSpec,
-    evacuated: &Zones,
-) -> bool {
-    let Some(view) = &worker.view else {
-        return false;
-    };
+    news: Option<&News>,
+) -> Option<Needs> {
+    let view = worker.view.as_ref()?;
     let has_label = |label: &String| view.labels.contains(label);
-    worker.link.is_some()
+    let is_evacuated = news.is_some_and(|news| news.evacuated.contains(&view.availability_zone));
+    let is_usable = worker.link.is_some()
         && !view.draining
         && view.service == job.route.service
-        && !evacuated.contains(&view.availability_zone)
+        && !is_evacuated
         && now >= worker.paused_until
         && step.required_label.as_ref().is_none_or(has_label)
-        && worker.runs.len() < usize::from(worker.health.most_tasks(now))
+        && worker.runs.len() < usize::from(worker.health.most_tasks(now));
+    is_usable
+        .then(|| worker.free())
+        .filter(|free| step.needs.fits(*free))
 }
 
 /// How good the worker is for the task, as the weight of a draw.
@@ -179,12 +177,12 @@
 /// Were the emptiest worker always taken, all of them would take the same one, and it would turn
 /// most of their orders away. A draw spreads them over what is free; the square makes an empty
 /// worker four times as likely as one that is half full.
-fn weight(worker: &WorkerLink, step: &StepSpec, avoid: bool) -> f64 {
+fn weight(worker: &WorkerLink, free: Needs, step: &StepSpec, avoid: bool) -> f64 {
     let capacity = worker
         .view
         .as_ref()
         .map_or(1, |view| view.capacity.cpu_milli.max(1));
-    let share = f64::from(worker.free().cpu_milli) / f64::from(capacity);
+    let share = f64::from(free.cpu_milli) / f64::from(capacity);
     let near = step.data_rack.as_ref().is_some_and(|rack| {
         worker
             .view
--- a/src/core/dispatch/worker_link.rs
+++ b/src/core/dispatch/worker_link.rs
@@ -150,7 +150,7 @@
     /// of a whole site are met again. Guards against orders that cross: each entry sees the same
     /// room and would fill it by itself, and the worker would turn all but one of them away, again and
     /// again. An entry therefore has no more under way than its share of the room that was reported;
-    /// one that orders alone doubles what it has there with each report, two milliseconds apart.
+    /// one that orders alone gets its share of what is left with each report, two milliseconds apart.
     pub(super) fn may_order(&self, needs: Needs) -> bool {
         let entries = u32::from(self.report.entries).max(1);
         let share = needs.times_in(self.report.free).div_ceil(entries);
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -9,16 +9,13 @@
     crate::{
         adapters::{
             http::{HttpHandler, serve_http},
-            logging::DecisionWriter,
-            metrics::OtelMetrics,
             timer::BootTimer,
         },
         cli::{RunError, listen, reload_signals, stop_signal},
         conf::{SiteAgentSettings, SiteSettings},
         core::execution::{ExecutionEvent, Executor, ExecutorSettings},
         platform::{HttpWorker, PlatformCaller, RowsStore},
-        ports::{DecisionLog, LineRank, Metrics, note},
-        site_entry::{ProcessNote, ServiceProbe},
+        site_entry::{ProcessNote, SiteProcess},
     },
     std::{
         collections::BTreeMap,
@@ -40,9 +37,8 @@
 
 /// What the parts of an agent share.
 struct Shared {
+    process: SiteProcess,
     caller: PlatformCaller,
-    metrics: Arc<dyn Metrics>,
-    decisions: Arc<dyn DecisionLog>,
     inputs: mpsc::UnboundedSender<LoopInput>,
 }
 
@@ -51,12 +47,9 @@
         site: &SiteSettings,
         inputs: mpsc::UnboundedSender<LoopInput>,
     ) -> Result<Self, RunError> {
-        let metrics = OtelMetrics::new().map_err(RunError::metrics)?;
-        let writer = DecisionWriter::start(&site.name).map_err(RunError::Runtime)?;
         Ok(Self {
+            process: SiteProcess::new(site)?,
             caller: PlatformCaller::new(),
-            metrics: Arc::new(metrics),
-            decisions: Arc::new(writer),
             inputs,
         })
     }
@@ -76,8 +69,8 @@
             executor,
             worker: Arc::new(HttpWorker::new(self.caller.clone(), settings.worker)),
             timer: Arc::new(BootTimer),
-            decisions: Arc::clone(&self.decisions),
-            metrics: Arc::clone(&self.metrics),
+            decisions: Arc::clone(&self.process.decisions),
+            metrics: Arc::clone(&self.process.metrics),
             sessions: BTreeMap::new(),
             clearing: BTreeMap::new(),
             clean_slate,
@@ -89,7 +82,7 @@
         Arc::new(Dialler {
             store: Arc::new(RowsStore::new(self.caller.clone(), settings.site.store)),
             inputs: self.inputs.clone(),
-            metrics: Arc::clone(&self.metrics),
+            metrics: Arc::clone(&self.process.metrics),
             last_session: AtomicU64::new(1),
             seeds: settings.seeds.clone(),
         })
@@ -102,17 +95,12 @@
         stopped: watch::Receiver<bool>,
     ) -> Result<(), RunError> {
         let worker = listen(settings.worker_listen).await?;
-        let readers = listen(settings.site.metrics_listen).await?;
         let ear: Arc<dyn HttpHandler> = Arc::new(WorkerEar {
             inputs: self.inputs.clone(),
-            metrics: Arc::clone(&self.metrics),
-        });
-        let probe: Arc<dyn HttpHandler> = Arc::new(ServiceProbe {
-            metrics: Arc::clone(&self.metrics),
+            metrics: Arc::clone(&self.process.metrics),
         });
         tokio::spawn(serve_http(worker, ear, stopped.clone()));
-        tokio::spawn(serve_http(readers, probe, stopped));
-        Ok(())
+        self.process.serve_metrics(&settings.site, stopped).await
     }
 }
 
@@ -126,12 +114,8 @@
     let (_stop, stopped) = watch::channel(false);
     shared.serve_callers(&settings, stopped).await?;
     tokio::spawn(execution.run(taken));
-    tokio::spawn(reload_signals(Arc::clone(&shared.decisions)));
-    let started = ProcessNote::Started {
-        version: env!("CARGO_PKG_VERSION"),
-        availability_zone: site.availability_zone.clone(),
-    };
-    note(&*shared.decisions, LineRank::Notable, &started);
+    tokio::spawn(reload_signals(Arc::clone(&shared.process.decisions)));
+    shared.process.note_started(site);
     let lapse_ms = site.limits.lapse_ms() + LEASE_SLACK_MS;
     tokio::spawn(dial_when_clean(
         shared.dialler(&settings),
@@ -140,12 +124,7 @@
     ));
 
     stop_signal().await;
-    end(
-        &shared.inputs,
-        &*shared.decisions,
-        site.stop_grace_s * 1_000,
-    )
-    .await;
+    end(&shared, site.stop_grace_s * 1_000).await;
     Ok(())
 }
 
@@ -182,18 +161,13 @@
 }
 
 /// Takes nothing new and waits until what runs is over.
-async fn end(
-    inputs: &mpsc::UnboundedSender<LoopInput>,
-    decisions: &dyn DecisionLog,
-    grace_ms: u64,
-) {
+async fn end(shared: &Shared, grace_ms: u64) {
+    let Shared {
+        process, inputs, ..
+    } = shared;
     let last_at = Instant::now() + Duration::from_millis(grace_ms.saturating_sub(LAST_MS));
     let open = count_runs(inputs).await;
-    note(
-        decisions,
-        LineRank::Notable,
-        &ProcessNote::Stopping { open, grace_ms },
-    );
+    process.note(&ProcessNote::Stopping { open, grace_ms });
     // The loop ends only with the process.
     let _ = inputs.send(LoopInput::Event(ExecutionEvent::Leave));
     while Instant::now() < last_at && count_runs(inputs).await > 0 {
@@ -202,6 +176,6 @@
     // Ends that were just told are still on their way out.
     sleep(Duration::from_millis(LOOK_MS)).await;
     let open = count_runs(inputs).await;
-    note(decisions, LineRank::Notable, &ProcessNote::Stopped { open });
+    process.note(&ProcessNote::Stopped { open });
     sleep(Duration::from_millis(LOOK_MS)).await;
 }
--- a/src/site_entry/mod.rs
+++ b/src/site_entry/mod.rs
@@ -7,10 +7,11 @@
 mod process_note;
 mod ready_probe;
 mod run;
+mod site_process;
 mod state;
 mod store_watch;
 
 #[cfg(test)]
 mod tests;
 
-pub(crate) use {process_note::ProcessNote, ready_probe::ServiceProbe, run::run_site_entry};
+pub(crate) use {process_note::ProcessNote, run::run_site_entry, site_process::SiteProcess};
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -7,15 +7,14 @@
         listing::Listing,
         news_keeper::NewsKeeper,
         process_note::ProcessNote,
-        ready_probe::{ReadyProbe, ServiceProbe},
+        ready_probe::ReadyProbe,
+        site_process::SiteProcess,
         state::EntryState,
     },
     crate::{
         adapters::{
             http::{HttpHandler, serve_http},
             link::serve_links,
-            logging::DecisionWriter,
-            metrics::OtelMetrics,
             timer::BootTimer,
         },
         cli::{RunError, listen, reload_signals, stop_signal},
@@ -25,7 +24,7 @@
             work::RunLimits,
         },
         platform::{PlatformCaller, RowsStore},
-        ports::{DecisionLog, LineRank, ListCopy, Metrics, SiteStore, note},
+        ports::{ListCopy, SiteStore},
     },
     std::{
         collections::BTreeMap,
@@ -49,9 +48,8 @@
 
 /// What the parts of an entry share.
 struct Shared {
+    process: SiteProcess,
     state: Arc<EntryState>,
-    metrics: Arc<dyn Metrics>,
-    decisions: Arc<dyn DecisionLog>,
     store: Arc<dyn SiteStore>,
     inputs: mpsc::UnboundedSender<LoopInput>,
 }
@@ -61,12 +59,9 @@
         site: &SiteSettings,
         inputs: mpsc::UnboundedSender<LoopInput>,
     ) -> Result<Self, RunError> {
-        let metrics = OtelMetrics::new().map_err(RunError::metrics)?;
-        let writer = DecisionWriter::start(&site.name).map_err(RunError::Runtime)?;
         Ok(Self {
+            process: SiteProcess::new(site)?,
             state: Arc::new(EntryState::default()),
-            metrics: Arc::new(metrics),
-            decisions: Arc::new(writer),
             store: Arc::new(RowsStore::new(PlatformCaller::new(), site.store)),
             inputs,
         })
@@ -77,8 +72,8 @@
             store: Arc::clone(&self.store),
             state: Arc::clone(&self.state),
             inputs: self.inputs.clone(),
-            decisions: Arc::clone(&self.decisions),
-            metrics: Arc::clone(&self.metrics),
+            decisions: Arc::clone(&self.process.decisions),
+            metrics: Arc::clone(&self.process.metrics),
             newest: Mutex::new(None),
         })
     }
@@ -86,8 +81,8 @@
     fn listing(&self, entry: SocketAddr) -> Arc<Listing> {
         Arc::new(Listing {
             store: Arc::clone(&self.store),
-            decisions: Arc::clone(&self.decisions),
-            metrics: Arc::clone(&self.metrics),
+            decisions: Arc::clone(&self.process.decisions),
+            metrics: Arc::clone(&self.process.metrics),
             entry,
             rows: Mutex::default(),
         })
@@ -102,8 +97,8 @@
             timer: Arc::new(BootTimer),
             state: Arc::clone(&self.state),
             news,
-            decisions: Arc::clone(&self.decisions),
-            metrics: Arc::clone(&self.metrics),
+            decisions: Arc::clone(&self.process.decisions),
+            metrics: Arc::clone(&self.process.metrics),
             waiters: BTreeMap::new(),
             links: BTreeMap::new(),
             last_link: 0,
@@ -115,8 +110,8 @@
         Arc::new(Front {
             state: Arc::clone(&self.state),
             inputs: self.inputs.clone(),
-            metrics: Arc::clone(&self.metrics),
-            decisions: Arc::clone(&self.decisions),
+            metrics: Arc::clone(&self.process.metrics),
+            decisions: Arc::clone(&self.process.decisions),
             next_waiter: AtomicU64::new(1),
         })
     }
@@ -126,16 +121,6 @@
             state: Arc::clone(&self.state),
         })
     }
-
-    fn service_probe(&self) -> Arc<dyn HttpHandler> {
-        Arc::new(ServiceProbe {
-            metrics: Arc::clone(&self.metrics),
-        })
-    }
-
-    fn note(&self, change: &ProcessNote) {
-        note(&*self.decisions, LineRank::Notable, change);
-    }
 }
 
 /// Serves clients, the balancer and whoever reads the metrics, until `stopped` turns true.
@@ -146,11 +131,9 @@
 ) -> Result<(), RunError> {
     let clients = listen(settings.client_listen).await?;
     let balancer = listen(settings.ready_listen).await?;
-    let readers = listen(settings.site.metrics_listen).await?;
     tokio::spawn(serve_http(clients, shared.front(), stopped.clone()));
     tokio::spawn(serve_http(balancer, shared.ready_probe(), stopped.clone()));
-    tokio::spawn(serve_http(readers, shared.service_probe(), stopped));
-    Ok(())
+    shared.process.serve_metrics(&settings.site, stopped).await
 }
 
 /// Runs until the process is told to stop and its jobs have ended.
@@ -165,16 +148,17 @@
     let (stop, stopped) = watch::channel(false);
     serve_callers(&settings, &shared, stopped).await?;
     tokio::spawn(dispatch.run(taken, links));
-    tokio::spawn(serve_links(agents, opened, Arc::clone(&shared.metrics)));
+    tokio::spawn(serve_links(
+        agents,
+        opened,
+        Arc::clone(&shared.process.metrics),
+    ));
     tokio::spawn(news.follow());
     for copy in ListCopy::ALL {
         tokio::spawn(Arc::clone(&listing).join(copy));
     }
-    tokio::spawn(reload_signals(Arc::clone(&shared.decisions)));
-    shared.note(&ProcessNote::Started {
-        version: env!("CARGO_PKG_VERSION"),
-        availability_zone: settings.site.availability_zone.clone(),
-    });
+    tokio::spawn(reload_signals(Arc::clone(&shared.process.decisions)));
+    shared.process.note_started(&settings.site);
 
     stop_signal().await;
     let leaving = tokio::spawn(listing.leave());
@@ -213,7 +197,7 @@
     async fn run(self) {
         let begun_at = Instant::now();
         let open = self.open_jobs().await;
-        self.shared.note(&ProcessNote::Stopping {
+        self.shared.process.note(&ProcessNote::Stopping {
             open,
             grace_ms: self.grace_ms,
         });
@@ -233,7 +217,7 @@
         // Answers that were just given are still on their way out.
         sleep(Duration::from_millis(LOOK_MS)).await;
         let open = self.open_jobs().await;
-        self.shared.note(&ProcessNote::Stopped { open });
+        self.shared.process.note(&ProcessNote::Stopped { open });
         sleep(Duration::from_millis(LOOK_MS)).await;
     }
 }
