An agent that starts anew looks at the worker that its earlier process knew

After a power loss workers start anew too and report at once. Ruled out: configuration (in force 8 ms after the start), the list of entries, sessions (open 15 ms after a worker is ready), resent jobs (the same windows with jobs told by their age were worse: they only queued in another order). Change: what the worker says of itself is kept in the store when it changes (one write a life) and read at the start; the worker's own lists tell whether it is still that life. Without a report for 3 s it is given nothing more. Tests: three of the executor; the harness's agents recall their workers.

--- a/src/core/execution/execution_event.rs
+++ b/src/core/execution/execution_event.rs
@@ -154,6 +154,11 @@
         /// Number of the report, rising in one life.
         sequence: u64,
     },
+    /// An earlier process of this agent has left word of the worker.
+    Recalled {
+        /// What the worker said of itself then.
+        view: WorkerView,
+    },
     /// The worker said that it ends.
     WorkerLeft {
         /// Its name.
@@ -208,6 +213,8 @@
     },
     /// Nothing runs at the worker that an earlier process of this agent started: entries may be dialled.
     CleanSlate,
+    /// Keep what the worker says of itself for a later process of this agent.
+    Keep(WorkerView),
     /// Call the worker.
     Start(StartCall),
     /// Call the worker.
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -78,6 +78,7 @@
             ExecutionEvent::SessionLost { session } => self.lose_session(now, session, "closed"),
             ExecutionEvent::Frame { session, frame } => self.on_frame(now, session, frame),
             ExecutionEvent::Heartbeat { view, sequence } => self.on_heartbeat(now, view, sequence),
+            ExecutionEvent::Recalled { view } => self.on_recalled(now, view),
             ExecutionEvent::WorkerLeft { worker } => self.on_worker_left(now, &worker),
             ExecutionEvent::StartAnswered { call, answer } => {
                 self.on_start_answered(now, &call, answer);
@@ -101,6 +102,7 @@
         self.close_silent_sessions(now);
         self.stop_unwanted_runs(now);
         self.repeat_stops(now);
+        self.doubt_recalled_worker(now);
     }
 
     /// Takes in what the worker says of itself.
@@ -123,6 +125,7 @@
             Some((_, newest, true)) if sequence <= newest => return,
             Some((_, _, true)) => {}
             Some((_, _, false)) | None => {
+                self.keep(view.clone());
                 self.begin_life(now, view, sequence);
                 return;
             }
@@ -132,15 +135,17 @@
             return;
         };
         worker.report_sequence = sequence;
+        worker.recalled_at = None;
         if worker.view == view {
             return;
         }
         let drains = view.draining && !worker.view.draining;
-        worker.view = view;
+        worker.view = view.clone();
         let name = worker.view.life.id.clone();
         if drains {
             self.note(ExecutionNote::WorkerDraining { worker: name, runs });
         }
+        self.keep(view);
         self.announce_worker();
     }
 
--- a/src/core/execution/mod.rs
+++ b/src/core/execution/mod.rs
@@ -6,6 +6,7 @@
 mod holds;
 mod lease;
 mod orders;
+mod recall;
 mod room;
 mod run;
 mod sessions;
--- a/src/core/execution/tests.rs
+++ b/src/core/execution/tests.rs
@@ -69,30 +69,43 @@
 }
 
 impl Bench {
-    /// An executor with a worker that is ready and an entry that may run tasks.
-    fn ready() -> Self {
+    /// An executor that knows neither a worker nor an entry.
+    fn without_worker() -> Self {
         let settings = ExecutorSettings {
             agent: "agent".to_owned(),
             service: "shares".to_owned(),
             limits: limits(),
             first_token: 100,
         };
-        let mut bench = Self {
+        Self {
             executor: Executor::new(settings),
             now: Instant::from_millis(10_000),
             actions: Vec::new(),
-        };
+        }
+    }
+
+    /// An executor with a worker that is ready and an entry that may run tasks.
+    fn ready() -> Self {
+        let mut bench = Self::without_worker();
         bench.heartbeat(BORN_MS, 1, false);
         let look = bench.holds().remove(0);
         bench.lists(look, &[], &[]);
-        bench.feed(ExecutionEvent::SessionOpened {
-            session: SESSION,
-            entry: "entry".to_owned(),
-        });
+        bench.open_session();
         bench.beat();
         bench
     }
 
+    fn open_session(&mut self) {
+        self.open_session_of("entry", SESSION);
+    }
+
+    fn open_session_of(&mut self, entry: &str, session: SessionId) {
+        self.feed(ExecutionEvent::SessionOpened {
+            session,
+            entry: entry.to_owned(),
+        });
+    }
+
     fn feed(&mut self, event: ExecutionEvent) {
         self.actions = self.executor.handle(self.now, event);
     }
@@ -463,6 +476,71 @@
     assert_eq!(bench.starts()[0].number, 2);
 }
 
+/// All agents of a site are killed and start again at once, while their workers live on and report every second and a half. What
+/// an earlier process has kept is enough to look at the worker, so tasks start there some milliseconds later, not with its next
+/// report. If none comes, the worker may have said to the earlier process that it ends, and is given nothing more.
+#[test]
+fn a_worker_that_is_recalled_is_used_before_it_reports() {
+    let mut bench = Bench::without_worker();
+    bench.feed(ExecutionEvent::Recalled {
+        view: view(BORN_MS, false),
+    });
+    let look = bench.holds().remove(0);
+    bench.lists(look, &[], &[]);
+    assert!(bench.actions.contains(&ExecutionAction::CleanSlate));
+    bench.open_session();
+    bench.beat();
+    bench.frame(EntryFrame::Start(order(1)));
+    assert_eq!(bench.starts().len(), 1);
+    for _ in 0..30 {
+        bench.tick_after(100);
+        for look in bench.holds() {
+            bench.lists(look, &[], &[]);
+        }
+    }
+    bench.open_session_of("other entry", SessionId(2));
+    let offered = bench.actions.iter().find_map(|action| match action {
+        ExecutionAction::Send {
+            frame: AgentFrame::Worker(view),
+            ..
+        } => view.clone(),
+        _ => None,
+    });
+    assert!(offered.is_some_and(|view| view.draining));
+}
+
+/// The worker was replaced while no agent was at work. It rejects the look that was meant for the one before, which is
+/// never offered; its own report is waited for.
+#[test]
+fn a_recalled_worker_that_is_gone_is_not_offered() {
+    let mut bench = Bench::without_worker();
+    bench.feed(ExecutionEvent::Recalled {
+        view: view(BORN_MS - 1, false),
+    });
+    let call = bench.holds().remove(0);
+    let answer = HoldAnswer::OtherWorker;
+    bench.feed(ExecutionEvent::HoldAnswered { call, answer });
+    assert!(!bench.actions.contains(&ExecutionAction::CleanSlate));
+    bench.heartbeat(BORN_MS, 1, false);
+    let look = bench.holds().remove(0);
+    bench.lists(look, &[], &[]);
+    assert!(bench.actions.contains(&ExecutionAction::CleanSlate));
+}
+
+/// What the worker says of itself is kept when it changes, not with each report.
+#[test]
+fn a_worker_is_kept_when_it_changes() {
+    let mut bench = Bench::ready();
+    let is_kept = |bench: &Bench| {
+        let mut actions = bench.actions.iter();
+        actions.any(|action| matches!(action, ExecutionAction::Keep(_)))
+    };
+    bench.heartbeat(BORN_MS, 2, false);
+    assert!(!is_kept(&bench));
+    bench.heartbeat(BORN_MS, 3, true);
+    assert!(is_kept(&bench));
+}
+
 /// An agent is killed and starts again. What its earlier process had started is still at work at the worker: it is
 /// stopped before the worker is offered.
 #[test]
--- a/src/core/execution/worker_state.rs
+++ b/src/core/execution/worker_state.rs
@@ -18,6 +18,8 @@
     pub(super) view: WorkerView,
     /// Number of its last report.
     pub(super) report_sequence: u64,
+    /// When word of it came from an earlier process; `None` once it has reported to this one.
+    pub(super) recalled_at: Option<Instant>,
     /// Its clock; unknown until its first list.
     pub(super) clock: Option<ClockReading>,
     /// Newest end that was taken in.
@@ -44,6 +46,7 @@
         Self {
             view,
             report_sequence,
+            recalled_at: None,
             clock: None,
             ends_seen: 0,
             ready: false,
--- a/src/core/tests/world.rs
+++ b/src/core/tests/world.rs
@@ -42,6 +42,8 @@
 const FAULTS: u64 = 7;
 const TICK_MS: u64 = 20;
 const HEARTBEAT_MS: u64 = 1_500;
+/// Time in which an agent that starts reads what an earlier process knew of its worker, in milliseconds.
+const RECALL_MS: u64 = 8;
 
 /// Who goes by which bounds.
 #[derive(Debug, Clone, Copy)]
@@ -171,6 +173,8 @@
     dialled: Vec<bool>,
     late_orders: Vec<(u64, Instant)>,
     worker_cut_until: Vec<Instant>,
+    /// What agents have kept of their workers.
+    kept_workers: BTreeMap<usize, WorkerView>,
     silent: BTreeMap<(usize, usize), Instant>,
     links: BTreeMap<u64, LinkModel>,
     last_link: u64,
@@ -197,6 +201,7 @@
             dialled: vec![false; WORKERS],
             late_orders: vec![(0, Instant::default()); WORKERS],
             worker_cut_until: vec![Instant::default(); WORKERS],
+            kept_workers: BTreeMap::new(),
             silent: BTreeMap::new(),
             links: BTreeMap::new(),
             last_link: 0,
@@ -532,6 +537,10 @@
         self.at_ms(TICK_MS, Event::AgentTick { agent, life });
         self.dialled[agent] = false;
         self.at_ms(lapse_ms, Event::DialFirst { agent, life });
+        if let Some(view) = self.kept_workers.get(&agent).cloned() {
+            let event = ExecutionEvent::Recalled { view };
+            self.at_ms(RECALL_MS, Event::Answered { agent, life, event });
+        }
     }
 
     /// Dials all entries, unless this life of the agent has done so.
@@ -652,6 +661,9 @@
                 }
             }
             ExecutionAction::CleanSlate => self.dial_first(agent),
+            ExecutionAction::Keep(view) => {
+                self.kept_workers.insert(agent, view);
+            }
             ExecutionAction::Note(note) => self.trace(format!("agent {agent}: {note:?}")),
             ExecutionAction::Start(_) | ExecutionAction::Stop(_) | ExecutionAction::Hold(_) => {
                 self.call_worker(agent, action);
--- a/src/platform/rows_store.rs
+++ b/src/platform/rows_store.rs
@@ -3,14 +3,14 @@
 use {
     super::{PlatformCaller, PlatformError, platform_caller::PlatformCall},
     crate::{
-        core::link::News,
+        core::{link::News, work::WorkerView},
         ports::{Change, ListCopy, SiteStore, StoreError},
     },
     async_trait::async_trait,
     base64::{Engine, engine::general_purpose::STANDARD},
     bytes::Bytes,
     http::{Method, StatusCode},
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
 };
 
@@ -20,8 +20,12 @@
 const CONFIG_KEY: &str = "config";
 /// Keys of its rows that name zones which are taken out.
 const EVACUATE_PREFIX: &str = "evacuate/";
-/// The system's own table.
+/// The system's table of entries.
 const ENTRIES_TABLE: &str = "rattanslip_entries";
+/// The system's table of workers, with a part for each agent.
+const WORKERS_TABLE: &str = "rattanslip_workers";
+/// Key of an agent's row there.
+const WORKER_KEY: &str = "worker";
 /// Time after which a call is given up, in milliseconds; a slow store takes 50 times its usual 4.
 const CALL_TIMEOUT_MS: u64 = 1_000;
 /// Time beyond the asked wait after which a feed is given up, in milliseconds; as above.
@@ -113,7 +117,7 @@
             if status != StatusCode::OK {
                 return Err(PlatformError::Refused(status));
             }
-            let page = parse(&body)?;
+            let page: RowsBody = read_json(&body)?;
             rows.extend(page.rows);
             let last = rows.last().filter(|_| page.truncated);
             match last {
@@ -129,7 +133,7 @@
         let (status, body) = self.get(path, wait_ms + FEED_SLACK_MS).await?;
         match status {
             StatusCode::OK => {
-                let page = parse(&body)?;
+                let page: RowsBody = read_json(&body)?;
                 if page.rows.is_empty() {
                     return Ok(Change::None { version: page.ver });
                 }
@@ -143,8 +147,7 @@
 
     /// Applies a transaction; the version that it made, or `None` where a row had another version than expected.
     async fn transact(&self, body: &TransactionBody<'_>) -> Result<Option<u64>, PlatformError> {
-        let body = serde_json::to_vec(body)
-            .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
+        let body = write_json(body)?;
         let call = PlatformCall {
             method: Method::POST,
             to: self.addr,
@@ -154,17 +157,26 @@
             timeout_ms: CALL_TIMEOUT_MS,
         };
         match self.caller.call(call).await? {
-            (StatusCode::OK, body) => Ok(Some(parse(&body)?.ver)),
+            (StatusCode::OK, body) => Ok(Some(read_json::<RowsBody>(&body)?.ver)),
             (StatusCode::PRECONDITION_FAILED, _) => Ok(None),
             (status, _) => Err(PlatformError::Refused(status)),
         }
     }
 }
 
-fn parse(body: &[u8]) -> Result<RowsBody, PlatformError> {
+fn read_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
     serde_json::from_slice(body).map_err(|error| PlatformError::Unreadable(error.to_string()))
 }
 
+fn write_json<T: Serialize>(value: &T) -> Result<Vec<u8>, PlatformError> {
+    serde_json::to_vec(value).map_err(|error| PlatformError::Unreadable(error.to_string()))
+}
+
+fn decode(row: &RowBody) -> Result<Vec<u8>, PlatformError> {
+    let value = STANDARD.decode(&row.value);
+    value.map_err(|error| PlatformError::Unreadable(error.to_string()))
+}
+
 #[async_trait]
 impl SiteStore for RowsStore {
     async fn read_news(&self) -> Result<News, StoreError> {
@@ -175,10 +187,7 @@
             if let Some(zone) = row.key.strip_prefix(EVACUATE_PREFIX) {
                 evacuated.insert(zone.to_owned());
             } else if row.key == CONFIG_KEY {
-                let value = STANDARD
-                    .decode(&row.value)
-                    .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
-                document = Some(Arc::from(value));
+                document = Some(Arc::from(decode(&row)?));
             }
         }
         Ok(News {
@@ -236,6 +245,32 @@
         self.transact(&body).await?;
         Ok(())
     }
+
+    async fn read_worker(&self, agent: &str) -> Result<Option<WorkerView>, StoreError> {
+        let (rows, _) = self.rows(WORKERS_TABLE, agent).await?;
+        let Some(row) = rows.first() else {
+            return Ok(None);
+        };
+        let worker = decode(row).and_then(|value| read_json(&value))?;
+        Ok(Some(worker))
+    }
+
+    async fn keep_worker(&self, agent: &str, worker: &WorkerView) -> Result<(), StoreError> {
+        let put = PutRow {
+            row: RowKey {
+                table: WORKERS_TABLE,
+                part: agent,
+                key: WORKER_KEY,
+            },
+            value: STANDARD.encode(write_json(worker)?),
+        };
+        let body = TransactionBody {
+            puts: vec![put],
+            ..TransactionBody::default()
+        };
+        self.transact(&body).await?;
+        Ok(())
+    }
 }
 
 const fn entry_row<'a>(key: &'a str, part: &'a str) -> RowKey<'a> {
--- a/src/ports/site_store.rs
+++ b/src/ports/site_store.rs
@@ -2,7 +2,7 @@
 
 use {
     super::StoreError,
-    crate::core::link::News,
+    crate::core::{link::News, work::WorkerView},
     async_trait::async_trait,
     std::{fmt::Debug, net::SocketAddr},
 };
@@ -65,4 +65,10 @@
         copy: ListCopy,
         version: u64,
     ) -> Result<(), StoreError>;
+
+    /// Reads what an agent has kept of its worker.
+    async fn read_worker(&self, agent: &str) -> Result<Option<WorkerView>, StoreError>;
+
+    /// Keeps what an agent knows of its worker for its later processes.
+    async fn keep_worker(&self, agent: &str, worker: &WorkerView) -> Result<(), StoreError>;
 }
--- a/src/site_agent/execution_loop.rs
+++ b/src/site_agent/execution_loop.rs
@@ -6,6 +6,7 @@
         core::{
             execution::{ExecutionAction, ExecutionEvent, ExecutionNote, Executor, SessionId},
             link::{AgentFrame, EntryFrame},
+            work::WorkerView,
         },
         ports::{Counter, DecisionLog, Gauge, LineRank, Metrics, TimerService, WorkerPort, note},
     },
@@ -51,6 +52,8 @@
     pub(super) metrics: Arc<dyn Metrics>,
     pub(super) sessions: BTreeMap<SessionId, mpsc::UnboundedSender<AgentFrame>>,
     pub(super) clearing: BTreeMap<SessionId, oneshot::Sender<()>>,
+    /// What the worker last said of itself, to be kept for a later process.
+    pub(super) kept_worker: watch::Sender<Option<WorkerView>>,
     /// Turns true once nothing of an earlier process runs at the worker.
     pub(super) clean_slate: watch::Sender<bool>,
     pub(super) inputs_back: mpsc::UnboundedSender<LoopInput>,
@@ -128,6 +131,9 @@
             ExecutionAction::CleanSlate => {
                 self.clean_slate.send_replace(true);
             }
+            ExecutionAction::Keep(view) => {
+                self.kept_worker.send_replace(Some(view));
+            }
             ExecutionAction::Start(call) => {
                 self.metrics.count(Counter::Starts, "ordered");
                 self.call(async |worker| {
--- a/src/site_agent/mod.rs
+++ b/src/site_agent/mod.rs
@@ -4,5 +4,6 @@
 mod execution_loop;
 mod run;
 mod worker_ear;
+mod worker_memory;
 
 pub(crate) use run::run_site_agent;
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -5,6 +5,7 @@
         dialler::Dialler,
         execution_loop::{ExecutionLoop, LoopInput},
         worker_ear::WorkerEar,
+        worker_memory::WorkerMemory,
     },
     crate::{
         adapters::{
@@ -13,8 +14,12 @@
         },
         cli::{RunError, listen, reload_signals, stop_signal},
         conf::{SiteAgentSettings, SiteSettings},
-        core::execution::{ExecutionEvent, Executor, ExecutorSettings},
+        core::{
+            execution::{ExecutionEvent, Executor, ExecutorSettings},
+            work::WorkerView,
+        },
         platform::{HttpWorker, PlatformCaller, RowsStore},
+        ports::SiteStore,
         site_entry::{ProcessNote, SiteProcess},
     },
     std::{
@@ -39,6 +44,7 @@
 struct Shared {
     process: SiteProcess,
     caller: PlatformCaller,
+    store: Arc<dyn SiteStore>,
     inputs: mpsc::UnboundedSender<LoopInput>,
 }
 
@@ -47,9 +53,11 @@
         site: &SiteSettings,
         inputs: mpsc::UnboundedSender<LoopInput>,
     ) -> Result<Self, RunError> {
+        let caller = PlatformCaller::new();
         Ok(Self {
             process: SiteProcess::new(site)?,
-            caller: PlatformCaller::new(),
+            store: Arc::new(RowsStore::new(caller.clone(), site.store)),
+            caller,
             inputs,
         })
     }
@@ -57,6 +65,7 @@
     fn execution_loop(
         &self,
         settings: &SiteAgentSettings,
+        kept_worker: watch::Sender<Option<WorkerView>>,
         clean_slate: watch::Sender<bool>,
     ) -> ExecutionLoop {
         let executor = Executor::new(ExecutorSettings {
@@ -73,6 +82,7 @@
             metrics: Arc::clone(&self.process.metrics),
             sessions: BTreeMap::new(),
             clearing: BTreeMap::new(),
+            kept_worker,
             clean_slate,
             inputs_back: self.inputs.clone(),
         }
@@ -80,7 +90,7 @@
 
     fn dialler(&self, settings: &SiteAgentSettings) -> Arc<Dialler> {
         Arc::new(Dialler {
-            store: Arc::new(RowsStore::new(self.caller.clone(), settings.site.store)),
+            store: Arc::clone(&self.store),
             inputs: self.inputs.clone(),
             metrics: Arc::clone(&self.process.metrics),
             last_session: AtomicU64::new(1),
@@ -88,6 +98,14 @@
         })
     }
 
+    fn worker_memory(&self, settings: &SiteAgentSettings) -> WorkerMemory {
+        WorkerMemory {
+            store: Arc::clone(&self.store),
+            agent: settings.site.name.clone(),
+            inputs: self.inputs.clone(),
+        }
+    }
+
     /// Serves the worker and whoever reads the metrics, for as long as the process lives.
     async fn serve_callers(
         &self,
@@ -110,10 +128,12 @@
     let (inputs, taken) = mpsc::unbounded_channel();
     let (clean_slate, is_clean) = watch::channel(false);
     let shared = Shared::new(site, inputs)?;
-    let execution = shared.execution_loop(&settings, clean_slate);
+    let (kept_worker, newest_worker) = watch::channel(None);
+    let execution = shared.execution_loop(&settings, kept_worker, clean_slate);
     let (_stop, stopped) = watch::channel(false);
     shared.serve_callers(&settings, stopped).await?;
     tokio::spawn(execution.run(taken));
+    tokio::spawn(shared.worker_memory(&settings).run(newest_worker));
     tokio::spawn(reload_signals(Arc::clone(&shared.process.decisions)));
     shared.process.note_started(site);
     let lapse_ms = site.limits.lapse_ms() + LEASE_SLACK_MS;
--- a/src/site_entry/tests/fakes.rs
+++ b/src/site_entry/tests/fakes.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        core::link::News,
+        core::{link::News, work::WorkerView},
         ports::{
             Change, Counter, DecisionLog, Gauge, LineRank, ListCopy, Metrics, SiteStore, Span,
             StoreError,
@@ -70,4 +70,12 @@
     async fn remove_entry(&self, _: SocketAddr, _: ListCopy, _: u64) -> Result<(), StoreError> {
         away()
     }
+
+    async fn read_worker(&self, _: &str) -> Result<Option<WorkerView>, StoreError> {
+        away()
+    }
+
+    async fn keep_worker(&self, _: &str, _: &WorkerView) -> Result<(), StoreError> {
+        away()
+    }
 }
