A job is refused when it will not begin in time, reckoned by work, not by tasks

The pace counted tasks of 60 and 900 ms alike; a job with time for seconds was never judged; one worker with room for one task kept all jobs from being refused; late jobs waited behind all new ones. Ruled out: idle workers (96% of the processor shares taken in the flood, 4.5% free in pieces). Change: work is measured by estimates; a new job is kept if it begins in time behind all work as urgent as it, with half of the more urgent work that comes meanwhile; one whose time to begin has passed is refused unless there is room. Tried and thrown away: judging all waiting jobs at each tick, waiting for late answers with what new work leaves, no margin for estimates (110%), all more urgent work counted (the long kind is refused too soon) and none of it (refused late).

--- a/src/core/dispatch/arrival_rate.rs
+++ b/src/core/dispatch/arrival_rate.rs
@@ -1,31 +1,41 @@
 //! How fast work comes.
 
-use crate::core::time::Instant;
+use {crate::core::time::Instant, std::collections::BTreeMap};
 
-/// Tasks that were handed in of late.
+/// Time over which arrivals fade, in milliseconds: long enough for some hundred tasks at the smallest
+/// site's share of an entry, short enough to see a burst of some seconds begin and end.
+const MEMORY_MS: u64 = 1_000;
+
+/// Work that was handed in of late, by priority.
 #[derive(Debug, Default)]
 pub(super) struct ArrivalRate {
-    faded_tasks: f64,
-    noted_at: Instant,
+    by_priority: BTreeMap<u32, FadingSum>,
 }
 
-impl ArrivalRate {
-    /// Time over which arrivals fade, in milliseconds: long enough for some hundred tasks at the smallest
-    /// site's share of an entry, short enough to see a burst of four seconds begin and end.
-    pub(super) const MEMORY_MS: u64 = 1_000;
+#[derive(Debug, Default)]
+struct FadingSum {
+    work_ms: f64,
+    noted_at: Instant,
+}
 
-    /// Notes tasks of a job that was taken in.
-    pub(super) fn note(&mut self, now: Instant, tasks: usize) {
-        self.faded_tasks = self.faded_tasks * self.fading(now) + tasks as f64;
-        self.noted_at = now;
+impl FadingSum {
+    fn at(&self, now: Instant) -> f64 {
+        let age_us = now.micros_since(self.noted_at) as f64;
+        self.work_ms * (-age_us / (MEMORY_MS as f64 * 1_000.0)).exp()
     }
+}
 
-    /// Tasks a second.
-    pub(super) fn per_s(&self, now: Instant) -> f64 {
-        self.faded_tasks * self.fading(now) * 1_000.0 / Self::MEMORY_MS as f64
+impl ArrivalRate {
+    /// Notes the work of a job that was taken in.
+    pub(super) fn note(&mut self, now: Instant, priority: u32, work_ms: u64) {
+        let sum = self.by_priority.entry(priority).or_default();
+        sum.work_ms = sum.at(now) + work_ms as f64;
+        sum.noted_at = now;
     }
 
-    fn fading(&self, now: Instant) -> f64 {
-        (-(now.micros_since(self.noted_at) as f64) / (Self::MEMORY_MS as f64 * 1_000.0)).exp()
+    /// Work of jobs that are more urgent than these, in milliseconds of work a millisecond.
+    pub(super) fn before(&self, now: Instant, priority: u32) -> f64 {
+        let sums = self.by_priority.range(..priority);
+        sums.map(|(_, sum)| sum.at(now)).sum::<f64>() / MEMORY_MS as f64
     }
 }
--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -111,7 +111,7 @@
     ) -> Vec<DispatchAction> {
         self.note_gap(now);
         if !self.queue.is_empty() {
-            self.pace = Pace::of(self.workers.values());
+            self.pace = self.reckon_pace(now);
         }
         for event in events {
             self.react(now, event);
@@ -218,7 +218,7 @@
         if self.queue.is_empty() {
             return 0;
         }
-        self.pace.time_for_ms(job.waiting_tasks())
+        self.pace.time_for_ms(job.waiting_work_ms())
     }
 
     pub(super) fn note(&mut self, note: DispatchNote) {
--- a/src/core/dispatch/intake.rs
+++ b/src/core/dispatch/intake.rs
@@ -99,7 +99,8 @@
             objective_ms: job.objective_ms,
             queued: self.queue.len(),
         };
-        self.arrivals.note(now, job.tasks.len());
+        self.arrivals
+            .note(now, job.route.priority, job.request.work_ms());
         let key = self.jobs.insert(job);
         self.new_jobs.push(key);
         self.by_id.insert(id, key);
--- a/src/core/dispatch/outlook.rs
+++ b/src/core/dispatch/outlook.rs
@@ -3,12 +3,13 @@
 use {
     super::{
         Answer, Dispatcher, RefusalReason,
-        arrival_rate::ArrivalRate,
         job::{Job, JobKey},
+        pace::Pace,
         placing::free_for,
         queue::{Prospect, Waiting},
+        worker_link::WorkerLink,
     },
-    crate::core::time::Instant,
+    crate::core::{time::Instant, work::StepSpec},
     std::mem,
 };
 
@@ -16,82 +17,119 @@
 /// after a second, and no overload is known well enough to say more than half a minute.
 const RETRY_MS: (u64, u64) = (1_000, 30_000);
 
+/// What goes before a job.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Ahead {
+    /// Tasks.
+    pub(super) tasks: usize,
+    /// Their work, in milliseconds by the clients' estimates.
+    pub(super) work_ms: u64,
+}
+
+/// Share of the more urgent work that comes meanwhile which goes before a job that waits: the rest is refused itself or
+/// comes when the job has begun.
+const URGENT_SHARE: f64 = 0.5;
+
 impl Dispatcher {
-    /// Refuses jobs taken in with these events that found no room and won't find any in time.
+    /// Refuses jobs taken in with these events that found no room and won't begin in time.
     ///
     /// Load that this answers: more work than the workers can do, for seconds. Guards against jobs that
-    /// are held until they are of no use and refused then: the client has lost that time, and may come back at
-    /// once when it hears at once. What is in front is reckoned with the pace at which this
-    /// entry's runs end; an answer late but of use is awaited only with the pace that new arrivals leave.
+    /// are held and refused later, when their client has lost that time: of a lasting flood most were. All work
+    /// of the same urgency counts as before a new job, also what may start after it, so that one which is taken is not
+    /// pushed aside by those that come next.
     pub(super) fn judge_new_jobs(&mut self, now: Instant) {
+        if self.new_jobs.is_empty() || self.queue.is_empty() {
+            self.new_jobs.clear();
+            return;
+        }
+        self.pace = self.reckon_pace(now);
         for key in mem::take(&mut self.new_jobs) {
             let Some(waiting) = self.queue.first_of(key) else {
                 continue;
             };
-            if !waiting.untouched {
-                continue;
-            }
-            let ahead = self.queue.ahead_of(&waiting);
-            let wait_ms = self.pace.time_for_ms(ahead);
-            let is_in_time = waiting.prospect == Prospect::InTime;
-            if !is_in_time || now.plus_ms(wait_ms) > waiting.latest_start {
-                self.refuse_if_hopeless(now, key, ahead);
+            let before = self.queue.as_urgent_as(&waiting);
+            let urgent = self.arrivals.before(now, waiting.priority) * URGENT_SHARE;
+            let begins_by = |latest: Instant| {
+                let pace = self.pace.less(urgent);
+                pace.is_some_and(|pace| now.plus_ms(pace.time_for_ms(before.work_ms)) <= latest)
+            };
+            if waiting.prospect != Prospect::InTime || !begins_by(waiting.latest_start) {
+                self.refuse_without_room(now, key, before.tasks);
             }
         }
     }
 
-    /// Refuses a job of which nothing has begun if it can't be started while its answer is of use; so many tasks
-    /// go before its own.
-    fn refuse_if_hopeless(&mut self, now: Instant, key: JobKey, ahead: usize) {
-        let Some(job) = self.jobs.get(key).filter(|job| !job.closed) else {
+    /// Puts a task whose prospect has passed where it now belongs, or gives its job up.
+    ///
+    /// A job that did not begin in time is refused unless there is room for it: new work goes before it.
+    pub(super) fn requeue(&mut self, now: Instant, waiting: Waiting) {
+        self.queue.remove(&waiting);
+        if self.jobs.get(waiting.job).is_none_or(|job| job.closed) {
+            return;
+        }
+        self.enqueue(now, waiting.job, waiting.task);
+        if let Some(first) = self.queue.first_of(waiting.job) {
+            self.refuse_without_room(now, waiting.job, self.queue.ahead_of(&first));
+        }
+    }
+
+    /// Refuses a job of which nothing has begun and for which there is no room behind so many tasks.
+    fn refuse_without_room(&mut self, now: Instant, key: JobKey, ahead: usize) {
+        let Some(job) = self.jobs.get(key) else {
             return;
         };
-        let last_start = last_useful_start(job);
-        // What the last second shows says nothing about the fourth one from now.
-        let is_far = last_start > now.plus_ms(ArrivalRate::MEMORY_MS);
-        if is_far || job.has_begun() || !self.pace.is_known() || self.room_is_known(now, job) {
+        let may_go = !job.closed && !job.has_begun() && self.pace.is_known();
+        if !may_go || self.has_room_for(now, job, ahead) {
             return;
         }
-        let left_over = self.pace.less(self.arrivals.per_s(now));
-        let is_hopeless = match left_over {
-            Some(pace) => now.plus_ms(pace.time_for_ms(ahead)) > last_start,
-            None => true,
+        let (least, most) = RETRY_MS;
+        let answer = Answer::NotRun {
+            reason: RefusalReason::Overloaded,
+            retry_after_ms: self
+                .pace
+                .time_for_ms(self.queue.work_ms())
+                .clamp(least, most),
         };
-        if is_hopeless {
-            let (least, most) = RETRY_MS;
-            let answer = Answer::NotRun {
-                reason: RefusalReason::Overloaded,
-                retry_after_ms: self.pace.time_for_ms(ahead).clamp(least, most),
-            };
-            self.answer(now, key, answer);
-        }
+        self.answer(now, key, answer);
     }
 
-    /// Whether a worker has room for a task of the job, although none may be ordered there at this moment: the
-    /// pace says nothing while the site is being filled.
-    fn room_is_known(&self, now: Instant, job: &Job) -> bool {
+    /// Whether the room that is free takes the job's tasks and those before them, although none may be ordered at this
+    /// moment: nothing is refused while a site is being filled.
+    fn has_room_for(&self, now: Instant, job: &Job, ahead: usize) -> bool {
         let news = self.news.as_ref();
+        let needed = ahead + job.waiting_tasks();
         job.request.steps.iter().any(|step| {
-            let mut workers = self.workers.values();
-            workers.any(|worker| free_for(now, worker, job, step, news).is_some())
+            let workers = self.workers.values();
+            let free = workers.filter_map(|worker| {
+                let free = free_for(now, worker, job, step, news)?;
+                usize::try_from(step.needs.times_in(free)).ok()
+            });
+            free.sum::<usize>() >= needed
         })
     }
 
-    /// Puts a task whose prospect has passed where it now belongs, or gives its job up.
-    pub(super) fn requeue(&mut self, now: Instant, waiting: Waiting) {
-        self.queue.remove(&waiting);
-        if self.jobs.get(waiting.job).is_none_or(|job| job.closed) {
-            return;
-        }
-        self.enqueue(now, waiting.job, waiting.task);
-        if let Some(first) = self.queue.first_of(waiting.job) {
-            self.refuse_if_hopeless(now, waiting.job, self.queue.ahead_of(&first));
-        }
+    /// How fast this entry gets through work like that which waits first.
+    pub(super) fn reckon_pace(&self, now: Instant) -> Pace {
+        let first = self.queue.after(None);
+        let next = first.and_then(|waiting| {
+            let job = self.jobs.get(waiting.job)?;
+            Some((job, job.step(waiting.task)?))
+        });
+        let tasks_of = |worker: &WorkerLink| match next {
+            Some((job, step)) => self.tasks_at(now, worker, job, step),
+            None => 0.0,
+        };
+        Pace::of(self.workers.values(), tasks_of)
     }
-}
 
-/// The last useful start of the job's longest waiting task.
-fn last_useful_start(job: &Job) -> Instant {
-    let estimates = job.request.steps.iter().map(|step| step.estimate_ms);
-    job.last_useful_start(estimates.max().unwrap_or(0))
+    /// Tasks of a step that a worker takes from this entry at a time: those that run and what is free, or this entry's part
+    /// of its room where that is more. An entry that begins has few runs yet, and others may hold what it will get.
+    fn tasks_at(&self, now: Instant, worker: &WorkerLink, job: &Job, step: &StepSpec) -> f64 {
+        let Some(view) = worker.usable_view(now, job, step, self.news.as_ref()) else {
+            return 0.0;
+        };
+        let part = f64::from(step.needs.times_in(view.capacity)) / worker.entries();
+        let free = f64::from(step.needs.times_in(worker.free()));
+        f64::max(worker.runs.len() as f64 + free, part)
+    }
 }
--- a/src/core/dispatch/pace.rs
+++ b/src/core/dispatch/pace.rs
@@ -1,50 +1,43 @@
-//! How fast room comes free for an entry.
+//! How fast an entry gets through the work that waits.
 
 use super::worker_link::WorkerLink;
 
-/// Runs below which nothing is said: an entry that has just begun holds few slots, and has no queue of its own making.
-const LEAST_RUNS: usize = 5;
-
-/// Runs of this entry that end in a second, going by their estimates.
+/// Tasks that an entry has at work at a time.
 ///
-/// Each entry refills the slots that its own runs leave, so this is also how fast its queue drains.
+/// Work is measured by the clients' estimates: a task of 200 ms is as much as two of 100 ms.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Pace {
-    ends_per_s: f64,
+    tasks_at_work: f64,
 }
 
 impl Pace {
-    /// Reckons with the runs that are at work.
-    pub(super) fn of<'a>(workers: impl Iterator<Item = &'a WorkerLink>) -> Self {
-        let (mut runs, mut ends_per_s) = (0, 0.0);
-        for worker in workers {
-            for run in worker.runs.values() {
-                runs += 1;
-                ends_per_s += 1_000.0 / (run.estimate_ms.max(1) as f64 * worker.slowness);
-            }
-        }
-        if runs < LEAST_RUNS {
-            return Self::default();
+    /// Adds up what each worker does for this entry; `tasks_of` says how many tasks it takes from it at a time.
+    pub(super) fn of<'a>(
+        workers: impl Iterator<Item = &'a WorkerLink>,
+        tasks_of: impl Fn(&WorkerLink) -> f64,
+    ) -> Self {
+        let speeds = workers.map(|worker| tasks_of(worker) / worker.slowness);
+        Self {
+            tasks_at_work: speeds.sum(),
         }
-        Self { ends_per_s }
     }
 
-    /// Whether there are runs enough to tell.
+    /// Whether there are workers to tell by.
     pub(super) fn is_known(self) -> bool {
-        self.ends_per_s > 0.0
+        self.tasks_at_work > 0.0
     }
 
-    /// What is left of the pace when so many tasks come a second; `None` for nothing.
-    pub(super) fn less(self, arrivals_per_s: f64) -> Option<Self> {
-        let ends_per_s = self.ends_per_s - arrivals_per_s;
-        (ends_per_s > 0.0).then_some(Self { ends_per_s })
+    /// What is left where so much work comes, in milliseconds of work a millisecond; `None` for nothing.
+    pub(super) fn less(self, arriving: f64) -> Option<Self> {
+        let tasks_at_work = self.tasks_at_work - arriving;
+        (tasks_at_work > 0.0).then_some(Self { tasks_at_work })
     }
 
-    /// Time until so many tasks have started, in milliseconds; zero where nobody knows.
-    pub(super) fn time_for_ms(self, tasks: usize) -> u64 {
-        if self.ends_per_s <= 0.0 {
+    /// Time until so much work is done, in milliseconds; zero where nobody knows.
+    pub(super) fn time_for_ms(self, work_ms: u64) -> u64 {
+        if self.tasks_at_work <= 0.0 {
             return 0;
         }
-        (tasks as f64 / self.ends_per_s * 1_000.0) as u64
+        (work_ms as f64 / self.tasks_at_work) as u64
     }
 }
--- a/src/core/dispatch/placing.rs
+++ b/src/core/dispatch/placing.rs
@@ -156,19 +156,11 @@
     step: &StepSpec,
     news: Option<&News>,
 ) -> Option<Needs> {
-    let view = worker.view.as_ref()?;
-    let has_label = |label: &String| view.labels.contains(label);
-    let is_evacuated = news.is_some_and(|news| news.evacuated.contains(&view.availability_zone));
-    let is_usable = worker.link.is_some()
-        && !view.draining
-        && view.service == job.route.service
-        && !is_evacuated
-        && now >= worker.paused_until
-        && step.required_label.as_ref().is_none_or(has_label)
-        && worker.runs.len() < usize::from(worker.health.most_tasks(now));
-    is_usable
-        .then(|| worker.free())
-        .filter(|free| step.needs.fits(*free))
+    worker.usable_view(now, job, step, news)?;
+    let is_trusted = worker.runs.len() < usize::from(worker.health.most_tasks(now));
+    let is_open = is_trusted && now >= worker.paused_until;
+    let free = worker.free();
+    (is_open && step.needs.fits(free)).then_some(free)
 }
 
 /// How good the worker is for the task, as the weight of a draw.
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -5,16 +5,19 @@
 //! what has begun first, then what is late and of use. What can be neither is given up.
 
 use {
-    super::job::{Job, JobKey},
+    super::{
+        job::{Job, JobKey},
+        outlook::Ahead,
+    },
     crate::core::time::Instant,
     std::{collections::BTreeSet, ops::Bound},
 };
 
-/// A task counts as in time if it may take this many hundredths of its estimate.
+/// A task counts as in time if it may take so many hundredths longer than estimated.
 ///
 /// Estimates are off by four tenths or so; without a margin a queue in overload would start each task at
 /// its last moment, and half of them would be late.
-const IN_TIME_PERCENT: u64 = 125;
+const MARGIN_PERCENT: u64 = 25;
 
 /// What starting a task now would lead to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -43,6 +46,8 @@
     pub(super) job: JobKey,
     /// The task's position in it.
     pub(super) task: usize,
+    /// The client's estimate of its run time.
+    pub(super) estimate_ms: u64,
 }
 
 impl Waiting {
@@ -58,7 +63,10 @@
         spread_ms: u64,
     ) -> Option<Self> {
         let estimate_ms = job.step(task).map_or(0, |step| step.estimate_ms);
-        let in_time = job.latest_start(estimate_ms * IN_TIME_PERCENT / 100);
+        // A queue with a tight objective leaves less than the margin.
+        let slack_ms = job.objective_ms.saturating_sub(estimate_ms);
+        let margin_ms = (estimate_ms * MARGIN_PERCENT / 100).min(slack_ms / 2);
+        let in_time = job.latest_start(estimate_ms + margin_ms);
         let useful = job.last_useful_start(estimate_ms);
         let waiting = |prospect, latest_start| {
             Some(Self {
@@ -68,6 +76,7 @@
                 latest_start,
                 job: key,
                 task,
+                estimate_ms,
             })
         };
         if now > useful {
@@ -132,6 +141,24 @@
         self.waiting.range(..waiting).count()
     }
 
+    /// Tasks of other jobs that may be in time and are as urgent as this one, or more.
+    pub(super) fn as_urgent_as(&self, waiting: &Waiting) -> Ahead {
+        let others = self.waiting.iter().filter(|other| {
+            other.job != waiting.job
+                && other.prospect == Prospect::InTime
+                && other.priority <= waiting.priority
+        });
+        others.fold(Ahead::default(), |ahead, other| Ahead {
+            tasks: ahead.tasks + 1,
+            work_ms: ahead.work_ms + other.estimate_ms,
+        })
+    }
+
+    /// Work that waits, in milliseconds by the clients' estimates.
+    pub(super) fn work_ms(&self) -> u64 {
+        self.waiting.iter().map(|waiting| waiting.estimate_ms).sum()
+    }
+
     /// The first of a job's tasks that wait.
     pub(super) fn first_of(&self, job: JobKey) -> Option<Waiting> {
         self.waiting
--- a/src/core/dispatch/worker_link.rs
+++ b/src/core/dispatch/worker_link.rs
@@ -1,12 +1,15 @@
 //! What an entry knows of one agent and the worker beside it.
 
 use {
-    super::{LinkId, job::JobKey},
+    super::{
+        LinkId,
+        job::{Job, JobKey},
+    },
     crate::core::{
         ejection::RunnerHealth,
-        link::RoomReport,
+        link::{News, RoomReport},
         time::Instant,
-        work::{Needs, RunId, WorkerView},
+        work::{Needs, RunId, StepSpec, WorkerView},
     },
     slotmap::new_key_type,
     std::collections::{BTreeMap, VecDeque},
@@ -138,6 +141,32 @@
         declines
     }
 
+    /// The worker, if it takes tasks of this step at all.
+    pub(super) fn usable_view(
+        &self,
+        now: Instant,
+        job: &Job,
+        step: &StepSpec,
+        news: Option<&News>,
+    ) -> Option<&WorkerView> {
+        let view = self.view.as_ref()?;
+        let has_label = |label: &String| view.labels.contains(label);
+        let is_evacuated =
+            news.is_some_and(|news| news.evacuated.contains(&view.availability_zone));
+        let is_usable = self.link.is_some()
+            && !view.draining
+            && view.service == job.route.service
+            && !is_evacuated
+            && !self.health.is_left_alone(now)
+            && step.required_label.as_ref().is_none_or(has_label);
+        is_usable.then_some(view)
+    }
+
+    /// Entries that share the worker, at least one.
+    pub(super) fn entries(&self) -> f64 {
+        f64::from(self.report.entries.max(1))
+    }
+
     /// What is free there, less what was ordered since the agent's report.
     pub(super) fn free(&self) -> Needs {
         let ordered = self.unreported.iter();
--- a/src/core/work/job_request.rs
+++ b/src/core/work/job_request.rs
@@ -55,4 +55,10 @@
     pub(crate) fn task_count(&self) -> usize {
         self.steps.iter().map(|step| usize::from(step.tasks)).sum()
     }
+
+    /// Run time of all tasks by the client's estimates, in milliseconds.
+    pub(crate) fn work_ms(&self) -> u64 {
+        let work_ms = |step: &StepSpec| u64::from(step.tasks) * step.estimate_ms;
+        self.steps.iter().map(work_ms).sum()
+    }
 }
