Workers that fail are left alone as long as most others are sound

Cause: at most one worker in three was left alone. Change: a worker is left alone while most others ended their last task well; a task that has failed goes to workers of which nothing is known against. Test: five of eleven fail; seen failing before with 247 failed tasks, at most 15 now.

--- a/src/core/dispatch/ends.rs
+++ b/src/core/dispatch/ends.rs
@@ -25,8 +25,6 @@
 const SLOW_TIMES: u64 = 3;
 /// Least time beyond the estimate that counts as slow, in milliseconds: less is noise.
 const SLOW_LEAST_MS: u64 = 100;
-/// At most one in so many workers is left alone: if more seem to fail, the tasks are at fault.
-const LEFT_ALONE_SHARE: usize = 3;
 
 impl Dispatcher {
     pub(super) fn on_ended(
@@ -61,9 +59,7 @@
 
     /// Learns from an end what it says about the worker.
     fn learn(&mut self, now: Instant, worker: WorkerKey, open: &OpenRun, end: RunEnd, ran_ms: u64) {
-        let alone = self.workers.values();
-        let alone = alone.filter(|link| link.health.is_left_alone(now)).count();
-        let may_eject = (alone + 1) * LEFT_ALONE_SHARE <= self.workers.len();
+        let may_eject = self.most_others_are_sound(worker);
         let Some(link) = self.workers.get_mut(worker) else {
             return;
         };
@@ -89,6 +85,15 @@
         }
     }
 
+    /// Whether most other workers end tasks well; if not, the tasks or something shared are at fault, and no worker
+    /// is left alone.
+    fn most_others_are_sound(&self, worker: WorkerKey) -> bool {
+        let others = self.workers.iter().filter(|(key, _)| *key != worker);
+        let (sound, unsound): (Vec<_>, Vec<_>) =
+            others.partition(|(_, other)| other.health.is_sound());
+        sound.len() > unsound.len()
+    }
+
     fn settle(&mut self, now: Instant, worker: WorkerKey, open: OpenRun, end: RunEnd) {
         let Some(job) = self.jobs.get_mut(open.job) else {
             return;
--- a/src/core/dispatch/placing.rs
+++ b/src/core/dispatch/placing.rs
@@ -23,7 +23,7 @@
 const MISSES: usize = 24;
 /// Factor for a worker in the rack of the task's data: any other takes half as long again, or twice.
 const DATA_RACK_BONUS: f64 = 1e6;
-/// Factor for the worker where the task's last run ended badly: only if there is no other.
+/// Factor for a worker where the task is likely to fail: only if there is no other.
 const AVOID_MALUS: f64 = 1e-6;
 /// Least weight, for workers without a processor's share left and tasks that need none.
 const LEAST_WEIGHT: f64 = 1e-4;
@@ -81,7 +81,7 @@
                 && worker.may_order(step.needs)
                 && !is_crowded(worker, job, task, step)
             {
-                choice.offer(key, weight(worker, free, step, task.avoid == Some(key)));
+                choice.offer(key, weight(worker, free, step, is_risky(key, worker, task)));
             }
         }
         let Some(worker) = choice.made() else {
@@ -169,7 +169,7 @@
 /// Were the emptiest worker always taken, all of them would take the same one, and it would turn
 /// most of their orders away. A draw spreads them over what is free; the square makes an empty
 /// worker four times as likely as one that is half full.
-fn weight(worker: &WorkerLink, free: Needs, step: &StepSpec, avoid: bool) -> f64 {
+fn weight(worker: &WorkerLink, free: Needs, step: &StepSpec, is_risky: bool) -> f64 {
     let capacity = worker
         .view
         .as_ref()
@@ -182,10 +182,18 @@
             .is_some_and(|view| view.labels.contains(rack))
     });
     let bonus = if near { DATA_RACK_BONUS } else { 1.0 };
-    let malus = if avoid { AVOID_MALUS } else { 1.0 };
+    let malus = if is_risky { AVOID_MALUS } else { 1.0 };
     (share / worker.slowness).powi(2).max(LEAST_WEIGHT) * bonus * malus
 }
 
+/// Whether the task had better go to another worker: its last run ended badly there, or it has failed before and so have others there.
+///
+/// Guards against jobs that fail although most workers are sound: of several that fail what they start, one would get the
+/// task's first run and another one its last.
+fn is_risky(key: WorkerKey, worker: &WorkerLink, task: &Task) -> bool {
+    task.avoid == Some(key) || (task.failed_runs > 0 && !worker.health.is_sound())
+}
+
 /// Whether the worker has as many tasks of the step as it may.
 fn is_crowded(worker: &WorkerLink, job: &Job, task: &Task, step: &StepSpec) -> bool {
     if step.most_per_worker == 0 {
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -545,6 +545,30 @@
     );
 }
 
+/// Five of eleven workers fail whatever they start, and are left alone one after the other as long as most others are sound. When only a
+/// third could be, the next one went on failing a thousand tasks, and jobs whose tasks may fail once were lost.
+#[test]
+fn all_workers_that_fail_are_left_alone_while_most_are_sound() {
+    let mut bench = Bench::with_workers(11);
+    let mut failed = 0;
+    for number in 1..=300 {
+        bench.now = bench.now.plus_ms(2);
+        for (worker, run) in bench.submit(job(number, 0, vec![step(1, 100)])) {
+            let fails = worker <= 5;
+            failed += u32::from(fails);
+            let end = if fails { RunEnd::Failed } else { RunEnd::Done };
+            bench.end((worker, run), end);
+            bench.room(worker, ROOM, 1_000);
+            for (worker, run) in bench.starts() {
+                bench.end((worker, run), RunEnd::Done);
+                bench.room(worker, ROOM, 1_000);
+            }
+        }
+    }
+    // Three each, within the second for which they are left alone first.
+    assert!(failed <= 5 * 3, "{failed} tasks failed");
+}
+
 /// A worker stands still and looks healthy. Its run is stopped after four times its estimate, and starts
 /// elsewhere only when the agent has said that it is over.
 #[test]
--- a/src/core/ejection/runner_health.rs
+++ b/src/core/ejection/runner_health.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Whether nothing speaks against it: it is trusted, and its last task ended well.
+    pub(crate) fn is_sound(&self) -> bool {
+        self.trust == Trust::Full && self.failures == 0 && self.slow_tasks == 0
+    }
+
     /// Whether it is given nothing at all now.
     pub(crate) fn is_left_alone(&self, now: Instant) -> bool {
         matches!(self.trust, Trust::Probation { from, .. } if now < from)
