A job that its client has sent before does not go before new ones

What waited a second already is late whatever is done; taken for new, it made new jobs late and was refused late itself. Change: the time that its client has left tells how long it has waited at least; a job past its objective goes behind those that may be in time, and past all use behind all. The queue's time-out bounds the guess, and so does what its clients usually have left. Tests: three, the first seen failing without the change.

--- a/src/core/dispatch/dispatch_note.rs
+++ b/src/core/dispatch/dispatch_note.rs
@@ -16,6 +16,8 @@
         tasks: usize,
         /// Time until the client stops waiting.
         time_left_ms: u64,
+        /// For how long its client had waited already, at least, in milliseconds.
+        waited_ms: u64,
         /// Time within which an answer counts as in time.
         objective_ms: u64,
         /// Tasks that wait already.
--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -8,6 +8,7 @@
         contact::Contact,
         job::{Job, JobKey},
         pace::Pace,
+        patience::Patience,
         queue::{TaskQueue, Waiting},
         worker_link::{WorkerKey, WorkerLink},
     },
@@ -50,6 +51,8 @@
     /// How fast room comes free, at the beginning of the events that are handled.
     pub(super) pace: Pace,
     pub(super) rng: ChaCha8Rng,
+    /// How long clients wait.
+    pub(super) patience: Patience,
     /// How fast work comes.
     pub(super) arrivals: ArrivalRate,
     /// Jobs that were taken in with the events that are handled.
@@ -77,6 +80,7 @@
             leaving_since: None,
             contact: Contact::default(),
             pace: Pace::default(),
+            patience: Patience::default(),
             arrivals: ArrivalRate::default(),
             new_jobs: Vec::new(),
             told_room: Vec::new(),
--- a/src/core/dispatch/intake.rs
+++ b/src/core/dispatch/intake.rs
@@ -90,13 +90,17 @@
     /// Takes a job in whose runs are numbered from `first_run`.
     pub(super) fn take(&mut self, now: Instant, submission: Submission, first_run: u32) {
         let (id, waiter) = (submission.id, submission.waiter);
-        let job = Job::new(now, submission, first_run);
+        let waited_ms = self
+            .patience
+            .waited_ms(&submission.route, submission.time_left_ms);
+        let job = Job::new(now, submission, first_run, waited_ms);
         let note = DispatchNote::JobTaken {
             job: id.to_string(),
             route: job.route.name.clone(),
             tasks: job.tasks.len(),
             time_left_ms: job.deadline.millis_since(now),
             objective_ms: job.objective_ms,
+            waited_ms,
             queued: self.queue.len(),
         };
         self.arrivals
--- a/src/core/dispatch/job.rs
+++ b/src/core/dispatch/job.rs
@@ -58,6 +58,8 @@
     pub(super) route: Arc<Route>,
     pub(super) request: JobRequest,
     pub(super) received_at: Instant,
+    /// For how long its client had waited when it came, as far as is known: an earlier try may have been lost.
+    pub(super) waited_ms: u64,
     /// When the client stops waiting.
     pub(super) deadline: Instant,
     /// Time within which an answer counts as in time.
@@ -78,8 +80,13 @@
 }
 
 impl Job {
-    /// A job whose runs are numbered from `first_run`.
-    pub(super) fn new(now: Instant, submission: Submission, first_run: u32) -> Self {
+    /// A job whose runs are numbered from `first_run`, and whose client has waited so long already.
+    pub(super) fn new(
+        now: Instant,
+        submission: Submission,
+        first_run: u32,
+        waited_ms: u64,
+    ) -> Self {
         let Submission {
             waiter,
             id,
@@ -93,6 +100,7 @@
             id,
             route,
             received_at: now,
+            waited_ms,
             deadline: now.plus_ms(time_left_ms),
             objective_ms,
             waiters: vec![waiter],
@@ -124,17 +132,27 @@
         }
     }
 
-    /// The latest moment to start a task so that it is done within the objective.
-    pub(super) const fn latest_start(&self, estimate_ms: u64) -> Instant {
-        self.received_at
-            .plus_ms(self.objective_ms.saturating_sub(estimate_ms))
+    /// The latest moment to start a task so that it is done within the objective; `None` if it was past when the
+    /// job came.
+    pub(super) fn latest_start(&self, estimate_ms: u64) -> Option<Instant> {
+        self.start_within(self.objective_ms, estimate_ms)
     }
 
-    /// The latest moment to start a task so that its answer is still of use.
-    pub(super) fn last_useful_start(&self, estimate_ms: u64) -> Instant {
-        let useful_ms = self.objective_ms * LATE_OBJECTIVES;
-        let until = self.received_at.plus_ms(useful_ms).min(self.deadline);
-        until.minus_ms(estimate_ms)
+    /// The latest moment to start a task so that its answer is still of use; `None` if it was past when the job came.
+    pub(super) fn last_useful_start(&self, estimate_ms: u64) -> Option<Instant> {
+        let useful = self.start_within(self.objective_ms * LATE_OBJECTIVES, estimate_ms)?;
+        Some(useful.min(self.last_start(estimate_ms)))
+    }
+
+    /// The latest moment to start a task so that its answer finds the client waiting.
+    pub(super) const fn last_start(&self, estimate_ms: u64) -> Instant {
+        self.deadline.minus_ms(estimate_ms)
+    }
+
+    /// The latest moment to start a task that is to end so long after its client began to wait.
+    fn start_within(&self, limit_ms: u64, estimate_ms: u64) -> Option<Instant> {
+        let left_ms = limit_ms.checked_sub(self.waited_ms + estimate_ms)?;
+        Some(self.received_at.plus_ms(left_ms))
     }
 
     /// Whether something of it runs or may have run.
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod outlook;
 mod overdue;
 mod pace;
+mod patience;
 mod placing;
 mod queue;
 mod worker_link;
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -26,6 +26,8 @@
     InTime,
     /// A late answer that is still of use.
     Late,
+    /// An answer that comes too late to be of use, while its client still waits: it came back after an outage.
+    Overdue,
 }
 
 /// A waiting task, in the order of starts.
@@ -68,6 +70,7 @@
         let margin_ms = (estimate_ms * MARGIN_PERCENT / 100).min(slack_ms / 2);
         let in_time = job.latest_start(estimate_ms + margin_ms);
         let useful = job.last_useful_start(estimate_ms);
+        let last_start = useful.unwrap_or(job.last_start(estimate_ms));
         let waiting = |prospect, latest_start| {
             Some(Self {
                 prospect,
@@ -79,17 +82,21 @@
                 estimate_ms,
             })
         };
-        if now > useful {
+        if now > last_start {
             return None;
         }
         if job.has_begun() {
-            return waiting(Prospect::InTime, useful);
+            return waiting(Prospect::InTime, last_start);
         }
-        let in_time = in_time.minus_ms(spread_ms);
-        if now <= in_time {
+        if let Some(in_time) = in_time.map(|in_time| in_time.minus_ms(spread_ms))
+            && now <= in_time
+        {
             return waiting(Prospect::InTime, in_time);
         }
-        waiting(Prospect::Late, useful)
+        match useful {
+            Some(useful) => waiting(Prospect::Late, useful),
+            None => waiting(Prospect::Overdue, last_start),
+        }
     }
 
     /// Whether the prospect still holds.
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -569,6 +569,49 @@
     assert!(failed <= 5 * 3, "{failed} tasks failed");
 }
 
+/// A job that its client has sent before: most of the time that it can wait is used up.
+fn sent_again(number: u64) -> Submission {
+    let mut again = job(number, 0, vec![step(1, 100)]);
+    again.time_left_ms = 1_000;
+    again
+}
+
+/// All hosts lose power, and clients send their jobs again beside new ones. What was sent a second ago is late whatever is done for it;
+/// taken for new, it went first, and the new jobs were late, too. The time that its client has left tells it.
+#[test]
+fn jobs_that_come_again_do_not_make_new_ones_late() {
+    let mut bench = Bench::with_workers(1);
+    let running = bench.submit(job(1, 0, vec![step(2, 100)]));
+    bench.submit(sent_again(2));
+    assert!(matches!(bench.answers()[..], [Answer::NotRun { .. }]));
+    bench.submit(job(3, 0, vec![step(1, 100)]));
+    assert!(bench.answers().is_empty());
+    bench.end(running[0], RunEnd::Done);
+    bench.room(1, 1, 2);
+    assert_eq!(bench.starts()[0].1.task.job, JobId(3));
+}
+
+/// The same, and there is room: the client still waits for the answer and gets it.
+#[test]
+fn a_job_that_comes_again_is_served_where_there_is_room() {
+    let mut bench = Bench::with_workers(1);
+    bench.submit(job(1, 0, vec![step(1, 100)]));
+    assert_eq!(bench.submit(sent_again(2)).len(), 1);
+}
+
+/// Clients of a queue wait for less than its time-out, all of them: none of their jobs counts as sent before.
+#[test]
+fn a_long_time_out_makes_no_job_one_that_comes_again() {
+    let mut bench = Bench::with_workers(1);
+    assert_eq!(route(0).timeout_ms, 5_000);
+    let running = bench.submit(job(1, 0, vec![step(2, 100)]));
+    bench.submit(job(2, 0, vec![step(1, 100)]));
+    assert!(bench.answers().is_empty());
+    bench.end(running[0], RunEnd::Done);
+    bench.room(1, 1, 2);
+    assert_eq!(bench.starts()[0].1.task.job, JobId(2));
+}
+
 /// A worker stands still and looks healthy. Its run is stopped after four times its estimate, and starts
 /// elsewhere only when the agent has said that it is over.
 #[test]
