--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -48,7 +48,7 @@
     pub(super) news: Option<News>,
     pub(super) leaving_since: Option<Instant>,
     pub(super) contact: Contact,
-    /// How fast room comes free, at the beginning of the events that are handled.
+    /// How fast the entry gets through its work, as reckoned last.
     pub(super) pace: Pace,
     pub(super) rng: ChaCha8Rng,
     /// How long clients wait.
--- a/src/core/dispatch/ends.rs
+++ b/src/core/dispatch/ends.rs
@@ -59,7 +59,6 @@
 
     /// Learns from an end what it says about the worker.
     fn learn(&mut self, now: Instant, worker: WorkerKey, open: &OpenRun, end: RunEnd, ran_ms: u64) {
-        let may_eject = self.most_others_are_sound(worker);
         let Some(link) = self.workers.get_mut(worker) else {
             return;
         };
@@ -75,13 +74,19 @@
         let Some(seen) = task_end(open, end, ran_ms) else {
             return;
         };
-        if may_eject || seen == TaskEnd::Good {
-            let reason = link.health.note(now, seen);
+        if seen == TaskEnd::Good || self.most_others_are_sound(worker) {
+            self.note_health(now, worker, seen);
+        }
+    }
+
+    fn note_health(&mut self, now: Instant, worker: WorkerKey, seen: TaskEnd) {
+        let Some(link) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if let Some(reason) = link.health.note(now, seen) {
             let agent = link.agent.clone();
-            if let Some(reason) = reason {
-                let reason = reason.as_str();
-                self.note(DispatchNote::WorkerEjected { agent, reason });
-            }
+            let reason = reason.as_str();
+            self.note(DispatchNote::WorkerEjected { agent, reason });
         }
     }
 
@@ -89,9 +94,10 @@
     /// is left alone.
     fn most_others_are_sound(&self, worker: WorkerKey) -> bool {
         let others = self.workers.iter().filter(|(key, _)| *key != worker);
-        let (sound, unsound): (Vec<_>, Vec<_>) =
-            others.partition(|(_, other)| other.health.is_sound());
-        sound.len() > unsound.len()
+        let (others, sound) = others.fold((0, 0), |(others, sound), (_, other)| {
+            (others + 1, sound + usize::from(other.health.is_sound()))
+        });
+        sound * 2 > others
     }
 
     fn settle(&mut self, now: Instant, worker: WorkerKey, open: OpenRun, end: RunEnd) {
--- a/src/core/dispatch/job.rs
+++ b/src/core/dispatch/job.rs
@@ -162,20 +162,22 @@
 
     /// Tasks that wait for a worker.
     pub(super) fn waiting_tasks(&self) -> usize {
-        let tasks = self.tasks.iter();
-        tasks
-            .filter(|task| task.state == TaskState::Waiting)
-            .count()
+        self.waiting().count()
     }
 
     /// Their work, in milliseconds by the client's estimates.
     pub(super) fn waiting_work_ms(&self) -> u64 {
-        let waits = |task: &&Task| task.state == TaskState::Waiting;
-        let steps = self.tasks.iter().filter(waits);
-        let steps = steps.filter_map(|task| self.request.steps.get(usize::from(task.step)));
+        let steps = self
+            .waiting()
+            .filter_map(|task| self.request.steps.get(usize::from(task.step)));
         steps.map(|step| step.estimate_ms).sum()
     }
 
+    fn waiting(&self) -> impl Iterator<Item = &Task> {
+        let tasks = self.tasks.iter();
+        tasks.filter(|task| task.state == TaskState::Waiting)
+    }
+
     /// Whether all tasks of a step are done.
     fn is_step_done(&self, step: u16) -> bool {
         let mut of_step = self.tasks.iter().filter(|task| task.step == step);
--- a/src/core/dispatch/outlook.rs
+++ b/src/core/dispatch/outlook.rs
@@ -17,15 +17,6 @@
 /// after a second, and no overload is known well enough to say more than half a minute.
 const RETRY_MS: (u64, u64) = (1_000, 30_000);
 
-/// What goes before a job.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Ahead {
-    /// Tasks.
-    pub(super) tasks: usize,
-    /// Their work, in milliseconds by the clients' estimates.
-    pub(super) work_ms: u64,
-}
-
 /// Share of the more urgent work that comes meanwhile which goes before a job that waits: the rest is refused itself or
 /// comes when the job has begun.
 const URGENT_SHARE: f64 = 0.5;
@@ -49,11 +40,11 @@
             };
             let before = self.queue.as_urgent_as(&waiting);
             let urgent = self.arrivals.before(now, waiting.priority) * URGENT_SHARE;
-            let begins_by = |latest: Instant| {
-                let pace = self.pace.less(urgent);
-                pace.is_some_and(|pace| now.plus_ms(pace.time_for_ms(before.work_ms)) <= latest)
-            };
-            if waiting.prospect != Prospect::InTime || !begins_by(waiting.latest_start) {
+            let pace = self.pace.less(urgent);
+            let begins_at = pace.map(|pace| now.plus_ms(pace.time_for_ms(before.work_ms)));
+            let is_in_time = waiting.prospect == Prospect::InTime
+                && begins_at.is_some_and(|begins_at| begins_at <= waiting.latest_start);
+            if !is_in_time {
                 self.refuse_without_room(now, key, before.tasks);
             }
         }
--- a/src/core/dispatch/patience.rs
+++ b/src/core/dispatch/patience.rs
@@ -25,22 +25,14 @@
     /// have left counts from their first try, and a fresh client waits for the queue's time-out or longer.
     pub(super) fn waited_ms(&mut self, route: &Route, time_left_ms: u64) -> u64 {
         let left_ms = time_left_ms as f64;
-        let usual_ms = match self.usual_ms.get_mut(&route.name) {
-            Some(usual_ms) => {
-                let weight = if left_ms > *usual_ms {
-                    WEIGHT_ABOVE
-                } else {
-                    WEIGHT_BELOW
-                };
-                *usual_ms += (left_ms - *usual_ms) * weight;
-                *usual_ms
-            }
-            None => {
-                self.usual_ms.insert(route.name.clone(), left_ms);
-                left_ms
-            }
+        let usual_ms = self.usual_ms.entry(route.name.clone()).or_insert(left_ms);
+        let weight = if left_ms > *usual_ms {
+            WEIGHT_ABOVE
+        } else {
+            WEIGHT_BELOW
         };
-        let least_ms = route.timeout_ms.min((usual_ms * LEAST_SHARE) as u64);
+        *usual_ms += (left_ms - *usual_ms) * weight;
+        let least_ms = route.timeout_ms.min((*usual_ms * LEAST_SHARE) as u64);
         least_ms.saturating_sub(time_left_ms)
     }
 }
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -5,10 +5,7 @@
 //! what has begun first, then what is late and of use. What can be neither is given up.
 
 use {
-    super::{
-        job::{Job, JobKey},
-        outlook::Ahead,
-    },
+    super::job::{Job, JobKey},
     crate::core::time::Instant,
     std::{collections::BTreeSet, ops::Bound},
 };
@@ -105,6 +102,15 @@
     }
 }
 
+/// What goes before a job.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Ahead {
+    /// Tasks.
+    pub(super) tasks: usize,
+    /// Their work, in milliseconds by the clients' estimates.
+    pub(super) work_ms: u64,
+}
+
 /// Waiting tasks of all jobs.
 #[derive(Debug, Default)]
 pub(super) struct TaskQueue {
--- a/src/platform/config_document.rs
+++ b/src/platform/config_document.rs
@@ -1,7 +1,7 @@
 //! The operators' document.
 
 use {
-    super::PlatformError,
+    super::{PlatformError, json::read_json},
     crate::core::{
         link::News,
         routes::{HttpLimits, Route, RouteTable, ServiceConfig, SiteConfig},
@@ -74,8 +74,7 @@
     let Some(document) = &news.document else {
         return Err(PlatformError::Unreadable("no document".to_owned()));
     };
-    let body: ConfigBody = serde_json::from_slice(document)
-        .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
+    let body: ConfigBody = read_json(document)?;
     Ok(SiteConfig {
         version: body.version,
         routes: RouteTable::new(body.routes.into_iter().map(route)),
--- a/src/platform/job_body.rs
+++ b/src/platform/job_body.rs
@@ -1,7 +1,7 @@
 //! Jobs as clients send them.
 
 use {
-    super::PlatformError,
+    super::{PlatformError, json::read_json},
     crate::core::work::{JobRequest, Needs, StepSpec, UnsupportedFeature},
     serde::Deserialize,
     std::sync::Arc,
@@ -54,8 +54,7 @@
 
 /// Reads a job.
 pub(super) fn read_job(body: &[u8]) -> Result<JobRequest, PlatformError> {
-    let body: JobBody = serde_json::from_slice(body)
-        .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
+    let body: JobBody = read_json(body)?;
     Ok(JobRequest {
         unsupported: unsupported(&body),
         spec: Arc::from(body.spec),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod config_document;
 mod errors;
 mod job_body;
+mod json;
 mod platform_caller;
 mod rows_store;
 mod worker_calls;
--- a/src/platform/rows_store.rs
+++ b/src/platform/rows_store.rs
@@ -1,7 +1,11 @@
 //! The platform's table store: the operators' rows, and the list of entries.
 
 use {
-    super::{PlatformCaller, PlatformError, platform_caller::PlatformCall},
+    super::{
+        PlatformCaller, PlatformError,
+        json::{read_json, write_json},
+        platform_caller::PlatformCall,
+    },
     crate::{
         core::{link::News, work::WorkerView},
         ports::{Change, ListCopy, SiteStore, StoreError},
@@ -10,7 +14,7 @@
     base64::{Engine, engine::general_purpose::STANDARD},
     bytes::Bytes,
     http::{Method, StatusCode},
-    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde::{Deserialize, Serialize},
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
 };
 
@@ -164,14 +168,6 @@
     }
 }
 
-fn read_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
-    serde_json::from_slice(body).map_err(|error| PlatformError::Unreadable(error.to_string()))
-}
-
-fn write_json<T: Serialize>(value: &T) -> Result<Vec<u8>, PlatformError> {
-    serde_json::to_vec(value).map_err(|error| PlatformError::Unreadable(error.to_string()))
-}
-
 fn decode(row: &RowBody) -> Result<Vec<u8>, PlatformError> {
     let value = STANDARD.decode(&row.value);
     value.map_err(|error| PlatformError::Unreadable(error.to_string()))
--- a/src/platform/worker_calls.rs
+++ b/src/platform/worker_calls.rs
@@ -1,7 +1,7 @@
 //! Calls to the worker beside the agent.
 
 use {
-    super::{PlatformCaller, PlatformError, platform_caller::PlatformCall},
+    super::{PlatformCaller, PlatformError, json::write_json, platform_caller::PlatformCall},
     crate::{
         core::{
             execution::{
@@ -102,8 +102,7 @@
     ) -> Result<(StatusCode, bytes::Bytes), PlatformError> {
         let expected = HeaderValue::from_str(worker)
             .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
-        let body = serde_json::to_vec(body)
-            .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
+        let body = write_json(body)?;
         self.caller
             .call(PlatformCall {
                 method: Method::POST,
--- a/src/platform/worker_reports.rs
+++ b/src/platform/worker_reports.rs
@@ -1,7 +1,7 @@
 //! What workers say of themselves.
 
 use {
-    super::PlatformError,
+    super::{PlatformError, json::read_json},
     crate::core::work::{Needs, WorkerLife, WorkerView},
     serde::Deserialize,
 };
@@ -70,8 +70,7 @@
 }
 
 fn read_heartbeat(worker: &str, body: &[u8]) -> Result<WorkerWord, PlatformError> {
-    let body: HeartbeatBody = serde_json::from_slice(body)
-        .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
+    let body: HeartbeatBody = read_json(body)?;
     let view = WorkerView {
         life: WorkerLife {
             id: worker.to_owned(),
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -13,13 +13,12 @@
             timer::BootTimer,
         },
         cli::{RunError, listen, reload_signals, stop_signal},
-        conf::{SiteAgentSettings, SiteSettings},
+        conf::SiteAgentSettings,
         core::{
             execution::{ExecutionEvent, Executor, ExecutorSettings},
             work::WorkerView,
         },
-        platform::{HttpWorker, PlatformCaller, RowsStore},
-        ports::SiteStore,
+        platform::HttpWorker,
         site_entry::{ProcessNote, SiteProcess},
     },
     std::{
@@ -43,25 +42,10 @@
 /// What the parts of an agent share.
 struct Shared {
     process: SiteProcess,
-    caller: PlatformCaller,
-    store: Arc<dyn SiteStore>,
     inputs: mpsc::UnboundedSender<LoopInput>,
 }
 
 impl Shared {
-    fn new(
-        site: &SiteSettings,
-        inputs: mpsc::UnboundedSender<LoopInput>,
-    ) -> Result<Self, RunError> {
-        let caller = PlatformCaller::new();
-        Ok(Self {
-            process: SiteProcess::new(site)?,
-            store: Arc::new(RowsStore::new(caller.clone(), site.store)),
-            caller,
-            inputs,
-        })
-    }
-
     fn execution_loop(
         &self,
         settings: &SiteAgentSettings,
@@ -76,7 +60,10 @@
         });
         ExecutionLoop {
             executor,
-            worker: Arc::new(HttpWorker::new(self.caller.clone(), settings.worker)),
+            worker: Arc::new(HttpWorker::new(
+                self.process.caller.clone(),
+                settings.worker,
+            )),
             timer: Arc::new(BootTimer),
             decisions: Arc::clone(&self.process.decisions),
             metrics: Arc::clone(&self.process.metrics),
@@ -90,7 +77,7 @@
 
     fn dialler(&self, settings: &SiteAgentSettings) -> Arc<Dialler> {
         Arc::new(Dialler {
-            store: Arc::clone(&self.store),
+            store: Arc::clone(&self.process.store),
             inputs: self.inputs.clone(),
             metrics: Arc::clone(&self.process.metrics),
             last_session: AtomicU64::new(1),
@@ -100,7 +87,7 @@
 
     fn worker_memory(&self, settings: &SiteAgentSettings) -> WorkerMemory {
         WorkerMemory {
-            store: Arc::clone(&self.store),
+            store: Arc::clone(&self.process.store),
             agent: settings.site.name.clone(),
             inputs: self.inputs.clone(),
         }
@@ -127,7 +114,10 @@
     let site = &settings.site;
     let (inputs, taken) = mpsc::unbounded_channel();
     let (clean_slate, is_clean) = watch::channel(false);
-    let shared = Shared::new(site, inputs)?;
+    let shared = Shared {
+        process: SiteProcess::new(site)?,
+        inputs,
+    };
     let (kept_worker, newest_worker) = watch::channel(None);
     let execution = shared.execution_loop(&settings, kept_worker, clean_slate);
     let (_stop, stopped) = watch::channel(false);
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -18,13 +18,12 @@
             timer::BootTimer,
         },
         cli::{RunError, listen, reload_signals, stop_signal},
-        conf::{SiteEntrySettings, SiteSettings},
+        conf::SiteEntrySettings,
         core::{
             dispatch::{DispatchEvent, DispatchSettings, Dispatcher},
             work::RunLimits,
         },
-        platform::{PlatformCaller, RowsStore},
-        ports::{ListCopy, SiteStore},
+        ports::ListCopy,
     },
     std::{
         collections::BTreeMap,
@@ -50,26 +49,13 @@
 struct Shared {
     process: SiteProcess,
     state: Arc<EntryState>,
-    store: Arc<dyn SiteStore>,
     inputs: mpsc::UnboundedSender<LoopInput>,
 }
 
 impl Shared {
-    fn new(
-        site: &SiteSettings,
-        inputs: mpsc::UnboundedSender<LoopInput>,
-    ) -> Result<Self, RunError> {
-        Ok(Self {
-            process: SiteProcess::new(site)?,
-            state: Arc::new(EntryState::default()),
-            store: Arc::new(RowsStore::new(PlatformCaller::new(), site.store)),
-            inputs,
-        })
-    }
-
     fn news_keeper(&self) -> Arc<NewsKeeper> {
         Arc::new(NewsKeeper {
-            store: Arc::clone(&self.store),
+            store: Arc::clone(&self.process.store),
             state: Arc::clone(&self.state),
             inputs: self.inputs.clone(),
             decisions: Arc::clone(&self.process.decisions),
@@ -80,7 +66,7 @@
 
     fn listing(&self, entry: SocketAddr) -> Arc<Listing> {
         Arc::new(Listing {
-            store: Arc::clone(&self.store),
+            store: Arc::clone(&self.process.store),
             decisions: Arc::clone(&self.process.decisions),
             metrics: Arc::clone(&self.process.metrics),
             entry,
@@ -140,7 +126,11 @@
 pub(crate) async fn run_site_entry(settings: SiteEntrySettings) -> Result<(), RunError> {
     let (inputs, taken) = mpsc::unbounded_channel();
     let (opened, links) = mpsc::unbounded_channel();
-    let shared = Shared::new(&settings.site, inputs)?;
+    let shared = Shared {
+        process: SiteProcess::new(&settings.site)?,
+        state: Arc::new(EntryState::default()),
+        inputs,
+    };
     let news = shared.news_keeper();
     let listing = shared.listing(settings.link_addr);
     let dispatch = shared.dispatch_loop(settings.site.limits, Arc::clone(&news));
--- a/src/site_entry/site_process.rs
+++ b/src/site_entry/site_process.rs
@@ -10,25 +10,31 @@
         },
         cli::{RunError, listen},
         conf::SiteSettings,
-        ports::{DecisionLog, LineRank, Metrics, note},
+        platform::{PlatformCaller, RowsStore},
+        ports::{DecisionLog, LineRank, Metrics, SiteStore, note},
     },
     std::sync::Arc,
     tokio::sync::watch,
 };
 
-/// Where a process counts and writes down what it does.
+/// Where a process counts and writes down what it does, and how it reaches the platform.
 #[derive(Debug)]
 pub(crate) struct SiteProcess {
+    pub(crate) caller: PlatformCaller,
+    pub(crate) store: Arc<dyn SiteStore>,
     pub(crate) metrics: Arc<dyn Metrics>,
     pub(crate) decisions: Arc<dyn DecisionLog>,
 }
 
 impl SiteProcess {
-    /// Metrics and decisions of the process that has these settings.
+    /// The process that has these settings.
     pub(crate) fn new(site: &SiteSettings) -> Result<Self, RunError> {
         let metrics = OtelMetrics::new().map_err(RunError::metrics)?;
         let writer = DecisionWriter::start(&site.name).map_err(RunError::Runtime)?;
+        let caller = PlatformCaller::new();
         Ok(Self {
+            store: Arc::new(RowsStore::new(caller.clone(), site.store)),
+            caller,
             metrics: Arc::new(metrics),
             decisions: Arc::new(writer),
         })
