Lines and a counter for the way of the operators' document

An entry says when it reads the document, whom it gives it to and why, and which news it leaves aside.

--- a/src/core/dispatch/dispatch_note.rs
+++ b/src/core/dispatch/dispatch_note.rs
@@ -154,6 +154,15 @@
         /// Why.
         reason: &'static str,
     },
+    /// The operators' document was given to an agent.
+    DocumentSent {
+        /// The agent.
+        agent: String,
+        /// Its length.
+        bytes: usize,
+        /// What made it due: `changed` or `connected`.
+        cause: &'static str,
+    },
     /// Newer news is gone by.
     NewsInForce {
         /// Its version.
--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -96,7 +96,7 @@
         }
         self.contact.heard(now);
         self.note(DispatchNote::AgentConnected { agent });
-        self.send_news(key);
+        self.send_news(key, "connected");
         self.beat(now, key);
     }
 
@@ -193,12 +193,12 @@
         self.news = Some(news);
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
-            self.send_news(key);
+            self.send_news(key, "changed");
         }
     }
 
     /// Tells an agent the zones that are out, and gives the document to a few.
-    fn send_news(&mut self, key: WorkerKey) {
+    fn send_news(&mut self, key: WorkerKey, cause: &'static str) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
@@ -211,11 +211,19 @@
             .take(NEWS_KEEPERS)
             .any(|keeper| *keeper == key);
         let document = news.document.clone().filter(|_| keeps);
+        let sent = document
+            .as_ref()
+            .map(|document| DispatchNote::DocumentSent {
+                agent: worker.agent.clone(),
+                bytes: document.len(),
+                cause,
+            });
         let news = News {
             document,
             ..news.clone()
         };
         let frame = EntryFrame::News(news);
         self.actions.push(DispatchAction::Send { link, frame });
+        self.actions.extend(sent.map(DispatchAction::Note));
     }
 }
--- a/src/ports/metrics.rs
+++ b/src/ports/metrics.rs
@@ -31,6 +31,8 @@
         Announcements => "rattanslip.announcements",
         /// Connections and sessions to peers that were lost, by cause.
         PeerLosses => "rattanslip.peer_losses",
+        /// Bytes of the operators' document, by what was done with it.
+        DocumentBytes => "rattanslip.document_bytes",
         /// Payload bytes on connections to peers, by direction.
         PeerBytes => "rattanslip.peer_bytes",
         /// Writes to connections to peers; each is about one segment.
--- a/src/site_entry/dispatch_loop.rs
+++ b/src/site_entry/dispatch_loop.rs
@@ -187,6 +187,11 @@
                 self.metrics.count(Counter::Ejections, reason);
                 LineRank::Notable
             }
+            DispatchNote::DocumentSent { bytes, .. } => {
+                let bytes = u64::try_from(*bytes).unwrap_or(u64::MAX);
+                self.metrics.add(Counter::DocumentBytes, "sent", bytes);
+                LineRank::Notable
+            }
             DispatchNote::JobTaken { .. } => LineRank::Routine,
             DispatchNote::JobRefused { .. }
             | DispatchNote::JobJoined { .. }
--- a/src/site_entry/news_keeper.rs
+++ b/src/site_entry/news_keeper.rs
@@ -8,9 +8,12 @@
     crate::{
         core::{dispatch::DispatchEvent, link::News},
         platform::read_config,
-        ports::{Change, DecisionLog, LineRank, Metrics, SiteStore, note},
+        ports::{Change, Counter, DecisionLog, LineRank, Metrics, SiteStore, note},
+    },
+    std::{
+        sync::{Arc, Mutex, PoisonError},
+        time::Instant,
     },
-    std::sync::{Arc, Mutex, PoisonError},
     tokio::sync::mpsc,
 };
 
@@ -35,9 +38,11 @@
     pub(super) async fn follow(self: Arc<Self>) {
         let mut watch = StoreWatch::new("news", &self.decisions, &self.metrics);
         loop {
+            let begun_at = Instant::now();
             match self.store.read_news().await {
                 Ok(news) => {
                     watch.regained();
+                    self.note_read(&news, begun_at);
                     let version = news.version;
                     self.take(news, "store");
                     self.wait_for_change(version, &mut watch).await;
@@ -70,6 +75,7 @@
         let mut newest = self.newest.lock().unwrap_or_else(PoisonError::into_inner);
         let known = newest.as_ref();
         if !news.is_newer_than(known) {
+            self.note_left_aside(&news, known, source);
             return;
         }
         if news.document.is_some() && known.is_none_or(|known| known.document != news.document) {
@@ -82,6 +88,31 @@
         *newest = Some(news);
     }
 
+    fn note_read(&self, news: &News, begun_at: Instant) {
+        let document_bytes = news.document.as_ref().map_or(0, |document| document.len());
+        let bytes = u64::try_from(document_bytes).unwrap_or(u64::MAX);
+        self.metrics.add(Counter::DocumentBytes, "read", bytes);
+        let read = ProcessNote::NewsRead {
+            store_version: news.version,
+            took_ms: u64::try_from(begun_at.elapsed().as_millis()).unwrap_or(u64::MAX),
+            document_bytes,
+        };
+        note(&*self.decisions, LineRank::Notable, &read);
+    }
+
+    fn note_left_aside(&self, news: &News, known: Option<&News>, source: &'static str) {
+        let known_store_version = known.map_or(0, |known| known.version);
+        if news.version == known_store_version {
+            return;
+        }
+        let left_aside = ProcessNote::NewsLeftAside {
+            store_version: news.version,
+            known_store_version,
+            source,
+        };
+        note(&*self.decisions, LineRank::Notable, &left_aside);
+    }
+
     fn put_in_force(&self, news: &News, source: &'static str) {
         let config = match read_config(news) {
             Ok(config) => config,
--- a/src/site_entry/process_note.rs
+++ b/src/site_entry/process_note.rs
@@ -66,6 +66,24 @@
         /// Where it came from.
         source: &'static str,
     },
+    /// What operators have set was read from the store.
+    NewsRead {
+        /// Version of the store at which it was read.
+        store_version: u64,
+        /// For how long it was read.
+        took_ms: u64,
+        /// Length of the operators' document; zero without one.
+        document_bytes: usize,
+    },
+    /// News that is older than what is known was left aside.
+    NewsLeftAside {
+        /// Its version of the store.
+        store_version: u64,
+        /// The version that is known.
+        known_store_version: u64,
+        /// Where it came from.
+        source: &'static str,
+    },
     /// A configuration can't be read; the one before stays in force.
     ConfigUnreadable {
         /// Why.
--- a/src/site_entry/tests/events.rs
+++ b/src/site_entry/tests/events.rs
@@ -1,7 +1,7 @@
 //! Tests that the operators' page names what is written down.
 
 /// Every event of an entry, an agent, and a process as a whole.
-const EVENTS: [&str; 37] = [
+const EVENTS: [&str; 40] = [
     "job_taken",
     "job_refused",
     "job_joined",
@@ -29,6 +29,9 @@
     "config_in_force",
     "config_unreadable",
     "news_taken",
+    "news_read",
+    "news_left_aside",
+    "document_sent",
     "store_lost",
     "store_regained",
     "woke",
