--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,10 +1,20 @@
 //! Tests of the translation.
 
 use {
-    super::{WorkerWord, job_body::read_job, read_config, read_worker_word},
-    crate::core::{link::News, work::UnsupportedFeature},
+    super::{
+        PlatformCaller, RowsStore, WorkerWord, job_body::read_job, read_config, read_worker_word,
+    },
+    crate::{
+        core::{link::News, work::UnsupportedFeature},
+        ports::SiteStore,
+    },
+    base64::{Engine, engine::general_purpose::STANDARD},
     serde_json::{Value, json},
-    std::{collections::BTreeSet, sync::Arc},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+    },
 };
 
 const HEARTBEAT: &str = "/v1/Instances.Heartbeat/w-1";
@@ -109,3 +119,27 @@
     document["version"] = json!("twelve");
     assert!(read_config(&news(&document)).is_err());
 }
+
+/// Guards against an answer that is given up while it arrives: a large document over a link that others use, too.
+#[tokio::test]
+async fn rows_that_arrive_slowly_are_read_to_their_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+    let addr = listener.local_addr().expect("address");
+    let document = json!({"version": 3, "padding": "x".repeat(10_000)}).to_string();
+    let row = json!({"key": "config", "ver": 7, "value": STANDARD.encode(&document)});
+    let body = json!({"rows": [row], "truncated": false, "ver": 9}).to_string();
+    tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.expect("connection");
+        // The request fits into one read.
+        socket.read(&mut [0; 1_024]).await.expect("request");
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        socket.write_all(head.as_bytes()).await.expect("head");
+        for part in body.as_bytes().chunks(body.len() / 8 + 1) {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            socket.write_all(part).await.expect("part");
+        }
+    });
+    let store = RowsStore::new(PlatformCaller::new(), addr);
+    let news = store.read_news().await.expect("rows");
+    assert_eq!(news.document.as_deref(), Some(document.as_bytes()));
+}
--- /dev/null
+++ b/src/site_entry/tests/config_changes.rs
@@ -0,0 +1,199 @@
+//! Tests of the promise of the configuration: a change that was acknowledged is in force at every entry in touch in
+//! time, and none goes back.
+
+use {
+    super::site::{SiteModel, SitePlan, StoreFault, Trouble},
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+};
+
+const NARROW: u64 = 25;
+const WIDE: u64 = 200;
+/// Lengths of documents of a few and of some thousand routes.
+const SMALL: usize = 10_000;
+const LARGE: usize = 830_000;
+const SEEDS: u64 = 12;
+/// Most calls that an entry makes to the store in a second, on the average of a day.
+const MOST_CALLS_PER_S: u64 = 10;
+
+fn site(troubles: Vec<(u64, Trouble)>) -> SitePlan {
+    SitePlan {
+        entry_links: vec![WIDE, NARROW, WIDE, NARROW, NARROW],
+        agents: 6,
+        troubles,
+        end_ms: 24_000,
+    }
+}
+
+/// Changes of documents that grow up to this length.
+fn growing(bytes: usize) -> Vec<(u64, Trouble)> {
+    let sizes = [
+        (5_000, bytes / 2),
+        (9_000, bytes),
+        (12_000, bytes),
+        (15_000, bytes),
+    ];
+    let changes = sizes.into_iter().zip(2..);
+    changes
+        .map(|((at_ms, bytes), version)| (at_ms, Trouble::Config { version, bytes }))
+        .collect()
+}
+
+async fn broken(plan: SitePlan) -> Vec<String> {
+    let mut site = SiteModel::start(plan);
+    site.play().await;
+    site.broken
+}
+
+macro_rules! change_cases {
+    ($($(#[$doc:meta])* $name:ident: $troubles:expr;)+) => {
+        $(
+            $(#[$doc])*
+            #[tokio::test(start_paused = true)]
+            async fn $name() {
+                for bytes in [SMALL, LARGE] {
+                    let mut troubles = growing(bytes);
+                    troubles.extend(Vec::<(u64, Trouble)>::from($troubles));
+                    assert_eq!(broken(site(troubles)).await, Vec::<String>::new(), "{bytes} bytes");
+                }
+            }
+        )+
+    };
+}
+
+const fn store(fault: StoreFault, for_ms: u64) -> Trouble {
+    Trouble::Store { fault, for_ms }
+}
+
+change_cases! {
+    /// Guards against copies of a large document that fill an entry's link, so that it does not read the next change.
+    a_large_document_is_in_force_in_time_at_entries_with_narrow_links: [];
+    /// Guards against an entry that goes on waiting on a feed that fails, although the rows can be read.
+    a_change_is_in_force_in_time_after_feeds_were_cut: [(8_500, store(StoreFault::CutsFeeds, 3_000))];
+    /// Guards against a change that is made while feeds say that nothing has changed.
+    a_change_is_in_force_in_time_after_feeds_were_deaf: [(8_500, store(StoreFault::DeafFeeds, 1_000))];
+    /// Guards against an entry that takes an older state for the newest one.
+    a_change_is_in_force_in_time_after_stale_reads:
+        [(8_500, store(StoreFault::StaleReads(5_500), 4_000)), (9_100, Trouble::ForgetHistory)];
+    a_change_is_in_force_in_time_after_history_is_gone: [(9_010, Trouble::ForgetHistory)];
+    a_change_is_in_force_in_time_after_a_slow_store: [(8_500, store(StoreFault::Slow(60), 4_500))];
+    a_change_is_in_force_in_time_after_a_silent_store: [(8_500, store(StoreFault::Silent, 4_500))];
+    a_change_is_in_force_in_time_after_a_store_that_refuses: [(8_500, store(StoreFault::Refusing, 4_500))];
+    a_change_is_in_force_in_time_after_lost_answers: [(8_500, store(StoreFault::LosesAnswers(3), 4_500))];
+    /// Guards against entries that learn of a change only from a store that turns them away.
+    a_change_is_in_force_in_time_at_entries_that_the_store_refuses:
+        [(4_500, store(StoreFault::Refuses(3, 1), 15_000))];
+    /// Guards against agents that know of a change but can't hand it on, their first holders being gone.
+    a_change_is_passed_on_while_agents_are_replaced: [
+        (4_500, store(StoreFault::Refuses(3, 1), 15_000)),
+        (9_300, Trouble::StopAgent { agent: 0, down_ms: 6_000 }),
+        (9_600, Trouble::StopAgent { agent: 1, down_ms: 6_000 }),
+        (9_900, Trouble::StopAgent { agent: 2, down_ms: 6_000 }),
+    ];
+    a_change_is_in_force_in_time_while_entries_start_and_freeze: [
+        (8_900, Trouble::StopEntry { entry: 1, down_ms: 500 }),
+        (9_200, Trouble::FreezeEntry { entry: 2, for_ms: 2_000 }),
+        (14_900, Trouble::FreezeEntry { entry: 3, for_ms: 1_000 }),
+    ];
+    a_zone_is_out_in_time_at_entries_that_the_store_refuses: [
+        (4_500, store(StoreFault::Refuses(3, 1), 18_000)),
+        (6_000, Trouble::Zone { is_out: true }),
+    ];
+}
+
+/// Guards against sessions that are lost because a document goes before their beats.
+#[tokio::test(start_paused = true)]
+async fn a_large_document_costs_no_session() {
+    let mut site = SiteModel::start(site(growing(LARGE)));
+    site.play().await;
+    assert_eq!(site.sessions_lost(), 0);
+}
+
+/// Guards against calls without a pause while reads show a state whose history is gone.
+#[tokio::test(start_paused = true)]
+async fn a_gone_history_is_not_asked_for_without_a_pause() {
+    let mut site = SiteModel::start(site(vec![
+        (
+            5_000,
+            Trouble::Config {
+                version: 2,
+                bytes: SMALL,
+            },
+        ),
+        (4_900, store(StoreFault::StaleReads(5_500), 10_000)),
+        (5_020, Trouble::ForgetHistory),
+    ]));
+    site.play().await;
+    assert_eq!(site.broken, Vec::<String>::new());
+    let (entries, seconds) = (5, 24);
+    let calls = site.store_calls();
+    assert!(
+        calls <= entries * seconds * MOST_CALLS_PER_S,
+        "{calls} calls"
+    );
+}
+
+/// A fault of any kind.
+fn draw_trouble(chance: &mut ChaCha8Rng, plan: &SitePlan) -> Trouble {
+    let (entry, agent) = (
+        chance.random_range(0..plan.entry_links.len()),
+        chance.random_range(0..plan.agents),
+    );
+    let for_ms = chance.random_range(300..4_500);
+    let fault = match chance.random_range(0..13) {
+        0 => return Trouble::ForgetHistory,
+        1 => {
+            return Trouble::StopEntry {
+                entry,
+                down_ms: for_ms,
+            };
+        }
+        2 => return Trouble::FreezeEntry { entry, for_ms },
+        3 | 4 => {
+            return Trouble::StopAgent {
+                agent,
+                down_ms: for_ms,
+            };
+        }
+        5 => {
+            return Trouble::Zone {
+                is_out: chance.random_bool(0.5),
+            };
+        }
+        6 => StoreFault::Slow(60),
+        7 => StoreFault::Silent,
+        8 => StoreFault::Refusing,
+        9 => StoreFault::LosesAnswers(3),
+        10 => StoreFault::CutsFeeds,
+        11 => StoreFault::StaleReads(5_500),
+        _ => StoreFault::Refuses(3, chance.random_range(0..3)),
+    };
+    store(fault, for_ms)
+}
+
+fn draw_plan(seed: u64) -> SitePlan {
+    let mut chance = ChaCha8Rng::seed_from_u64(seed);
+    let mut plan = site(Vec::new());
+    plan.end_ms = 45_000;
+    for version in 2..12 {
+        let at_ms = 3_000 + version * 3_000 + chance.random_range(0..2_500);
+        let bytes = chance.random_range(1_000..LARGE);
+        plan.troubles
+            .push((at_ms, Trouble::Config { version, bytes }));
+    }
+    for _ in 0..chance.random_range(1..8) {
+        let trouble = draw_trouble(&mut chance, &plan);
+        plan.troubles
+            .push((chance.random_range(4_000..38_000), trouble));
+    }
+    plan
+}
+
+/// Guards against any mix of what may befall store, entries and agents.
+#[tokio::test(start_paused = true)]
+async fn changes_are_in_force_in_time_whatever_befalls_the_site() {
+    for seed in 0..SEEDS {
+        let broken = broken(draw_plan(seed)).await;
+        assert_eq!(broken, Vec::<String>::new(), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/src/site_entry/tests/site/site_model.rs
@@ -0,0 +1,340 @@
+//! The whole site, what befalls it, and the promise that is checked meanwhile.
+
+use {
+    super::{
+        HostModel, StoreFault,
+        agent_model::{AgentInput, connect, run_agent},
+        entry_model::EntryLife,
+        store_model::StoreModel,
+    },
+    crate::{
+        adapters::link::FrameDuplex,
+        core::{
+            execution::{ExecutionEvent, SessionId},
+            link::{AgentFrame, EntryFrame},
+            work::RunLimits,
+        },
+    },
+    std::{
+        collections::BTreeSet,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot},
+        task::JoinSet,
+        time::{Instant, sleep},
+    },
+};
+
+/// Time after its acknowledgement in which a change must be in force, and a zone must be out.
+const CONFIG_APPLY: Duration = Duration::from_millis(3_000);
+const EVACUATE: Duration = Duration::from_millis(5_000);
+/// Time for which host and store must have been calm for these bounds to hold.
+const CONTACT: Duration = Duration::from_millis(4_000);
+/// What is added to the bounds where the store turns some hosts away.
+const STRETCH: Duration = Duration::from_millis(6_000);
+const STEP_MS: u64 = 20;
+const DIAL_PAUSE_MS: u64 = 50;
+const AGENT_MBIT_PER_S: u64 = 1_000;
+
+/// What befalls a site.
+#[derive(Debug, Clone, Copy)]
+pub(in crate::site_entry::tests) enum Trouble {
+    /// The operator sets a document of this version and length.
+    Config {
+        version: u64,
+        bytes: usize,
+    },
+    /// The operator takes a zone out, or back.
+    Zone {
+        is_out: bool,
+    },
+    Store {
+        fault: StoreFault,
+        for_ms: u64,
+    },
+    ForgetHistory,
+    StopEntry {
+        entry: usize,
+        down_ms: u64,
+    },
+    FreezeEntry {
+        entry: usize,
+        for_ms: u64,
+    },
+    StopAgent {
+        agent: usize,
+        down_ms: u64,
+    },
+    StartEntry {
+        entry: usize,
+    },
+    StartAgent {
+        agent: usize,
+    },
+}
+
+/// A site and its day.
+#[derive(Debug)]
+pub(in crate::site_entry::tests) struct SitePlan {
+    /// Links of the entries, in Mbit/s.
+    pub(in crate::site_entry::tests) entry_links: Vec<u64>,
+    pub(in crate::site_entry::tests) agents: usize,
+    /// Times in milliseconds.
+    pub(in crate::site_entry::tests) troubles: Vec<(u64, Trouble)>,
+    pub(in crate::site_entry::tests) end_ms: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    origin: Instant,
+    limits: RunLimits,
+    store: Arc<StoreModel>,
+    entry_hosts: Vec<Arc<HostModel>>,
+    agent_hosts: Vec<Arc<HostModel>>,
+    entries: Vec<Mutex<Option<EntryLife>>>,
+    last_session: AtomicU64,
+    sessions_lost: AtomicU64,
+}
+
+/// A running site.
+#[derive(Debug)]
+pub(in crate::site_entry::tests) struct SiteModel {
+    shared: Arc<Shared>,
+    agents: Vec<JoinSet<()>>,
+    troubles: Vec<(u64, Trouble)>,
+    end_ms: u64,
+    configs: Vec<(Instant, u64)>,
+    zones: Vec<(Instant, BTreeSet<String>)>,
+    /// Promises that were broken.
+    pub(in crate::site_entry::tests) broken: Vec<String>,
+}
+
+fn document(version: u64, bytes: usize) -> Arc<[u8]> {
+    let padding = "x".repeat(bytes);
+    Arc::from(format!(r#"{{"version":{version},"padding":"{padding}"}}"#).into_bytes())
+}
+
+impl SiteModel {
+    /// Starts a site whose first configuration has version one.
+    pub(in crate::site_entry::tests) fn start(plan: SitePlan) -> Self {
+        let hosts = |links: Vec<u64>| -> Vec<Arc<HostModel>> {
+            links
+                .into_iter()
+                .map(|link| Arc::new(HostModel::new(link)))
+                .collect()
+        };
+        let entries = plan.entry_links.len();
+        let shared = Arc::new(Shared {
+            origin: Instant::now(),
+            limits: RunLimits::for_resend(1_300, 50),
+            store: Arc::new(StoreModel::new(document(1, 10_000))),
+            entry_hosts: hosts(plan.entry_links),
+            agent_hosts: hosts(vec![AGENT_MBIT_PER_S; plan.agents]),
+            entries: (0..entries).map(|_| Mutex::new(None)).collect(),
+            last_session: AtomicU64::new(0),
+            sessions_lost: AtomicU64::new(0),
+        });
+        let mut site = Self {
+            agents: (0..plan.agents).map(|_| JoinSet::new()).collect(),
+            troubles: plan.troubles,
+            end_ms: plan.end_ms,
+            configs: vec![(shared.origin, 1)],
+            zones: vec![(shared.origin, BTreeSet::new())],
+            broken: Vec::new(),
+            shared,
+        };
+        site.troubles.sort_by_key(|(at_ms, _)| *at_ms);
+        (0..entries).for_each(|entry| site.shared.start_entry(entry));
+        (0..plan.agents).for_each(|agent| site.start_agent(agent));
+        site
+    }
+
+    /// Plays the day, or up to the first broken promise.
+    pub(in crate::site_entry::tests) async fn play(&mut self) {
+        for now_ms in (0..self.end_ms).step_by(STEP_MS as usize) {
+            while self
+                .troubles
+                .first()
+                .is_some_and(|(at_ms, _)| *at_ms <= now_ms)
+            {
+                let (_, trouble) = self.troubles.remove(0);
+                self.befall(now_ms, trouble);
+            }
+            sleep(Duration::from_millis(STEP_MS)).await;
+            self.check(now_ms);
+            if !self.broken.is_empty() {
+                return;
+            }
+        }
+    }
+
+    /// Sessions that agents have lost.
+    pub(in crate::site_entry::tests) fn sessions_lost(&self) -> u64 {
+        self.shared.sessions_lost.load(Ordering::Relaxed)
+    }
+
+    /// Calls of all hosts to the store.
+    pub(in crate::site_entry::tests) fn store_calls(&self) -> u64 {
+        self.shared.store.calls()
+    }
+
+    fn later(&mut self, at_ms: u64, trouble: Trouble) {
+        self.troubles.push((at_ms, trouble));
+        self.troubles.sort_by_key(|(at_ms, _)| *at_ms);
+    }
+
+    fn befall(&mut self, now_ms: u64, trouble: Trouble) {
+        let shared = Arc::clone(&self.shared);
+        match trouble {
+            Trouble::Config { version, bytes } => {
+                let text = document(version, bytes);
+                shared.store.write(|news| news.document = Some(text));
+                self.configs.push((Instant::now(), version));
+            }
+            Trouble::Zone { is_out } => {
+                let zones: BTreeSet<String> =
+                    is_out.then(|| "north".to_owned()).into_iter().collect();
+                shared.store.write(|news| news.evacuated.clone_from(&zones));
+                self.zones.push((Instant::now(), zones));
+            }
+            Trouble::Store { fault, for_ms } => shared.store.fail(fault, for_ms),
+            Trouble::ForgetHistory => shared.store.forget_history(),
+            Trouble::StopEntry { entry, down_ms } => {
+                shared.entries[entry].lock().expect("lock").take();
+                shared.entry_hosts[entry].disturb();
+                self.later(now_ms + down_ms, Trouble::StartEntry { entry });
+            }
+            Trouble::FreezeEntry { entry, for_ms } => shared.entry_hosts[entry].freeze(for_ms),
+            Trouble::StopAgent { agent, down_ms } => {
+                self.agents[agent] = JoinSet::new();
+                self.later(now_ms + down_ms, Trouble::StartAgent { agent });
+            }
+            Trouble::StartEntry { entry } => shared.start_entry(entry),
+            Trouble::StartAgent { agent } => self.start_agent(agent),
+        }
+    }
+
+    fn start_agent(&mut self, agent: usize) {
+        let (inputs, taken) = mpsc::unbounded_channel();
+        let shared = &self.shared;
+        let mut tasks = JoinSet::new();
+        tasks.spawn(run_agent(
+            format!("agent-{agent}"),
+            Arc::clone(&shared.agent_hosts[agent]),
+            shared.origin,
+            shared.limits,
+            taken,
+        ));
+        for entry in 0..shared.entries.len() {
+            tasks.spawn(Arc::clone(shared).keep_session(agent, entry, inputs.clone()));
+        }
+        self.agents[agent] = tasks;
+    }
+
+    fn check(&mut self, now_ms: u64) {
+        let now = Instant::now();
+        let newest_of = |acked: &[(Instant, u64)], allowed| {
+            let due = acked.iter().filter(|(at, _)| now - *at >= allowed);
+            due.map(|(_, version)| *version).max().unwrap_or(0)
+        };
+        for (number, entry) in self.shared.entries.iter().enumerate() {
+            let mut entry = entry.lock().expect("lock");
+            let Some(life) = entry.as_mut() else {
+                continue;
+            };
+            let version = life.version();
+            let highest = life.highest;
+            if version < highest {
+                self.broken.push(format!(
+                    "{now_ms} ms: entry {number} went from {highest} to {version}"
+                ));
+            }
+            life.highest = version;
+            let Some(stretch) = self.shared.stretch_of(number) else {
+                continue;
+            };
+            let due = newest_of(&self.configs, CONFIG_APPLY + stretch);
+            if version < due {
+                self.broken.push(format!(
+                    "{now_ms} ms: entry {number} goes by {version} and not by {due}"
+                ));
+            }
+            let is_due = |(at, _): &&(Instant, BTreeSet<String>)| now - *at >= EVACUATE + stretch;
+            let due = self.zones.iter().filter(is_due).count().saturating_sub(1);
+            let known = life.zones_out();
+            if self.zones[due..].iter().all(|(_, zones)| *zones != known) {
+                self.broken.push(format!(
+                    "{now_ms} ms: entry {number} takes {known:?} as out"
+                ));
+            }
+        }
+    }
+}
+
+impl Shared {
+    /// What is added to the bounds for an entry at this moment; none where they don't hold.
+    fn stretch_of(&self, entry: usize) -> Option<Duration> {
+        if self.entry_hosts[entry].calm_for() < CONTACT {
+            None
+        } else if self.store.calm_for(false) >= CONTACT {
+            Some(Duration::ZERO)
+        } else {
+            (self.store.calm_for(true) >= CONTACT).then_some(STRETCH)
+        }
+    }
+
+    fn start_entry(&self, entry: usize) {
+        let host = &self.entry_hosts[entry];
+        host.disturb();
+        let life = EntryLife::start(host, &self.store, entry, self.origin, self.limits);
+        *self.entries[entry].lock().expect("lock") = Some(life);
+    }
+
+    fn connect(&self, agent: usize, entry: usize) -> Option<FrameDuplex<EntryFrame, AgentFrame>> {
+        let life = self.entries[entry].lock().expect("lock");
+        let life = life.as_ref()?;
+        let (entry_end, agent_end) = connect(
+            &self.entry_hosts[entry],
+            &self.agent_hosts[agent],
+            |carrying| life.spawn(carrying),
+        );
+        life.opened.send(entry_end).ok()?;
+        Some(agent_end)
+    }
+
+    /// Keeps a session of an agent with an entry.
+    async fn keep_session(
+        self: Arc<Self>,
+        agent: usize,
+        entry: usize,
+        inputs: mpsc::UnboundedSender<AgentInput>,
+    ) {
+        loop {
+            if let Some(mut duplex) = self.connect(agent, entry) {
+                let session = SessionId(self.last_session.fetch_add(1, Ordering::Relaxed));
+                let (cleared, is_clear) = oneshot::channel();
+                let outgoing = duplex.outgoing;
+                let opened = AgentInput::Opened {
+                    session,
+                    outgoing,
+                    cleared,
+                };
+                let _: Result<(), _> = inputs.send(opened);
+                while let Some(frame) = duplex.incoming.recv().await {
+                    let event = ExecutionEvent::Frame { session, frame };
+                    let _: Result<(), _> = inputs.send(AgentInput::Event(event));
+                }
+                self.sessions_lost.fetch_add(1, Ordering::Relaxed);
+                let lost = AgentInput::Event(ExecutionEvent::SessionLost { session });
+                let _: Result<(), _> = inputs.send(lost);
+                let _: Result<(), _> = is_clear.await;
+            }
+            sleep(Duration::from_millis(DIAL_PAUSE_MS)).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/site_entry/tests/site/store_model.rs
@@ -0,0 +1,313 @@
+//! The platform's store as one host reaches it.
+
+use {
+    super::host_model::{HostModel, windows},
+    crate::{
+        core::{link::News, work::WorkerView},
+        ports::{Change, ListCopy, SiteStore, StoreError},
+    },
+    async_trait::async_trait,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
+    },
+    tokio::{
+        sync::Notify,
+        time::{Instant, sleep, timeout},
+    },
+};
+
+/// Time that a call takes.
+const CALL_MS: u64 = 4;
+/// Time after which a caller gives up.
+const CALL_TIMEOUT_MS: u64 = 1_000;
+const FEED_SLACK_MS: u64 = 500;
+
+/// What the store does wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(in crate::site_entry::tests) enum StoreFault {
+    /// Calls take this many times as long.
+    Slow(u64),
+    /// No call is answered.
+    Silent,
+    /// Every call is refused.
+    Refusing,
+    /// One call in so many is answered; the others stay silent.
+    LosesAnswers(u64),
+    /// Feeds fail.
+    CutsFeeds,
+    /// Feeds say that nothing has changed.
+    DeafFeeds,
+    /// Reads show the rows as they were so long ago, in milliseconds.
+    StaleReads(u64),
+    /// Hosts whose number modulo the first is the second are refused.
+    Refuses(usize, usize),
+}
+
+impl StoreFault {
+    /// Whether only some hosts are turned away, and the others served.
+    pub(super) const fn is_partial(self) -> bool {
+        matches!(self, Self::Refuses(..))
+    }
+}
+
+/// The operators' rows from one moment on.
+#[derive(Debug, Clone)]
+struct Rows {
+    since: Instant,
+    news: News,
+}
+
+#[derive(Debug)]
+struct StoreState {
+    rows: Vec<Rows>,
+    /// History is kept after this version only.
+    forgotten: u64,
+    faults: BTreeMap<StoreFault, Instant>,
+    /// Calls that reached the store, and those among them of which an answer might be lost.
+    calls: u64,
+    answers: u64,
+    /// When all hosts, and when some hosts, were last not served as usual.
+    disturbed_at: Instant,
+    partly_disturbed_at: Instant,
+}
+
+/// The store.
+#[derive(Debug)]
+pub(super) struct StoreModel {
+    state: Mutex<StoreState>,
+    changed: Notify,
+}
+
+impl StoreModel {
+    pub(super) fn new(document: Arc<[u8]>) -> Self {
+        let now = Instant::now();
+        let news = News {
+            version: 1,
+            evacuated: BTreeSet::new(),
+            document: Some(document),
+        };
+        Self {
+            state: Mutex::new(StoreState {
+                rows: vec![Rows { since: now, news }],
+                forgotten: 0,
+                faults: BTreeMap::new(),
+                calls: 0,
+                answers: 0,
+                disturbed_at: now,
+                partly_disturbed_at: now,
+            }),
+            changed: Notify::new(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().expect("lock")
+    }
+
+    pub(super) fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
+    fn newest(&self) -> News {
+        self.state().rows.last().expect("rows").news.clone()
+    }
+
+    /// Writes as the operator, who is always served.
+    pub(super) fn write(&self, change: impl FnOnce(&mut News)) {
+        let mut news = self.newest();
+        // Rows of other tables count as well.
+        news.version += 3;
+        change(&mut news);
+        let since = Instant::now();
+        self.state().rows.push(Rows { since, news });
+        self.changed.notify_waiters();
+    }
+
+    pub(super) fn forget_history(&self) {
+        let forgotten = self.newest().version;
+        let mut state = self.state();
+        state.forgotten = forgotten;
+        state.disturbed_at = state.disturbed_at.max(Instant::now());
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    pub(super) fn fail(&self, fault: StoreFault, for_ms: u64) {
+        let until = Instant::now() + Duration::from_millis(for_ms);
+        let mut state = self.state();
+        state.faults.insert(fault, until);
+        if fault.is_partial() {
+            state.partly_disturbed_at = state.partly_disturbed_at.max(until);
+        } else {
+            state.disturbed_at = state.disturbed_at.max(until);
+        }
+    }
+
+    /// For how long all hosts were served, or at least some.
+    pub(super) fn calm_for(&self, partly: bool) -> Duration {
+        let state = self.state();
+        let disturbed_at = if partly {
+            state.disturbed_at
+        } else {
+            state.disturbed_at.max(state.partly_disturbed_at)
+        };
+        Instant::now().saturating_duration_since(disturbed_at)
+    }
+
+    fn faults(&self) -> Vec<StoreFault> {
+        let now = Instant::now();
+        let state = self.state();
+        let active = state.faults.iter().filter(|(_, until)| **until > now);
+        active.map(|(fault, _)| *fault).collect()
+    }
+
+    /// Whether the next answer is lost, where one in so many is not.
+    fn loses_answer(&self, of: u64) -> bool {
+        let mut state = self.state();
+        state.answers += 1;
+        !state.answers.is_multiple_of(of)
+    }
+
+    /// The rows that a read shows.
+    fn read(&self) -> News {
+        let stale_ms = self.faults().into_iter().find_map(|fault| match fault {
+            StoreFault::StaleReads(ms) => Some(ms),
+            _ => None,
+        });
+        let at = Instant::now() - Duration::from_millis(stale_ms.unwrap_or(0));
+        let state = self.state();
+        let rows = state.rows.iter().rev().find(|rows| rows.since <= at);
+        rows.unwrap_or(&state.rows[0]).news.clone()
+    }
+}
+
+/// The store as a host calls it.
+#[derive(Debug)]
+pub(super) struct StoreClient {
+    pub(super) store: Arc<StoreModel>,
+    pub(super) host: Arc<HostModel>,
+    pub(super) number: usize,
+}
+
+fn refused<T>() -> Result<T, StoreError> {
+    Err(StoreError::Unavailable("refused".to_owned()))
+}
+
+fn bytes_of(news: &News) -> usize {
+    // Values cross in base64.
+    news.document
+        .as_ref()
+        .map_or(100, |text| 100 + text.len() * 4 / 3)
+}
+
+impl StoreClient {
+    /// Waits as the store's faults say.
+    async fn reach(&self) -> Result<(), StoreError> {
+        self.host.thawed().await;
+        self.store.state().calls += 1;
+        let mut factor = 1;
+        for fault in self.store.faults() {
+            match fault {
+                StoreFault::Slow(times) => factor = times,
+                StoreFault::Silent => std::future::pending().await,
+                StoreFault::Refusing => return refused(),
+                StoreFault::LosesAnswers(of) if self.store.loses_answer(of) => {
+                    std::future::pending().await
+                }
+                StoreFault::Refuses(of, which) if self.number % of == which => return refused(),
+                _ => {}
+            }
+        }
+        sleep(Duration::from_millis(CALL_MS * factor)).await;
+        Ok(())
+    }
+
+    async fn within<T>(
+        &self,
+        timeout_ms: u64,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let limited = timeout(Duration::from_millis(timeout_ms), call).await;
+        limited.unwrap_or_else(|_| Err(StoreError::OutcomeUnknown("timed out".to_owned())))
+    }
+
+    async fn receive(&self, bytes: usize) {
+        for window in windows(bytes) {
+            self.host.receive(window).await;
+        }
+    }
+
+    async fn feed(&self, after: u64, wait_ms: u64) -> Result<Change, StoreError> {
+        self.reach().await?;
+        if self.store.faults().contains(&StoreFault::CutsFeeds) {
+            return refused();
+        }
+        if self.store.faults().contains(&StoreFault::DeafFeeds) {
+            sleep(Duration::from_millis(wait_ms)).await;
+            let version = self.store.newest().version;
+            return Ok(Change::None { version });
+        }
+        let waiting = async {
+            loop {
+                let changed = self.store.changed.notified();
+                let (newest, forgotten) = (self.store.newest(), self.store.state().forgotten);
+                if after < forgotten || newest.version > after {
+                    return newest;
+                }
+                changed.await;
+            }
+        };
+        match timeout(Duration::from_millis(wait_ms), waiting).await {
+            Ok(news) => {
+                self.receive(bytes_of(&news)).await;
+                Ok(Change::Some)
+            }
+            Err(_) => Ok(Change::None { version: after }),
+        }
+    }
+}
+
+#[async_trait]
+impl SiteStore for StoreClient {
+    async fn read_news(&self) -> Result<News, StoreError> {
+        let read = async {
+            self.reach().await?;
+            let news = self.store.read();
+            self.receive(bytes_of(&news)).await;
+            Ok(news)
+        };
+        self.within(CALL_TIMEOUT_MS, read).await
+    }
+
+    async fn wait_for_news(&self, after: u64, wait_ms: u64) -> Result<Change, StoreError> {
+        self.within(wait_ms + FEED_SLACK_MS, self.feed(after, wait_ms))
+            .await
+    }
+
+    async fn read_entries(&self, _: ListCopy) -> Result<(Vec<SocketAddr>, u64), StoreError> {
+        refused()
+    }
+
+    async fn wait_for_entries(&self, _: u64, _: u64) -> Result<Change, StoreError> {
+        refused()
+    }
+
+    async fn add_entry(&self, _: SocketAddr, _: ListCopy) -> Result<u64, StoreError> {
+        refused()
+    }
+
+    async fn remove_entry(&self, _: SocketAddr, _: ListCopy, _: u64) -> Result<(), StoreError> {
+        refused()
+    }
+
+    async fn read_worker(&self, _: &str) -> Result<Option<WorkerView>, StoreError> {
+        refused()
+    }
+
+    async fn keep_worker(&self, _: &str, _: &WorkerView) -> Result<(), StoreError> {
+        refused()
+    }
+}
