--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -131,7 +131,8 @@
     tokio::spawn(async move {
         let (mut socket, _) = listener.accept().await.expect("connection");
         // The request fits into one read.
-        socket.read(&mut [0; 1_024]).await.expect("request");
+        let read = socket.read(&mut [0; 1_024]).await.expect("request");
+        assert!(read > 0);
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
         socket.write_all(head.as_bytes()).await.expect("head");
         for part in body.as_bytes().chunks(body.len() / 8 + 1) {
