Rows that arrive slowly are read to their end

Cause, in part: a read of the store was given up a second after it began, whether its answer was arriving or not. A document of 824 KB takes 0.4 s on a calm link of 25 Mbit/s, and over a second on one that others use; each try began from nothing and took the same link again.

The time-out now ends with the head of the answer; after it a pause of a second without a byte ends the read. A connection that has gone silent is still found in the same time. Calls to workers keep their time-out for the whole call: rights and leases are reckoned by it.

--- a/src/platform/platform_caller.rs
+++ b/src/platform/platform_caller.rs
@@ -2,9 +2,10 @@
 
 use {
     super::PlatformError,
-    bytes::Bytes,
-    http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode},
+    bytes::{Bytes, BytesMut},
+    http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode},
     http_body_util::{BodyExt, Full},
+    hyper::body::Incoming,
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
         rt::{TokioExecutor, TokioTimer},
@@ -60,6 +61,44 @@
         &self,
         call: PlatformCall,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let limit = Duration::from_millis(call.timeout_ms);
+        let exchange = async {
+            let response = self.send(call).await?;
+            let status = response.status();
+            let body = response.into_body().collect().await;
+            Ok((status, body.map_err(no_answer)?.to_bytes()))
+        };
+        timeout(limit, exchange).await.map_err(|_| timed_out())?
+    }
+
+    /// Makes a call whose answer may be long: its time-out ends with the head of the answer, and what follows is read
+    /// for as long as it comes without a pause of `pause_ms`.
+    ///
+    /// Guards against a large answer that is given up over and over because it shares its link with others.
+    pub(super) async fn read(
+        &self,
+        call: PlatformCall,
+        pause_ms: u64,
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let limit = Duration::from_millis(call.timeout_ms);
+        let response = timeout(limit, self.send(call));
+        let response = response.await.map_err(|_| timed_out())??;
+        let status = response.status();
+        let mut body = response.into_body();
+        let mut bytes = BytesMut::new();
+        let pause = Duration::from_millis(pause_ms);
+        while let Some(frame) = timeout(pause, body.frame())
+            .await
+            .map_err(|_| timed_out())?
+        {
+            if let Ok(data) = frame.map_err(no_answer)?.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        Ok((status, bytes.freeze()))
+    }
+
+    async fn send(&self, call: PlatformCall) -> Result<Response<Incoming>, PlatformError> {
         let mut request = Request::builder()
             .method(call.method)
             .uri(format!("http://{}{}", call.to, call.path));
@@ -70,21 +109,20 @@
         request
             .headers_mut()
             .extend(call.headers.into_iter().collect::<HeaderMap>());
-        let exchange = async {
-            let response = self.client.request(request).await.map_err(|error| {
-                if error.is_connect() {
-                    PlatformError::NoConnection(error.to_string())
-                } else {
-                    PlatformError::NoAnswer(error.to_string())
-                }
-            })?;
-            let status = response.status();
-            let body = response.into_body().collect().await;
-            let body = body.map_err(|error| PlatformError::NoAnswer(error.to_string()))?;
-            Ok((status, body.to_bytes()))
-        };
-        timeout(Duration::from_millis(call.timeout_ms), exchange)
-            .await
-            .map_err(|_| PlatformError::NoAnswer("timed out".to_owned()))?
+        self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                PlatformError::NoConnection(error.to_string())
+            } else {
+                no_answer(error)
+            }
+        })
     }
 }
+
+fn no_answer(error: impl ToString) -> PlatformError {
+    PlatformError::NoAnswer(error.to_string())
+}
+
+fn timed_out() -> PlatformError {
+    no_answer("timed out")
+}
--- a/src/platform/rows_store.rs
+++ b/src/platform/rows_store.rs
@@ -30,8 +30,10 @@
 const WORKERS_TABLE: &str = "rattanslip_workers";
 /// Key of an agent's row there.
 const WORKER_KEY: &str = "worker";
-/// Time after which a call is given up, in milliseconds; a slow store takes 50 times its usual 4.
+/// Time for an answer to begin, in milliseconds; a slow store takes 50 times its usual 4.
 const CALL_TIMEOUT_MS: u64 = 1_000;
+/// Time without a byte after which an answer that has begun is given up, in milliseconds.
+const BODY_PAUSE_MS: u64 = 1_000;
 /// Time beyond the asked wait after which a feed is given up, in milliseconds; as above.
 const FEED_SLACK_MS: u64 = 500;
 
@@ -99,16 +101,15 @@
         path: String,
         timeout_ms: u64,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
-        self.caller
-            .call(PlatformCall {
-                method: Method::GET,
-                to: self.addr,
-                path,
-                headers: Vec::new(),
-                body: Vec::new(),
-                timeout_ms,
-            })
-            .await
+        let call = PlatformCall {
+            method: Method::GET,
+            to: self.addr,
+            path,
+            headers: Vec::new(),
+            body: Vec::new(),
+            timeout_ms,
+        };
+        self.caller.read(call, BODY_PAUSE_MS).await
     }
 
     /// All rows of one part of a table, and the store's version.
