All operators' rows are read anew after a pause, also when only the feed fails

What callers would see: a change unknown at an entry whose feed is cut while reads are answered: it asked the failing feed again and again and read nothing. And a store that is asked 130 times a second by each entry that starts while reads are stale and their history is gone: the feed answers "gone", the read shows the old state, and so on, each time with the whole document.

A feed that fails ends the following and leads to a new read; before each a pause that doubles from 0.1 to 1 s, until the feed answers again.

--- a/src/site_entry/news_keeper.rs
+++ b/src/site_entry/news_keeper.rs
@@ -6,6 +6,7 @@
         store_watch::StoreWatch,
     },
     crate::{
+        adapters::timer::Backoff,
         core::{dispatch::DispatchEvent, document::Document, link::News, routes::SiteConfig},
         platform::read_config,
         ports::{
@@ -25,6 +26,10 @@
 /// A connection that has gone silent is found half a second after it; a change must be in
 /// force two seconds after it was made.
 const WAIT_MS: u64 = 1_000;
+/// Pauses before all is read anew because the feed failed or has lost its history, in milliseconds; the first is
+/// doubled up to the last. Reading all may take a good part of a second on a narrow link.
+const FIRST_REREAD_PAUSE_MS: u64 = 100;
+const LAST_REREAD_PAUSE_MS: u64 = 1_000;
 
 /// What is known of the operators' rows.
 #[derive(Debug, Default)]
@@ -49,6 +54,7 @@
     /// Follows the operators' rows for as long as the process lives.
     pub(super) async fn follow(self: Arc<Self>) {
         let mut watch = StoreWatch::new("news", &self.decisions, &self.metrics);
+        let mut pause = Backoff::new(FIRST_REREAD_PAUSE_MS, LAST_REREAD_PAUSE_MS);
         loop {
             let begun_at = Instant::now();
             match self.store.read_operator_rows().await {
@@ -57,15 +63,16 @@
                     self.note_read(&rows, begun_at);
                     let version = rows.news.version;
                     self.take_rows(rows);
-                    self.follow_changes(version, &mut watch).await;
+                    self.follow_changes(version, &mut watch, &mut pause).await;
+                    pause.wait().await;
                 }
                 Err(error) => watch.lost(&error).await,
             }
         }
     }
 
-    /// Returns when the rows are to be read anew.
-    async fn follow_changes(&self, read_at: u64, watch: &mut StoreWatch) {
+    /// Returns when the rows are to be read anew: feeds may fail while reads are answered.
+    async fn follow_changes(&self, read_at: u64, watch: &mut StoreWatch, pause: &mut Backoff) {
         let mut after = read_at;
         loop {
             let change = self.store.wait_for_operators(after, WAIT_MS).await;
@@ -85,10 +92,11 @@
                 }
                 Err(error) => {
                     watch.lost(&error).await;
-                    continue;
+                    return;
                 }
             }
             watch.regained();
+            pause.reset();
         }
     }
 
