Feeds of the store are followed some answers behind the version that they tell

What callers would see: a change that nothing follows stays unknown at every entry, and an entry that is added is never dialled. A feed that is without changes for a moment, and tells the store's newest version with that, made its readers go on after the change. With the next change, or a lost history, it came to light.

A reader goes on from a version told some answers before (5 s at entries, 10 s for the list at agents); the store keeps its history for 20 s and gives each change once more to those that missed it. It costs no further call.

--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend_server;
 mod decision_log;
+mod feed_cursor;
 mod metrics;
 mod peer_network;
 mod site_store;
@@ -15,6 +16,7 @@
 pub(crate) use {
     backend_server::BackendServer,
     decision_log::{DecisionLog, LineRank, note},
+    feed_cursor::FeedCursor,
     metrics::{Counter, Gauge, Metrics, Span},
     peer_network::{PeerError, PeerNetwork, SessionIo},
     site_store::{Change, ListCopy, OperatorChange, OperatorRows, SiteStore},
--- a/src/site_agent/dialler.rs
+++ b/src/site_agent/dialler.rs
@@ -5,7 +5,7 @@
     crate::{
         adapters::{link::dial_link, timer::Backoff},
         core::execution::{ExecutionEvent, SessionId},
-        ports::{Change, Counter, ListCopy, Metrics, SiteStore, StoreError},
+        ports::{Change, Counter, FeedCursor, ListCopy, Metrics, SiteStore, StoreError},
     },
     std::{
         collections::BTreeMap,
@@ -24,6 +24,9 @@
 
 /// Longest wait for a change of the list in one call, in milliseconds.
 const WAIT_MS: u64 = 5_000;
+/// Answers by which the feed is followed behind: with the longest wait, half of the time for which the store keeps its
+/// history.
+const FEED_LAG: usize = 2;
 /// Pauses after calls to the store that failed, in milliseconds; the first is doubled up to the last.
 const FIRST_STORE_PAUSE_MS: u64 = 100;
 const LAST_STORE_PAUSE_MS: u64 = 1_000;
@@ -92,10 +95,10 @@
 
     /// Returns once some copy of the list has changed.
     async fn wait_for_change(&self, read_at: u64) -> Result<(), StoreError> {
-        let mut after = read_at;
+        let mut cursor = FeedCursor::new(read_at, FEED_LAG);
         loop {
-            match self.store.wait_for_entries(after, WAIT_MS).await? {
-                Change::None { version } => after = version,
+            match self.store.wait_for_entries(cursor.after(), WAIT_MS).await? {
+                Change::None { version } => cursor.advance(version),
                 Change::Some => return Ok(()),
             }
         }
--- a/src/site_entry/news_keeper.rs
+++ b/src/site_entry/news_keeper.rs
@@ -10,7 +10,8 @@
         core::{dispatch::DispatchEvent, document::Document, link::News, routes::SiteConfig},
         platform::read_config,
         ports::{
-            Counter, DecisionLog, LineRank, Metrics, OperatorChange, OperatorRows, SiteStore, note,
+            Counter, DecisionLog, FeedCursor, LineRank, Metrics, OperatorChange, OperatorRows,
+            SiteStore, note,
         },
     },
     std::{
@@ -26,6 +27,9 @@
 /// A connection that has gone silent is found half a second after it; a change must be in
 /// force two seconds after it was made.
 const WAIT_MS: u64 = 1_000;
+/// Answers, of a second each, by which the feed is followed behind: a feed may be without changes for seconds, and the
+/// store keeps its history for longer.
+const FEED_LAG: usize = 5;
 /// Pauses before all is read anew because the feed failed or has lost its history, in milliseconds; the first is
 /// doubled up to the last. Reading all may take a good part of a second on a narrow link.
 const FIRST_REREAD_PAUSE_MS: u64 = 100;
@@ -73,18 +77,18 @@
 
     /// Returns when the rows are to be read anew: feeds may fail while reads are answered.
     async fn follow_changes(&self, read_at: u64, watch: &mut StoreWatch, pause: &mut Backoff) {
-        let mut after = read_at;
+        let mut cursor = FeedCursor::new(read_at, FEED_LAG);
         loop {
-            let change = self.store.wait_for_operators(after, WAIT_MS).await;
+            let change = self.store.wait_for_operators(cursor.after(), WAIT_MS).await;
             match change {
-                Ok(OperatorChange::None { version }) => after = version,
+                Ok(OperatorChange::None { version }) => cursor.advance(version),
                 Ok(OperatorChange::Rows {
                     version,
                     zones,
                     document,
                 }) => {
                     self.take_changes(version, zones, document);
-                    after = version;
+                    cursor = FeedCursor::new(version, FEED_LAG);
                 }
                 Ok(OperatorChange::Forgotten) => {
                     watch.regained();
--- a/src/site_entry/tests/config_changes.rs
+++ b/src/site_entry/tests/config_changes.rs
@@ -72,6 +72,8 @@
     a_change_is_in_force_in_time_after_feeds_were_cut: [(8_500, store(StoreFault::CutsFeeds, 3_000))];
     /// Guards against a change that is made while feeds say that nothing has changed.
     a_change_is_in_force_in_time_after_feeds_were_deaf: [(8_500, store(StoreFault::DeafFeeds, 1_000))];
+    /// Guards against a change that nothing follows and that is never asked for again.
+    the_last_change_is_in_force_in_time_after_feeds_were_deaf: [(13_500, store(StoreFault::DeafFeeds, 2_500))];
     /// Guards against an entry that reads nothing while feeds fail for long.
     the_last_change_is_in_force_in_time_after_feeds_were_cut: [(14_500, store(StoreFault::CutsFeeds, 3_000))];
     /// Guards against an older state that is kept once reads are no longer stale.
