A large message on a narrow link does not end its peer connection

A call whose answer, or a session one of whose inputs, takes over half a second on a link was given up as silent, with every other call and session between the two hosts, and begun anew: a leaving agent's records never reach their successor, a document never its entry.

Evidence: a_large_answer_over_a_narrow_link_keeps_its_connection and a_large_input_over_a_narrow_link_keeps_its_session (6 MB at 25 Mbit/s through a relay) fail before: \"stream closed because of a broken pipe\" and a session that ends.

A missed pong ends a connection only if nothing else came meanwhile. A receiver of a large message says that it goes on by window updates; the window of a stream is 1 MB (4 before), so that they come each 0.17 s on such a link. A connection that swallows bytes is found as before: nothing comes (test of the silent relay, unchanged).

--- a/src/adapters/peer/h2_client.rs
+++ b/src/adapters/peer/h2_client.rs
@@ -32,8 +32,9 @@
 pub(crate) const CALL_PATH: &str = "/call";
 /// Path of sessions.
 pub(crate) const SESSION_PATH: &str = "/session";
-/// Most bytes under way on one stream.
-pub(crate) const STREAM_WINDOW_BYTES: u32 = 4 << 20;
+/// Most bytes under way on one stream. The receiver says that it goes on each time half of it was read, which on a link
+/// of 25 Mbit/s must be within the silence that ends a connection.
+pub(crate) const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 /// Most bytes under way on one connection.
 pub(crate) const CONNECTION_WINDOW_BYTES: u32 = 64 << 20;
 /// Most streams open on one connection.
@@ -118,14 +119,17 @@
             socket
                 .set_nodelay(true)
                 .map_err(|error| error.to_string())?;
+            let socket = counted(socket, Arc::clone(&self.metrics));
+            let received = socket.observer().received();
             h2::client::Builder::new()
                 .initial_window_size(STREAM_WINDOW_BYTES)
                 .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-                .handshake(counted(socket, Arc::clone(&self.metrics)))
+                .handshake(socket)
                 .await
+                .map(|(sender, connection)| (sender, connection, received))
                 .map_err(|error| error.to_string())
         };
-        let (sender, mut connection) =
+        let (sender, mut connection, received) =
             timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting)
                 .await
                 .map_err(|_| PeerError::Unreachable("connect timed out".to_owned()))?
@@ -141,7 +145,7 @@
             // Dropping the connection fails every stream on it.
             let cause = tokio::select! {
                 _ = connection => "closed",
-                cause = until_silent(pings, &watched) => cause,
+                cause = until_silent(pings, &watched, &received) => cause,
                 () = watched.until_unused() => "unused",
             };
             metrics.count(Counter::PeerLosses, cause);
--- a/src/adapters/peer/h2_server.rs
+++ b/src/adapters/peer/h2_server.rs
@@ -76,11 +76,13 @@
     if socket.set_nodelay(true).is_err() {
         return;
     }
+    let socket = counted(socket, metrics);
+    let received = socket.observer().received();
     let handshake = h2::server::Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
-        .handshake(counted(socket, metrics))
+        .handshake(socket)
         .await;
     let Ok(mut connection) = handshake else {
         return;
@@ -95,7 +97,7 @@
     };
     tokio::select! {
         () = accept => {}
-        _ = until_abandoned(pings) => {}
+        _ = until_abandoned(pings, &received) => {}
     }
 }
 
--- a/src/adapters/peer/liveness.rs
+++ b/src/adapters/peer/liveness.rs
@@ -1,9 +1,9 @@
 //! Finds connections that went silent.
 
 use {
-    super::activity::Activity,
+    super::{activity::Activity, counted_socket::ReceivedBytes},
     h2::{Ping, PingPong},
-    std::time::Duration,
+    std::{pin::pin, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
@@ -18,18 +18,23 @@
 ///
 /// Guards against connections that something between the two ends has lost track of: bytes are
 /// swallowed, nothing is closed, and a caller would wait until its deadline. A missed pong ends
-/// the connection, so every call and session on it fails at once and goes to a new one.
+/// the connection, so every call and session on it fails at once and goes to a new one. A pong may
+/// wait behind a large message on a narrow link: whatever else comes meanwhile counts as well.
 ///
 /// Only what is awaited is watched closely: at the planned size a process has thousands of
 /// connections, and pings on idle ones alone would be many times the budget of control.
-pub(crate) async fn until_silent(mut pings: PingPong, activity: &Activity) -> &'static str {
+pub(crate) async fn until_silent(
+    mut pings: PingPong,
+    activity: &Activity,
+    received: &ReceivedBytes,
+) -> &'static str {
     loop {
         activity.awaiting().await;
         sleep(Duration::from_millis(PING_PERIOD_MS)).await;
         if !activity.is_awaiting() {
             continue;
         }
-        if let Some(cause) = ping(&mut pings).await {
+        if let Some(cause) = ping(&mut pings, received).await {
             return cause;
         }
     }
@@ -38,21 +43,25 @@
 /// Pings now and then until the other side stays silent or the connection breaks.
 ///
 /// Guards against callers that vanish without closing: their connections would be kept for good.
-pub(crate) async fn until_abandoned(mut pings: PingPong) -> &'static str {
+pub(crate) async fn until_abandoned(mut pings: PingPong, received: &ReceivedBytes) -> &'static str {
     loop {
         sleep(Duration::from_millis(WATCH_PERIOD_MS)).await;
-        if let Some(cause) = ping(&mut pings).await {
+        if let Some(cause) = ping(&mut pings, received).await {
             return cause;
         }
     }
 }
 
-/// Why the connection is lost, if no pong comes in time.
-async fn ping(pings: &mut PingPong) -> Option<&'static str> {
-    let pong = pings.ping(Ping::opaque());
-    match timeout(Duration::from_millis(PONG_TIMEOUT_MS), pong).await {
-        Ok(Ok(_)) => None,
-        Ok(Err(_)) => Some("broken"),
-        Err(_) => Some("silent"),
+/// Why the connection is lost, if nothing comes in time.
+async fn ping(pings: &mut PingPong, received: &ReceivedBytes) -> Option<&'static str> {
+    let mut pong = pin!(pings.ping(Ping::opaque()));
+    loop {
+        let before = received.count();
+        match timeout(Duration::from_millis(PONG_TIMEOUT_MS), &mut pong).await {
+            Ok(Ok(_)) => return None,
+            Ok(Err(_)) => return Some("broken"),
+            Err(_) if received.count() > before => {}
+            Err(_) => return Some("silent"),
+        }
     }
 }
--- a/src/adapters/peer/tests.rs
+++ b/src/adapters/peer/tests.rs
@@ -10,6 +10,7 @@
     crate::{
         adapters::metrics::OtelMetrics,
         core::{
+            config::Head,
             job::{TaskOutcome, TaskRef},
             message::{
                 FreeSlots, HomeFrame, PeerReply, PeerRequest, RunnerFrame, StartFrame,
@@ -26,7 +27,7 @@
         time::Duration,
     },
     tokio::{
-        io::copy_bidirectional,
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, copy_bidirectional},
         net::{TcpListener, TcpStream},
         sync::watch,
         time::timeout,
@@ -244,3 +245,85 @@
         assert_eq!(ended, Ok(None), "the idle session ends");
     }
 }
+
+/// Length of a document or a task's input that takes two seconds on a link of 25 Mbit/s.
+const LARGE_BYTES: usize = 6 << 20;
+
+/// A peer that answers with a large document, and takes sessions.
+#[derive(Debug, Default)]
+struct LargePeer(MuteRunner);
+
+#[async_trait]
+impl PeerHandler for LargePeer {
+    async fn call(&self, _request: PeerRequest) -> PeerReply {
+        PeerReply::Configuration(Some((Head::default(), "x".repeat(LARGE_BYTES))))
+    }
+
+    fn session(&self, session: RunnerSession) -> bool {
+        self.0.session(session)
+    }
+}
+
+/// Passes bytes on at 25 Mbit/s.
+async fn pass_slowly(mut from: impl AsyncRead + Unpin, mut to: impl AsyncWrite + Unpin) {
+    let mut buffer = vec![0; 64 << 10];
+    while let Ok(bytes @ 1..) = from.read(&mut buffer).await {
+        if to.write_all(&buffer[..bytes]).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_micros(bytes as u64 * 8 / 25)).await;
+    }
+}
+
+/// A large peer behind a narrow link.
+async fn peer_behind_narrow_link(metrics: &Arc<OtelMetrics>) -> SocketAddr {
+    let peer = TcpListener::bind("127.0.0.1:0").await.expect("listen");
+    let peer_addr = peer.local_addr().expect("address");
+    tokio::spawn(serve_peers(
+        peer,
+        Arc::new(LargePeer::default()),
+        metrics.clone(),
+    ));
+    let link = TcpListener::bind("127.0.0.1:0").await.expect("listen");
+    let link_addr = link.local_addr().expect("address");
+    tokio::spawn(async move {
+        let (near, _) = link.accept().await.expect("accept");
+        let far = TcpStream::connect(peer_addr).await.expect("connect");
+        let (near_in, near_out) = near.into_split();
+        let (far_in, far_out) = far.into_split();
+        tokio::join!(pass_slowly(near_in, far_out), pass_slowly(far_in, near_out));
+    });
+    link_addr
+}
+
+/// Guards against a connection that is taken as silent because a large answer goes before its pongs.
+#[tokio::test]
+async fn a_large_answer_over_a_narrow_link_keeps_its_connection() {
+    let metrics = Arc::new(OtelMetrics::new().expect("metrics"));
+    let addr = peer_behind_narrow_link(&metrics).await;
+    let client = H2Client::new(metrics);
+    let reply = client.call(addr, PeerRequest::Configuration).await;
+    let Ok(PeerReply::Configuration(Some((_, text)))) = reply else {
+        panic!("no document: {reply:?}");
+    };
+    assert_eq!(text.len(), LARGE_BYTES);
+}
+
+/// Guards against a connection that is taken as silent because a task's large input goes before its pings.
+#[tokio::test]
+async fn a_large_input_over_a_narrow_link_keeps_its_session() {
+    let metrics = Arc::new(OtelMetrics::new().expect("metrics"));
+    let addr = peer_behind_narrow_link(&metrics).await;
+    let client = H2Client::new(metrics);
+    let session = client.open_session(addr, AgentId(1), 1).await;
+    let mut session = session.expect("session");
+    assert_eq!(session.incoming.recv().await, Some(welcome()));
+    let HomeFrame::Start(frame) = start(0) else {
+        unreachable!("a start");
+    };
+    let input = "x".repeat(LARGE_BYTES);
+    let large = HomeFrame::Start(StartFrame { input, ..frame });
+    session.outgoing.send(large).expect("send");
+    let ended = timeout(Duration::from_secs(4), session.incoming.recv()).await;
+    assert!(ended.is_err(), "the session has ended");
+}
--- a/src/adapters/socket/observed_socket.rs
+++ b/src/adapters/socket/observed_socket.rs
@@ -40,6 +40,11 @@
         Self { socket, observer }
     }
 
+    /// The observer.
+    pub(crate) const fn observer(&self) -> &O {
+        &self.observer
+    }
+
     fn written(&self, outcome: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = outcome {
             self.observer.on_written(bytes);
