A document that another entry passes on may take longer than a digest

On a link on which the document takes longer it never came, and digests to that entry stood still meanwhile.

Evidence: passed_on::a_document_that_arrives_slowly_is_taken_in (2 s) fails before: no configuration. The fetch now has a time-out of its own, one runs at a time, and digests go on beside it; a connection that falls silent ends it within half a second as before.

--- a/src/entry/digest_exchange.rs
+++ b/src/entry/digest_exchange.rs
@@ -24,6 +24,9 @@
 const SHORTEST_PAUSE_MS: u64 = 20;
 /// Time after which a call counts as lost, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 700;
+/// Time after which a document that another entry passes on counts as lost, in milliseconds; a connection that has gone
+/// silent ends sooner.
+const FETCH_TIMEOUT_MS: u64 = 10_000;
 /// Agents told at a time.
 const NOTICES_AT_ONCE: usize = 64;
 
@@ -37,6 +40,8 @@
     pub(crate) metrics: Arc<dyn Metrics>,
     /// Entries that are being called now; a slow one is not called again meanwhile.
     pub(crate) under_way: Mutex<BTreeSet<SocketAddr>>,
+    /// Held while the configuration is fetched.
+    pub(crate) fetching: tokio::sync::Mutex<()>,
 }
 
 impl DigestExchange {
@@ -62,14 +67,13 @@
     async fn tell_entry(&self, entry: PeerEntry) {
         let (digest, telling) = self.state.digest_for(entry.entry);
         let asked_at = self.timer.now();
+        let mut is_newer = false;
         let outcome = match self
             .call(entry.peer_addr, PeerRequest::Digest(digest))
             .await
         {
             Some(PeerReply::Digest(reply)) if reply.entry == entry.entry => {
-                if self.state.digest_answered(asked_at, &telling, &reply) {
-                    self.fetch_configuration(entry.peer_addr).await;
-                }
+                is_newer = self.state.digest_answered(asked_at, &telling, &reply);
                 "answered"
             }
             // Another process listens at that address: this one's word is not the entry's.
@@ -78,23 +82,35 @@
         };
         self.metrics.count(Counter::Digests, outcome);
         self.lock_under_way().remove(&entry.peer_addr);
+        // Digests to the entry go on meanwhile: they tell that this one lives.
+        if is_newer && let Ok(_turn) = self.fetching.try_lock() {
+            self.fetch_configuration(entry.peer_addr).await;
+        }
     }
 
     /// Reads the configuration from the entry that holds a newer one.
     ///
     /// Guards against a change that is in force at some entries only when the platform goes
     /// down right after it: without it no entry could grant permits for the whole outage.
-    async fn fetch_configuration(&self, from: SocketAddr) {
-        if let Some(PeerReply::Configuration(Some((head, text)))) =
-            self.call(from, PeerRequest::Configuration).await
-        {
+    pub(super) async fn fetch_configuration(&self, from: SocketAddr) {
+        let fetched = self.call_within(FETCH_TIMEOUT_MS, from, PeerRequest::Configuration);
+        if let Some(PeerReply::Configuration(Some((head, text)))) = fetched.await {
             self.keeper.take_passed_on(head, &text);
         }
     }
 
     async fn call(&self, to: SocketAddr, request: PeerRequest) -> Option<PeerReply> {
+        self.call_within(CALL_TIMEOUT_MS, to, request).await
+    }
+
+    async fn call_within(
+        &self,
+        timeout_ms: u64,
+        to: SocketAddr,
+        request: PeerRequest,
+    ) -> Option<PeerReply> {
         let call = self.network.call(to, request);
-        let reply = timeout(Duration::from_millis(CALL_TIMEOUT_MS), call).await;
+        let reply = timeout(Duration::from_millis(timeout_ms), call).await;
         reply.ok()?.ok()
     }
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -148,6 +148,7 @@
             timer: Arc::clone(&self.timer),
             metrics: Arc::clone(&self.metrics),
             under_way: Mutex::default(),
+            fetching: tokio::sync::Mutex::default(),
         });
         tokio::spawn(Arc::clone(&exchange).tell_entries());
         tokio::spawn(exchange.tell_agents());
--- a/src/entry/tests/config/mod.rs
+++ b/src/entry/tests/config/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the keeper against a fake platform with faults, in virtual time.
 
 mod fake_platform;
+mod passed_on;
 mod races;
 mod single;
 
