A standalone entry reads the platform's long answers to their end

Evidence: an_object_that_arrives_slowly_is_read_to_its_end (eight parts in 1.2 s, time-out 600 ms) fails before with "timed out". The time-out now is one of silence, by the function that reads the rows on a site.

--- /dev/null
+++ b/src/adapters/http/long_body.rs
@@ -0,0 +1,27 @@
+//! Reads answers that may be long.
+
+use {
+    bytes::{Bytes, BytesMut},
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
+    std::time::Duration,
+    tokio::time::timeout,
+};
+
+/// Reads a body for as long as it comes without a pause of `pause_ms`; the error says what ended it.
+///
+/// Guards against a large answer that is given up over and over because it shares its link with others.
+pub(crate) async fn read_long_body(mut body: Incoming, pause_ms: u64) -> Result<Bytes, String> {
+    let pause = Duration::from_millis(pause_ms);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = timeout(pause, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| "timed out".to_owned())? else {
+            return Ok(bytes.freeze());
+        };
+        let frame = frame.map_err(|error| error.to_string())?;
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+}
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -10,6 +10,7 @@
 mod http_server;
 mod job_body;
 mod known_job;
+mod long_body;
 mod operator_api;
 mod timed_socket;
 
@@ -23,4 +24,5 @@
     client_api::{IDEMPOTENCY_KEY_HEADER, TEAM_HEADER, TICKET_HEADER},
     entry_api::{EntryApi, serve_entry_api},
     http_server::{HttpAnswer, HttpCall, HttpHandler, serve_http},
+    long_body::read_long_body,
 };
--- a/src/adapters/platform/http_store.rs
+++ b/src/adapters/platform/http_store.rs
@@ -1,13 +1,16 @@
 //! The platform's service as an HTTP client sees it.
 
 use {
-    crate::ports::{
-        Counter, Metrics, ObjectStore, Row, StoreError, Table, Transaction, TransactionOutcome,
+    crate::{
+        adapters::http::read_long_body,
+        ports::{
+            Counter, Metrics, ObjectStore, Row, StoreError, Table, Transaction, TransactionOutcome,
+        },
     },
     async_trait::async_trait,
     bytes::Bytes,
     http::{Method, Request, StatusCode},
-    http_body_util::{BodyExt, Full},
+    http_body_util::Full,
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
@@ -27,7 +30,7 @@
 }
 
 impl HttpStore {
-    /// A client of the platform at `addr`; calls are given up after `timeout_ms`.
+    /// A client of the platform at `addr`; a call is given up when nothing of its answer has come for `timeout_ms`.
     pub(crate) fn new(addr: SocketAddr, timeout_ms: u64, metrics: Arc<dyn Metrics>) -> Self {
         let client = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
@@ -52,25 +55,20 @@
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| StoreError::Unavailable(error.to_string()))?;
-        let call = async {
-            let response = self.client.request(request).await.map_err(|error| {
+        let limit = Duration::from_millis(self.timeout_ms);
+        let response = timeout(limit, self.client.request(request)).await;
+        let response = response
+            .map_err(|_| StoreError::OutcomeUnknown("timed out".to_owned()))?
+            .map_err(|error| {
                 if error.is_connect() {
                     StoreError::Unavailable(error.to_string())
                 } else {
                     StoreError::OutcomeUnknown(error.to_string())
                 }
             })?;
-            let status = response.status();
-            let body = response
-                .into_body()
-                .collect()
-                .await
-                .map_err(|error| StoreError::OutcomeUnknown(error.to_string()))?;
-            Ok::<_, StoreError>((status, body.to_bytes()))
-        };
-        let (status, body) = timeout(Duration::from_millis(self.timeout_ms), call)
-            .await
-            .map_err(|_| StoreError::OutcomeUnknown("timed out".to_owned()))??;
+        let status = response.status();
+        let body = read_long_body(response.into_body(), self.timeout_ms).await;
+        let body = body.map_err(StoreError::OutcomeUnknown)?;
         if status == StatusCode::SERVICE_UNAVAILABLE {
             return Err(StoreError::Unavailable("the platform is down".to_owned()));
         }
--- a/src/adapters/platform/mod.rs
+++ b/src/adapters/platform/mod.rs
@@ -3,4 +3,7 @@
 mod budgeted_store;
 mod http_store;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use {budgeted_store::BudgetedStore, http_store::HttpStore};
--- a/src/platform/platform_caller.rs
+++ b/src/platform/platform_caller.rs
@@ -2,7 +2,8 @@
 
 use {
     super::PlatformError,
-    bytes::{Bytes, BytesMut},
+    crate::adapters::http::read_long_body,
+    bytes::Bytes,
     http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode},
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
@@ -73,8 +74,6 @@
 
     /// Makes a call whose answer may be long: its time-out ends with the head of the answer, and what follows is read
     /// for as long as it comes without a pause of `pause_ms`.
-    ///
-    /// Guards against a large answer that is given up over and over because it shares its link with others.
     pub(super) async fn read(
         &self,
         call: PlatformCall,
@@ -84,18 +83,8 @@
         let response = timeout(limit, self.send(call));
         let response = response.await.map_err(|_| timed_out())??;
         let status = response.status();
-        let mut body = response.into_body();
-        let mut bytes = BytesMut::new();
-        let pause = Duration::from_millis(pause_ms);
-        while let Some(frame) = timeout(pause, body.frame())
-            .await
-            .map_err(|_| timed_out())?
-        {
-            if let Ok(data) = frame.map_err(no_answer)?.into_data() {
-                bytes.extend_from_slice(&data);
-            }
-        }
-        Ok((status, bytes.freeze()))
+        let body = read_long_body(response.into_body(), pause_ms).await;
+        Ok((status, body.map_err(no_answer)?))
     }
 
     async fn send(&self, call: PlatformCall) -> Result<Response<Incoming>, PlatformError> {
