An agent fetches the document once it has been named a holder for half a second

While a site starts, entries meet agents one after another, and each of the first few by name is named a holder until others come: with a large document many agents would fetch it for nothing, from entries that take their agents in at that moment.

--- a/src/core/execution/documents.rs
+++ b/src/core/execution/documents.rs
@@ -9,9 +9,32 @@
     },
 };
 
+/// Time for which an entry names this agent as a holder before it fetches the document, in milliseconds.
+///
+/// Guards against copies at most agents of a site that starts: an entry names the first agents that it has met, and
+/// meets others a moment later.
+const KEEPER_PAUSE_MS: u64 = 500;
+
 impl Executor {
-    /// Fetches the document from an entry that holds a newer one.
-    pub(super) fn fetch_document(&mut self, now: Instant, session: SessionId, revision: u64) {
+    /// Fetches the document from an entry that holds a newer one and names this agent as a holder.
+    pub(super) fn on_document_offer(
+        &mut self,
+        now: Instant,
+        session: SessionId,
+        revision: u64,
+        is_keeper: bool,
+    ) {
+        let Some(link) = self.sessions.get_mut(&session) else {
+            return;
+        };
+        if !is_keeper {
+            link.keeper_since = None;
+            return;
+        }
+        let keeper_since = *link.keeper_since.get_or_insert(now);
+        if now.millis_since(keeper_since) < KEEPER_PAUSE_MS {
+            return;
+        }
         if let Some(request) = self.document.begin_fetch(now, session, revision) {
             self.send(session, AgentFrame::FetchDocument(request));
         }
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -33,6 +33,8 @@
     pub(super) room: ToldRoom,
     /// The entry goes by older news than this agent knows since then.
     pub(super) behind_since: Option<Instant>,
+    /// The entry names this agent as a holder of the document since then.
+    pub(super) keeper_since: Option<Instant>,
 }
 
 impl Executor {
@@ -65,6 +67,7 @@
             starts_seen: 0,
             room: ToldRoom::new(now),
             behind_since: None,
+            keeper_since: None,
         };
         self.sessions.insert(session, link);
         let hello = AgentFrame::Hello {
@@ -93,9 +96,7 @@
                 keep_document,
             } => {
                 self.on_beat(now, session, echo_us, news_version);
-                if keep_document {
-                    self.fetch_document(now, session, document_revision);
-                }
+                self.on_document_offer(now, session, document_revision, keep_document);
             }
             EntryFrame::Start(order) => self.on_start(now, session, order),
             EntryFrame::Stop { run } => self.on_stop(now, session, run),
--- a/src/core/execution/tests.rs
+++ b/src/core/execution/tests.rs
@@ -233,6 +233,51 @@
     a_process_that_is_to_end_starts_nothing: |bench| bench.feed(ExecutionEvent::Leave) => Draining;
 }
 
+/// Requests for the document after beats that name the agent as a holder, or not, 200 ms apart.
+fn document_requests(named: &[bool]) -> usize {
+    let mut bench = Bench::ready();
+    let mut requests = 0;
+    for keep_document in named {
+        bench.now = bench.now.plus_ms(200);
+        bench.frame(EntryFrame::Beat {
+            echo_us: bench.now.as_micros(),
+            news_version: 0,
+            document_revision: 4,
+            keep_document: *keep_document,
+        });
+        let is_request = |action: &&ExecutionAction| {
+            matches!(
+                action,
+                ExecutionAction::Send {
+                    frame: AgentFrame::FetchDocument(_),
+                    ..
+                }
+            )
+        };
+        requests += bench.actions.iter().filter(is_request).count();
+    }
+    requests
+}
+
+macro_rules! document_cases {
+    ($($(#[$doc:meta])* $name:ident: $named:expr => $requests:expr;)+) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                assert_eq!(document_requests(&$named), $requests);
+            }
+        )+
+    };
+}
+
+document_cases! {
+    a_holder_fetches_the_document: [true, true, true, true, true] => 1;
+    an_agent_that_is_no_holder_fetches_nothing: [false, false, false, false, false] => 0;
+    /// Guards against copies at most agents of a site that starts: each is among the first for a moment.
+    an_agent_that_is_a_holder_for_a_moment_fetches_nothing: [true, true, false, true, true] => 0;
+}
+
 /// An entry's host is suspended. Its runs are stopped once its right has lapsed, and its session is given up, so
 /// that a copy of the job at another entry finds nothing of it at work.
 #[test]
