--- a/src/adapters/peer/h2_client.rs
+++ b/src/adapters/peer/h2_client.rs
@@ -32,8 +32,8 @@
 pub(crate) const CALL_PATH: &str = "/call";
 /// Path of sessions.
 pub(crate) const SESSION_PATH: &str = "/session";
-/// Most bytes under way on one stream. The receiver says that it goes on each time half of it was read, which on a link
-/// of 25 Mbit/s must be within the silence that ends a connection.
+/// Most bytes under way on one stream. The receiver reports its progress after each half of it, which must happen within
+/// the silence that ends a connection.
 pub(crate) const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 /// Most bytes under way on one connection.
 pub(crate) const CONNECTION_WINDOW_BYTES: u32 = 64 << 20;
--- a/src/core/dispatch/documents.rs
+++ b/src/core/dispatch/documents.rs
@@ -10,21 +10,21 @@
 };
 
 /// Agents that hold the document for entries that do not reach the store: the loss of any two leaves one.
-const DOCUMENT_KEEPERS: usize = 3;
+const DOCUMENT_HOLDERS: usize = 3;
 /// Time for which an agent holds a newer document before the entry fetches it, in milliseconds: an entry that reaches
 /// the store reads it there meanwhile.
 const FETCH_PAUSE_MS: u64 = 400;
 
 impl Dispatcher {
     /// Whether an agent is to hold the document.
-    pub(super) fn is_document_keeper(&self, key: WorkerKey) -> bool {
+    pub(super) fn is_document_holder(&self, key: WorkerKey) -> bool {
         let connected = self.by_agent.values().filter(|key| {
             let worker = self.workers.get(**key);
             worker.is_some_and(|worker| worker.link.is_some())
         });
         connected
-            .take(DOCUMENT_KEEPERS)
-            .any(|keeper| *keeper == key)
+            .take(DOCUMENT_HOLDERS)
+            .any(|holder| *holder == key)
     }
 
     pub(super) fn hold_document(&mut self, document: Document) {
--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -177,7 +177,7 @@
     fn beat(&mut self, now: Instant, key: WorkerKey) {
         let news_version = self.news.as_ref().map_or(0, |news| news.version);
         let document_revision = self.document.revision();
-        let keep_document = self.is_document_keeper(key);
+        let is_holder = self.is_document_holder(key);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -189,7 +189,7 @@
             echo_us: worker.stamp_us,
             news_version,
             document_revision,
-            keep_document,
+            is_holder,
         };
         self.actions.push(DispatchAction::Send { link, frame });
     }
--- a/src/core/document/document_copy.rs
+++ b/src/core/document/document_copy.rs
@@ -6,7 +6,7 @@
     std::sync::Arc,
 };
 
-/// Most bytes of a part: 10 ms on a link of 25 Mbit/s.
+/// Most bytes of a part.
 const PART_BYTES: u64 = 32 << 10;
 /// Time without a part after which another peer may be asked, in milliseconds.
 const PART_TIMEOUT_MS: u64 = 500;
--- a/src/core/execution/documents.rs
+++ b/src/core/execution/documents.rs
@@ -13,7 +13,7 @@
 ///
 /// Guards against copies at most agents of a site that starts: an entry names the first agents that it has met, and
 /// meets others a moment later.
-const KEEPER_PAUSE_MS: u64 = 500;
+const HOLDER_PAUSE_MS: u64 = 500;
 
 impl Executor {
     /// Fetches the document from an entry that holds a newer one and names this agent as a holder.
@@ -22,17 +22,17 @@
         now: Instant,
         session: SessionId,
         revision: u64,
-        is_keeper: bool,
+        is_holder: bool,
     ) {
         let Some(link) = self.sessions.get_mut(&session) else {
             return;
         };
-        if !is_keeper {
-            link.keeper_since = None;
+        if !is_holder {
+            link.holder_since = None;
             return;
         }
-        let keeper_since = *link.keeper_since.get_or_insert(now);
-        if now.millis_since(keeper_since) < KEEPER_PAUSE_MS {
+        let holder_since = *link.holder_since.get_or_insert(now);
+        if now.millis_since(holder_since) < HOLDER_PAUSE_MS {
             return;
         }
         if let Some(request) = self.document.begin_fetch(now, session, revision) {
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -34,7 +34,7 @@
     /// The entry goes by older news than this agent knows since then.
     pub(super) behind_since: Option<Instant>,
     /// The entry names this agent as a holder of the document since then.
-    pub(super) keeper_since: Option<Instant>,
+    pub(super) holder_since: Option<Instant>,
 }
 
 impl Executor {
@@ -67,7 +67,7 @@
             starts_seen: 0,
             room: ToldRoom::new(now),
             behind_since: None,
-            keeper_since: None,
+            holder_since: None,
         };
         self.sessions.insert(session, link);
         let hello = AgentFrame::Hello {
@@ -93,10 +93,10 @@
                 echo_us,
                 news_version,
                 document_revision,
-                keep_document,
+                is_holder,
             } => {
                 self.on_beat(now, session, echo_us, news_version);
-                self.on_document_offer(now, session, document_revision, keep_document);
+                self.on_document_offer(now, session, document_revision, is_holder);
             }
             EntryFrame::Start(order) => self.on_start(now, session, order),
             EntryFrame::Stop { run } => self.on_stop(now, session, run),
--- a/src/core/execution/tests.rs
+++ b/src/core/execution/tests.rs
@@ -130,7 +130,7 @@
             echo_us: self.now.as_micros(),
             news_version: 0,
             document_revision: 0,
-            keep_document: false,
+            is_holder: false,
         });
     }
 
@@ -237,13 +237,13 @@
 fn document_requests(named: &[bool]) -> usize {
     let mut bench = Bench::ready();
     let mut requests = 0;
-    for keep_document in named {
+    for is_holder in named {
         bench.now = bench.now.plus_ms(200);
         bench.frame(EntryFrame::Beat {
             echo_us: bench.now.as_micros(),
             news_version: 0,
             document_revision: 4,
-            keep_document: *keep_document,
+            is_holder: *is_holder,
         });
         let is_request = |action: &&ExecutionAction| {
             matches!(
@@ -331,7 +331,7 @@
             echo_us,
             news_version: 0,
             document_revision: 0,
-            keep_document: false,
+            is_holder: false,
         };
         bench.feed(ExecutionEvent::Frame { session, frame });
         let frame = EntryFrame::Start(order(10 + session.0));
@@ -483,7 +483,7 @@
         echo_us,
         news_version: 0,
         document_revision: 0,
-        keep_document: false,
+        is_holder: false,
     });
     bench.frame(EntryFrame::Start(order(1)));
     assert_eq!(
--- a/src/core/link/entry_frame.rs
+++ b/src/core/link/entry_frame.rs
@@ -35,7 +35,7 @@
         /// Revision of the document that the entry holds; zero without one.
         document_revision: u64,
         /// The agent is to hold the document, for entries that do not reach the store.
-        keep_document: bool,
+        is_holder: bool,
     },
     /// Start a task.
     Start(StartOrder),
--- a/src/site_agent/dialler.rs
+++ b/src/site_agent/dialler.rs
@@ -24,8 +24,7 @@
 
 /// Longest wait for a change of the list in one call, in milliseconds.
 const WAIT_MS: u64 = 5_000;
-/// Answers by which the feed is followed behind: with the longest wait, half of the time for which the store keeps its
-/// history.
+/// Answers by which the feed is followed behind; the store's history must reach as far back.
 const FEED_LAG: usize = 2;
 /// Pauses after calls to the store that failed, in milliseconds; the first is doubled up to the last.
 const FIRST_STORE_PAUSE_MS: u64 = 100;
--- a/src/site_entry/news_keeper.rs
+++ b/src/site_entry/news_keeper.rs
@@ -27,11 +27,10 @@
 /// A connection that has gone silent is found half a second after it; a change must be in
 /// force two seconds after it was made.
 const WAIT_MS: u64 = 1_000;
-/// Answers, of a second each, by which the feed is followed behind: a feed may be without changes for seconds, and the
-/// store keeps its history for longer.
+/// Answers by which the feed is followed behind; the store's history must reach as far back.
 const FEED_LAG: usize = 5;
 /// Pauses before all is read anew because the feed failed or has lost its history, in milliseconds; the first is
-/// doubled up to the last. Reading all may take a good part of a second on a narrow link.
+/// doubled up to the last.
 const FIRST_REREAD_PAUSE_MS: u64 = 100;
 const LAST_REREAD_PAUSE_MS: u64 = 1_000;
 
--- a/src/site_entry/tests/config_changes.rs
+++ b/src/site_entry/tests/config_changes.rs
@@ -2,7 +2,7 @@
 //! time, and none goes back.
 
 use {
-    super::site::{SiteModel, SitePlan, StoreFault, Trouble},
+    super::site::{SiteEvent, SiteModel, SitePlan, StoreFault},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
 };
@@ -16,17 +16,17 @@
 /// Most calls that an entry makes to the store in a second, on the average of a day.
 const MOST_CALLS_PER_S: u64 = 10;
 
-fn site(troubles: Vec<(u64, Trouble)>) -> SitePlan {
+fn site(events: Vec<(u64, SiteEvent)>) -> SitePlan {
     SitePlan {
         entry_links: vec![WIDE, NARROW, WIDE, NARROW, NARROW],
         agents: 6,
-        troubles,
+        events,
         end_ms: 24_000,
     }
 }
 
 /// Changes of documents that grow up to this length.
-fn growing(bytes: usize) -> Vec<(u64, Trouble)> {
+fn growing(bytes: usize) -> Vec<(u64, SiteEvent)> {
     let sizes = [
         (5_000, bytes / 2),
         (9_000, bytes),
@@ -35,7 +35,7 @@
     ];
     let changes = sizes.into_iter().zip(2..);
     changes
-        .map(|((at_ms, bytes), version)| (at_ms, Trouble::Config { version, bytes }))
+        .map(|((at_ms, bytes), version)| (at_ms, SiteEvent::Config { version, bytes }))
         .collect()
 }
 
@@ -46,23 +46,23 @@
 }
 
 macro_rules! change_cases {
-    ($($(#[$doc:meta])* $name:ident: $troubles:expr;)+) => {
+    ($($(#[$doc:meta])* $name:ident: $events:expr;)+) => {
         $(
             $(#[$doc])*
             #[tokio::test(start_paused = true)]
             async fn $name() {
                 for bytes in [SMALL, LARGE] {
-                    let mut troubles = growing(bytes);
-                    troubles.extend(Vec::<(u64, Trouble)>::from($troubles));
-                    assert_eq!(broken(site(troubles)).await, Vec::<String>::new(), "{bytes} bytes");
+                    let mut events = growing(bytes);
+                    events.extend(Vec::<(u64, SiteEvent)>::from($events));
+                    assert_eq!(broken(site(events)).await, Vec::<String>::new(), "{bytes} bytes");
                 }
             }
         )+
     };
 }
 
-const fn store(fault: StoreFault, for_ms: u64) -> Trouble {
-    Trouble::Store { fault, for_ms }
+const fn store(fault: StoreFault, for_ms: u64) -> SiteEvent {
+    SiteEvent::Store { fault, for_ms }
 }
 
 change_cases! {
@@ -70,19 +70,19 @@
     a_large_document_is_in_force_in_time_at_entries_with_narrow_links: [];
     /// Guards against an entry that goes on waiting on a feed that fails, although the rows can be read.
     a_change_is_in_force_in_time_after_feeds_were_cut: [(8_500, store(StoreFault::CutsFeeds, 3_000))];
-    /// Guards against a change that is made while feeds say that nothing has changed.
-    a_change_is_in_force_in_time_after_feeds_were_deaf: [(8_500, store(StoreFault::DeafFeeds, 1_000))];
+    /// Guards against a change that feeds leave out.
+    a_change_is_in_force_in_time_after_feeds_missed_it: [(8_500, store(StoreFault::FeedsMissChanges, 1_000))];
     /// Guards against a change that nothing follows and that is never asked for again.
-    the_last_change_is_in_force_in_time_after_feeds_were_deaf: [(13_500, store(StoreFault::DeafFeeds, 2_500))];
+    the_last_change_is_in_force_in_time_after_feeds_missed_it: [(13_500, store(StoreFault::FeedsMissChanges, 2_500))];
     /// Guards against an entry that reads nothing while feeds fail for long.
     the_last_change_is_in_force_in_time_after_feeds_were_cut: [(14_500, store(StoreFault::CutsFeeds, 3_000))];
     /// Guards against an older state that is kept once reads are no longer stale.
     the_last_change_is_in_force_in_time_after_stale_reads:
-        [(14_500, store(StoreFault::StaleReads(5_500), 4_000)), (15_100, Trouble::ForgetHistory)];
+        [(14_500, store(StoreFault::StaleReads(5_500), 4_000)), (15_100, SiteEvent::ForgetHistory)];
     /// Guards against an entry that takes an older state for the newest one.
     a_change_is_in_force_in_time_after_stale_reads:
-        [(8_500, store(StoreFault::StaleReads(5_500), 4_000)), (9_100, Trouble::ForgetHistory)];
-    a_change_is_in_force_in_time_after_history_is_gone: [(9_010, Trouble::ForgetHistory)];
+        [(8_500, store(StoreFault::StaleReads(5_500), 4_000)), (9_100, SiteEvent::ForgetHistory)];
+    a_change_is_in_force_in_time_after_history_is_gone: [(9_010, SiteEvent::ForgetHistory)];
     a_change_is_in_force_in_time_after_a_slow_store: [(8_500, store(StoreFault::Slow(60), 4_500))];
     a_change_is_in_force_in_time_after_a_silent_store: [(8_500, store(StoreFault::Silent, 4_500))];
     a_change_is_in_force_in_time_after_a_store_that_refuses: [(8_500, store(StoreFault::Refusing, 4_500))];
@@ -93,18 +93,18 @@
     /// Guards against agents that know of a change but can't hand it on, their first holders being gone.
     a_change_is_passed_on_while_agents_are_replaced: [
         (4_500, store(StoreFault::Refuses(3, 1), 15_000)),
-        (9_300, Trouble::StopAgent { agent: 0, down_ms: 6_000 }),
-        (9_600, Trouble::StopAgent { agent: 1, down_ms: 6_000 }),
-        (9_900, Trouble::StopAgent { agent: 2, down_ms: 6_000 }),
+        (9_300, SiteEvent::StopAgent { agent: 0, down_ms: 6_000 }),
+        (9_600, SiteEvent::StopAgent { agent: 1, down_ms: 6_000 }),
+        (9_900, SiteEvent::StopAgent { agent: 2, down_ms: 6_000 }),
     ];
     a_change_is_in_force_in_time_while_entries_start_and_freeze: [
-        (8_900, Trouble::StopEntry { entry: 1, down_ms: 500 }),
-        (9_200, Trouble::FreezeEntry { entry: 2, for_ms: 2_000 }),
-        (14_900, Trouble::FreezeEntry { entry: 3, for_ms: 1_000 }),
+        (8_900, SiteEvent::StopEntry { entry: 1, down_ms: 500 }),
+        (9_200, SiteEvent::FreezeEntry { entry: 2, for_ms: 2_000 }),
+        (14_900, SiteEvent::FreezeEntry { entry: 3, for_ms: 1_000 }),
     ];
     a_zone_is_out_in_time_at_entries_that_the_store_refuses: [
         (4_500, store(StoreFault::Refuses(3, 1), 18_000)),
-        (6_000, Trouble::Zone { is_out: true }),
+        (6_000, SiteEvent::Zone { is_out: true }),
     ];
 }
 
@@ -119,19 +119,19 @@
 /// Guards against calls without a pause while reads show a state whose history is gone.
 #[tokio::test(start_paused = true)]
 async fn a_gone_history_is_not_asked_for_without_a_pause() {
-    let mut troubles = vec![
+    let mut events = vec![
         (
             5_000,
-            Trouble::Config {
+            SiteEvent::Config {
                 version: 2,
                 bytes: SMALL,
             },
         ),
         (4_900, store(StoreFault::StaleReads(5_500), 10_000)),
-        (5_020, Trouble::ForgetHistory),
+        (5_020, SiteEvent::ForgetHistory),
     ];
-    troubles.extend((0..5).map(|entry| (5_040, Trouble::StopEntry { entry, down_ms: 40 })));
-    let mut site = SiteModel::start(site(troubles));
+    events.extend((0..5).map(|entry| (5_040, SiteEvent::StopEntry { entry, down_ms: 40 })));
+    let mut site = SiteModel::start(site(events));
     site.play().await;
     assert_eq!(site.broken, Vec::<String>::new());
     let (entries, seconds) = (5, 24);
@@ -143,29 +143,29 @@
 }
 
 /// A fault of any kind.
-fn draw_trouble(chance: &mut ChaCha8Rng, plan: &SitePlan) -> Trouble {
+fn draw_event(chance: &mut ChaCha8Rng, plan: &SitePlan) -> SiteEvent {
     let (entry, agent) = (
         chance.random_range(0..plan.entry_links.len()),
         chance.random_range(0..plan.agents),
     );
     let for_ms = chance.random_range(300..4_500);
     let fault = match chance.random_range(0..13) {
-        0 => return Trouble::ForgetHistory,
+        0 => return SiteEvent::ForgetHistory,
         1 => {
-            return Trouble::StopEntry {
+            return SiteEvent::StopEntry {
                 entry,
                 down_ms: for_ms,
             };
         }
-        2 => return Trouble::FreezeEntry { entry, for_ms },
+        2 => return SiteEvent::FreezeEntry { entry, for_ms },
         3 | 4 => {
-            return Trouble::StopAgent {
+            return SiteEvent::StopAgent {
                 agent,
                 down_ms: for_ms,
             };
         }
         5 => {
-            return Trouble::Zone {
+            return SiteEvent::Zone {
                 is_out: chance.random_bool(0.5),
             };
         }
@@ -187,20 +187,20 @@
     for version in 2..12 {
         let at_ms = 3_000 + version * 3_000 + chance.random_range(0..2_500);
         let bytes = chance.random_range(1_000..LARGE);
-        plan.troubles
-            .push((at_ms, Trouble::Config { version, bytes }));
+        plan.events
+            .push((at_ms, SiteEvent::Config { version, bytes }));
     }
     for _ in 0..chance.random_range(1..8) {
-        let trouble = draw_trouble(&mut chance, &plan);
-        plan.troubles
-            .push((chance.random_range(4_000..38_000), trouble));
+        let event = draw_event(&mut chance, &plan);
+        plan.events
+            .push((chance.random_range(4_000..38_000), event));
     }
     plan
 }
 
-/// Guards against any mix of what may befall store, entries and agents.
+/// Guards against faults of store, entries and agents that overlap.
 #[tokio::test(start_paused = true)]
-async fn changes_are_in_force_in_time_whatever_befalls_the_site() {
+async fn changes_are_in_force_in_time_under_any_mix_of_faults() {
     for seed in 0..SEEDS {
         let broken = broken(draw_plan(seed)).await;
         assert_eq!(broken, Vec::<String>::new(), "seed {seed}");
--- a/src/site_entry/tests/site/host_model.rs
+++ b/src/site_entry/tests/site/host_model.rs
@@ -25,7 +25,7 @@
     /// When all that waits to leave has left, and all that was sent here has arrived.
     idle_at: [Instant; 2],
     frozen_until: Instant,
-    /// When something last befell the host.
+    /// When the host was last disturbed.
     disturbed_at: Instant,
 }
 
@@ -99,7 +99,7 @@
         state.disturbed_at = state.disturbed_at.max(Instant::now());
     }
 
-    /// For how long nothing has befallen the host.
+    /// For how long the host has not been disturbed.
     pub(super) fn calm_for(&self) -> Duration {
         let disturbed_at = self.state().disturbed_at;
         Instant::now().saturating_duration_since(disturbed_at)
--- a/src/site_entry/tests/site/mod.rs
+++ b/src/site_entry/tests/site/mod.rs
@@ -9,6 +9,6 @@
 
 pub(super) use {
     host_model::HostModel,
-    site_model::{SiteModel, SitePlan, Trouble},
+    site_model::{SiteEvent, SiteModel, SitePlan},
     store_model::StoreFault,
 };
--- a/src/site_entry/tests/site/site_model.rs
+++ b/src/site_entry/tests/site/site_model.rs
@@ -1,4 +1,4 @@
-//! The whole site, what befalls it, and the promise that is checked meanwhile.
+//! The whole site, what happens to it, and the promise that is checked meanwhile.
 
 use {
     super::{
@@ -41,9 +41,9 @@
 const DIAL_PAUSE_MS: u64 = 50;
 const AGENT_MBIT_PER_S: u64 = 1_000;
 
-/// What befalls a site.
+/// Something that happens to a site.
 #[derive(Debug, Clone, Copy)]
-pub(in crate::site_entry::tests) enum Trouble {
+pub(in crate::site_entry::tests) enum SiteEvent {
     /// The operator sets a document of this version and length.
     Config {
         version: u64,
@@ -85,7 +85,7 @@
     pub(in crate::site_entry::tests) entry_links: Vec<u64>,
     pub(in crate::site_entry::tests) agents: usize,
     /// Times in milliseconds.
-    pub(in crate::site_entry::tests) troubles: Vec<(u64, Trouble)>,
+    pub(in crate::site_entry::tests) events: Vec<(u64, SiteEvent)>,
     pub(in crate::site_entry::tests) end_ms: u64,
 }
 
@@ -106,7 +106,7 @@
 pub(in crate::site_entry::tests) struct SiteModel {
     shared: Arc<Shared>,
     agents: Vec<JoinSet<()>>,
-    troubles: Vec<(u64, Trouble)>,
+    events: Vec<(u64, SiteEvent)>,
     end_ms: u64,
     configs: Vec<(Instant, u64)>,
     zones: Vec<(Instant, BTreeSet<String>)>,
@@ -141,14 +141,14 @@
         });
         let mut site = Self {
             agents: (0..plan.agents).map(|_| JoinSet::new()).collect(),
-            troubles: plan.troubles,
+            events: plan.events,
             end_ms: plan.end_ms,
             configs: vec![(shared.origin, 1)],
             zones: vec![(shared.origin, BTreeSet::new())],
             broken: Vec::new(),
             shared,
         };
-        site.troubles.sort_by_key(|(at_ms, _)| *at_ms);
+        site.events.sort_by_key(|(at_ms, _)| *at_ms);
         (0..entries).for_each(|entry| site.shared.start_entry(entry));
         (0..plan.agents).for_each(|agent| site.start_agent(agent));
         site
@@ -158,12 +158,12 @@
     pub(in crate::site_entry::tests) async fn play(&mut self) {
         for now_ms in (0..self.end_ms).step_by(STEP_MS as usize) {
             while self
-                .troubles
+                .events
                 .first()
                 .is_some_and(|(at_ms, _)| *at_ms <= now_ms)
             {
-                let (_, trouble) = self.troubles.remove(0);
-                self.befall(now_ms, trouble);
+                let (_, event) = self.events.remove(0);
+                self.apply(now_ms, event);
             }
             sleep(Duration::from_millis(STEP_MS)).await;
             self.check(now_ms);
@@ -183,38 +183,38 @@
         self.shared.store.calls()
     }
 
-    fn later(&mut self, at_ms: u64, trouble: Trouble) {
-        self.troubles.push((at_ms, trouble));
-        self.troubles.sort_by_key(|(at_ms, _)| *at_ms);
+    fn later(&mut self, at_ms: u64, event: SiteEvent) {
+        self.events.push((at_ms, event));
+        self.events.sort_by_key(|(at_ms, _)| *at_ms);
     }
 
-    fn befall(&mut self, now_ms: u64, trouble: Trouble) {
+    fn apply(&mut self, now_ms: u64, event: SiteEvent) {
         let shared = Arc::clone(&self.shared);
-        match trouble {
-            Trouble::Config { version, bytes } => {
+        match event {
+            SiteEvent::Config { version, bytes } => {
                 let text = document(version, bytes);
                 shared.store.write_document(text);
                 self.configs.push((Instant::now(), version));
             }
-            Trouble::Zone { is_out } => {
+            SiteEvent::Zone { is_out } => {
                 let zones: BTreeSet<String> = is_out.then(|| ZONE.to_owned()).into_iter().collect();
                 shared.store.write_zones(&zones);
                 self.zones.push((Instant::now(), zones));
             }
-            Trouble::Store { fault, for_ms } => shared.store.fail(fault, for_ms),
-            Trouble::ForgetHistory => shared.store.forget_history(),
-            Trouble::StopEntry { entry, down_ms } => {
+            SiteEvent::Store { fault, for_ms } => shared.store.fail(fault, for_ms),
+            SiteEvent::ForgetHistory => shared.store.forget_history(),
+            SiteEvent::StopEntry { entry, down_ms } => {
                 shared.entries[entry].lock().expect("lock").take();
                 shared.entry_hosts[entry].disturb();
-                self.later(now_ms + down_ms, Trouble::StartEntry { entry });
+                self.later(now_ms + down_ms, SiteEvent::StartEntry { entry });
             }
-            Trouble::FreezeEntry { entry, for_ms } => shared.entry_hosts[entry].freeze(for_ms),
-            Trouble::StopAgent { agent, down_ms } => {
+            SiteEvent::FreezeEntry { entry, for_ms } => shared.entry_hosts[entry].freeze(for_ms),
+            SiteEvent::StopAgent { agent, down_ms } => {
                 self.agents[agent] = JoinSet::new();
-                self.later(now_ms + down_ms, Trouble::StartAgent { agent });
+                self.later(now_ms + down_ms, SiteEvent::StartAgent { agent });
             }
-            Trouble::StartEntry { entry } => shared.start_entry(entry),
-            Trouble::StartAgent { agent } => self.start_agent(agent),
+            SiteEvent::StartEntry { entry } => shared.start_entry(entry),
+            SiteEvent::StartAgent { agent } => self.start_agent(agent),
         }
     }
 
--- a/src/site_entry/tests/site/store_model.rs
+++ b/src/site_entry/tests/site/store_model.rs
@@ -41,7 +41,7 @@
     /// Feeds fail.
     CutsFeeds,
     /// Feeds say that nothing has changed.
-    DeafFeeds,
+    FeedsMissChanges,
     /// Reads show the rows as they were so long ago, in milliseconds.
     StaleReads(u64),
     /// Hosts whose number modulo the first is the second are refused.
@@ -261,7 +261,7 @@
         if self.store.faults().contains(&StoreFault::CutsFeeds) {
             return refused();
         }
-        if self.store.faults().contains(&StoreFault::DeafFeeds) {
+        if self.store.faults().contains(&StoreFault::FeedsMissChanges) {
             sleep(Duration::from_millis(wait_ms)).await;
             let version = self.store.newest().news.version;
             return Ok(OperatorChange::None { version });
