--- a/src/standin/site_store.rs
+++ b/src/standin/site_store.rs
@@ -5,6 +5,7 @@
     crate::{
         adapters::http::{HttpAnswer, HttpCall, HttpHandler, serve_http},
         cli::{PlatformArgs, RunError, stop_signal},
+        core::routes::HttpLimits,
     },
     async_trait::async_trait,
     http::{Method, StatusCode},
@@ -21,6 +22,9 @@
     },
 };
 
+/// Longest body that is taken, in bytes.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
 /// Faults that can be switched on by posting them to `/faults`.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -256,4 +260,11 @@
             _ => HttpAnswer::empty(StatusCode::NOT_FOUND),
         }
     }
+
+    fn limits(&self) -> HttpLimits {
+        HttpLimits {
+            max_body_bytes: MAX_BODY_BYTES,
+            ..HttpLimits::default()
+        }
+    }
 }
