A fetch of the document goes on with another peer where it stopped

A revision names one content, so what came of it stays.

Evidence: a_fetch_goes_on_with_another_peer fails before: asked for offset 0 in place of 32,768.

--- a/src/core/document/document_copy.rs
+++ b/src/core/document/document_copy.rs
@@ -24,7 +24,8 @@
 
 #[derive(Debug)]
 struct Fetch<P> {
-    peer: P,
+    /// Who is asked; nobody once it is gone.
+    peer: Option<P>,
     revision: u64,
     text: Vec<u8>,
     begun_at: Instant,
@@ -82,7 +83,8 @@
         self.previous = self.held.replace(document);
     }
 
-    /// Begins to fetch a newer revision from a peer that holds it, unless a fetch is under way.
+    /// Begins to fetch a newer revision from a peer that holds it, unless a fetch is under way. What has come of the
+    /// same revision from another peer is kept.
     pub(crate) fn begin_fetch(
         &mut self,
         now: Instant,
@@ -92,21 +94,24 @@
         if revision <= self.revision() {
             return None;
         }
-        let is_under_way = |fetch: &Fetch<P>| now.millis_since(fetch.heard_at) < PART_TIMEOUT_MS;
+        let is_under_way = |fetch: &Fetch<P>| {
+            fetch.peer.is_some() && now.millis_since(fetch.heard_at) < PART_TIMEOUT_MS
+        };
         if self.fetch.as_ref().is_some_and(is_under_way) {
             return None;
         }
+        let stopped = self.fetch.take().filter(|fetch| fetch.revision == revision);
+        let (text, begun_at) =
+            stopped.map_or((Vec::new(), now), |fetch| (fetch.text, fetch.begun_at));
+        let offset = text.len() as u64;
         self.fetch = Some(Fetch {
-            peer,
+            peer: Some(peer),
             revision,
-            text: Vec::new(),
-            begun_at: now,
+            text,
+            begun_at,
             heard_at: now,
         });
-        Some(PartRequest {
-            revision,
-            offset: 0,
-        })
+        Some(PartRequest { revision, offset })
     }
 
     /// The part that a peer asks for.
@@ -134,7 +139,7 @@
             revision: fetch.revision,
             offset: fetch.text.len() as u64,
         };
-        if fetch.peer != peer || part.request != expected {
+        if fetch.peer != Some(peer) || part.request != expected {
             return FetchStep::None;
         }
         if part.bytes.is_empty() || part.document_bytes > MAX_DOCUMENT_BYTES {
@@ -158,10 +163,12 @@
         FetchStep::Complete(fetched)
     }
 
-    /// Gives up what is fetched from a peer that is gone.
+    /// Notes that a peer is gone; what is fetched from it goes on with another one.
     pub(crate) fn lose_peer(&mut self, peer: P) {
-        if self.fetch.as_ref().is_some_and(|fetch| fetch.peer == peer) {
-            self.fetch = None;
+        if let Some(fetch) = &mut self.fetch
+            && fetch.peer == Some(peer)
+        {
+            fetch.peer = None;
         }
     }
 }
--- a/src/core/document/tests.rs
+++ b/src/core/document/tests.rs
@@ -103,3 +103,24 @@
     );
     assert_eq!(copy.revision(), 9);
 }
+
+/// Guards against a fetch that begins anew with each peer that is lost, and never ends on a link that is busy.
+#[test]
+fn a_fetch_goes_on_with_another_peer() {
+    let (mut copy, holder) = (holder([3]), holder([7]));
+    let first = copy.begin_fetch(at(0), 1, 7).expect("a request");
+    let FetchStep::Ask(next) = copy.take_part(at(1), 1, &holder.part(first)) else {
+        panic!("more than one part");
+    };
+    copy.lose_peer(1);
+    assert_eq!(copy.begin_fetch(at(2), 2, 7), Some(next));
+    let mut request = next;
+    let fetched = loop {
+        match copy.take_part(at(3), 2, &holder.part(request)) {
+            FetchStep::Ask(next) => request = next,
+            FetchStep::Complete(fetched) => break fetched.document,
+            FetchStep::None => panic!("a part is refused"),
+        }
+    };
+    assert_eq!(fetched, document(7));
+}
