Mend three faults found by reading: accept loop, unreadable replies, probe of test ports

- The accept loop for peers spun while no descriptor was left; it now pauses 20 ms, as the other accept loops do.
- A reply of the store that could not be parsed counted as 'nothing took effect'; the call may have been executed, so its outcome is unknown.
- Tests probed a port by binding it.
They now probe by a connection.

--- a/src/adapters/peer/h2_server.rs
+++ b/src/adapters/peer/h2_server.rs
@@ -19,10 +19,11 @@
     bytes::Bytes,
     h2::{RecvStream, server::SendResponse},
     http::{Request, Response, StatusCode},
-    std::{fmt::Debug, sync::Arc},
+    std::{fmt::Debug, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::mpsc,
+        time::sleep,
     },
 };
 
@@ -45,6 +46,9 @@
 }
 
 const MAX_BUFFERED_FRAMES: usize = 1_024;
+/// Delay after a failed accept, in milliseconds; the process may be out of file descriptors for a
+/// moment.
+const ACCEPT_RETRY_INTERVAL_MS: u64 = 20;
 
 /// Serves peers until the task is dropped.
 pub(crate) async fn serve_peers(
@@ -60,7 +64,7 @@
             }
             Err(error) => {
                 log::warn!(error:? = error; "accepting a peer connection failed");
-                tokio::task::yield_now().await;
+                sleep(Duration::from_millis(ACCEPT_RETRY_INTERVAL_MS)).await;
             }
         }
     }
--- a/src/platform/errors.rs
+++ b/src/platform/errors.rs
@@ -34,11 +34,13 @@
     fn from(error: PlatformError) -> Self {
         let detail = error.to_string();
         match error {
-            PlatformError::NoResponse(_) => Self::OutcomeUnknown(detail),
+            // The server may have executed a call whose response can't be parsed.
+            PlatformError::NoResponse(_) | PlatformError::Malformed(_) => {
+                Self::OutcomeUnknown(detail)
+            }
             PlatformError::Request(_)
             | PlatformError::NoConnection(_)
-            | PlatformError::Rejected(_)
-            | PlatformError::Malformed(_) => Self::Unavailable(detail),
+            | PlatformError::Rejected(_) => Self::Unavailable(detail),
         }
     }
 }
--- a/tests/processes/support/port.rs
+++ b/tests/processes/support/port.rs
@@ -1,7 +1,7 @@
 //! Listening ports of the programs that tests start.
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         OnceLock,
         atomic::{AtomicU16, Ordering},
@@ -24,7 +24,9 @@
     loop {
         let offset = 1 + NEXT.fetch_add(1, Ordering::SeqCst) % (PORTS_PER_SLOT - 1);
         let addr = SocketAddr::from(([127, 0, 0, 1], base + offset));
-        if TcpListener::bind(addr).is_ok() {
+        // A listener as a probe could be inherited by a program that another thread starts, and
+        // would occupy the port until that program's exec.
+        if TcpStream::connect(addr).is_err() {
             return addr;
         }
     }
