Limit an agent's sessions to twelve entries

Cause: each agent dialled every entry.

Change: an agent selects twelve entries by rendezvous hashing (core/entry_selection), replaces those that can't be reached for a second, and retires sessions that it no longer needs: the entry is told that the worker drains, and the session is closed once its runs have finished. Reading the list and dialling are separate now. Sites with twelve entries or fewer behave as before.

--- /dev/null
+++ b/src/core/entry_selection/entry_selection.rs
@@ -0,0 +1,143 @@
+//! Selects entries by rendezvous hashing.
+
+use {
+    crate::core::time::Instant,
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// Number of reachable entries that an agent selects.
+///
+/// Without a limit, sessions, heartbeats and capacity reports grow with the number of entries times
+/// the number of agents.
+pub(crate) const SELECTED_ENTRIES: usize = 12;
+/// Time of failed connection attempts after which another entry is selected as well, in
+/// milliseconds; longer than a process takes to restart.
+const UNREACHABLE_AFTER_MS: u64 = 1_000;
+/// How long the session with an entry that is no longer selected stays in use, in milliseconds;
+/// longer than a rolling restart keeps an entry away.
+const RETIRE_DELAY_MS: u64 = 10_000;
+
+/// What an agent does about its session with one entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SessionGoal {
+    /// Connect, and reconnect when the session is lost.
+    Maintain,
+    /// Keep an open session, but don't connect again.
+    Keep,
+    /// End an open session once its runs have finished.
+    Retire,
+}
+
+/// State of one entry that is or was listed.
+#[derive(Debug)]
+struct Candidate {
+    rank: u64,
+    listed: bool,
+    /// Since when connection attempts have failed.
+    failing_since: Option<Instant>,
+    /// When the entry was last selected; `None` if never.
+    selected_at: Option<Instant>,
+}
+
+impl Candidate {
+    fn is_reachable(&self, now: Instant) -> bool {
+        self.failing_since
+            .is_none_or(|since| now.millis_since(since) < UNREACHABLE_AFTER_MS)
+    }
+}
+
+/// Selects the entries of one agent.
+///
+/// Agents rank the entries independently, so each entry is selected by about the same number of
+/// agents, and adding or removing an entry changes few sessions.
+#[derive(Debug)]
+pub(crate) struct EntrySelection {
+    agent: String,
+    candidates: BTreeMap<SocketAddr, Candidate>,
+}
+
+impl EntrySelection {
+    /// Creates a selection without entries.
+    pub(crate) const fn new(agent: String) -> Self {
+        Self {
+            agent,
+            candidates: BTreeMap::new(),
+        }
+    }
+
+    /// Replaces the list of entries. Entries that are no longer listed keep their sessions.
+    pub(crate) fn set_listed(&mut self, entries: &[SocketAddr]) {
+        for candidate in self.candidates.values_mut() {
+            candidate.listed = false;
+        }
+        for entry in entries {
+            let rank = rank(&self.agent, *entry);
+            let candidate = self.candidates.entry(*entry).or_insert(Candidate {
+                rank,
+                listed: true,
+                failing_since: None,
+                selected_at: None,
+            });
+            candidate.listed = true;
+        }
+    }
+
+    pub(crate) fn record_connected(&mut self, entry: SocketAddr) {
+        if let Some(candidate) = self.candidates.get_mut(&entry) {
+            candidate.failing_since = None;
+        }
+    }
+
+    /// Records that a connection attempt failed.
+    pub(crate) fn record_failure(&mut self, now: Instant, entry: SocketAddr) {
+        if let Some(candidate) = self.candidates.get_mut(&entry) {
+            candidate.failing_since.get_or_insert(now);
+        }
+    }
+
+    /// Selects entries in the order of their ranks until [`SELECTED_ENTRIES`] of them are
+    /// reachable, and returns the goal for each entry that was selected at some time.
+    ///
+    /// Unreachable entries stay selected in addition, so that their sessions come back.
+    pub(crate) fn update(&mut self, now: Instant) -> Vec<(SocketAddr, SessionGoal)> {
+        let mut ranked: Vec<&mut Candidate> = self
+            .candidates
+            .values_mut()
+            .filter(|candidate| candidate.listed)
+            .collect();
+        ranked.sort_by_key(|candidate| candidate.rank);
+        let mut reachable = 0;
+        for candidate in ranked {
+            if reachable == SELECTED_ENTRIES {
+                break;
+            }
+            reachable += usize::from(candidate.is_reachable(now));
+            candidate.selected_at = Some(now);
+        }
+        let candidates = self.candidates.iter();
+        candidates
+            .filter_map(|(entry, candidate)| Some((*entry, goal(now, candidate)?)))
+            .collect()
+    }
+}
+
+/// The goal for an entry's session; `None` if the entry was never selected.
+fn goal(now: Instant, candidate: &Candidate) -> Option<SessionGoal> {
+    let selected_at = candidate.selected_at?;
+    let is_overdue = now.millis_since(selected_at) >= RETIRE_DELAY_MS;
+    Some(match candidate.listed {
+        true if selected_at == now => SessionGoal::Maintain,
+        true if is_overdue => SessionGoal::Retire,
+        // An entry that is shutting down leaves the list before it has finished its jobs.
+        true | false => SessionGoal::Keep,
+    })
+}
+
+fn rank(agent: &str, entry: SocketAddr) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(agent.as_bytes());
+    hasher.update(entry.to_string().as_bytes());
+    let mut bytes = [0; size_of::<u64>()];
+    hasher.finalize_xof().fill(&mut bytes);
+    u64::from_le_bytes(bytes)
+}
--- a/src/core/execution/capacity.rs
+++ b/src/core/execution/capacity.rs
@@ -1,7 +1,7 @@
 //! Reports of free capacity to entries, and its reservation for one entry at a time.
 
 use {
-    super::{ExecutionAction, Executor, SessionId},
+    super::{ExecutionAction, Executor, SessionId, sessions::EntryLink},
     crate::core::{
         link::{AgentFrame, CapacityReport},
         time::Instant,
@@ -119,8 +119,13 @@
         self.release_reservation(now, free);
         self.reserve_capacity(now, free);
         let reserved_for = self.reservation.map(|reservation| reservation.session);
-        let entries = u16::try_from(self.sessions.len()).unwrap_or(u16::MAX);
+        let in_use = |link: &&EntryLink| link.retiring_since.is_none();
+        let entries = self.sessions.values().filter(in_use).count();
+        let entries = u16::try_from(entries).unwrap_or(u16::MAX);
         for (session, link) in &mut self.sessions {
+            if link.retiring_since.is_some() {
+                continue;
+            }
             let is_waiting = link.capacity.request.is_some() && reserved_for != Some(*session);
             let report = CapacityReport {
                 free: if is_waiting {
--- a/src/core/execution/execution_event.rs
+++ b/src/core/execution/execution_event.rs
@@ -125,6 +125,8 @@
     },
     /// A session was disconnected.
     SessionLost { session: SessionId },
+    /// The agent no longer needs a session; it is closed once its runs have finished.
+    RetireSession { session: SessionId },
     /// A frame was received on a session.
     Frame {
         session: SessionId,
--- a/src/core/execution/execution_log_event.rs
+++ b/src/core/execution/execution_log_event.rs
@@ -17,6 +17,12 @@
         /// Number of runs that are stopped.
         runs: usize,
     },
+    /// A session that is no longer needed accepts no more starts.
+    SessionRetired {
+        entry: String,
+        /// Unfinished runs of the session.
+        runs: usize,
+    },
     /// A worker or a new incarnation of it reported to this agent.
     WorkerSeen {
         worker: String,
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -79,6 +79,7 @@
             ExecutionEvent::SessionLost { session } => {
                 self.disconnect_session(now, session, "closed")
             }
+            ExecutionEvent::RetireSession { session } => self.retire_session(now, session),
             ExecutionEvent::Frame { session, frame } => self.on_frame(now, session, frame),
             ExecutionEvent::Heartbeat { view, sequence } => self.on_heartbeat(now, view, sequence),
             ExecutionEvent::WorkerRestored { view } => self.on_worker_restored(now, view),
@@ -103,6 +104,7 @@
 
     fn on_tick(&mut self, now: Instant) {
         self.close_unresponsive_sessions(now);
+        self.close_retired_sessions(now);
         self.stop_expired_runs(now);
         self.retry_stops(now);
         self.drain_unreported_worker(now);
@@ -213,11 +215,14 @@
 
     pub(super) fn announce_worker(&mut self) {
         let view = self.announced_worker();
-        for session in self.sessions.keys() {
-            self.actions.push(ExecutionAction::Send {
-                session: *session,
-                frame: AgentFrame::Worker(view.clone()),
-            });
+        for (session, link) in &self.sessions {
+            // The entry of a retiring session already has its last view.
+            if link.retiring_since.is_none() {
+                self.actions.push(ExecutionAction::Send {
+                    session: *session,
+                    frame: AgentFrame::Worker(view.clone()),
+                });
+            }
         }
     }
 
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -9,13 +9,16 @@
     crate::core::{
         link::{AgentFrame, EntryFrame, EvacuatedZones, NotStartedReason, RunOutcome, StartOrder},
         time::Instant,
-        work::{RunId, TaskId},
+        work::{RunId, TaskId, WorkerView},
     },
 };
 
 /// Time before newer zones are sent to an entry that uses older ones, in milliseconds; entries with
 /// access to the store have usually read them by then.
 const ZONES_RELAY_DELAY_MS: u64 = 400;
+/// Minimum time between the retirement of a session and its close, in milliseconds; start orders
+/// that were in transit have been rejected by then.
+const RETIREMENT_MS: u64 = 1_000;
 
 /// State of one entry's session.
 #[derive(Debug)]
@@ -34,6 +37,8 @@
     pub(super) zones_outdated_since: Option<Instant>,
     /// Since when the entry names this agent as a holder of the document.
     pub(super) holder_since: Option<Instant>,
+    /// Since when the session accepts no starts because the agent no longer needs it.
+    pub(super) retiring_since: Option<Instant>,
 }
 
 impl Executor {
@@ -72,6 +77,7 @@
             capacity: ReportedCapacity::new(now),
             zones_outdated_since: None,
             holder_since: None,
+            retiring_since: None,
         };
         self.sessions.insert(session, link);
         let hello = AgentFrame::Hello {
@@ -213,14 +219,15 @@
         session: SessionId,
         order: &StartOrder,
     ) -> Option<NotStartedReason> {
-        let lease_until = self.sessions.get(&session)?.lease_until;
+        let link = self.sessions.get(&session)?;
+        let (lease_until, is_retiring) = (link.lease_until, link.retiring_since.is_some());
         let Some(worker) = self.worker.as_ref().filter(|worker| worker.ready) else {
             return Some(NotStartedReason::NoWorker);
         };
         if now >= lease_until {
             return Some(NotStartedReason::RightLapsed);
         }
-        if worker.view.draining || self.leaving {
+        if worker.view.draining || self.leaving || is_retiring {
             return Some(NotStartedReason::Draining);
         }
         if self.is_evacuated(&worker.view.availability_zone) {
@@ -268,6 +275,45 @@
         }
     }
 
+    /// Announces the worker as draining to the entry of a session that is no longer needed, so that
+    /// the entry starts its tasks elsewhere.
+    pub(super) fn retire_session(&mut self, now: Instant, session: SessionId) {
+        let view = self.announced_worker().map(|view| WorkerView {
+            draining: true,
+            ..view
+        });
+        let Some(link) = self.sessions.get_mut(&session) else {
+            return;
+        };
+        if link.retiring_since.is_some() {
+            return;
+        }
+        link.retiring_since = Some(now);
+        let entry = link.entry.clone();
+        self.clear_request(session);
+        self.send(session, AgentFrame::Worker(view));
+        let runs = self.tasks_of_session(session).len();
+        self.log_event(ExecutionLogEvent::SessionRetired { entry, runs });
+    }
+
+    /// Closes retired sessions whose runs have finished.
+    pub(super) fn close_retired_sessions(&mut self, now: Instant) {
+        let is_over = |since| now.millis_since(since) >= RETIREMENT_MS;
+        let over: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(session, link)| {
+                link.retiring_since.is_some_and(is_over)
+                    && self.runs.values().all(|run| run.session != **session)
+            })
+            .map(|(session, _)| *session)
+            .collect();
+        for session in over {
+            self.actions.push(ExecutionAction::Close { session });
+            self.disconnect_session(now, session, "retired");
+        }
+    }
+
     /// Removes a session and stops its runs.
     ///
     /// The entry either has no clients left or waits until its runs here have finished.
--- a/src/core/tests/faults.rs
+++ b/src/core/tests/faults.rs
@@ -33,6 +33,11 @@
         entry: usize,
         agent: usize,
     },
+    /// The agent retires its session with the entry, and connects again once it has ended.
+    RetireSession {
+        entry: usize,
+        agent: usize,
+    },
     /// The worker crashes and restarts with the same or another id.
     CrashWorker {
         worker: usize,
--- a/src/core/tests/seeds.rs
+++ b/src/core/tests/seeds.rs
@@ -6,6 +6,7 @@
 };
 
 const FIXED_SEEDS: u64 = 250;
+const RETIREMENT_SEEDS: u64 = 100;
 /// Seeds within which an unsafe setup must cause a double run.
 const DETECTION_SEEDS: u64 = 100;
 
@@ -52,6 +53,31 @@
     );
 }
 
+/// A session that is retired under load must neither lose tasks nor run them twice, and must hardly
+/// cost any completed job.
+#[test]
+fn retired_sessions_violate_no_invariant() {
+    let completed = |retired_sessions: u64| {
+        let setup = Setup {
+            retired_sessions,
+            ..Setup::production()
+        };
+        let counts = (0..RETIREMENT_SEEDS).map(|seed| {
+            let report = simulate(seed, setup).report;
+            assert!(
+                report.violations.is_empty(),
+                "seed {seed}: {:?}\n{}",
+                report.violations,
+                report.trace_tail(4_000)
+            );
+            u64::from(report.outcome_counts["completed"])
+        });
+        counts.sum::<u64>()
+    };
+    let (with, without) = (completed(12), completed(0));
+    assert!(with * 100 > without * 97, "{with}, without {without}");
+}
+
 /// `RATTANSLIP_SEEDS=FIRST..END cargo test --release more_seeds -- --ignored` runs other seeds.
 #[test]
 #[ignore = "runs thousands of seeds; started by hand"]
--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -50,6 +50,8 @@
 pub(super) struct Setup {
     pub(super) entry_limits: RunLimits,
     pub(super) agent_limits: RunLimits,
+    /// Number of sessions that agents retire.
+    pub(super) retired_sessions: u64,
 }
 
 impl Setup {
@@ -59,6 +61,7 @@
         Self {
             entry_limits: limits,
             agent_limits: limits,
+            retired_sessions: 0,
         }
     }
 }
@@ -255,6 +258,12 @@
             let at_ms = self.rng.between(1_500, 2_000 + LOAD_DURATION_MS);
             self.schedule_in_ms(at_ms, Event::StartFault(fault));
         }
+        for _ in 0..self.setup.retired_sessions {
+            let (entry, agent) = (self.rng.index(ENTRIES), self.rng.index(WORKERS));
+            let at_ms = self.rng.between(1_500, 2_000 + LOAD_DURATION_MS);
+            let fault = Fault::RetireSession { entry, agent };
+            self.schedule_in_ms(at_ms, Event::StartFault(fault));
+        }
     }
 
     fn add_client(&mut self, number: u64, at_ms: u64) {
@@ -1122,6 +1131,15 @@
             Fault::ResetLinks { entry, agent } => {
                 self.reset_links(|link| link.entry == entry && link.agent == agent);
             }
+            Fault::RetireSession { entry, agent } => {
+                let is_affected = |link: &LinkModel| link.entry == entry && link.agent == agent;
+                let links = self.links.iter().filter(|(_, link)| is_affected(link));
+                let links: Vec<u64> = links.map(|(link, _)| *link).collect();
+                for link in links {
+                    let session = SessionId(link);
+                    self.handle_agent_event(agent, ExecutionEvent::RetireSession { session });
+                }
+            }
             Fault::CrashWorker {
                 worker,
                 down_ms,
--- a/src/site_agent/execution_loop.rs
+++ b/src/site_agent/execution_loop.rs
@@ -182,6 +182,7 @@
             ExecutionLogEvent::Fenced { .. } => self.metrics.count(Counter::Retries, "fenced"),
             ExecutionLogEvent::EntryConnected { .. }
             | ExecutionLogEvent::EntryLost { .. }
+            | ExecutionLogEvent::SessionRetired { .. }
             | ExecutionLogEvent::WorkerSeen { .. }
             | ExecutionLogEvent::WorkerDraining { .. }
             | ExecutionLogEvent::WorkerLost { .. }
--- a/src/site_agent/mod.rs
+++ b/src/site_agent/mod.rs
@@ -1,6 +1,7 @@
 //! `rattanslip-agent` on a site: runs the executor next to one worker.
 
 mod dialler;
+mod entry_list_watcher;
 mod execution_loop;
 mod run;
 mod worker_report_handler;
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         dialler::Dialler,
+        entry_list_watcher::EntryListWatcher,
         execution_loop::{ExecutionLoop, LoopInput},
         worker_report_handler::WorkerReportHandler,
         worker_view_store::WorkerViewStore,
@@ -23,6 +24,7 @@
     },
     std::{
         collections::BTreeMap,
+        net::SocketAddr,
         sync::{Arc, atomic::AtomicU64},
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
@@ -77,14 +79,26 @@
 
     fn dialler(&self, settings: &SiteAgentSettings) -> Arc<Dialler> {
         Arc::new(Dialler {
-            store: Arc::clone(&self.process.store),
+            agent: settings.site.name.clone(),
             inputs: self.inputs.clone(),
+            timer: Arc::new(BootTimer),
             metrics: Arc::clone(&self.process.metrics),
             last_session: AtomicU64::new(1),
-            seeds: settings.seeds.clone(),
         })
     }
 
+    fn entry_list_watcher(
+        &self,
+        settings: &SiteAgentSettings,
+        lists: mpsc::UnboundedSender<Vec<SocketAddr>>,
+    ) -> EntryListWatcher {
+        EntryListWatcher {
+            store: Arc::clone(&self.process.store),
+            seeds: settings.seeds.clone(),
+            lists,
+        }
+    }
+
     fn worker_view_store(&self, settings: &SiteAgentSettings) -> WorkerViewStore {
         WorkerViewStore {
             store: Arc::clone(&self.process.store),
@@ -127,8 +141,11 @@
     tokio::spawn(log_reload_signals(Arc::clone(&shared.process.decisions)));
     shared.process.log_started(site);
     let lease_expiry_ms = site.limits.max_lease_ms() + LEASE_SLACK_MS;
+    let (lists, list_receiver) = mpsc::unbounded_channel();
+    tokio::spawn(shared.entry_list_watcher(&settings, lists).run());
     tokio::spawn(dial_after_stale_runs(
         shared.dialler(&settings),
+        list_receiver,
         stale_runs_receiver,
         lease_expiry_ms,
     ));
@@ -145,6 +162,7 @@
 /// list under a newer token is empty, and at the latest when their leases expire.
 async fn dial_after_stale_runs(
     dialler: Arc<Dialler>,
+    lists: mpsc::UnboundedReceiver<Vec<SocketAddr>>,
     mut stale_runs_receiver: watch::Receiver<bool>,
     lease_expiry_ms: u64,
 ) {
@@ -155,7 +173,7 @@
         stale_runs_receiver.wait_for(|stopped| *stopped),
     )
     .await;
-    dialler.follow().await;
+    dialler.run(lists).await;
 }
 
 /// Returns a fencing token above those of this agent's earlier processes if the system clock is
--- a/src/site_entry/tests/events.rs
+++ b/src/site_entry/tests/events.rs
@@ -1,7 +1,7 @@
 //! Checks that the operations page documents every log event.
 
 /// Every log event of an entry, an agent, and a process as a whole.
-const EVENTS: [&str; 40] = [
+const EVENTS: [&str; 41] = [
     "job_taken",
     "job_refused",
     "job_joined",
@@ -18,6 +18,7 @@
     "agent_lost",
     "entry_connected",
     "entry_lost",
+    "session_retired",
     "worker_seen",
     "worker_ready",
     "worker_changed",
