Report free capacity when it matters to the entry, with the agent's stamp

Cause: an agent reported each change of its free capacity to each entry, up to each 20 ms: some 35 reports a second on a session that carries two or three starts a second. After the limit of sessions these were most of the frames between entries and agents.

Change: an entry learns at once of its own starts and ends, within 20 ms whether another task of the usual size fits, and otherwise each 100 ms. A report carries the agent's stamp; a heartbeat is not answered within half a heartbeat interval of one.

--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -52,7 +52,8 @@
                 worker.view = view;
                 self.log_event(event);
             }
-            AgentFrame::Room(report) => {
+            AgentFrame::Room { report, stamp_us } => {
+                worker.record_stamp(now, stamp_us);
                 worker.record_capacity(report);
                 self.capacity_reported.push(key);
             }
--- a/src/core/dispatch/tests/concurrent_entries.rs
+++ b/src/core/dispatch/tests/concurrent_entries.rs
@@ -27,11 +27,15 @@
     }
 
     fn report(&self, entry: usize) -> AgentFrame {
-        AgentFrame::Room(CapacityReport {
+        let report = CapacityReport {
             free: needs(SLOTS - self.running),
             starts_seen: self.starts_seen.get(&entry).copied().unwrap_or_default(),
             entries: ENTRIES as u16,
-        })
+        };
+        AgentFrame::Room {
+            report,
+            stamp_us: 0,
+        }
     }
 }
 
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -132,7 +132,13 @@
             starts_seen: 0,
             entries,
         };
-        self.receive_frame(worker, AgentFrame::Room(report));
+        self.receive_frame(
+            worker,
+            AgentFrame::Room {
+                report,
+                stamp_us: 0,
+            },
+        );
     }
 
     fn report_capacity(&mut self, worker: u64, cores: u32, starts_seen: u32) {
@@ -142,7 +148,13 @@
             starts_seen,
             entries: 1,
         };
-        self.receive_frame(worker, AgentFrame::Room(report));
+        self.receive_frame(
+            worker,
+            AgentFrame::Room {
+                report,
+                stamp_us: 0,
+            },
+        );
     }
 
     fn send_event(&mut self, event: DispatchEvent) {
--- a/src/core/execution/capacity.rs
+++ b/src/core/execution/capacity.rs
@@ -10,7 +10,9 @@
 };
 
 /// Minimum time between capacity reports that no entry is waiting for, in milliseconds.
-const REPORT_INTERVAL_MS: u64 = 20;
+const REPORT_INTERVAL_MS: u64 = 100;
+/// The same for a report that changes whether another task fits, in milliseconds.
+const FIT_REPORT_INTERVAL_MS: u64 = 20;
 /// Time for which free capacity is reserved for one entry, in milliseconds; longer than a round
 /// trip.
 const RESERVATION_MS: u64 = 10;
@@ -106,6 +108,9 @@
 
     /// Reports free capacity to entries.
     ///
+    /// An entry learns soon whether another task fits, and with some delay how much is free beyond
+    /// that, which only decides between workers.
+    ///
     /// If all waiting entries learned of each free slot, all would send a start for it and all but
     /// one would be rejected. So free capacity is reserved for one waiting entry at a time, the one
     /// with the fewest runs here first; the other waiting entries see none. Entries that are not
@@ -119,6 +124,7 @@
         self.release_reservation(now, free);
         self.reserve_capacity(now, free);
         let reserved_for = self.reservation.map(|reservation| reservation.session);
+        let last_needs = self.last_needs;
         let in_use = |link: &&EntryLink| link.retiring_since.is_none();
         let entries = self.sessions.values().filter(in_use).count();
         let entries = u16::try_from(entries).unwrap_or(u16::MAX);
@@ -136,18 +142,28 @@
                 starts_seen: link.starts_seen,
                 entries,
             };
+            let interval_ms = match link.capacity.reported {
+                Some(known) if last_needs.fits(known.free) == last_needs.fits(report.free) => {
+                    REPORT_INTERVAL_MS
+                }
+                Some(_) | None => FIT_REPORT_INTERVAL_MS,
+            };
             let is_due = link.capacity.due
                 || reserved_for == Some(*session)
-                || now.millis_since(link.capacity.reported_at) >= REPORT_INTERVAL_MS;
+                || now.millis_since(link.capacity.reported_at) >= interval_ms;
             if link.capacity.reported == Some(report) || !is_due {
                 continue;
             }
             link.capacity.reported = Some(report);
             link.capacity.reported_at = now;
             link.capacity.due = false;
+            link.stamped_at = Some(now);
             self.actions.push(ExecutionAction::Send {
                 session: *session,
-                frame: AgentFrame::Room(report),
+                frame: AgentFrame::Room {
+                    report,
+                    stamp_us: now.as_micros(),
+                },
             });
         }
     }
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -42,6 +42,8 @@
     pub(super) leaving: bool,
     /// Free capacity reserved for one of several waiting entries.
     pub(super) reservation: Option<CapacityReservation>,
+    /// Resources that the latest start order required.
+    pub(super) last_needs: Resources,
     pub(super) actions: Vec<ExecutionAction>,
 }
 
@@ -61,6 +63,7 @@
             last_hold_sequence: 0,
             leaving: false,
             reservation: None,
+            last_needs: Resources::default(),
             actions: Vec::new(),
         }
     }
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -9,7 +9,7 @@
     crate::core::{
         link::{AgentFrame, EntryFrame, EvacuatedZones, NotStartedReason, RunOutcome, StartOrder},
         time::Instant,
-        work::{RunId, TaskId, WorkerView},
+        work::{RunId, RunLimits, TaskId, WorkerView},
     },
 };
 
@@ -39,6 +39,23 @@
     pub(super) holder_since: Option<Instant>,
     /// Since when the session accepts no starts because the agent no longer needs it.
     pub(super) retiring_since: Option<Instant>,
+    /// When a timestamp of this agent was last sent after the hello.
+    pub(super) stamped_at: Option<Instant>,
+    pub(super) heartbeat_sent_at: Option<Instant>,
+}
+
+impl EntryLink {
+    /// Whether a heartbeat of the entry must be answered with one.
+    ///
+    /// Capacity reports contain a timestamp as well, but not the document's revision. An older one is
+    /// not enough: the entry echoes it until its next heartbeat.
+    fn is_heartbeat_due(&self, now: Instant, limits: RunLimits) -> bool {
+        let is_due = |sent_at: Option<Instant>, interval_ms| {
+            sent_at.is_none_or(|sent_at| now.millis_since(sent_at) >= interval_ms)
+        };
+        is_due(self.stamped_at, limits.heartbeat_interval_ms() / 2)
+            || is_due(self.heartbeat_sent_at, limits.liveness_timeout_ms)
+    }
 }
 
 impl Executor {
@@ -78,6 +95,8 @@
             zones_outdated_since: None,
             holder_since: None,
             retiring_since: None,
+            stamped_at: None,
+            heartbeat_sent_at: None,
         };
         self.sessions.insert(session, link);
         let hello = AgentFrame::Hello {
@@ -148,17 +167,24 @@
         let relay = link
             .zones_outdated_since
             .is_some_and(|since| now.millis_since(since) >= ZONES_RELAY_DELAY_MS);
+        let is_heartbeat_due = link.is_heartbeat_due(now, self.settings.limits);
+        if is_heartbeat_due {
+            link.stamped_at = Some(now);
+            link.heartbeat_sent_at = Some(now);
+        }
         if relay {
             // Sent again after another delay in case this copy is lost.
             link.zones_outdated_since = Some(now);
         }
-        self.send(
-            session,
-            AgentFrame::Beat {
-                stamp_us: now.as_micros(),
-                document_revision: self.document.revision(),
-            },
-        );
+        if is_heartbeat_due {
+            self.send(
+                session,
+                AgentFrame::Beat {
+                    stamp_us: now.as_micros(),
+                    document_revision: self.document.revision(),
+                },
+            );
+        }
         if let Some(zones) = self.zones.clone().filter(|_| relay) {
             self.send(session, AgentFrame::News(zones));
         }
@@ -182,6 +208,7 @@
         };
         link.starts_seen += 1;
         link.capacity.due = true;
+        self.last_needs = order.needs;
         if let Some(reason) = self.reject_reason(now, session, &order) {
             if reason == NotStartedReason::NoRoom {
                 self.record_request(now, session, order.needs);
--- a/src/core/link/agent_frame.rs
+++ b/src/core/link/agent_frame.rs
@@ -90,7 +90,11 @@
     /// The agent's worker, or `None` if it is not ready.
     Worker(Option<WorkerView>),
     /// Free capacity of the worker.
-    Room(CapacityReport),
+    Room {
+        report: CapacityReport,
+        /// The agent's clock, in microseconds.
+        stamp_us: u64,
+    },
     /// A run has finished.
     Ended {
         run: RunId,
