--- a/src/cli/commands/explain.rs
+++ b/src/cli/commands/explain.rs
@@ -14,12 +14,13 @@
 /// Fields that are not printed after the first columns: they are shown there, or the request implies them.
 const COLUMN_FIELDS: [&str; 4] = ["at_unix_ms", "process", "event", "job"];
 /// Events that determine the outcome of a request.
-const DECISIVE_EVENTS: [&str; 6] = [
+const DECISIVE_EVENTS: [&str; 7] = [
     "job_refused",
     "job_answered",
     "job_isolated",
     "run_lost",
     "run_overdue",
+    "worker_crashed",
     "call_refused",
 ];
 
