Don't blame a later restart of a worker on tasks lost while it was unreachable

Cause: the tasks lost with an unresponsive worker were kept until its next incarnation, also when the same incarnation answered again. Its restart hours later was then reported as a crash under them, and with a second such loss an innocent job could be failed.

Change: a run list of the same incarnation shows that it did not crash, and drops them.

Test first: a_worker_that_returns_has_not_crashed (reported the task before). Found by reading; no caller was seen to meet it.

--- a/src/core/execution/run_list.rs
+++ b/src/core/execution/run_list.rs
@@ -36,6 +36,8 @@
                     self.suspend_restarted_worker(call, born_unix_ms);
                     return;
                 }
+                // The worker was unreachable, but has not crashed.
+                self.lost_tasks = None;
                 let stale = self.is_stale(clock_ms);
                 self.record_clock(now, clock_ms);
                 self.apply_outcomes(now, &ended);
--- a/src/core/execution/tests/crashes.rs
+++ b/src/core/execution/tests/crashes.rs
@@ -82,3 +82,15 @@
     test.advance(0);
     assert_eq!(crashed_tasks(&test), [run(1).task]);
 }
+
+/// A worker that was unreachable for a while has not crashed; its restart much later must not be
+/// blamed on the tasks that were lost then.
+#[test]
+fn a_worker_that_returns_has_not_crashed() {
+    let mut test = TestExecutor::ready();
+    assert_eq!(lose_worker(&mut test, &HoldResponse::Unanswered), []);
+    test.send_run_list(latest_poll(), &[], &[]);
+    assert!(test.executor.announced_worker().is_some());
+    test.send_worker_heartbeat(BORN_MS + 60_000, 1, false);
+    assert_eq!(crashed_tasks(&test), []);
+}
