Find lost calls and silent workers within 40 ms

Change: a start without a response for 40 ms is resolved under a higher token if the worker has responded to later calls, and sent again by the agent once it is void. Otherwise the worker is silent: no free capacity, no starts (`unresponsive`), no renewal, no repeated stops until its next response. A lost long poll is replaced when another call brings an end; while calls get lost two are open. A start whose connection is refused has not run. The repetition keeps its proof: nothing is sent before a list under the higher token has voided the first call.

Replaced: the end of an unanswered start is now a repetition under the higher token (and order_lost if it is to be stopped); the loss at an unresponsive worker is bound by the last extension of its lease, exactly, instead of by two leases less 100 ms.

--- a/src/core/execution/capacity.rs
+++ b/src/core/execution/capacity.rs
@@ -117,7 +117,7 @@
     /// waiting see all of it.
     pub(super) fn report_capacity(&mut self, now: Instant) {
         let free = match self.worker.as_ref() {
-            Some(worker) if worker.ready => self.free(),
+            Some(worker) if worker.ready && worker.silent_since.is_none() => self.free(),
             Some(_) | None => Resources::default(),
         };
         self.expire_requests(now);
--- a/src/core/execution/execution_event.rs
+++ b/src/core/execution/execution_event.rs
@@ -73,6 +73,8 @@
     Unhealthy,
     /// Rejected for another reason; nothing was started.
     Rejected,
+    /// The host refused the connection: nothing was sent.
+    Refused,
     /// No response: the worker may have started the run or may still start it.
     Unanswered,
 }
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -114,6 +114,7 @@
         self.close_retired_sessions(now);
         self.stop_expired_runs(now);
         self.retry_stops(now);
+        self.detect_lost_calls(now);
         self.drain_unreported_worker(now);
     }
 
@@ -184,7 +185,7 @@
             runs_lost,
         });
         self.worker = Some(WorkerState::new(now, view, sequence));
-        self.mark_all_runs_uncertain();
+        self.mark_all_runs_uncertain(now);
     }
 
     fn on_worker_left(&mut self, now: Instant, worker: &str) {
--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -65,10 +65,8 @@
         if !is_due || (worker.ready && !has_runs) {
             return;
         }
-        // The lease of an unresponsive worker is not renewed, so that it expires as early as
-        // possible.
-        let is_responsive = now.millis_since(worker.last_response_at) < limits.lease_ms;
-        let extends_lease = worker.ready && has_runs && is_responsive;
+        // The lease of a silent worker is not renewed, so that it expires as early as possible.
+        let extends_lease = worker.ready && has_runs && worker.silent_since.is_none();
         let lease_until_ms = if extends_lease {
             self.extend_lease(now)
         } else {
@@ -86,16 +84,19 @@
         } else {
             LONG_POLL_MS
         };
+        let sequence = self.last_hold_sequence + 1;
         let Some(worker) = &mut self.worker else {
             return;
         };
-        let is_polling = worker
-            .long_poll_since
-            .is_some_and(|since| now.millis_since(since) < IDLE_LONG_POLL_MS + LONG_POLL_SLACK_MS);
-        if !worker.ready || is_polling || now < worker.next_poll_at {
+        worker
+            .long_polls
+            .retain(|_, since| now.millis_since(*since) < IDLE_LONG_POLL_MS + LONG_POLL_SLACK_MS);
+        let is_polling = worker.long_polls.len() >= worker.wanted_long_polls(now);
+        let is_available = worker.ready && worker.silent_since.is_none();
+        if !is_available || is_polling || now < worker.next_poll_at {
             return;
         }
-        worker.long_poll_since = Some(now);
+        worker.long_polls.insert(sequence, now);
         self.call_hold(None, wait_ms);
     }
 
--- a/src/core/execution/mod.rs
+++ b/src/core/execution/mod.rs
@@ -14,6 +14,7 @@
 mod run_calls;
 mod run_list;
 mod sessions;
+mod silence;
 mod worker_state;
 
 #[cfg(test)]
--- a/src/core/execution/run.rs
+++ b/src/core/execution/run.rs
@@ -9,7 +9,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum StartState {
     /// The start call is in flight.
-    Pending,
+    Pending {
+        /// When the call was sent.
+        since: Instant,
+        /// Token of the call.
+        token: u64,
+    },
     /// The outcome of the start call is unknown until the worker responds to a hold call with a
     /// higher token.
     Unresolved {
@@ -17,6 +22,8 @@
         token: u64,
         /// The worker may have started the run, perhaps in an earlier incarnation.
         may_have_started: bool,
+        /// When the run list was last requested.
+        requested_at: Instant,
     },
     /// The worker has confirmed the run.
     Confirmed {
@@ -59,7 +66,7 @@
     pub(super) const fn ran_ms(&self, now: Instant) -> u64 {
         match self.start {
             StartState::Confirmed { at } => now.millis_since(at),
-            StartState::Pending | StartState::Unresolved { .. } => 0,
+            StartState::Pending { .. } | StartState::Unresolved { .. } => 0,
         }
     }
 
--- a/src/core/execution/run_calls.rs
+++ b/src/core/execution/run_calls.rs
@@ -28,7 +28,10 @@
             number: order.run.number,
             start_calls: 0,
             received_at: now,
-            start: StartState::Pending,
+            start: StartState::Pending {
+                since: now,
+                token: self.token,
+            },
             stop: None,
             order,
         };
@@ -50,7 +53,7 @@
             return;
         };
         run.start_calls += 1;
-        run.start = StartState::Pending;
+        run.start = StartState::Pending { since: now, token };
         let call = StartCall {
             worker,
             task,
@@ -83,7 +86,7 @@
         call: &StartCall,
         response: StartResponse,
     ) {
-        if response != StartResponse::Unanswered {
+        if !matches!(response, StartResponse::Unanswered | StartResponse::Refused) {
             self.record_worker_response(now);
         }
         let token = self.token;
@@ -91,12 +94,16 @@
             return;
         };
         // A run list may have resolved the start in the meantime.
-        if run.number != call.number || run.start != StartState::Pending {
+        if run.number != call.number || !matches!(run.start, StartState::Pending { .. }) {
             return;
         }
         match response {
             StartResponse::Accepted => run.start = StartState::Confirmed { at: now },
-            StartResponse::Unanswered => self.mark_run_uncertain(call.task, call.token),
+            StartResponse::Unanswered => self.mark_run_uncertain(now, call.task, call.token),
+            StartResponse::Refused => {
+                self.mark_worker_silent(now);
+                self.finish_not_started(now, call.task, NotStartedReason::Unresponsive);
+            }
             StartResponse::Fenced => {
                 if call.token >= token {
                     self.raise_token();
@@ -123,7 +130,7 @@
     }
 
     /// Repeats a start call that had no effect, unless the run is to be stopped.
-    fn retry_start(&mut self, now: Instant, task: TaskId, reason: NotStartedReason) {
+    pub(super) fn retry_start(&mut self, now: Instant, task: TaskId, reason: NotStartedReason) {
         let Some(run) = self.runs.get(&task) else {
             return;
         };
@@ -148,7 +155,7 @@
     /// The call could otherwise start the run seconds later, while its task already runs elsewhere.
     /// Once the worker has responded to a hold call with the higher token, it either lists the run
     /// or will reject the start call whenever that arrives.
-    fn mark_run_uncertain(&mut self, task: TaskId, call_token: u64) {
+    pub(super) fn mark_run_uncertain(&mut self, now: Instant, task: TaskId, call_token: u64) {
         if self.token <= call_token {
             self.token = call_token + 1;
         }
@@ -160,6 +167,7 @@
         run.start = StartState::Unresolved {
             token: call_token,
             may_have_started,
+            requested_at: now,
         };
         let run_id = run.order.run;
         self.log_event(ExecutionLogEvent::OrderUnanswered {
@@ -175,11 +183,11 @@
     ///
     /// The earlier incarnation may have started a run without its response arriving, so a run
     /// missing from the list is lost rather than not started.
-    pub(super) fn mark_all_runs_uncertain(&mut self) {
+    pub(super) fn mark_all_runs_uncertain(&mut self, now: Instant) {
         let uncertain: Vec<TaskId> = self.runs.keys().copied().collect();
         let token = self.token;
         for task in uncertain {
-            self.mark_run_uncertain(task, token);
+            self.mark_run_uncertain(now, task, token);
             if let Some(run) = self.runs.get_mut(&task)
                 && let StartState::Unresolved {
                     may_have_started, ..
@@ -208,7 +216,12 @@
     }
 
     /// Repeats stop calls that were not confirmed.
+    ///
+    /// A silent worker gets none: each would open another connection, and its lease ends the runs.
     pub(super) fn retry_stops(&mut self, now: Instant) {
+        if self.is_worker_silent() {
+            return;
+        }
         let mut due = Vec::new();
         for (task, run) in &mut self.runs {
             if let Some(stop) = &mut run.stop
--- a/src/core/execution/run_list.rs
+++ b/src/core/execution/run_list.rs
@@ -23,7 +23,7 @@
         if call.wait_ms > 0
             && let Some(worker) = &mut self.worker
         {
-            worker.long_poll_since = None;
+            worker.long_polls.remove(&call.sequence);
         }
         match response {
             HoldResponse::RunList {
@@ -40,6 +40,9 @@
                 self.lost_tasks = None;
                 let stale = self.is_stale(clock_ms);
                 self.record_clock(now, clock_ms);
+                if call.wait_ms == 0 {
+                    self.drop_lost_polls(&ended);
+                }
                 self.apply_outcomes(now, &ended);
                 self.apply_running(now, call, &running, stale);
             }
@@ -49,10 +52,15 @@
                     self.raise_token();
                 }
             }
-            HoldResponse::Refused => self.record_failed_poll(now, true),
-            HoldResponse::OtherWorker | HoldResponse::Unanswered => {
+            HoldResponse::Refused => {
+                self.record_failed_poll(now, true);
+                self.mark_worker_silent(now);
+            }
+            HoldResponse::Unanswered => {
                 self.record_failed_poll(now, false);
+                self.record_lost_call(now);
             }
+            HoldResponse::OtherWorker => self.record_failed_poll(now, false),
         }
     }
 
@@ -172,6 +180,7 @@
     /// Resolves uncertain starts and confirmed stops by whether their run is listed.
     fn reconcile_runs(&mut self, now: Instant, call: &HoldCall, listed: &BTreeMap<TaskId, u32>) {
         let mut finished = Vec::new();
+        let mut void = Vec::new();
         for (task, run) in &mut self.runs {
             let is_listed = listed.get(task) == Some(&run.number);
             let stopped = run
@@ -185,15 +194,15 @@
                 StartState::Unresolved {
                     token,
                     may_have_started,
+                    ..
                 } if token < call.token => {
-                    let end = if may_have_started {
-                        RunOutcome::Lost
+                    if may_have_started {
+                        finished.push((*task, RunOutcome::Lost));
                     } else {
-                        RunOutcome::NotStarted(NotStartedReason::OrderLost)
-                    };
-                    finished.push((*task, end));
+                        void.push(*task);
+                    }
                 }
-                StartState::Pending | StartState::Unresolved { .. } => {}
+                StartState::Pending { .. } | StartState::Unresolved { .. } => {}
                 StartState::Confirmed { .. } if !is_listed && stopped => {
                     finished.push((*task, RunOutcome::Stopped));
                 }
@@ -203,6 +212,9 @@
         for (task, end) in finished {
             self.finish_run(now, task, end);
         }
+        for task in void {
+            self.retry_start(now, task, NotStartedReason::OrderLost);
+        }
     }
 
     /// Marks the worker ready once its run list under the current token contains no orphaned runs.
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -243,6 +243,9 @@
         let Some(worker) = self.worker.as_ref().filter(|worker| worker.ready) else {
             return Some(NotStartedReason::NoWorker);
         };
+        if worker.silent_since.is_some() {
+            return Some(NotStartedReason::Unresponsive);
+        }
         if now >= lease_until {
             return Some(NotStartedReason::RightLapsed);
         }
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -3,6 +3,7 @@
 mod capacity_reports;
 mod crashes;
 mod retirement;
+mod silence;
 
 use {
     super::{
@@ -500,16 +501,31 @@
     );
 }
 
-/// A start call without a response may still take effect; the run has an outcome only once the
-/// worker has responded under a higher token.
+/// A start call without a response may still take effect; it is repeated only once the worker has
+/// responded under a higher token, which voids the first call.
 #[test]
-fn an_unanswered_start_is_resolved_under_a_higher_token() {
+fn an_unanswered_start_is_repeated_under_a_higher_token() {
     let mut test = TestExecutor::ready();
     test.start_task(1, StartResponse::Unanswered);
     assert!(test.outcomes().is_empty());
+    assert!(test.start_calls().is_empty());
     let poll = test.hold_calls().remove(0);
     assert_eq!(poll.token, 101);
     test.send_run_list(poll, &[], &[]);
+    assert!(test.outcomes().is_empty());
+    let repeated = test.start_calls().remove(0);
+    assert_eq!((repeated.number, repeated.token), (1, 101));
+}
+
+/// The entry no longer wants the run; repeating the start would run it in vain.
+#[test]
+fn an_unanswered_start_that_is_stopped_is_not_repeated() {
+    let mut test = TestExecutor::ready();
+    test.start_task(1, StartResponse::Unanswered);
+    let poll = test.hold_calls().remove(0);
+    test.send_frame(EntryFrame::Stop { run: run(1) });
+    test.send_run_list(poll, &[], &[]);
+    assert!(test.start_calls().is_empty());
     assert_eq!(
         test.outcomes(),
         [RunOutcome::NotStarted(NotStartedReason::OrderLost)]
@@ -680,21 +696,30 @@
 fn runs_of_an_unresponsive_worker_are_lost_when_its_lease_expires() {
     let mut test = TestExecutor::ready();
     test.start_task(1, StartResponse::Accepted);
-    let mut waited_ms = 0;
+    let extended_at = |calls: &[HoldCall], now: Instant| {
+        let extends = calls.iter().any(|call| call.lease_until_ms.is_some());
+        extends.then_some(now)
+    };
+    let (started_at, mut last_extended_at) = (test.now, test.now);
     while test.outcomes().is_empty() {
         test.advance(20);
         test.renew_entry_lease();
-        waited_ms += 20;
-        for call in test.hold_calls() {
+        let calls = test.hold_calls();
+        last_extended_at = extended_at(&calls, test.now).unwrap_or(last_extended_at);
+        for call in calls {
             let response = HoldResponse::Unanswered;
             let earlier_actions = std::mem::take(&mut test.actions);
             test.send_event(ExecutionEvent::HoldAnswered { call, response });
             test.actions.extend(earlier_actions);
         }
-        assert!(waited_ms < 2_000);
+        assert!(test.now.millis_since(started_at) < 2_000);
     }
     assert_eq!(test.outcomes(), [RunOutcome::Lost]);
-    assert!(waited_ms >= 2 * limits().lease_ms - 100, "{waited_ms}");
+    let after_ms = test.now.millis_since(last_extended_at);
+    assert!(after_ms >= limits().max_lease_ms(), "{after_ms}");
+    // Only the extension that shows the silence may have come after the last response.
+    let after_ms = last_extended_at.millis_since(started_at);
+    assert!(after_ms <= limits().lease_ms / 3, "{after_ms}");
 }
 
 impl TestExecutor {
--- /dev/null
+++ b/src/core/execution/tests/silence.rs
@@ -0,0 +1,150 @@
+//! Tests of calls to the worker without a response.
+
+use super::*;
+
+/// Time after which a call without a response must count as lost, in milliseconds.
+const DETECTION_MS: u64 = 60;
+
+impl TestExecutor {
+    /// Lets `elapsed_ms` pass in ticks; the worker answers immediate polls if `responds`.
+    fn pass(&mut self, elapsed_ms: u64, responds: bool, running: &[RunId]) -> Vec<ExecutionAction> {
+        let mut all = Vec::new();
+        let mut clock_ms = 1_000;
+        for _ in 0..elapsed_ms / 20 {
+            self.advance(20);
+            clock_ms += 20;
+            self.renew_entry_lease();
+            let mut polls = self.hold_calls();
+            polls.retain(|call| responds && call.wait_ms == 0);
+            all.append(&mut self.actions);
+            for poll in polls {
+                self.send_run_list_at(clock_ms, poll, running, &[]);
+                all.append(&mut self.actions);
+            }
+        }
+        all
+    }
+
+    fn long_polls(&self) -> Vec<HoldCall> {
+        let mut calls = self.hold_calls();
+        calls.retain(|call| call.wait_ms > 0);
+        calls
+    }
+}
+
+fn free_cores_at_end(actions: &[ExecutionAction]) -> Option<u32> {
+    let mut reports = actions.iter().filter_map(|action| match action {
+        ExecutionAction::Send {
+            frame: AgentFrame::Room { report, .. },
+            ..
+        } => Some(report.free.cpu_milli / 1_000),
+        _ => None,
+    });
+    reports.next_back()
+}
+
+/// A worker that stopped responding was given tasks for another 0.9 s, which all were lost.
+#[test]
+fn a_silent_worker_gets_no_more_starts() {
+    let mut test = TestExecutor::ready();
+    test.send_frame(EntryFrame::Start(start_order(1)));
+    let actions = test.pass(DETECTION_MS, false, &[]);
+    assert_eq!(free_cores_at_end(&actions), Some(0));
+    test.send_frame(EntryFrame::Start(start_order(2)));
+    assert_eq!(
+        test.outcomes(),
+        [RunOutcome::NotStarted(NotStartedReason::Unresponsive)]
+    );
+}
+
+/// A silent worker must be usable again with its first response.
+#[test]
+fn a_worker_that_responds_again_gets_starts() {
+    let mut test = TestExecutor::ready();
+    test.start_task(1, StartResponse::Accepted);
+    test.pass(300, false, &[]);
+    let actions = test.pass(200, true, &[run(1)]);
+    assert_eq!(free_cores_at_end(&actions), Some(1));
+    test.send_frame(EntryFrame::Start(start_order(2)));
+    assert_eq!(test.start_calls().len(), 1);
+}
+
+/// Each stop of a silent worker's runs opened another connection every 100 ms.
+#[test]
+fn stops_are_not_repeated_at_a_silent_worker() {
+    let mut test = TestExecutor::ready();
+    test.start_task(1, StartResponse::Accepted);
+    test.pass(200, false, &[]);
+    test.send_frame(EntryFrame::Stop { run: run(1) });
+    assert_eq!(test.stop_count(), 1);
+    let actions = test.pass(220, false, &[]);
+    assert!(
+        !actions
+            .iter()
+            .any(|action| matches!(action, ExecutionAction::Stop(_)))
+    );
+}
+
+/// A lost start call delayed its task until the call timed out, 160 ms later, although the worker
+/// answered other calls.
+#[test]
+fn a_lost_start_is_resolved_while_the_worker_responds() {
+    let mut test = TestExecutor::ready();
+    test.start_task(1, StartResponse::Accepted);
+    test.send_frame(EntryFrame::Start(start_order(2)));
+    test.now = test.now.plus_ms(5);
+    test.send_run_list(latest_poll(), &[run(1)], &[]);
+    let actions = test.pass(DETECTION_MS, true, &[run(1)]);
+    let repeated = actions.iter().any(|action| match action {
+        ExecutionAction::Start(call) => call.task == run(2).task && call.token > 100,
+        _ => false,
+    });
+    assert!(repeated);
+}
+
+/// The outcomes after a lost long poll waited for the next lease renewal until the poll timed out.
+#[test]
+fn a_lost_long_poll_is_replaced_once_another_call_returns_an_outcome() {
+    let mut test = TestExecutor::ready();
+    test.start_task(1, StartResponse::Accepted);
+    test.advance(120);
+    let mut renewals = test.hold_calls();
+    renewals.retain(|call| call.wait_ms == 0);
+    test.send_run_list(renewals.remove(0), &[], &[listed_end(1)]);
+    assert_eq!(test.long_polls().len(), 1);
+}
+
+/// While calls get lost, a single long poll delays the outcomes with each loss.
+#[test]
+fn a_second_long_poll_is_open_while_calls_get_lost() {
+    let mut test = TestExecutor::ready();
+    test.start_task(1, StartResponse::Accepted);
+    let lost = HoldCall {
+        wait_ms: 400,
+        ..latest_poll()
+    };
+    test.send_event(ExecutionEvent::HoldAnswered {
+        call: lost,
+        response: HoldResponse::Unanswered,
+    });
+    // The failed poll has delayed the next one.
+    let actions = test.pass(120, true, &[run(1)]);
+    let is_long_poll = |action: &&ExecutionAction| matches!(action, ExecutionAction::Hold(call) if call.wait_ms > 0);
+    assert_eq!(actions.iter().filter(is_long_poll).count(), 1);
+    test.pass(1_100, true, &[run(1)]);
+    let worker = test.executor.worker.as_ref().expect("a worker");
+    assert_eq!(worker.wanted_long_polls(test.now), 1);
+}
+
+/// A refused connection has sent nothing: the task can start elsewhere at once.
+#[test]
+fn a_refused_start_has_not_started() {
+    let mut test = TestExecutor::ready();
+    test.start_task(1, StartResponse::Refused);
+    assert_eq!(
+        test.outcomes(),
+        [RunOutcome::NotStarted(NotStartedReason::Unresponsive)]
+    );
+    test.send_frame(EntryFrame::Start(start_order(2)));
+    assert!(test.start_calls().is_empty());
+}
--- a/src/core/execution/worker_state.rs
+++ b/src/core/execution/worker_state.rs
@@ -1,6 +1,12 @@
 //! State of the agent's worker.
 
-use crate::core::{time::Instant, work::WorkerView};
+use {
+    crate::core::{time::Instant, work::WorkerView},
+    std::collections::BTreeMap,
+};
+
+/// How long a second long poll is kept open after a call was lost, in milliseconds.
+const LOSS_MEMORY_MS: u64 = 1_000;
 
 /// A reading of the worker's clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,8 +37,12 @@
     pub(super) lease_expires_at: Instant,
     /// When the latest lease renewal, or poll of a worker that is not ready, was sent.
     pub(super) renewed_at: Option<Instant>,
-    /// When the open long poll was sent.
-    pub(super) long_poll_since: Option<Instant>,
+    /// Open long polls by sequence number, with the time at which they were sent.
+    pub(super) long_polls: BTreeMap<u64, Instant>,
+    /// Since when calls have had no response, if the latest one has had none for too long.
+    pub(super) silent_since: Option<Instant>,
+    /// When a call was last found to be lost, although the worker responded to later ones.
+    pub(super) call_lost_at: Option<Instant>,
     /// Failed polls since the last response.
     pub(super) failed_polls: u32,
     /// Latest polls in a row that the host refused.
@@ -43,7 +53,7 @@
 
 impl WorkerState {
     /// Creates the state of an incarnation that has not been polled yet.
-    pub(super) const fn new(now: Instant, view: WorkerView, report_sequence: u64) -> Self {
+    pub(super) fn new(now: Instant, view: WorkerView, report_sequence: u64) -> Self {
         Self {
             view,
             report_sequence,
@@ -54,15 +64,32 @@
             last_response_at: now,
             lease_expires_at: now,
             renewed_at: None,
-            long_poll_since: None,
+            long_polls: BTreeMap::new(),
+            silent_since: None,
+            call_lost_at: None,
             failed_polls: 0,
             refused_polls: 0,
             next_poll_at: now,
         }
     }
 
-    pub(super) const fn record_response(&mut self, now: Instant) {
+    /// Number of long polls to keep open: two while calls get lost, so that the loss of one does not
+    /// delay the outcomes of runs.
+    pub(super) fn wanted_long_polls(&self, now: Instant) -> usize {
+        let loses_calls = |lost_at: Instant| now.millis_since(lost_at) < LOSS_MEMORY_MS;
+        if self.call_lost_at.is_some_and(loses_calls) {
+            2
+        } else {
+            1
+        }
+    }
+
+    pub(super) fn record_response(&mut self, now: Instant) {
         self.last_response_at = now;
+        if self.silent_since.take().is_some() {
+            // The lease was not renewed meanwhile.
+            self.renewed_at = None;
+        }
         self.failed_polls = 0;
         self.refused_polls = 0;
     }
--- a/src/core/link/agent_frame.rs
+++ b/src/core/link/agent_frame.rs
@@ -31,6 +31,8 @@
         Unhealthy => "unhealthy",
         /// The worker rejected the start call for another reason.
         Rejected => "rejected",
+        /// The worker does not respond.
+        Unresponsive => "unresponsive",
         /// The start call got no response, and a newer fencing token keeps it from taking effect.
         OrderLost => "order_lost",
     }
--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -1327,6 +1327,10 @@
             call: call.clone(),
             response: HoldResponse::Refused,
         },
+        ExecutionAction::Start(call) => ExecutionEvent::StartAnswered {
+            call: call.clone(),
+            response: StartResponse::Refused,
+        },
         action => no_response(action),
     }
 }
--- a/src/platform/http_worker_client.rs
+++ b/src/platform/http_worker_client.rs
@@ -140,6 +140,7 @@
                 log::warn!(status:% = status; "unexpected response to a start call");
                 StartResponse::Unanswered
             }
+            Err(PlatformError::Refused(_)) => StartResponse::Refused,
             Err(error) => {
                 log::debug!(error:% = error; "no response to a start call");
                 StartResponse::Unanswered
--- a/src/standin/site_worker.rs
+++ b/src/standin/site_worker.rs
@@ -252,9 +252,10 @@
             StartResponse::NumberUsed => "old",
             StartResponse::Late => "late",
             StartResponse::NoRoom => "room",
-            StartResponse::Unhealthy | StartResponse::Rejected | StartResponse::Unanswered => {
-                "other"
-            }
+            StartResponse::Unhealthy
+            | StartResponse::Rejected
+            | StartResponse::Refused
+            | StartResponse::Unanswered => "other",
         };
         self.response(StatusCode::CONFLICT, Some(reason))
     }
