Share workers among entries by their demand

The first two zones have three entries, the others two, so their entries take 77 and 95 jobs a second instead of 51; an agent gave a free slot to the entry with the fewest runs, and an entry reckoned with capacity / entries.

Change: a heartbeat carries the entry's demand (work submitted in the last 4 s, for each of its agents); an agent divides its worker in proportion, with half of the mean demand for each entry at least, reports the share in place of the number of entries, and reserves a slot for the entry with the fewest runs for its share. An entry that exaggerates can't push others below a third of an equal share (property test).

--- a/src/core/dispatch/arrival_rate.rs
+++ b/src/core/dispatch/arrival_rate.rs
@@ -2,38 +2,76 @@
 
 use {crate::core::time::Instant, std::collections::BTreeMap};
 
-/// Time constant of the exponential decay, in milliseconds.
+/// Time constant of the rates by priority, in milliseconds.
 const DECAY_TIME_MS: u64 = 1_000;
+/// Time constant of the total rate, in milliseconds; longer, since a few large jobs would otherwise
+/// move capacity between entries.
+const TOTAL_DECAY_TIME_MS: u64 = 4_000;
 
-/// Exponentially decaying sum of the submitted work, by priority.
-#[derive(Debug, Default)]
+/// Exponentially decaying sums of the submitted work: all of it, and by priority.
+#[derive(Debug)]
 pub(super) struct ArrivalRate {
+    total: DecayingSum,
     by_priority: BTreeMap<u32, DecayingSum>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct DecayingSum {
+    decay_time_ms: u64,
     work_ms: f64,
     updated_at: Instant,
 }
 
 impl DecayingSum {
+    fn new(decay_time_ms: u64) -> Self {
+        Self {
+            decay_time_ms,
+            work_ms: 0.0,
+            updated_at: Instant::default(),
+        }
+    }
+
     fn at(&self, now: Instant) -> f64 {
         let age_us = now.micros_since(self.updated_at) as f64;
-        self.work_ms * (-age_us / (DECAY_TIME_MS as f64 * 1_000.0)).exp()
+        self.work_ms * (-age_us / (self.decay_time_ms as f64 * 1_000.0)).exp()
+    }
+
+    fn add(&mut self, now: Instant, work_ms: u64) {
+        self.work_ms = self.at(now) + work_ms as f64;
+        self.updated_at = now;
+    }
+
+    /// The rate in milliseconds of work per millisecond.
+    fn rate(&self, now: Instant) -> f64 {
+        self.at(now) / self.decay_time_ms as f64
+    }
+}
+
+impl Default for ArrivalRate {
+    fn default() -> Self {
+        Self {
+            total: DecayingSum::new(TOTAL_DECAY_TIME_MS),
+            by_priority: BTreeMap::new(),
+        }
     }
 }
 
 impl ArrivalRate {
     pub(super) fn record(&mut self, now: Instant, priority: u32, work_ms: u64) {
-        let sum = self.by_priority.entry(priority).or_default();
-        sum.work_ms = sum.at(now) + work_ms as f64;
-        sum.updated_at = now;
+        self.total.add(now, work_ms);
+        let by_priority = self.by_priority.entry(priority);
+        let sum = by_priority.or_insert_with(|| DecayingSum::new(DECAY_TIME_MS));
+        sum.add(now, work_ms);
+    }
+
+    /// Arrival rate of all work, in milliseconds of work per millisecond.
+    pub(super) fn total(&self, now: Instant) -> f64 {
+        self.total.rate(now)
     }
 
     /// Arrival rate of work with a more urgent priority, in milliseconds of work per millisecond.
     pub(super) fn more_urgent_than(&self, now: Instant, priority: u32) -> f64 {
         let sums = self.by_priority.range(..priority);
-        sums.map(|(_, sum)| sum.at(now)).sum::<f64>() / DECAY_TIME_MS as f64
+        sums.map(|(_, sum)| sum.rate(now)).sum()
     }
 }
--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -189,6 +189,7 @@
         let news_version = self.zones.as_ref().map_or(0, |zones| zones.version);
         let document_revision = self.document.revision();
         let is_holder = self.is_document_holder(key);
+        let demand_milli = self.demand_milli(now);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -197,6 +198,7 @@
         };
         worker.heartbeat_sent_at = Some(now);
         let frame = EntryFrame::Beat {
+            demand_milli,
             echo_us: worker.stamp_us,
             news_version,
             document_revision,
@@ -205,6 +207,12 @@
         self.actions.push(DispatchAction::Send { link, frame });
     }
 
+    /// Tasks that run at a time for this entry's clients, for each of its agents, in thousandths.
+    fn demand_milli(&self, now: Instant) -> u32 {
+        let agents = self.by_link.len().max(1) as f64;
+        (self.arrivals.total(now) * 1_000.0 / agents) as u32
+    }
+
     pub(super) fn on_evacuated_zones(&mut self, zones: EvacuatedZones) {
         if !zones.is_newer_than(self.zones.as_ref()) {
             return;
--- a/src/core/dispatch/overload.rs
+++ b/src/core/dispatch/overload.rs
@@ -129,7 +129,7 @@
         let Some(view) = worker.usable_view(now, job, step, self.zones.as_ref()) else {
             return 0.0;
         };
-        let share = f64::from(step.needs.times_in(view.capacity)) / worker.entries();
+        let share = f64::from(step.needs.times_in(view.capacity)) * worker.share();
         let free = f64::from(step.needs.times_in(worker.free_capacity()));
         f64::max(worker.runs.len() as f64 + free, share)
     }
--- a/src/core/dispatch/tests/concurrent_entries.rs
+++ b/src/core/dispatch/tests/concurrent_entries.rs
@@ -5,6 +5,8 @@
 const ENTRIES: u64 = 8;
 const WORKERS: u64 = 50;
 const SLOTS: u32 = 12;
+/// Share of each entry if all have the same demand.
+const EQUAL_SHARE_PERMILLE: u16 = 1_000 / ENTRIES as u16;
 
 /// A worker and its agent, which rejects start orders that don't fit.
 #[derive(Debug, Default)]
@@ -30,7 +32,7 @@
         let report = CapacityReport {
             free: needs(SLOTS - self.running),
             starts_seen: self.starts_seen.get(&entry).copied().unwrap_or_default(),
-            entries: ENTRIES as u16,
+            share_permille: EQUAL_SHARE_PERMILLE,
         };
         AgentFrame::Room {
             report,
@@ -110,7 +112,7 @@
             site.entries[entry].submit(job(id, 0, vec![step(4, 500)]));
         }
         for worker in 1..=WORKERS {
-            site.entries[entry].connect_with(worker, SLOTS, ENTRIES as u16);
+            site.entries[entry].connect_with(worker, SLOTS, EQUAL_SHARE_PERMILLE);
             site.collect_orders(entry);
         }
     }
@@ -139,7 +141,7 @@
     for entry in 0..ENTRIES as usize {
         for worker in 1..=WORKERS {
             let free = SLOTS - site.agents[&worker].running;
-            site.entries[entry].connect_with(worker, free, ENTRIES as u16);
+            site.entries[entry].connect_with(worker, free, EQUAL_SHARE_PERMILLE);
         }
         for number in 0..3 {
             let id = entry as u64 * 1_000 + number + 1;
@@ -160,7 +162,7 @@
 fn a_single_busy_entry_uses_all_capacity() {
     let mut site = Site::new();
     for worker in 1..=WORKERS {
-        site.entries[0].connect_with(worker, SLOTS, ENTRIES as u16);
+        site.entries[0].connect_with(worker, SLOTS, EQUAL_SHARE_PERMILLE);
     }
     for number in 1..=200 {
         site.entries[0].submit(job(number, 0, vec![step(4, 500)]));
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -105,11 +105,11 @@
     }
 
     fn connect(&mut self, worker: u64) {
-        self.connect_with(worker, WORKER_CORES, 1);
+        self.connect_with(worker, WORKER_CORES, 1_000);
     }
 
-    /// Connects an agent that reports `entries` connected entries.
-    fn connect_with(&mut self, worker: u64, cores: u32, entries: u16) {
+    /// Connects an agent that reports this share of its worker.
+    fn connect_with(&mut self, worker: u64, cores: u32, share_permille: u16) {
         self.stamp_us += 1;
         let hello = AgentFrame::Hello {
             agent: format!("agent-{worker}"),
@@ -131,7 +131,7 @@
         let report = CapacityReport {
             free: needs(cores),
             starts_seen: 0,
-            entries,
+            share_permille,
         };
         self.receive_frame(
             worker,
@@ -143,12 +143,25 @@
     }
 
     fn report_capacity(&mut self, worker: u64, cores: u32, starts_seen: u32) {
-        let free = needs(cores);
         let report = CapacityReport {
-            free,
+            free: needs(cores),
             starts_seen,
-            entries: 1,
+            share_permille: 1_000,
+        };
+        self.receive_report(worker, report);
+    }
+
+    /// Reports free capacity and this entry's share of the worker.
+    fn report_share(&mut self, worker: u64, cores: u32, share_permille: u16) {
+        let report = CapacityReport {
+            free: needs(cores),
+            starts_seen: 0,
+            share_permille,
         };
+        self.receive_report(worker, report);
+    }
+
+    fn receive_report(&mut self, worker: u64, report: CapacityReport) {
         self.receive_frame(
             worker,
             AgentFrame::Room {
@@ -542,6 +555,27 @@
     assert_eq!(declines(&dispatcher), 0);
 }
 
+/// An entry with more clients than the others has a larger share of the workers. If it reckoned with
+/// an equal share, it would refuse jobs that start in time.
+#[test]
+fn a_larger_share_accepts_more_jobs() {
+    let accepted = |share_permille: u16| {
+        let mut dispatcher = TestDispatcher::with_seed(1);
+        for worker in 1..=10 {
+            dispatcher.connect_with(worker, WORKER_CORES, share_permille);
+            // Other entries use the worker.
+            dispatcher.report_share(worker, 0, share_permille);
+        }
+        let refused = (1..=40).filter(|number| {
+            dispatcher.submit(job(*number, 0, vec![step(1, 100)]));
+            !dispatcher.outcomes().is_empty()
+        });
+        40 - refused.count()
+    };
+    let (small, large) = (accepted(100), accepted(400));
+    assert!(large >= 2 * small, "{large} and {small} jobs");
+}
+
 /// A job that can't start in time any more must be refused with a retry time before its client
 /// stops waiting.
 #[test]
--- a/src/core/dispatch/worker_link.rs
+++ b/src/core/dispatch/worker_link.rs
@@ -167,9 +167,9 @@
         self.runs.values().any(|open| open.is_suspect)
     }
 
-    /// Number of entries that share the worker, at least one.
-    pub(super) fn entries(&self) -> f64 {
-        f64::from(self.report.entries.max(1))
+    /// This entry's share of the worker, from zero to one.
+    pub(super) fn share(&self) -> f64 {
+        f64::from(self.report.share_permille) / 1_000.0
     }
 
     /// Free capacity in the latest report, less what was started since then.
@@ -185,8 +185,7 @@
     /// therefore sends at most its share of the reported capacity between two reports; a single
     /// active entry gets its share of the remainder with each report, every two milliseconds.
     pub(super) fn may_send_start(&self, needs: Resources) -> bool {
-        let entries = u32::from(self.report.entries).max(1);
-        let share = needs.times_in(self.report.free).div_ceil(entries);
+        let share = (f64::from(needs.times_in(self.report.free)) * self.share()).ceil() as u32;
         u32::try_from(self.unreported.len()).is_ok_and(|in_flight| in_flight < share)
     }
 
--- a/src/core/execution/capacity.rs
+++ b/src/core/execution/capacity.rs
@@ -1,7 +1,7 @@
 //! Reports of free capacity to entries, and its reservation for one entry at a time.
 
 use {
-    super::{ExecutionAction, Executor, SessionId, sessions::EntryLink},
+    super::{ExecutionAction, Executor, SessionId, capacity_shares::CapacityShares},
     crate::core::{
         link::{AgentFrame, CapacityReport},
         time::Instant,
@@ -113,7 +113,7 @@
     ///
     /// If all waiting entries learned of each free slot, all would send a start for it and all but
     /// one would be rejected. So free capacity is reserved for one waiting entry at a time, the one
-    /// with the fewest runs here first; the other waiting entries see none. Entries that are not
+    /// with the fewest runs for its share of the worker first; the other waiting entries see none. Entries that are not
     /// waiting see all of it.
     pub(super) fn report_capacity(&mut self, now: Instant) {
         let free = match self.worker.as_ref() {
@@ -125,9 +125,7 @@
         self.reserve_capacity(now, free);
         let reserved_for = self.reservation.map(|reservation| reservation.session);
         let last_needs = self.last_needs;
-        let in_use = |link: &&EntryLink| link.retiring_since.is_none();
-        let entries = self.sessions.values().filter(in_use).count();
-        let entries = u16::try_from(entries).unwrap_or(u16::MAX);
+        let shares = self.shares();
         for (session, link) in &mut self.sessions {
             if link.retiring_since.is_some() {
                 continue;
@@ -140,7 +138,7 @@
                     free
                 },
                 starts_seen: link.starts_seen,
-                entries,
+                share_permille: shares.permille_of(link.demand_milli),
             };
             let interval_ms = match link.capacity.reported {
                 Some(known) if last_needs.fits(known.free) == last_needs.fits(report.free) => {
@@ -168,6 +166,12 @@
         }
     }
 
+    fn shares(&self) -> CapacityShares {
+        let in_use = self.sessions.values();
+        let in_use = in_use.filter(|link| link.retiring_since.is_none());
+        CapacityShares::new(in_use.map(|link| link.demand_milli))
+    }
+
     /// Releases a reservation that was used, has expired or no longer fits.
     fn release_reservation(&mut self, now: Instant, free: Resources) {
         let Some(reservation) = self.reservation else {
@@ -194,14 +198,21 @@
         if self.reservation.is_some() {
             return;
         }
-        let runs_of = |session: SessionId| {
-            let runs = self.runs.values();
-            runs.filter(|run| run.session == session).count()
+        let shares = self.shares();
+        // The run that the reservation leads to counts as well, so that an entry without runs does not
+        // always come first.
+        let use_of_share = |session: SessionId, demand_milli: u32| {
+            let runs = self.runs.values().filter(|run| run.session == session);
+            (runs.count() + 1) * 1_000 / usize::from(shares.permille_of(demand_milli)).max(1)
         };
         let waiting = self.sessions.iter();
         let waiting = waiting.filter(|(_, link)| link.capacity.waits_for(free));
-        let next =
-            waiting.min_by_key(|(session, link)| (runs_of(**session), link.capacity.reported_at));
+        let next = waiting.min_by_key(|(session, link)| {
+            (
+                use_of_share(**session, link.demand_milli),
+                link.capacity.reported_at,
+            )
+        });
         self.reservation = next.map(|(session, link)| CapacityReservation {
             session: *session,
             since: now,
--- a/src/core/execution/mod.rs
+++ b/src/core/execution/mod.rs
@@ -2,6 +2,7 @@
 //! two runs at once.
 
 mod capacity;
+mod capacity_shares;
 mod crashes;
 mod documents;
 mod execution_event;
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -29,6 +29,8 @@
     /// Start orders received on this session.
     pub(super) starts_seen: u32,
     pub(super) capacity: ReportedCapacity,
+    /// The entry's demand in its latest heartbeat, in thousandths of a task at a time.
+    pub(super) demand_milli: u32,
     /// Since when the entry uses older zones than this agent, or when the newer ones were last sent
     /// to it.
     pub(super) zones_outdated_since: Option<Instant>,
@@ -89,6 +91,7 @@
             last_received_at: now,
             starts_seen: 0,
             capacity: ReportedCapacity::new(now),
+            demand_milli: 0,
             zones_outdated_since: None,
             holder_since: None,
             retiring_since: None,
@@ -116,11 +119,13 @@
         link.last_received_at = now;
         match frame {
             EntryFrame::Beat {
+                demand_milli,
                 echo_us,
                 news_version,
                 document_revision,
                 is_holder,
             } => {
+                link.demand_milli = demand_milli;
                 self.on_entry_heartbeat(now, session, echo_us, news_version);
                 self.on_document_revision(now, session, document_revision, is_holder);
             }
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Unit tests of the executor; `core::tests` simulates it together with the other parts.
 
 mod capacity_reports;
+mod capacity_shares;
 mod crashes;
 mod retirement;
 mod silence;
@@ -133,6 +134,7 @@
 
     fn send_entry_heartbeat(&mut self) {
         self.send_frame(EntryFrame::Beat {
+            demand_milli: 0,
             echo_us: self.now.as_micros(),
             news_version: 0,
             document_revision: 0,
@@ -255,6 +257,7 @@
     for is_holder in holder_flags {
         test.now = test.now.plus_ms(200);
         test.send_frame(EntryFrame::Beat {
+            demand_milli: 0,
             echo_us: test.now.as_micros(),
             news_version: 0,
             document_revision: 4,
@@ -340,6 +343,7 @@
         test.send_event(ExecutionEvent::SessionOpened { session, entry });
         let echo_us = test.now.as_micros();
         let frame = EntryFrame::Beat {
+            demand_milli: 0,
             echo_us,
             news_version: 0,
             document_revision: 0,
@@ -489,6 +493,7 @@
     let echo_us = test.now.as_micros();
     test.now = test.now.plus_ms(3_000);
     test.send_frame(EntryFrame::Beat {
+        demand_milli: 0,
         echo_us,
         news_version: 0,
         document_revision: 0,
--- a/src/core/link/agent_frame.rs
+++ b/src/core/link/agent_frame.rs
@@ -71,8 +71,8 @@
     pub(crate) free: Resources,
     /// Start orders of this session that `free` accounts for.
     pub(crate) starts_seen: u32,
-    /// Entries with a session at this agent, which may send starts as well.
-    pub(crate) entries: u16,
+    /// Share of the worker's capacity for this entry, in thousandths; other entries get the rest.
+    pub(crate) share_permille: u16,
 }
 
 /// A frame from an agent to an entry.
--- a/src/core/link/entry_frame.rs
+++ b/src/core/link/entry_frame.rs
@@ -30,6 +30,9 @@
 pub(crate) enum EntryFrame {
     /// Heartbeat of the entry, which echoes the agent's newest timestamp.
     Beat {
+        /// Work that clients submit to the entry, for each of its agents, in thousandths of a task at a
+        /// time.
+        demand_milli: u32,
         /// The newest timestamp received, in microseconds on the agent's clock.
         echo_us: u64,
         /// Version of the evacuated zones that the entry uses.
