Don't give up a begun job while its client waits

The client can only begin anew, later.

Change: the limit holds for jobs that have not begun. A begun one stays first until it can't finish before its client stops waiting, and the reason is then `deadline_passed`.

--- a/src/core/dispatch/admission.rs
+++ b/src/core/dispatch/admission.rs
@@ -180,7 +180,12 @@
     /// Gives up a job with a waiting task that can't finish in time.
     pub(super) fn give_up(&mut self, now: Instant, key: JobKey) {
         if let Some(job) = self.jobs.get(key) {
-            let outcome = final_outcome(job, GiveUpReason::Overloaded);
+            let reason = if job.has_begun() {
+                GiveUpReason::DeadlinePassed
+            } else {
+                GiveUpReason::Overloaded
+            };
+            let outcome = final_outcome(job, reason);
             self.finish_job(now, key, outcome);
         }
     }
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -64,7 +64,7 @@
         let margin_ms = (estimate_ms * ESTIMATE_MARGIN_PERCENT / 100).min(slack_ms / 2);
         let in_time_start = job.latest_start(estimate_ms + margin_ms);
         let late_start = job.last_useful_start(estimate_ms);
-        let last_start = late_start.unwrap_or(job.last_start(estimate_ms));
+        let last_start = job.last_start(estimate_ms);
         let waiting = |deadline_class, latest_start| {
             Some(Self {
                 deadline_class,
@@ -80,6 +80,7 @@
             return None;
         }
         if job.has_begun() {
+            // Not given up while its client waits: the client could only begin anew, later.
             return waiting(DeadlineClass::InTime, last_start);
         }
         if let Some(in_time_start) =
@@ -89,6 +90,7 @@
             return waiting(DeadlineClass::InTime, in_time_start);
         }
         match late_start {
+            Some(late_start) if now > late_start => None,
             Some(late_start) => waiting(DeadlineClass::Late, late_start),
             None => waiting(DeadlineClass::Overdue, last_start),
         }
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Unit tests of the dispatcher; the simulation in `core::tests` runs it together with the other
 //! state machines.
 
+mod begun_jobs;
 mod concurrent_entries;
 mod crashes;
 
