Comments: put back reasons that the rewording deleted

Put back are facts behind constants that still hold: why Retry-After is a second, how long a balancer takes, what estimates are off by, what a restart costs, why the queue is not searched further, how long a slot may stay idle, and the like.

--- a/src/core/admission/admission.rs
+++ b/src/core/admission/admission.rs
@@ -8,7 +8,8 @@
 };
 
 /// Fraction of a job's time before its deadline that the expected wait may take; the rest is a
-/// margin for errors of the estimates.
+/// margin for errors of the estimates. A job admitted too late runs in vain, and a far shorter queue
+/// keeps the slots busy.
 const MAX_WAIT_FRACTION: f64 = 0.5;
 /// Maximum number of tasks that wait at one home.
 const MAX_WAITING_TASKS: usize = 50_000;
--- a/src/core/admission/drain_rate.rs
+++ b/src/core/admission/drain_rate.rs
@@ -8,7 +8,8 @@
 const MIN_QUEUED_US: f64 = 200_000.0;
 
 /// Minimum number of starts for an estimate, unless `MIN_QUEUED_FEW_STARTS_US` has passed; a few
-/// long tasks say little about the rate.
+/// long tasks say little about the rate. While slots that were just filled with long tasks are
+/// occupied nothing starts, and a rate of zero would refuse everything.
 const MIN_STARTS: f64 = 5.0;
 /// Time with a queue after which any number of starts gives an estimate, in microseconds.
 const MIN_QUEUED_FEW_STARTS_US: f64 = 3_500_000.0;
--- a/src/core/dispatch/admission.rs
+++ b/src/core/dispatch/admission.rs
@@ -16,10 +16,14 @@
 /// Retry-After sent by a leaving entry, in milliseconds; by then the client's connections lead to
 /// other entries.
 const LEAVING_RETRY_AFTER_MS: u64 = 1_000;
-/// Retry-After sent under overload, in milliseconds.
+/// Retry-After sent under overload, in milliseconds; most tasks end within a second, so the queue has
+/// changed by then.
 const OVERLOAD_RETRY_AFTER_MS: u64 = 1_000;
 /// How long a leaving entry still accepts jobs, in milliseconds: as long as the load balancer takes
 /// to remove it, and shorter than the usual stop grace period.
+///
+/// The balancer needs two failed probes, a second apart, and clients use open connections for
+/// another second. Jobs accepted last have half of the usual grace period of 6 s left.
 const LEAVING_ACCEPT_MS: u64 = 3_000;
 /// Time after the first worker was announced until the largest worker is known, in milliseconds.
 const WORKERS_KNOWN_AFTER_MS: u64 = 1_000;
--- a/src/core/dispatch/arrival_rate.rs
+++ b/src/core/dispatch/arrival_rate.rs
@@ -2,7 +2,8 @@
 
 use {crate::core::time::Instant, std::collections::BTreeMap};
 
-/// Time constant of the rates by priority, in milliseconds.
+/// Time constant of the rates by priority, in milliseconds; long enough to cover some hundred tasks
+/// at an entry of a small site, short enough to follow a burst of a few seconds.
 const DECAY_TIME_MS: u64 = 1_000;
 /// Time constant of the total rate, in milliseconds; longer, since a few large jobs would otherwise
 /// move capacity between entries.
--- a/src/core/dispatch/client_deadlines.rs
+++ b/src/core/dispatch/client_deadlines.rs
@@ -7,8 +7,10 @@
 /// Weight of a job with less than the usual time left; low because jobs that are submitted again
 /// have less time left.
 const DECREASE_WEIGHT: f64 = 0.02;
-/// A job with less than this share of the usual time left counts as submitted again; clients may
-/// wait for less than the route's timeout.
+/// A job with less than this share of the usual time left counts as submitted again.
+///
+/// Clients may wait for less than the route's timeout; compared with that alone, all their jobs would
+/// seem to be submitted again.
 const MIN_TIME_LEFT_SHARE: f64 = 0.7;
 
 /// Moving average of the time left at submission, by route.
--- a/src/core/dispatch/connectivity.rs
+++ b/src/core/dispatch/connectivity.rs
@@ -8,7 +8,8 @@
     crate::core::time::Instant,
 };
 
-/// Time after a suspension in which nothing starts, in milliseconds; pending input is read first.
+/// Time after a suspension in which nothing starts, in milliseconds; pending input is read first,
+/// above all that clients have disconnected.
 const RESUME_DELAY_MS: u64 = 100;
 
 /// When this entry last handled events and last received a frame.
--- a/src/core/dispatch/outcomes.rs
+++ b/src/core/dispatch/outcomes.rs
@@ -20,6 +20,9 @@
 /// Delay before the next start order to a worker that rejected one, in milliseconds.
 const REJECTED_BACKOFF_MS: u64 = 150;
 /// A run is slow after this many times its estimate, and at least [`MIN_SLOW_EXCESS_MS`] beyond it.
+///
+/// Estimates are off by up to a factor of two; on a slow worker, runs take four times as long or
+/// more.
 const SLOW_FACTOR: u64 = 3;
 /// Minimum time beyond the estimate after which a run is slow, in milliseconds; shorter excesses
 /// are noise.
--- a/src/core/dispatch/overdue.rs
+++ b/src/core/dispatch/overdue.rs
@@ -6,8 +6,12 @@
 };
 
 /// A run is overdue after this many times its estimate, but not before [`MIN_OVERDUE_MS`].
+///
+/// Run times vary around the estimate by a factor of about two; nearly all runs that take four times
+/// as long are on a stalled or very slow worker.
 const OVERDUE_FACTOR: u64 = 4;
-/// Shortest time after which a run is overdue, in milliseconds.
+/// Shortest time after which a run is overdue, in milliseconds; a restart costs a stop, two messages
+/// and another start.
 const MIN_OVERDUE_MS: u64 = 250;
 
 impl Dispatcher {
--- a/src/core/dispatch/overload.rs
+++ b/src/core/dispatch/overload.rs
@@ -13,7 +13,8 @@
     std::mem,
 };
 
-/// Minimum and maximum Retry-After, in milliseconds.
+/// Minimum and maximum Retry-After, in milliseconds; the queue has changed after a second, and no
+/// overload can be predicted for more than half a minute.
 const RETRY_AFTER_BOUNDS_MS: (u64, u64) = (1_000, 30_000);
 
 /// Share of the more urgent arrivals that is expected to start before a waiting job; the others are
--- a/src/core/dispatch/placement.rs
+++ b/src/core/dispatch/placement.rs
@@ -17,9 +17,11 @@
 };
 
 /// Number of waiting tasks without a fitting worker after which placement stops until the next
-/// event, to limit CPU time.
+/// event, to limit CPU time. Tasks of one service are much alike, so the next ones would not fit
+/// either.
 const MAX_MISSES: usize = 24;
-/// Weight factor of a worker in the rack that holds the task's data; tasks run faster there.
+/// Weight factor of a worker in the rack that holds the task's data; elsewhere tasks take half as
+/// long again, or twice as long.
 const DATA_RACK_FACTOR: f64 = 1e6;
 /// Weight factor of a worker on which the task is likely to fail.
 const AVOID_FACTOR: f64 = 1e-6;
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -11,6 +11,9 @@
 };
 
 /// Percentage added to an estimate when deciding whether a task can be in time.
+///
+/// Estimates are off by about 40%. Without a margin an overloaded queue would start each task at the
+/// last moment, and half of them would be late.
 const ESTIMATE_MARGIN_PERCENT: u64 = 25;
 
 /// How starting a task now relates to the job's deadlines.
--- a/src/core/ejection/runner_health.rs
+++ b/src/core/ejection/runner_health.rs
@@ -4,7 +4,8 @@
 
 /// Consecutive failures after which a runner is ejected.
 const FAILURE_THRESHOLD: u8 = 3;
-/// Slow tasks since the last success after which a runner is ejected.
+/// Slow tasks since the last success after which a runner is ejected. One task in a hundred is slow
+/// on a healthy runner, so it is ejected by chance once in a million tasks.
 const SLOW_TASK_THRESHOLD: u8 = 3;
 /// Consecutive successes after which a runner on probation returns to service.
 const PROBATION_SUCCESSES: u8 = 3;
--- a/src/core/execution/capacity.rs
+++ b/src/core/execution/capacity.rs
@@ -14,11 +14,11 @@
 /// The same for a report that changes whether another task fits, in milliseconds.
 const FIT_REPORT_INTERVAL_MS: u64 = 20;
 /// Time for which free capacity is reserved for one entry, in milliseconds; longer than a round
-/// trip.
+/// trip of two to six, and an unused slot stays idle for at most a fifth of a short task.
 const RESERVATION_MS: u64 = 10;
 
-/// Time after which a capacity request that was not renewed expires, in milliseconds; its task may
-/// run elsewhere by then.
+/// Time after which a capacity request that was not renewed expires, in milliseconds; its task runs
+/// elsewhere or was given up by then, and the entry may have smaller tasks that fit.
 const REQUEST_EXPIRY_MS: u64 = 500;
 
 /// Capacity that an entry requested and did not get.
--- a/src/core/placement/home_share.rs
+++ b/src/core/placement/home_share.rs
@@ -3,6 +3,10 @@
 use {crate::core::ticket::AgentId, std::ops::Range};
 
 /// Number of runners per active home.
+///
+/// A home knows what it started itself and estimates the rest from old reports: few homes with
+/// their own runners seldom estimate, while many homes keep each one's share of the starts, and the
+/// cost of its crash, small.
 const RUNNERS_PER_HOME: usize = 6;
 /// Minimum number of active homes, so that one may fail or leave.
 const MIN_HOMES: usize = 2;
--- a/src/core/roster/entry_choice.rs
+++ b/src/core/roster/entry_choice.rs
@@ -6,7 +6,7 @@
 };
 
 /// Number of entries that an agent announces itself to in rotation, so that each entry gets tickets
-/// even when there are few agents.
+/// even when there are few agents. An announcement grants tickets to its entry for five seconds.
 const ROTATION_SIZE: usize = 3;
 /// How long an entry is tried last after a failure, in milliseconds.
 const SUSPECT_TIMEOUT_MS: u64 = 3_000;
