Log when a worker becomes silent

An agent that stops starting tasks at a worker changed what it believes without a line; an operator saw only `unresponsive` rejections. The line `worker_silent` has the age of the latest response and the runs there.

--- a/src/core/execution/execution_log_event.rs
+++ b/src/core/execution/execution_log_event.rs
@@ -37,6 +37,14 @@
         /// Runs still on the worker.
         runs: usize,
     },
+    /// The worker no longer responds; it gets no starts until its next response.
+    WorkerSilent {
+        worker: String,
+        /// Age of its latest response, in milliseconds.
+        heard_ms_ago: u64,
+        /// Number of its runs.
+        runs: usize,
+    },
     /// The worker left, or did not respond until its lease expired.
     WorkerLost {
         worker: String,
--- a/src/core/execution/silence.rs
+++ b/src/core/execution/silence.rs
@@ -5,7 +5,7 @@
 //! starts, and its lease is left to expire.
 
 use {
-    super::{Executor, ListedEnd, run::StartState},
+    super::{ExecutionLogEvent, Executor, ListedEnd, run::StartState},
     crate::core::{time::Instant, work::TaskId},
 };
 
@@ -65,10 +65,17 @@
         let Some(worker) = &mut self.worker else {
             return;
         };
-        if worker.silent_since.is_none() {
-            worker.silent_since = Some(now);
-            self.request_run_list();
+        if worker.silent_since.is_some() {
+            return;
         }
+        worker.silent_since = Some(now);
+        let event = ExecutionLogEvent::WorkerSilent {
+            worker: worker.view.life.id.clone(),
+            heard_ms_ago: now.millis_since(worker.last_response_at),
+            runs: self.runs.len(),
+        };
+        self.log_event(event);
+        self.request_run_list();
     }
 
     /// Records a call that got no response; a silent worker answers none.
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -8,8 +8,8 @@
 
 use {
     super::{
-        ExecutionAction, ExecutionEvent, Executor, ExecutorSettings, HoldCall, HoldResponse,
-        ListedEnd, ListedRun, SessionId, StartCall, StartResponse,
+        ExecutionAction, ExecutionEvent, ExecutionLogEvent, Executor, ExecutorSettings, HoldCall,
+        HoldResponse, ListedEnd, ListedRun, SessionId, StartCall, StartResponse,
     },
     crate::core::{
         link::{AgentFrame, EntryFrame, EvacuatedZones, NotStartedReason, RunOutcome, StartOrder},
--- a/src/core/execution/tests/silence.rs
+++ b/src/core/execution/tests/silence.rs
@@ -50,6 +50,13 @@
     test.send_frame(EntryFrame::Start(start_order(1)));
     let actions = test.pass(DETECTION_MS, false, &[]);
     assert_eq!(free_cores_at_end(&actions), Some(0));
+    let is_logged = |action: &ExecutionAction| {
+        matches!(
+            action,
+            ExecutionAction::Log(ExecutionLogEvent::WorkerSilent { runs: 1, .. })
+        )
+    };
+    assert!(actions.iter().any(is_logged));
     test.send_frame(EntryFrame::Start(start_order(2)));
     assert_eq!(
         test.outcomes(),
--- a/src/site_agent/execution_loop.rs
+++ b/src/site_agent/execution_loop.rs
@@ -185,6 +185,7 @@
             | ExecutionLogEvent::SessionRetired { .. }
             | ExecutionLogEvent::WorkerSeen { .. }
             | ExecutionLogEvent::WorkerDraining { .. }
+            | ExecutionLogEvent::WorkerSilent { .. }
             | ExecutionLogEvent::WorkerLost { .. }
             | ExecutionLogEvent::WorkerReady { .. }
             | ExecutionLogEvent::StrayRun { .. }
--- a/src/site_entry/tests/events.rs
+++ b/src/site_entry/tests/events.rs
@@ -1,7 +1,7 @@
 //! Checks that the operations page documents every log event.
 
 /// Every log event of an entry, an agent, and a process as a whole.
-const EVENTS: [&str; 42] = [
+const EVENTS: [&str; 43] = [
     "job_taken",
     "job_refused",
     "job_joined",
@@ -24,6 +24,7 @@
     "worker_changed",
     "worker_draining",
     "worker_lost",
+    "worker_silent",
     "worker_crashed",
     "worker_ejected",
     "fenced",
