Poll a silent worker also when nothing runs there

Found by reading the diff: an idle worker whose host refused one poll was silent, got one more poll and, if that failed as well, none after it: its lease is renewed only while tasks run, and long polls wait for a response. It would have got no more tasks until it started anew.

Change: a silent worker is polled as often as leases are renewed.

Test: a_silent_idle_worker_is_polled_until_it_responds, seen failing.

--- a/src/core/execution/capacity.rs
+++ b/src/core/execution/capacity.rs
@@ -113,8 +113,8 @@
     ///
     /// If all waiting entries learned of each free slot, all would send a start for it and all but
     /// one would be rejected. So free capacity is reserved for one waiting entry at a time, the one
-    /// with the fewest runs for its share of the worker first; the other waiting entries see none. Entries that are not
-    /// waiting see all of it.
+    /// with the fewest runs for its share of the worker first; the other waiting entries see none.
+    /// Entries that are not waiting see all of it.
     pub(super) fn report_capacity(&mut self, now: Instant) {
         let free = match self.worker.as_ref() {
             Some(worker) if worker.ready && worker.silent_since.is_none() => self.free(),
--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -62,11 +62,12 @@
         let is_due = worker
             .renewed_at
             .is_none_or(|renewed_at| now.millis_since(renewed_at) >= interval_ms);
-        if !is_due || (worker.ready && !has_runs) {
+        let is_silent = worker.silent_since.is_some();
+        if !is_due || (worker.ready && !has_runs && !is_silent) {
             return;
         }
         // The lease of a silent worker is not renewed, so that it expires as early as possible.
-        let extends_lease = worker.ready && has_runs && worker.silent_since.is_none();
+        let extends_lease = worker.ready && has_runs && !is_silent;
         let lease_until_ms = if extends_lease {
             self.extend_lease(now)
         } else {
--- a/src/core/execution/silence.rs
+++ b/src/core/execution/silence.rs
@@ -60,7 +60,8 @@
         worker.is_some_and(|worker| worker.silent_since.is_some())
     }
 
-    /// Marks the worker silent until its next response, and polls it once at once.
+    /// Marks the worker silent until its next response, and polls it at once; further polls follow as
+    /// often as lease renewals.
     pub(super) fn mark_worker_silent(&mut self, now: Instant) {
         let Some(worker) = &mut self.worker else {
             return;
--- a/src/core/execution/tests/silence.rs
+++ b/src/core/execution/tests/silence.rs
@@ -155,3 +155,18 @@
     test.send_frame(EntryFrame::Start(start_order(2)));
     assert!(test.start_calls().is_empty());
 }
+
+/// A worker that had refused one poll while idle was never polled again, and got no more tasks.
+#[test]
+fn a_silent_idle_worker_is_polled_until_it_responds() {
+    let mut test = TestExecutor::ready();
+    let response = HoldResponse::Refused;
+    let call = latest_poll();
+    test.send_event(ExecutionEvent::HoldAnswered { call, response });
+    let response = HoldResponse::Refused;
+    let call = test.hold_calls().remove(0);
+    test.send_event(ExecutionEvent::HoldAnswered { call, response });
+    test.pass(120, false, &[]);
+    let actions = test.pass(120, true, &[]);
+    assert_eq!(free_cores_at_end(&actions), Some(2));
+}
