A start's response counts for its own call only

Cause: the agent repeats a lost start after 40 ms under a higher token, while the first call is still waited for; its time-out at 160 ms has the same run number and was taken for that of the repetition. The run was marked uncertain under the old token, the next list under the new one showed nothing, and the task was given back as not started while the last repetition was under way.

Change: a response counts if number and token are those of the latest call.

--- a/src/core/execution/run_calls.rs
+++ b/src/core/execution/run_calls.rs
@@ -93,8 +93,11 @@
         let Some(run) = self.runs.get_mut(&call.task) else {
             return;
         };
-        // A run list may have resolved the start in the meantime.
-        if run.number != call.number || !matches!(run.start, StartState::Pending { .. }) {
+        // A run list may have resolved the start in the meantime, and the start may have been repeated
+        // under a higher token: the time-out of the earlier call says nothing about the later one.
+        let is_latest_call = run.number == call.number
+            && matches!(run.start, StartState::Pending { token, .. } if token == call.token);
+        if !is_latest_call {
             return;
         }
         match response {
--- a/src/core/execution/tests/silence.rs
+++ b/src/core/execution/tests/silence.rs
@@ -170,3 +170,28 @@
     let actions = test.pass(120, true, &[]);
     assert_eq!(free_cores_at_end(&actions), Some(2));
 }
+
+/// The time-out of a lost start call was taken for that of its repetition. The task was reported as
+/// not started, started elsewhere, and the repetition ran as well.
+#[test]
+fn the_time_out_of_a_lost_start_says_nothing_about_its_repetition() {
+    let mut test = TestExecutor::ready();
+    test.send_frame(EntryFrame::Start(start_order(1)));
+    let lost_call = test.start_calls().remove(0);
+    test.now = test.now.plus_ms(5);
+    test.send_run_list(latest_poll(), &[], &[]);
+    let actions = test.pass(DETECTION_MS, true, &[]);
+    let is_repetition = |action: &ExecutionAction| matches!(action, ExecutionAction::Start(_));
+    assert!(actions.iter().any(is_repetition));
+    test.send_event(ExecutionEvent::StartAnswered {
+        call: lost_call,
+        response: StartResponse::Unanswered,
+    });
+    let poll = HoldCall {
+        token: 101,
+        ..latest_poll()
+    };
+    test.send_run_list_at(2_000, poll, &[], &[]);
+    assert!(test.start_calls().is_empty());
+    assert!(test.outcomes().is_empty());
+}
--- a/src/core/tests/seeds.rs
+++ b/src/core/tests/seeds.rs
@@ -56,6 +56,13 @@
     );
 }
 
+/// Regression test: the time-out of a lost start call was taken for that of its repetition, and the
+/// task ran on two workers.
+#[test]
+fn a_repeated_start_runs_once() {
+    assert_no_violations(6_512, Setup::production());
+}
+
 /// A session that is retired under load must neither lose tasks nor run them twice, and must hardly
 /// cost any completed job.
 #[test]
