Agents follow the changes of the list of entries, and restarts change nothing on it

Cause: each of 804 agents read all 183 rows of the list at each change, so the bytes read from the store grew with entries times agents times changes; and an entry that restarted made six changes (three copies, removed and added). Ruled out: the documents, 0.042 GB at most.

Change, in three parts that need each other: - After one read an agent follows the feed and applies what changed (core/entry_list/). A failed feed goes on with the next copy at the same version; the list is read again only when the history is gone. Each copy has a table of its own, since a feed has the changes of all parts of one. - An entry adds itself if it is not listed, and stays listed when it stops. Agents dial it meanwhile, so it has its sessions back without a change and also while the store is down. It adds itself again every minute. - Since nobody removes itself any more, an agent removes an entry that it could not reach for 10 to 20 minutes (by a hash, so that one acts for all) while it reaches most others. Rows of hosts that were replaced went on growing before.

--- a/src/core/entry_selection/entry_selection.rs
+++ b/src/core/entry_selection/entry_selection.rs
@@ -17,6 +17,9 @@
 /// How long the session with an entry that is no longer selected stays in use, in milliseconds;
 /// longer than a rolling restart keeps an entry away.
 const RETIRE_DELAY_MS: u64 = 10_000;
+/// Time of failed connection attempts after which an entry is gone for good, in milliseconds; longer
+/// than the restart of a host takes.
+const GONE_AFTER_MS: u64 = 600_000;
 
 /// What an agent does about its session with one entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,6 +48,14 @@
         self.failing_since
             .is_none_or(|since| now.millis_since(since) < UNREACHABLE_AFTER_MS)
     }
+
+    /// Whether connection attempts have failed for so long that the entry is gone; the delay differs
+    /// between agents.
+    fn is_gone(&self, now: Instant) -> bool {
+        let gone_after_ms = GONE_AFTER_MS + self.rank % GONE_AFTER_MS;
+        self.failing_since
+            .is_some_and(|since| now.millis_since(since) >= gone_after_ms)
+    }
 }
 
 /// Selects the entries of one agent.
@@ -95,6 +106,29 @@
         }
     }
 
+    /// Returns the selected entries that are gone for good, each once in a while until it is delisted.
+    ///
+    /// Agents reach this conclusion at different times, so that one of them usually acts for all. An
+    /// agent that cannot reach most of its entries is cut off itself.
+    pub(crate) fn take_gone(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let is_selected =
+            |candidate: &Candidate| candidate.listed && candidate.selected_at == Some(now);
+        let selected = self.candidates.values().filter(|it| is_selected(it));
+        let (reachable, unreachable): (Vec<_>, Vec<_>) =
+            selected.partition(|candidate| candidate.is_reachable(now));
+        if unreachable.len() >= reachable.len() {
+            return Vec::new();
+        }
+        let mut gone = Vec::new();
+        for (entry, candidate) in &mut self.candidates {
+            if is_selected(candidate) && candidate.is_gone(now) {
+                candidate.failing_since = Some(now);
+                gone.push(*entry);
+            }
+        }
+        gone
+    }
+
     /// Selects entries in the order of their ranks until [`SELECTED_ENTRIES`] of them are
     /// reachable, and returns the goal for each entry that was selected at some time.
     ///
--- a/src/core/entry_selection/tests.rs
+++ b/src/core/entry_selection/tests.rs
@@ -124,3 +124,73 @@
         );
     }
 }
+
+const MINUTE_MS: u64 = 60_000;
+
+/// Rows of hosts that were replaced must not accumulate on the list.
+#[test]
+fn an_entry_that_is_gone_for_good_is_reported_once() {
+    let mut selection = selection(1, &addrs(ENTRIES));
+    let gone = maintained(&mut selection, at(0))[0];
+    selection.record_failure(at(0), gone);
+    let mut reports = Vec::new();
+    for minute in 0..=25 {
+        let now = at(minute * MINUTE_MS);
+        selection.update(now);
+        reports.extend(
+            selection
+                .take_gone(now)
+                .into_iter()
+                .map(|entry| (minute, entry)),
+        );
+    }
+    assert_eq!(reports.len(), 1, "{reports:?}");
+    let (minute, entry) = reports[0];
+    assert_eq!(entry, gone);
+    assert!((10..=20).contains(&minute), "{minute}");
+}
+
+/// Agents that conclude at the same time would all write to the store.
+#[test]
+fn agents_report_a_gone_entry_at_different_times() {
+    let entries = addrs(ENTRIES);
+    let [gone, ..] = entries[..] else {
+        panic!("no entries");
+    };
+    let mut first_reports: BTreeMap<u64, usize> = BTreeMap::new();
+    for agent in 0..AGENTS {
+        let mut selection = selection(agent, &entries);
+        selection.record_failure(at(0), gone);
+        let reported = (0..=25).find(|minute| {
+            let now = at(minute * MINUTE_MS);
+            selection.update(now);
+            !selection.take_gone(now).is_empty()
+        });
+        if let Some(minute) = reported {
+            *first_reports.entry(minute).or_default() += 1;
+        }
+    }
+    let agents: usize = first_reports.values().sum();
+    assert!(
+        agents > 20,
+        "only the agents that select the entry dial it: {agents}"
+    );
+    assert!(
+        first_reports.values().all(|count| *count < agents / 3),
+        "{first_reports:?}"
+    );
+}
+
+/// A host that is cut off must not remove all entries from the list.
+#[test]
+fn a_partitioned_agent_reports_no_entry_as_gone() {
+    let entries = addrs(ENTRIES);
+    let mut selection = selection(1, &entries);
+    for minute in 0..=25 {
+        let now = at(minute * MINUTE_MS);
+        for entry in maintained(&mut selection, now) {
+            selection.record_failure(now, entry);
+        }
+        assert_eq!(selection.take_gone(now), []);
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod dispatch;
 pub(crate) mod document;
 pub(crate) mod ejection;
+pub(crate) mod entry_list;
 pub(crate) mod entry_selection;
 pub(crate) mod execution;
 pub(crate) mod gate;
--- a/src/platform/rows_store.rs
+++ b/src/platform/rows_store.rs
@@ -7,10 +7,13 @@
         platform_http_client::PlatformRequest,
     },
     crate::{
-        core::{document::Document, link::EvacuatedZones, work::WorkerView},
-        ports::{
-            EntryListChange, EntryListReplica, OperatorChange, OperatorRows, SiteStore, StoreError,
+        core::{
+            document::Document,
+            entry_list::{EntryListChange, EntryListReplica},
+            link::EvacuatedZones,
+            work::WorkerView,
         },
+        ports::{EntryListUpdate, OperatorChange, OperatorRows, SiteStore, StoreError},
     },
     async_trait::async_trait,
     base64::{Engine, engine::general_purpose::STANDARD},
@@ -26,12 +29,15 @@
 const CONFIG_KEY: &str = "config";
 /// Key prefix of the operators' rows that name evacuated zones.
 const EVACUATE_PREFIX: &str = "evacuate/";
-/// The project's table of entries.
-const ENTRIES_TABLE: &str = "rattanslip_entries";
+/// Prefix of the project's tables of entries; each replica is the only part of a table of its own, because a feed
+/// delivers the changes of all parts of its table.
+const ENTRIES_TABLE_PREFIX: &str = "rattanslip_entries_";
 /// The project's table of workers, with a part for each agent.
 const WORKERS_TABLE: &str = "rattanslip_workers";
 /// Key of an agent's row in [`WORKERS_TABLE`].
 const WORKER_KEY: &str = "worker";
+/// Expected version of a row that must not exist.
+const ABSENT: u64 = 0;
 /// Time for a response to start, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 1_000;
 /// Maximum gap while a response body is read, in milliseconds.
@@ -262,60 +268,71 @@
         &self,
         replica: EntryListReplica,
     ) -> Result<(Vec<SocketAddr>, u64), StoreError> {
-        let part = replica.number().to_string();
-        let (rows, version) = self.read_rows(ENTRIES_TABLE, &part).await?;
+        let (table, part) = entries_part(replica);
+        let (rows, version) = self.read_rows(&table, &part).await?;
         let entries = rows.iter().filter_map(|row| row.key.parse().ok());
         Ok((entries.collect(), version))
     }
 
-    async fn wait_for_entry_list_change(
+    async fn wait_for_entry_list_update(
         &self,
+        replica: EntryListReplica,
         after: u64,
         wait_ms: u64,
-    ) -> Result<EntryListChange, StoreError> {
-        let page = self.wait_for_changes(ENTRIES_TABLE, after, wait_ms).await?;
-        let unchanged = page.filter(|page| page.rows.is_empty());
-        Ok(
-            unchanged.map_or(EntryListChange::Some, |page| EntryListChange::None {
-                version: page.ver,
-            }),
-        )
+    ) -> Result<EntryListUpdate, StoreError> {
+        let (table, _) = entries_part(replica);
+        let Some(page) = self.wait_for_changes(&table, after, wait_ms).await? else {
+            return Ok(EntryListUpdate::HistoryUnavailable);
+        };
+        let change = |row: &RowBody| {
+            let entry = row.key.parse().ok()?;
+            let is_listed = !row.deleted;
+            Some(EntryListChange { entry, is_listed })
+        };
+        Ok(EntryListUpdate::Changes {
+            version: page.ver,
+            changes: page.rows.iter().filter_map(change).collect(),
+        })
     }
 
     async fn add_entry(
         &self,
         entry: SocketAddr,
         replica: EntryListReplica,
-    ) -> Result<u64, StoreError> {
-        let (key, part) = (entry.to_string(), replica.number().to_string());
-        let put = PutRow {
-            row: entry_row(&key, &part),
-            value: String::new(),
+    ) -> Result<bool, StoreError> {
+        let (table, part) = entries_part(replica);
+        let key = entry.to_string();
+        let row = RowKey {
+            table: &table,
+            part: &part,
+            key: &key,
         };
         let body = TransactionBody {
-            puts: vec![put],
+            expect_rev: vec![ExpectedRow { row, ver: ABSENT }],
+            puts: vec![PutRow {
+                row,
+                value: String::new(),
+            }],
             ..TransactionBody::default()
         };
-        let version = self.transact(&body).await?;
-        // Unreachable: the transaction expects no versions.
-        let conflict = || PlatformError::Rejected(StatusCode::PRECONDITION_FAILED);
-        Ok(version.ok_or_else(conflict)?)
+        Ok(self.transact(&body).await?.is_some())
     }
 
     async fn remove_entry(
         &self,
         entry: SocketAddr,
         replica: EntryListReplica,
-        version: u64,
     ) -> Result<(), StoreError> {
-        let (key, part) = (entry.to_string(), replica.number().to_string());
-        let row = entry_row(&key, &part);
+        let (table, part) = entries_part(replica);
+        let key = entry.to_string();
         let body = TransactionBody {
-            expect_rev: vec![ExpectedRow { row, ver: version }],
-            remove: vec![row],
+            remove: vec![RowKey {
+                table: &table,
+                part: &part,
+                key: &key,
+            }],
             ..TransactionBody::default()
         };
-        // A row of another version belongs to a newer process with this address, and stays.
         self.transact(&body).await?;
         Ok(())
     }
@@ -347,10 +364,8 @@
     }
 }
 
-const fn entry_row<'a>(key: &'a str, part: &'a str) -> RowKey<'a> {
-    RowKey {
-        table: ENTRIES_TABLE,
-        part,
-        key,
-    }
+/// Table and part of a replica of the list of entries.
+fn entries_part(replica: EntryListReplica) -> (String, String) {
+    let part = replica.number().to_string();
+    (format!("{ENTRIES_TABLE_PREFIX}{part}"), part)
 }
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -19,7 +19,7 @@
     feed_cursor::FeedCursor,
     metrics::{Counter, Gauge, Histogram, Metrics},
     peer_network::{PeerError, PeerNetwork, SessionIo},
-    site_store::{EntryListChange, EntryListReplica, OperatorChange, OperatorRows, SiteStore},
+    site_store::{EntryListUpdate, OperatorChange, OperatorRows, SiteStore},
     store::{Check, ObjectStore, Put, Row, StoreError, Table, Transaction, TransactionOutcome},
     timer_service::TimerService,
     worker_client::WorkerClient,
--- a/src/ports/site_store.rs
+++ b/src/ports/site_store.rs
@@ -2,18 +2,26 @@
 
 use {
     super::StoreError,
-    crate::core::{document::Document, link::EvacuatedZones, work::WorkerView},
+    crate::core::{
+        document::Document,
+        entry_list::{EntryListChange, EntryListReplica},
+        link::EvacuatedZones,
+        work::WorkerView,
+    },
     async_trait::async_trait,
     std::{collections::BTreeMap, fmt::Debug, net::SocketAddr},
 };
 
-/// Changes of the list of entries since a version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum EntryListChange {
-    /// No change up to this version of the store.
-    None { version: u64 },
-    /// There may be a change; the list must be read again.
-    Some,
+/// Changes of one replica of the list of entries since a version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum EntryListUpdate {
+    /// All changes up to this version of the store, in their order; may be empty.
+    Changes {
+        version: u64,
+        changes: Vec<EntryListChange>,
+    },
+    /// The store no longer has the changes since that version; the list must be read again.
+    HistoryUnavailable,
 }
 
 /// Snapshot of the operators' rows.
@@ -40,21 +48,6 @@
     HistoryUnavailable,
 }
 
-/// One replica of the list of entries.
-///
-/// Each replica is in a different partition of the store, so that agents can discover entries while
-/// some partitions are unavailable. If each is unavailable with probability 1/4, all three are with 1/64.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct EntryListReplica(u8);
-
-impl EntryListReplica {
-    pub(crate) const ALL: [Self; 3] = [Self(0), Self(1), Self(2)];
-
-    pub(crate) const fn number(self) -> u8 {
-        self.0
-    }
-}
-
 /// Rows of operators, entries and workers in the platform's store.
 #[async_trait]
 pub(crate) trait SiteStore: Debug + Send + Sync {
@@ -73,28 +66,28 @@
         replica: EntryListReplica,
     ) -> Result<(Vec<SocketAddr>, u64), StoreError>;
 
-    /// Long-polls up to `wait_ms` for a change of any replica after a version.
-    async fn wait_for_entry_list_change(
+    /// Long-polls up to `wait_ms` for changes of a replica after a version.
+    ///
+    /// Versions of all replicas come from one counter.
+    async fn wait_for_entry_list_update(
         &self,
+        replica: EntryListReplica,
         after: u64,
         wait_ms: u64,
-    ) -> Result<EntryListChange, StoreError>;
+    ) -> Result<EntryListUpdate, StoreError>;
 
-    /// Adds an entry to a replica and returns the version of its row.
+    /// Adds an entry to a replica; returns false if it was listed there already.
     async fn add_entry(
         &self,
         entry: SocketAddr,
         replica: EntryListReplica,
-    ) -> Result<u64, StoreError>;
+    ) -> Result<bool, StoreError>;
 
-    /// Removes an entry from a replica if its row still has this version.
-    ///
-    /// A delayed removal must not delete the row of a newer process at the same address.
+    /// Removes an entry from a replica.
     async fn remove_entry(
         &self,
         entry: SocketAddr,
         replica: EntryListReplica,
-        version: u64,
     ) -> Result<(), StoreError>;
 
     /// Reads the view of its worker that an agent has stored.
--- a/src/site_agent/dialler.rs
+++ b/src/site_agent/dialler.rs
@@ -1,7 +1,10 @@
 //! Maintains sessions with the selected entries.
 
 use {
-    super::execution_loop::{EntryLink, LoopInput},
+    super::{
+        execution_loop::{EntryLink, LoopInput},
+        gone_entry_remover::GoneEntryRemover,
+    },
     crate::{
         adapters::{link::dial_link, timer::Backoff},
         core::{
@@ -42,6 +45,7 @@
     pub(super) timer: Arc<dyn TimerService>,
     pub(super) metrics: Arc<dyn Metrics>,
     pub(super) last_session: AtomicU64,
+    pub(super) gone_entry_remover: Arc<GoneEntryRemover>,
 }
 
 impl Dialler {
@@ -63,7 +67,12 @@
                 }
                 _ = ticks.recv() => {}
             }
-            for (entry, goal) in selection.update(self.timer.now()) {
+            let now = self.timer.now();
+            let selected = selection.update(now);
+            for entry in selection.take_gone(now) {
+                tokio::spawn(Arc::clone(&self.gone_entry_remover).remove(entry));
+            }
+            for (entry, goal) in selected {
                 let goals = goals.entry(entry).or_insert_with(|| {
                     let (sender, receiver) = watch::channel(goal);
                     let session =
--- a/src/site_agent/entry_list_watcher.rs
+++ b/src/site_agent/entry_list_watcher.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         adapters::timer::Backoff,
-        ports::{EntryListChange, EntryListReplica, FeedCursor, SiteStore, StoreError},
+        core::entry_list::{EntryList, EntryListReplica},
+        ports::{EntryListUpdate, FeedCursor, SiteStore, StoreError},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{sync::mpsc, time::sleep},
@@ -16,90 +17,132 @@
 /// Backoff after failed calls to the store, in milliseconds.
 const INITIAL_STORE_BACKOFF_MS: u64 = 100;
 const MAX_STORE_BACKOFF_MS: u64 = 1_000;
-/// Range of the random delay between a change of the list and reading it, in milliseconds; spreads
-/// the agents' reads and lets one read cover several changes.
-const REREAD_DELAY_RANGE_MS: (u64, u64) = (200, 800);
+/// Range of the random delay after a change, in milliseconds; spreads the agents' calls and lets one
+/// response cover several changes.
+const CHANGE_DELAY_RANGE_MS: (u64, u64) = (200, 800);
 
-/// Reads the list of entries and sends each version of it.
+/// Failed feed calls in a row after which the list is read again; feeds may fail while reads succeed.
+const MAX_FEED_FAILURES: usize = 10;
+
+/// Reads the list of entries, follows its changes and sends each version of it.
+///
+/// After the first read, an agent receives changes only, so that a change costs each agent the same
+/// whatever the length of the list.
 #[derive(Debug)]
 pub(super) struct EntryListWatcher {
-    pub(super) store: Arc<dyn SiteStore>,
-    /// Entries to use if the first read of the list fails; some may no longer exist.
-    pub(super) seeds: Vec<SocketAddr>,
-    pub(super) lists: mpsc::UnboundedSender<Vec<SocketAddr>>,
+    store: Arc<dyn SiteStore>,
+    /// Entries to use if the first reads of the list fail; some may no longer exist.
+    seeds: Vec<SocketAddr>,
+    lists: mpsc::UnboundedSender<Vec<SocketAddr>>,
+    list: EntryList,
+    /// Replicas have the same entries, and their versions are comparable, so another replica continues
+    /// where one failed.
+    replica: EntryListReplica,
+    /// Position in the change feed; `None` if the list must be read.
+    cursor: Option<FeedCursor>,
+    /// Failed calls since the last successful one.
+    failures: usize,
+    backoff: Backoff,
 }
 
 impl EntryListWatcher {
+    pub(super) fn new(
+        store: Arc<dyn SiteStore>,
+        seeds: Vec<SocketAddr>,
+        lists: mpsc::UnboundedSender<Vec<SocketAddr>>,
+    ) -> Self {
+        let replicas = EntryListReplica::ALL;
+        Self {
+            store,
+            seeds,
+            lists,
+            list: EntryList::default(),
+            replica: replicas[rand::random_range(0..replicas.len())],
+            cursor: None,
+            failures: 0,
+            backoff: Backoff::new(INITIAL_STORE_BACKOFF_MS, MAX_STORE_BACKOFF_MS),
+        }
+    }
+
     /// Follows the list until the receiver is dropped.
-    pub(super) async fn run(self) {
-        let mut backoff = Backoff::new(INITIAL_STORE_BACKOFF_MS, MAX_STORE_BACKOFF_MS);
-        let mut has_list = false;
+    pub(super) async fn run(mut self) {
         while !self.lists.is_closed() {
-            match self.read_list().await {
-                Ok((entries, version)) => {
-                    backoff.reset();
-                    self.send(entries);
-                    has_list = true;
-                    match self.wait_for_change(version).await {
-                        Ok(()) => wait_before_reread().await,
-                        Err(error) => back_off(&error, &mut backoff).await,
-                    }
-                }
-                Err(error) => {
-                    if !has_list {
-                        self.send(self.seeds.clone());
-                        has_list = true;
-                    }
-                    back_off(&error, &mut backoff).await;
+            let polled = match &self.cursor {
+                Some(cursor) => self.follow_changes(cursor.after()).await,
+                None => self.read_list().await,
+            };
+            match polled {
+                Ok(()) => {
+                    self.failures = 0;
+                    self.backoff.reset();
                 }
+                Err(error) => self.handle_failure(&error).await,
             }
         }
     }
 
-    fn send(&self, entries: Vec<SocketAddr>) {
-        // The receiver lives as long as the process.
-        let _ = self.lists.send(entries);
+    async fn read_list(&mut self) -> Result<(), StoreError> {
+        let (entries, version) = self.store.read_entries(self.replica).await?;
+        self.cursor = Some(FeedCursor::new(version, FEED_LAG_RESPONSES));
+        self.list.replace(entries);
+        self.send_list();
+        Ok(())
     }
 
-    /// Reads the replicas of the list in turn, from a random one, until a read succeeds.
-    async fn read_list(&self) -> Result<(Vec<SocketAddr>, u64), StoreError> {
-        let mut replicas = EntryListReplica::ALL;
-        let first = rand::random_range(0..replicas.len());
-        replicas.rotate_left(first);
-        let [first, others @ ..] = replicas;
-        let mut read = self.store.read_entries(first).await;
-        for replica in others {
-            if read.is_ok() {
-                return read;
+    /// Waits for changes after this version and applies them.
+    async fn follow_changes(&mut self, after: u64) -> Result<(), StoreError> {
+        let update = self
+            .store
+            .wait_for_entry_list_update(self.replica, after, LONG_POLL_MS);
+        match update.await? {
+            EntryListUpdate::Changes { version, changes } if changes.is_empty() => {
+                if let Some(cursor) = &mut self.cursor {
+                    cursor.advance(version);
+                }
+            }
+            EntryListUpdate::Changes { version, changes } => {
+                self.cursor = Some(FeedCursor::new(version, FEED_LAG_RESPONSES));
+                if self.list.apply(&changes) {
+                    self.send_list();
+                }
+                wait_after_change().await;
+            }
+            EntryListUpdate::HistoryUnavailable => {
+                self.cursor = None;
+                wait_after_change().await;
             }
-            read = self.store.read_entries(replica).await;
         }
-        read
+        Ok(())
     }
 
-    /// Returns once some replica of the list has changed.
-    async fn wait_for_change(&self, read_at: u64) -> Result<(), StoreError> {
-        let mut cursor = FeedCursor::new(read_at, FEED_LAG_RESPONSES);
-        loop {
-            match self
-                .store
-                .wait_for_entry_list_change(cursor.after(), LONG_POLL_MS)
-                .await?
-            {
-                EntryListChange::None { version } => cursor.advance(version),
-                EntryListChange::Some => return Ok(()),
-            }
+    async fn handle_failure(&mut self, error: &StoreError) {
+        log::info!(error:% = error; "failed to read the list of entries");
+        self.failures += 1;
+        self.replica = self.replica.next();
+        if self.cursor.is_none() && self.failures == EntryListReplica::ALL.len() {
+            self.send_seeds();
+        }
+        if self.failures.is_multiple_of(MAX_FEED_FAILURES) {
+            self.cursor = None;
         }
+        self.backoff.wait().await;
     }
-}
 
-/// Waits so that one read covers entries that are listed or delisted at the same time.
-async fn wait_before_reread() {
-    let (min_ms, max_ms) = REREAD_DELAY_RANGE_MS;
-    sleep(Duration::from_millis(rand::random_range(min_ms..=max_ms))).await;
+    /// Sends the seeds unless the list was read before.
+    fn send_seeds(&mut self) {
+        if self.list.entries().is_empty() {
+            self.list.replace(self.seeds.iter().copied());
+            self.send_list();
+        }
+    }
+
+    fn send_list(&self) {
+        // The receiver lives as long as the process.
+        let _ = self.lists.send(self.list.entries());
+    }
 }
 
-async fn back_off(error: &StoreError, backoff: &mut Backoff) {
-    log::info!(error:% = error; "failed to read the list of entries");
-    backoff.wait().await;
+async fn wait_after_change() {
+    let (min_ms, max_ms) = CHANGE_DELAY_RANGE_MS;
+    sleep(Duration::from_millis(rand::random_range(min_ms..=max_ms))).await;
 }
--- a/src/site_agent/mod.rs
+++ b/src/site_agent/mod.rs
@@ -3,8 +3,12 @@
 mod dialler;
 mod entry_list_watcher;
 mod execution_loop;
+mod gone_entry_remover;
 mod run;
 mod worker_report_handler;
 mod worker_view_store;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use run::run_site_agent;
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -5,6 +5,7 @@
         dialler::Dialler,
         entry_list_watcher::EntryListWatcher,
         execution_loop::{ExecutionLoop, LoopInput},
+        gone_entry_remover::GoneEntryRemover,
         worker_report_handler::WorkerReportHandler,
         worker_view_store::WorkerViewStore,
     },
@@ -84,6 +85,9 @@
             timer: Arc::new(BootTimer),
             metrics: Arc::clone(&self.process.metrics),
             last_session: AtomicU64::new(1),
+            gone_entry_remover: Arc::new(GoneEntryRemover {
+                store: Arc::clone(&self.process.store),
+            }),
         })
     }
 
@@ -92,11 +96,8 @@
         settings: &SiteAgentSettings,
         lists: mpsc::UnboundedSender<Vec<SocketAddr>>,
     ) -> EntryListWatcher {
-        EntryListWatcher {
-            store: Arc::clone(&self.process.store),
-            seeds: settings.seeds.clone(),
-            lists,
-        }
+        let store = Arc::clone(&self.process.store);
+        EntryListWatcher::new(store, settings.seeds.clone(), lists)
     }
 
     fn worker_view_store(&self, settings: &SiteAgentSettings) -> WorkerViewStore {
--- /dev/null
+++ b/src/site_agent/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of an agent's components against fakes.
+
+mod entry_list;
+mod entry_list_store;
--- a/src/site_entry/entry_registration.rs
+++ b/src/site_entry/entry_registration.rs
@@ -2,15 +2,24 @@
 
 use {
     super::store_health::StoreHealth,
-    crate::ports::{DecisionLog, EntryListReplica, Metrics, SiteStore},
-    std::{
-        collections::BTreeMap,
-        net::SocketAddr,
-        sync::{Arc, Mutex, PoisonError},
+    crate::{
+        core::entry_list::EntryListReplica,
+        ports::{DecisionLog, Metrics, SiteStore},
     },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::sleep,
 };
 
-/// This entry's rows in the replicas of the entry list.
+/// Interval at which the entry adds itself again, in milliseconds; an agent may have removed it while
+/// they could not reach each other.
+const RENEWAL_INTERVAL_MS: u64 = 60_000;
+/// Range of the random factor of the interval, in percent; spreads the entries' calls.
+const JITTER_PERCENT: (u64, u64) = (75, 125);
+
+/// Keeps this entry in the replicas of the entry list.
+///
+/// It stays listed when its process ends: a restart then changes nothing for the agents, and needs no
+/// store. Agents remove an entry that is gone for good.
 #[derive(Debug)]
 pub(super) struct EntryRegistration {
     pub(super) store: Arc<dyn SiteStore>,
@@ -18,37 +27,28 @@
     pub(super) metrics: Arc<dyn Metrics>,
     /// Address that agents connect to.
     pub(super) entry: SocketAddr,
-    /// Versions of the rows that this process wrote.
-    pub(super) rows: Mutex<BTreeMap<EntryListReplica, u64>>,
 }
 
 impl EntryRegistration {
-    /// Adds the entry to one replica; retries until it succeeds.
-    pub(super) async fn register(self: Arc<Self>, replica: EntryListReplica) {
+    /// Keeps the entry in one replica for the lifetime of the process.
+    pub(super) async fn maintain(self: Arc<Self>, replica: EntryListReplica) {
         let mut health = StoreHealth::new("join", &self.decisions, &self.metrics);
         loop {
             match self.store.add_entry(self.entry, replica).await {
-                Ok(version) => {
+                Ok(is_new) => {
                     health.record_success();
-                    let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
-                    rows.insert(replica, version);
-                    return;
+                    let copy = replica.number();
+                    log::debug!(copy, is_new; "this entry is on the entry list");
+                    wait_before_renewal().await;
                 }
                 Err(error) => health.record_failure(&error).await,
             }
         }
     }
+}
 
-    /// Removes the entry from all replicas that this process added it to, without retries.
-    ///
-    /// A leftover row only costs each agent occasional failed connection attempts.
-    pub(super) async fn deregister(self: Arc<Self>) {
-        let rows = std::mem::take(&mut *self.rows.lock().unwrap_or_else(PoisonError::into_inner));
-        for (replica, version) in rows {
-            if let Err(error) = self.store.remove_entry(self.entry, replica, version).await {
-                let copy = replica.number();
-                log::info!(copy, error:% = error; "failed to remove this entry from a replica of the entry list");
-            }
-        }
-    }
+async fn wait_before_renewal() {
+    let (min, max) = JITTER_PERCENT;
+    let percent = rand::random_range(min..=max);
+    sleep(Duration::from_millis(RENEWAL_INTERVAL_MS * percent / 100)).await;
 }
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -21,9 +21,9 @@
         conf::SiteEntrySettings,
         core::{
             dispatch::{DispatchEvent, DispatchSettings, Dispatcher},
+            entry_list::EntryListReplica,
             work::RunLimits,
         },
-        ports::EntryListReplica,
     },
     std::{
         collections::BTreeMap,
@@ -70,7 +70,6 @@
             decisions: Arc::clone(&self.process.decisions),
             metrics: Arc::clone(&self.process.metrics),
             entry,
-            rows: Mutex::default(),
         })
     }
 
@@ -157,20 +156,18 @@
     ));
     tokio::spawn(rows_watcher.follow());
     for replica in EntryListReplica::ALL {
-        tokio::spawn(Arc::clone(&entry_registration).register(replica));
+        tokio::spawn(Arc::clone(&entry_registration).maintain(replica));
     }
     tokio::spawn(log_reload_signals(Arc::clone(&shared.process.decisions)));
     shared.process.log_started(&settings.site);
 
     stop_signal().await;
-    let deregistration = tokio::spawn(entry_registration.deregister());
     let shutdown = GracefulShutdown {
         grace_ms: settings.site.stop_grace_s * 1_000,
         shared,
         stop,
     };
     shutdown.run().await;
-    deregistration.abort();
     Ok(())
 }
 
--- a/src/site_entry/tests/fakes.rs
+++ b/src/site_entry/tests/fakes.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        core::work::WorkerView,
+        core::{entry_list::EntryListReplica, work::WorkerView},
         ports::{
-            Counter, DecisionLog, EntryListChange, EntryListReplica, Gauge, Histogram, LogPriority,
-            Metrics, OperatorChange, OperatorRows, SiteStore, StoreError,
+            Counter, DecisionLog, EntryListUpdate, Gauge, Histogram, LogPriority, Metrics,
+            OperatorChange, OperatorRows, SiteStore, StoreError,
         },
     },
     async_trait::async_trait,
@@ -62,24 +62,20 @@
         unavailable()
     }
 
-    async fn wait_for_entry_list_change(
+    async fn wait_for_entry_list_update(
         &self,
+        _: EntryListReplica,
         _: u64,
         _: u64,
-    ) -> Result<EntryListChange, StoreError> {
+    ) -> Result<EntryListUpdate, StoreError> {
         unavailable()
     }
 
-    async fn add_entry(&self, _: SocketAddr, _: EntryListReplica) -> Result<u64, StoreError> {
+    async fn add_entry(&self, _: SocketAddr, _: EntryListReplica) -> Result<bool, StoreError> {
         unavailable()
     }
 
-    async fn remove_entry(
-        &self,
-        _: SocketAddr,
-        _: EntryListReplica,
-        _: u64,
-    ) -> Result<(), StoreError> {
+    async fn remove_entry(&self, _: SocketAddr, _: EntryListReplica) -> Result<(), StoreError> {
         unavailable()
     }
 
--- a/src/site_entry/tests/site/store_model.rs
+++ b/src/site_entry/tests/site/store_model.rs
@@ -3,10 +3,11 @@
 use {
     super::host_model::{HostModel, windows},
     crate::{
-        core::{document::Document, link::EvacuatedZones, work::WorkerView},
-        ports::{
-            EntryListChange, EntryListReplica, OperatorChange, OperatorRows, SiteStore, StoreError,
+        core::{
+            document::Document, entry_list::EntryListReplica, link::EvacuatedZones,
+            work::WorkerView,
         },
+        ports::{EntryListUpdate, OperatorChange, OperatorRows, SiteStore, StoreError},
     },
     async_trait::async_trait,
     std::{
@@ -331,24 +332,20 @@
         refused()
     }
 
-    async fn wait_for_entry_list_change(
+    async fn wait_for_entry_list_update(
         &self,
+        _: EntryListReplica,
         _: u64,
         _: u64,
-    ) -> Result<EntryListChange, StoreError> {
+    ) -> Result<EntryListUpdate, StoreError> {
         refused()
     }
 
-    async fn add_entry(&self, _: SocketAddr, _: EntryListReplica) -> Result<u64, StoreError> {
+    async fn add_entry(&self, _: SocketAddr, _: EntryListReplica) -> Result<bool, StoreError> {
         refused()
     }
 
-    async fn remove_entry(
-        &self,
-        _: SocketAddr,
-        _: EntryListReplica,
-        _: u64,
-    ) -> Result<(), StoreError> {
+    async fn remove_entry(&self, _: SocketAddr, _: EntryListReplica) -> Result<(), StoreError> {
         refused()
     }
 
--- a/tests/processes/site.rs
+++ b/tests/processes/site.rs
@@ -164,6 +164,25 @@
     assert_eq!(connections, 1);
 }
 
+/// Otherwise each agent would read the list twice for each entry of a rolling restart, and an entry
+/// that restarts while the store is down would have no workers.
+#[tokio::test]
+async fn a_restarted_entry_stays_listed_and_needs_no_store() {
+    let mut site = Site::start("restart", 2, 2).await;
+    wait_until_serving(&site, 0).await;
+    let listed = site.listed_entries().await;
+    assert_eq!(listed.as_array().map(Vec::len), Some(2), "{listed}");
+    site.entries[0].process.terminate();
+    site.entries[0].process.wait(Duration::from_secs(10)).await;
+    assert_eq!(site.listed_entries().await, listed);
+    site.set_store_faults(&json!({"down": true})).await;
+    site.restart_entry(0);
+    wait_until_serving(&site, 0).await;
+    site.set_store_faults(&json!({})).await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    assert_eq!(site.listed_entries().await, listed);
+}
+
 /// The agent restarts while the store is unavailable and connects to the entries in its settings.
 #[tokio::test]
 async fn an_agent_rejected_by_the_store_connects_to_its_seeds() {
--- a/tests/processes/support/site.rs
+++ b/tests/processes/support/site.rs
@@ -212,7 +212,8 @@
     pub async fn set_entry_listed(&self, entry: usize, listed: bool) {
         let key = self.entries[entry].link_addr.to_string();
         for part in ["0", "1", "2"] {
-            let row = json!({"table": "rattanslip_entries", "part": part, "key": key, "value": ""});
+            let table = format!("rattanslip_entries_{part}");
+            let row = json!({"table": table, "part": part, "key": key, "value": ""});
             let change = if listed { "puts" } else { "remove" };
             let body = json!({ change: [row] }).to_string();
             let reply = request("POST", self.store, "/v1/rows-tx", &[], &body).await;
@@ -220,6 +221,14 @@
         }
     }
 
+    /// Rows of one copy of the list of entries.
+    pub async fn listed_entries(&self) -> Value {
+        let path = "/v1/rows-get?table=rattanslip_entries_0&part=0";
+        let reply = request("GET", self.store, path, &[], "").await;
+        let mut body: Value = serde_json::from_str(&reply.body).expect("rows");
+        body["rows"].take()
+    }
+
     /// Submits a job and waits for its outcome.
     pub async fn submit(&self, entry: usize, id: &str, body: &Value) -> Result<Reply, String> {
         submit_to(self.entries[entry].client_addr, id, body.clone()).await
