--- a/src/site_agent/entry_list_watcher.rs
+++ b/src/site_agent/entry_list_watcher.rs
@@ -10,10 +10,11 @@
     tokio::{sync::mpsc, time::sleep},
 };
 
-/// Long-poll timeout of the change feed, in milliseconds.
-const LONG_POLL_MS: u64 = 5_000;
+/// Long-poll timeout of the change feed, in milliseconds; limits how long a lost connection delays a
+/// change.
+const LONG_POLL_MS: u64 = 8_000;
 /// Number of responses by which the feed cursor lags; the store's history must reach as far back.
-const FEED_LAG_RESPONSES: usize = 2;
+const FEED_LAG_RESPONSES: usize = 1;
 /// Backoff after failed calls to the store, in milliseconds.
 const INITIAL_STORE_BACKOFF_MS: u64 = 100;
 const MAX_STORE_BACKOFF_MS: u64 = 1_000;
--- a/src/site_agent/mod.rs
+++ b/src/site_agent/mod.rs
@@ -9,6 +9,6 @@
 mod worker_view_store;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub(crate) use run::run_site_agent;
--- a/src/site_agent/tests/entry_list.rs
+++ b/src/site_agent/tests/entry_list.rs
@@ -1,7 +1,7 @@
 //! Tests of following the list of entries.
 
 use {
-    super::entry_list_store::EntryListStore,
+    super::EntryListStore,
     crate::{
         ports::SiteStore,
         site_agent::{entry_list_watcher::EntryListWatcher, gone_entry_remover::GoneEntryRemover},
--- a/src/site_agent/tests/entry_list_store.rs
+++ b/src/site_agent/tests/entry_list_store.rs
@@ -20,7 +20,7 @@
 
 /// What one replica holds, and what was read.
 #[derive(Debug, Default)]
-pub(super) struct ListState {
+pub(crate) struct ListState {
     entries: BTreeSet<SocketAddr>,
     /// Changes with the versions that they created.
     history: Vec<(u64, EntryListChange)>,
@@ -35,17 +35,17 @@
 
 /// A store whose replicas are always equal.
 #[derive(Debug, Default)]
-pub(super) struct EntryListStore {
+pub(crate) struct EntryListStore {
     state: Mutex<ListState>,
     changed: Notify,
 }
 
 impl EntryListStore {
-    pub(super) fn state(&self) -> MutexGuard<'_, ListState> {
+    pub(crate) fn state(&self) -> MutexGuard<'_, ListState> {
         self.state.lock().expect("lock")
     }
 
-    pub(super) fn change(&self, entry: SocketAddr, is_listed: bool) {
+    pub(crate) fn change(&self, entry: SocketAddr, is_listed: bool) {
         let mut state = self.state();
         let is_changed = match is_listed {
             true => state.entries.insert(entry),
@@ -61,7 +61,7 @@
         self.changed.notify_waiters();
     }
 
-    pub(super) fn discard_history(&self) {
+    pub(crate) fn discard_history(&self) {
         let mut state = self.state();
         state.truncated_version = state.version;
         state.history.clear();
@@ -69,7 +69,7 @@
         self.changed.notify_waiters();
     }
 
-    pub(super) fn entries(&self) -> Vec<SocketAddr> {
+    pub(crate) fn entries(&self) -> Vec<SocketAddr> {
         self.state().entries.iter().copied().collect()
     }
 
--- a/src/site_agent/tests/mod.rs
+++ b/src/site_agent/tests/mod.rs
@@ -2,3 +2,5 @@
 
 mod entry_list;
 mod entry_list_store;
+
+pub(crate) use entry_list_store::EntryListStore;
--- a/src/site_entry/operator_rows_watcher.rs
+++ b/src/site_entry/operator_rows_watcher.rs
@@ -26,7 +26,7 @@
 
 /// Long-poll timeout of the change feed, in milliseconds; an unresponsive connection must be detected
 /// early enough that a change applies within two seconds.
-const LONG_POLL_MS: u64 = 1_000;
+const LONG_POLL_MS: u64 = 2_000;
 /// Number of responses by which the feed cursor lags; the store's history must reach as far back.
 const FEED_LAG_RESPONSES: usize = 5;
 /// Backoff before a full read after the feed failed or its history was discarded, in milliseconds.
--- a/src/site_entry/tests/mod.rs
+++ b/src/site_entry/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of an entry's components against fakes.
 
 mod config_changes;
+mod entry_registration;
 mod events;
 mod fakes;
 mod operator_rows;
