Rename: stale entries

gone_entry_remover -> stale_entry_remover, GoneEntryRemover -> StaleEntryRemover, take_gone -> take_stale, is_gone -> is_stale, GONE_AFTER_MS -> STALE_AFTER_MS, and the tests' names: docs/GLOSSARY.md keeps 'gone' for no state. Texts of two log lines follow. No other change.

--- a/src/core/entry_selection/entry_selection.rs
+++ b/src/core/entry_selection/entry_selection.rs
@@ -17,9 +17,9 @@
 /// How long the session with an entry that is no longer selected stays in use, in milliseconds;
 /// longer than a rolling restart keeps an entry away.
 const RETIRE_DELAY_MS: u64 = 10_000;
-/// Time of failed connection attempts after which an entry is gone for good, in milliseconds; longer
-/// than the restart of a host takes.
-const GONE_AFTER_MS: u64 = 600_000;
+/// Time of failed connection attempts after which an entry is stale, in milliseconds; longer than the
+/// restart of a host takes.
+const STALE_AFTER_MS: u64 = 600_000;
 
 /// What an agent does about its session with one entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,12 +49,12 @@
             .is_none_or(|since| now.millis_since(since) < UNREACHABLE_AFTER_MS)
     }
 
-    /// Whether connection attempts have failed for so long that the entry is gone; the delay differs
-    /// between agents.
-    fn is_gone(&self, now: Instant) -> bool {
-        let gone_after_ms = GONE_AFTER_MS + self.rank % GONE_AFTER_MS;
+    /// Whether connection attempts have failed for so long that the entry's host counts as replaced; the
+    /// delay differs between agents.
+    fn is_stale(&self, now: Instant) -> bool {
+        let stale_after_ms = STALE_AFTER_MS + self.rank % STALE_AFTER_MS;
         self.failing_since
-            .is_some_and(|since| now.millis_since(since) >= gone_after_ms)
+            .is_some_and(|since| now.millis_since(since) >= stale_after_ms)
     }
 }
 
@@ -106,11 +106,12 @@
         }
     }
 
-    /// Returns the selected entries that are gone for good, each once in a while until it is delisted.
+    /// Returns the selected entries that are stale; call it after [`Self::update`] at the same time.
     ///
-    /// Agents reach this conclusion at different times, so that one of them usually acts for all. An
-    /// agent that cannot reach most of its entries is cut off itself.
-    pub(crate) fn take_gone(&mut self, now: Instant) -> Vec<SocketAddr> {
+    /// An entry is returned again after the same delay if it is still listed. The delay differs between
+    /// agents, so that one of them usually acts for all. An agent that cannot reach most of its entries
+    /// is partitioned itself and returns none.
+    pub(crate) fn take_stale(&mut self, now: Instant) -> Vec<SocketAddr> {
         let is_selected =
             |candidate: &Candidate| candidate.listed && candidate.selected_at == Some(now);
         let selected = self.candidates.values().filter(|it| is_selected(it));
@@ -119,14 +120,14 @@
         if unreachable.len() >= reachable.len() {
             return Vec::new();
         }
-        let mut gone = Vec::new();
+        let mut stale = Vec::new();
         for (entry, candidate) in &mut self.candidates {
-            if is_selected(candidate) && candidate.is_gone(now) {
+            if is_selected(candidate) && candidate.is_stale(now) {
                 candidate.failing_since = Some(now);
-                gone.push(*entry);
+                stale.push(*entry);
             }
         }
-        gone
+        stale
     }
 
     /// Selects entries in the order of their ranks until [`SELECTED_ENTRIES`] of them are
--- a/src/core/entry_selection/tests.rs
+++ b/src/core/entry_selection/tests.rs
@@ -129,42 +129,42 @@
 
 /// Rows of hosts that were replaced must not accumulate on the list.
 #[test]
-fn an_entry_that_is_gone_for_good_is_reported_once() {
+fn a_stale_entry_is_reported_once() {
     let mut selection = selection(1, &addrs(ENTRIES));
-    let gone = maintained(&mut selection, at(0))[0];
-    selection.record_failure(at(0), gone);
+    let stale = maintained(&mut selection, at(0))[0];
+    selection.record_failure(at(0), stale);
     let mut reports = Vec::new();
     for minute in 0..=25 {
         let now = at(minute * MINUTE_MS);
         selection.update(now);
         reports.extend(
             selection
-                .take_gone(now)
+                .take_stale(now)
                 .into_iter()
                 .map(|entry| (minute, entry)),
         );
     }
     assert_eq!(reports.len(), 1, "{reports:?}");
     let (minute, entry) = reports[0];
-    assert_eq!(entry, gone);
+    assert_eq!(entry, stale);
     assert!((10..=20).contains(&minute), "{minute}");
 }
 
 /// Agents that conclude at the same time would all write to the store.
 #[test]
-fn agents_report_a_gone_entry_at_different_times() {
+fn agents_report_a_stale_entry_at_different_times() {
     let entries = addrs(ENTRIES);
-    let [gone, ..] = entries[..] else {
+    let [stale, ..] = entries[..] else {
         panic!("no entries");
     };
     let mut first_reports: BTreeMap<u64, usize> = BTreeMap::new();
     for agent in 0..AGENTS {
         let mut selection = selection(agent, &entries);
-        selection.record_failure(at(0), gone);
+        selection.record_failure(at(0), stale);
         let reported = (0..=25).find(|minute| {
             let now = at(minute * MINUTE_MS);
             selection.update(now);
-            !selection.take_gone(now).is_empty()
+            !selection.take_stale(now).is_empty()
         });
         if let Some(minute) = reported {
             *first_reports.entry(minute).or_default() += 1;
@@ -183,7 +183,7 @@
 
 /// A host that is cut off must not remove all entries from the list.
 #[test]
-fn a_partitioned_agent_reports_no_entry_as_gone() {
+fn a_partitioned_agent_reports_no_entry_as_stale() {
     let entries = addrs(ENTRIES);
     let mut selection = selection(1, &entries);
     for minute in 0..=25 {
@@ -191,6 +191,6 @@
         for entry in maintained(&mut selection, now) {
             selection.record_failure(now, entry);
         }
-        assert_eq!(selection.take_gone(now), []);
+        assert_eq!(selection.take_stale(now), []);
     }
 }
--- a/src/site_agent/dialler.rs
+++ b/src/site_agent/dialler.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         execution_loop::{EntryLink, LoopInput},
-        gone_entry_remover::GoneEntryRemover,
+        stale_entry_remover::StaleEntryRemover,
     },
     crate::{
         adapters::{link::dial_link, timer::Backoff},
@@ -45,7 +45,7 @@
     pub(super) timer: Arc<dyn TimerService>,
     pub(super) metrics: Arc<dyn Metrics>,
     pub(super) last_session: AtomicU64,
-    pub(super) gone_entry_remover: Arc<GoneEntryRemover>,
+    pub(super) stale_entry_remover: Arc<StaleEntryRemover>,
 }
 
 impl Dialler {
@@ -69,8 +69,8 @@
             }
             let now = self.timer.now();
             let selected = selection.update(now);
-            for entry in selection.take_gone(now) {
-                tokio::spawn(Arc::clone(&self.gone_entry_remover).remove(entry));
+            for entry in selection.take_stale(now) {
+                tokio::spawn(Arc::clone(&self.stale_entry_remover).remove(entry));
             }
             for (entry, goal) in selected {
                 let goals = goals.entry(entry).or_insert_with(|| {
--- a/src/site_agent/mod.rs
+++ b/src/site_agent/mod.rs
@@ -3,8 +3,8 @@
 mod dialler;
 mod entry_list_watcher;
 mod execution_loop;
-mod gone_entry_remover;
 mod run;
+mod stale_entry_remover;
 mod worker_report_handler;
 mod worker_view_store;
 
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -5,7 +5,7 @@
         dialler::Dialler,
         entry_list_watcher::EntryListWatcher,
         execution_loop::{ExecutionLoop, LoopInput},
-        gone_entry_remover::GoneEntryRemover,
+        stale_entry_remover::StaleEntryRemover,
         worker_report_handler::WorkerReportHandler,
         worker_view_store::WorkerViewStore,
     },
@@ -85,7 +85,7 @@
             timer: Arc::new(BootTimer),
             metrics: Arc::clone(&self.process.metrics),
             last_session: AtomicU64::new(1),
-            gone_entry_remover: Arc::new(GoneEntryRemover {
+            stale_entry_remover: Arc::new(StaleEntryRemover {
                 store: Arc::clone(&self.process.store),
             }),
         })
--- a/src/site_agent/stale_entry_remover.rs
+++ b/src/site_agent/stale_entry_remover.rs
@@ -1,26 +1,26 @@
-//! Removes entries that are gone for good from the list of entries.
+//! Removes stale entries from the list of entries.
 
 use {
     crate::{core::entry_list::EntryListReplica, ports::SiteStore},
     std::{net::SocketAddr, sync::Arc},
 };
 
-/// Removes entries from the list, which otherwise grows with each host that is replaced.
+/// Removes entries whose hosts were replaced; the list would grow with each of them.
 ///
 /// An entry that is removed by mistake adds itself again.
 #[derive(Debug)]
-pub(super) struct GoneEntryRemover {
+pub(super) struct StaleEntryRemover {
     pub(super) store: Arc<dyn SiteStore>,
 }
 
-impl GoneEntryRemover {
+impl StaleEntryRemover {
     /// Removes an entry from all replicas, without retries.
     pub(super) async fn remove(self: Arc<Self>, entry: SocketAddr) {
-        log::info!(entry:% = entry; "removing an entry that is gone from the entry list");
+        log::info!(entry:% = entry; "removing a stale entry from the entry list");
         for replica in EntryListReplica::ALL {
             if let Err(error) = self.store.remove_entry(entry, replica).await {
                 let copy = replica.number();
-                log::info!(copy, error:% = error; "failed to remove an entry from a replica of the entry list");
+                log::info!(copy, error:% = error; "failed to remove a stale entry from a replica of the entry list");
             }
         }
     }
--- a/src/site_agent/tests/entry_list.rs
+++ b/src/site_agent/tests/entry_list.rs
@@ -4,7 +4,9 @@
     super::EntryListStore,
     crate::{
         ports::SiteStore,
-        site_agent::{entry_list_watcher::EntryListWatcher, gone_entry_remover::GoneEntryRemover},
+        site_agent::{
+            entry_list_watcher::EntryListWatcher, stale_entry_remover::StaleEntryRemover,
+        },
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{sync::mpsc, time::sleep},
@@ -123,7 +125,7 @@
 async fn a_removed_entry_leaves_the_lists_of_agents() {
     let (store, mut lists) = watched_store(20);
     wait_s(1).await;
-    let remover = GoneEntryRemover {
+    let remover = StaleEntryRemover {
         store: Arc::clone(&store) as _,
     };
     Arc::new(remover).remove(addr(7)).await;
--- a/src/site_entry/entry_registration.rs
+++ b/src/site_entry/entry_registration.rs
@@ -18,8 +18,8 @@
 
 /// Keeps this entry in the replicas of the entry list.
 ///
-/// It stays listed when its process ends: a restart then changes nothing for the agents, and needs no
-/// store. Agents remove an entry that is gone for good.
+/// It stays listed when its process ends: a restart then changes nothing on the list, and its agents
+/// reconnect even if the store is unavailable. Agents remove stale entries.
 #[derive(Debug)]
 pub(super) struct EntryRegistration {
     pub(super) store: Arc<dyn SiteStore>,
