A home applies the free slots that entries name for runners it hears nothing from

Cause: a home learns of a runner's free slots from outcomes, offers and the first candidate only. After a refusal for full slots it had no task and no demand there, so no report came, and while other runners had free slots it sent no demand: the runner stayed full in its view for good.

Change: candidates that an entry names with each job update the free slots of a runner without tasks or offers of this home whose report is over a second old, the interval of announcements.

Evidence: a_runner_with_free_slots_again_is_used_after_a_refusal fails without the change.

--- a/src/core/home/admission.rs
+++ b/src/core/home/admission.rs
@@ -46,6 +46,7 @@
                 .or_insert_with(|| RunnerLink::new(now, candidate));
             link.peer_addr = candidate.peer_addr;
             link.own = candidate.own;
+            link.apply_announced_slots(now, candidate.free_slots);
             link.request_session(now);
         }
     }
--- a/src/core/home/runner_link.rs
+++ b/src/core/home/runner_link.rs
@@ -24,6 +24,9 @@
 /// Age from which a report is stale, in milliseconds: another home has probably used the slots
 /// since.
 const STALE_REPORT_MS: u64 = 50;
+/// Age from which a report is older than what entries know, in milliseconds; agents announce their free
+/// slots to entries every second.
+const OUTDATED_REPORT_MS: u64 = 1_000;
 
 /// State of the session to a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -99,6 +102,18 @@
         self.last_report_at = now;
     }
 
+    /// Applies the free slots that an entry named if they are more recent than the runner's own report.
+    ///
+    /// A runner without tasks or demands of this home sends it no reports, and would stay full in its
+    /// view.
+    pub(crate) fn apply_announced_slots(&mut self, now: Instant, free_slots: u16) {
+        let is_outdated = now.millis_since(self.last_report_at) >= OUTDATED_REPORT_MS;
+        if is_outdated && self.is_idle() && self.free.held == 0 {
+            self.free.slots = free_slots;
+            self.last_report_at = now;
+        }
+    }
+
     /// Records an offer: a slot that is held for this home.
     pub(crate) fn apply_offer(&mut self, now: Instant, free: FreeSlots) {
         self.report_free(now, free);
--- a/src/core/home/tests/faults.rs
+++ b/src/core/home/tests/faults.rs
@@ -346,3 +346,27 @@
     assert_eq!(sim.answer(waiter).verdict, Verdict::Done);
     assert_eq!(sim.starts.values().sum::<u32>(), 1);
 }
+
+/// A home that was refused for full slots must not leave the runner idle for as long as other
+/// runners have free slots.
+#[test]
+fn a_runner_with_free_slots_again_is_used_after_a_refusal() {
+    let mut sim = Simulation::new(2, 8);
+    sim.own_runners = 2;
+    let tickets = sim.tickets(40);
+    let (first, others) = tickets.split_at(1);
+    sim.set_slots(1, 0);
+    sim.submit(first[0], job(16, true, 60_000), 0);
+    sim.run_until(2_000);
+    sim.set_slots(1, 8);
+    let earlier_starts = sim.nodes[1].start_count;
+    for ticket in others {
+        sim.submit(*ticket, job(4, true, 60_000), 0);
+        let until_ms = sim.now_ms + 100;
+        sim.run_until(until_ms);
+    }
+    assert!(
+        sim.nodes[1].start_count > earlier_starts,
+        "the runner stays idle"
+    );
+}
--- a/src/core/home/tests/simulation.rs
+++ b/src/core/home/tests/simulation.rs
@@ -24,6 +24,8 @@
     runner: Runner,
     pub(super) id: AgentId,
     running: Vec<TaskRef>,
+    /// Number of tasks that were started here.
+    pub(super) start_count: u32,
     version: u64,
 }
 
@@ -39,6 +41,8 @@
     pub(super) replies: BTreeMap<WaiterId, Vec<JobStatus>>,
     pub(super) waiter_count: u64,
     pub(super) stopped: Vec<TaskRef>,
+    /// Number of runners, from the first, that the home prefers.
+    pub(super) own_runners: usize,
 }
 
 const fn home_settings() -> HomeSettings {
@@ -87,6 +91,7 @@
             replies: BTreeMap::new(),
             waiter_count: 0,
             stopped: Vec::new(),
+            own_runners: 1,
         };
         for _ in 0..nodes {
             let node = sim.start_runner(slots);
@@ -109,6 +114,7 @@
             runner,
             id,
             running: Vec::new(),
+            start_count: 0,
             version: 1,
         }
     }
@@ -132,7 +138,7 @@
                 peer_addr: addr(number),
                 slots: node.runner.slots(),
                 free_slots: node.runner.free_slots(),
-                own: number == 0,
+                own: number < self.own_runners,
             })
             .collect()
     }
@@ -239,6 +245,7 @@
                 }
                 RunnerAction::Run(StartFrame { task, .. }) => {
                     *self.starts.entry(task).or_default() += 1;
+                    self.nodes[node].start_count += 1;
                     self.nodes[node].running.push(task);
                 }
                 RunnerAction::Stop(task) => self.stopped.push(task),
@@ -316,6 +323,12 @@
         self.send_event(HomeEvent::Tick);
     }
 
+    /// Changes the number of slots of a runner.
+    pub(super) fn set_slots(&mut self, node: usize, slots: u16) {
+        let services = vec![SERVICE.to_owned()];
+        self.send_runner_event(node, RunnerEvent::BackendUp { services, slots });
+    }
+
     /// Opens or closes the zone of a runner.
     pub(super) fn set_zone(&mut self, node: usize, open: bool) {
         self.nodes[node].version += 1;
