Tests: the fake of the entry list lies beside its port

Entries and agents use it; tests of one module no longer reach into those of another. Moves only: site_agent/tests/entry_list_store.rs -> ports/tests/entry_list_store.rs, ports/tests.rs -> ports/tests/mod.rs, site_agent/tests/entry_list.rs -> site_agent/tests.rs.

--- a/scripts/slopelib/fit.py
+++ b/scripts/slopelib/fit.py
@@ -32,7 +32,7 @@
 
 
 def print_table(title, header, rows):
-    """Prints a Markdown table for docs/CAPACITY.md."""
+    """Prints a Markdown table for docs/CAPACITY-STANDALONE.md."""
     print(f"\n## {title}\n")
     print("| " + " | ".join(header) + " |")
     print("|" + " --- |" * len(header))
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -13,6 +13,9 @@
 #[cfg(test)]
 mod tests;
 
+#[cfg(test)]
+pub(crate) use tests::EntryListStore;
+
 pub(crate) use {
     backend_server::BackendServer,
     decision_log::{DecisionLog, LogPriority, log_decision},
--- a/src/site_agent/tests/entry_list_store.rs
+++ b/src/ports/tests/entry_list_store.rs
@@ -27,10 +27,10 @@
     version: u64,
     /// Versions whose changes the history lacks.
     truncated_version: u64,
-    pub(super) is_down: bool,
-    pub(super) calls: usize,
+    pub(crate) is_down: bool,
+    pub(crate) calls: usize,
     /// Rows in all responses.
-    pub(super) rows_read: usize,
+    pub(crate) rows_read: usize,
 }
 
 /// A store whose replicas are always equal.
--- a/src/ports/tests.rs
+++ b/src/ports/tests/mod.rs
@@ -1,8 +1,12 @@
-//! Checks that the operators' page documents every metric.
+//! Checks that the operators' page documents every metric, and a fake of a port.
+
+mod entry_list_store;
+
+pub(crate) use entry_list_store::EntryListStore;
 
 use super::{Counter, Gauge};
 
-const OPERATING_PAGE: &str = include_str!("../../docs/OPERATING.md");
+const OPERATING_PAGE: &str = include_str!("../../../docs/OPERATING.md");
 
 #[test]
 fn operating_page_lists_every_metric() {
--- a/src/site_agent/mod.rs
+++ b/src/site_agent/mod.rs
@@ -9,6 +9,6 @@
 mod worker_view_store;
 
 #[cfg(test)]
-pub(crate) mod tests;
+mod tests;
 
 pub(crate) use run::run_site_agent;
--- a/src/site_agent/tests/entry_list.rs
+++ b/src/site_agent/tests.rs
@@ -1,13 +1,8 @@
 //! Tests of following the list of entries.
 
 use {
-    super::EntryListStore,
-    crate::{
-        ports::SiteStore,
-        site_agent::{
-            entry_list_watcher::EntryListWatcher, stale_entry_remover::StaleEntryRemover,
-        },
-    },
+    super::{entry_list_watcher::EntryListWatcher, stale_entry_remover::StaleEntryRemover},
+    crate::ports::{EntryListStore, SiteStore},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{sync::mpsc, time::sleep},
 };
--- a/src/site_entry/tests/entry_registration.rs
+++ b/src/site_entry/tests/entry_registration.rs
@@ -3,7 +3,7 @@
 use {
     super::fakes::{NoopDecisionLog, NoopMetrics},
     crate::{
-        core::entry_list::EntryListReplica, site_agent::tests::EntryListStore,
+        core::entry_list::EntryListReplica, ports::EntryListStore,
         site_entry::entry_registration::EntryRegistration,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
