An agent reads the list of entries again every 10 to 20 minutes

Cause, found by reading: an agent goes on with another copy of the list at the same version when one fails. If an entry had been added to that copy before and to the copy that the agent leaves only after the switch, its feed never brings the entry. What callers would see: one agent fewer for an entry, until that agent restarts.

Change: a read of the list after 10 to 20 minutes, which bounds what any missed change costs.

Test: a_missed_change_is_corrected_by_a_later_read, failed before.

--- a/src/ports/tests/entry_list_store.rs
+++ b/src/ports/tests/entry_list_store.rs
@@ -61,6 +61,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Drops the newest change from the feed without a trace.
+    pub(crate) fn omit_newest_change(&self) {
+        self.state().history.pop();
+    }
+
     pub(crate) fn discard_history(&self) {
         let mut state = self.state();
         state.truncated_version = state.version;
--- a/src/site_agent/entry_list_watcher.rs
+++ b/src/site_agent/entry_list_watcher.rs
@@ -7,7 +7,10 @@
         ports::{EntryListUpdate, FeedCursor, SiteStore, StoreError},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{sync::mpsc, time::sleep},
+    tokio::{
+        sync::mpsc,
+        time::{Instant, sleep},
+    },
 };
 
 /// Long-poll timeout of the change feed, in milliseconds; limits how long a lost connection delays a
@@ -24,10 +27,13 @@
 
 /// Failed feed calls in a row after which the list is read again; feeds may fail while reads succeed.
 const MAX_FEED_FAILURES: usize = 10;
+/// Range of the random time after which the list is read again, in milliseconds. A change is missed if
+/// an agent switches to another replica after the change was made there and before it was made here.
+const REREAD_AFTER_RANGE_MS: (u64, u64) = (600_000, 1_200_000);
 
 /// Reads the list of entries, follows its changes and sends each version of it.
 ///
-/// After the first read, an agent receives changes only, so that a change costs each agent the same
+/// Between rare reads, an agent receives changes only, so that a change costs each agent the same
 /// whatever the length of the list.
 #[derive(Debug)]
 pub(super) struct EntryListWatcher {
@@ -36,11 +42,13 @@
     seeds: Vec<SocketAddr>,
     lists: mpsc::UnboundedSender<Vec<SocketAddr>>,
     list: EntryList,
-    /// Replicas have the same entries, and their versions are comparable, so another replica continues
-    /// where one failed.
+    /// Replicas receive the same changes, and their versions are comparable, so another replica
+    /// continues where one failed.
     replica: EntryListReplica,
     /// Position in the change feed; `None` if the list must be read.
     cursor: Option<FeedCursor>,
+    /// When the list is to be read again.
+    reread_at: Instant,
     /// Failed calls since the last successful one.
     failures: usize,
     backoff: Backoff,
@@ -60,6 +68,7 @@
             list: EntryList::default(),
             replica: replicas[rand::random_range(0..replicas.len())],
             cursor: None,
+            reread_at: Instant::now(),
             failures: 0,
             backoff: Backoff::new(INITIAL_STORE_BACKOFF_MS, MAX_STORE_BACKOFF_MS),
         }
@@ -69,8 +78,10 @@
     pub(super) async fn run(mut self) {
         while !self.lists.is_closed() {
             let polled = match &self.cursor {
-                Some(cursor) => self.follow_changes(cursor.after()).await,
-                None => self.read_list().await,
+                Some(cursor) if Instant::now() < self.reread_at => {
+                    self.follow_changes(cursor.after()).await
+                }
+                _ => self.read_list().await,
             };
             match polled {
                 Ok(()) => {
@@ -85,6 +96,7 @@
     async fn read_list(&mut self) -> Result<(), StoreError> {
         let (entries, version) = self.store.read_entries(self.replica).await?;
         self.cursor = Some(FeedCursor::new(version, FEED_LAG_RESPONSES));
+        self.reread_at = Instant::now() + random_duration(REREAD_AFTER_RANGE_MS);
         self.list.replace(entries);
         self.send_list();
         Ok(())
@@ -144,6 +156,9 @@
 }
 
 async fn wait_after_change() {
-    let (min_ms, max_ms) = CHANGE_DELAY_RANGE_MS;
-    sleep(Duration::from_millis(rand::random_range(min_ms..=max_ms))).await;
+    sleep(random_duration(CHANGE_DELAY_RANGE_MS)).await;
+}
+
+fn random_duration((min_ms, max_ms): (u64, u64)) -> Duration {
+    Duration::from_millis(rand::random_range(min_ms..=max_ms))
 }
--- a/src/site_agent/tests.rs
+++ b/src/site_agent/tests.rs
@@ -129,3 +129,18 @@
     assert_eq!(list, store.entries());
     assert!(!list.contains(&addr(7)));
 }
+
+/// An agent that missed a change, for example while it switched to another replica, must not lack the
+/// entry for good.
+#[tokio::test(start_paused = true)]
+async fn a_missed_change_is_corrected_by_a_later_read() {
+    let (store, mut lists) = watched_store(20);
+    store.change(addr(300), true);
+    wait_s(1).await;
+    store.change(addr(301), true);
+    store.omit_newest_change();
+    wait_s(60).await;
+    assert!(newest(&mut lists).is_some_and(|list| !list.contains(&addr(301))));
+    wait_s(20 * 60).await;
+    assert_eq!(newest(&mut lists), Some(store.entries()));
+}
