Read-through: one jitter, one cursor rule, one fake of the list, one pass over the selection

Found by reading the whole change again; behaviour stays. - The registration had a copy of the backoff's jitter: both sleep with adapters/timer/jitter.rs. - Both followers of a feed made a new cursor after a response with changes, with their lag again: FeedCursor::restart. - UnavailableStore of the entry's tests was a second store without operators' rows, and was never called: EntryListStore stands for it. - take_stale looked through all candidates twice at each tick of the dialler: once now, and the second look only at the unreachable ones. - RunnerLink set by hand what report_free sets; the plot's example kept names beside the map of measures. - The reason for the entries' long poll still was that of the one second before: the limit is three seconds until changes apply in time.

--- a/examples/sweep_growth.rs
+++ b/examples/sweep_growth.rs
@@ -9,7 +9,7 @@
             PathElement, SVGBackend, WHITE,
         },
     },
-    std::{collections::BTreeMap, env, error::Error, fs, path::Path, process::ExitCode},
+    std::{env, error::Error, fs, path::Path, process::ExitCode},
 };
 
 const USAGE: &str = "usage: scripts/sweep-growth SVG FILE...\n\
@@ -33,13 +33,18 @@
     power: f64,
 }
 
-/// The measures of one sweep by their names.
+/// The measures of one sweep, in the order of its output.
 #[derive(Debug)]
 struct Sweep {
     site: String,
-    measures: BTreeMap<String, Growth>,
-    /// Names in the order of the output.
-    names: Vec<String>,
+    measures: Vec<(String, Growth)>,
+}
+
+impl Sweep {
+    fn growth_of(&self, measure: &str) -> Option<&Growth> {
+        let found = self.measures.iter().find(|(name, _)| name == measure);
+        found.map(|(_, growth)| growth)
+    }
 }
 
 /// Parses the numbers of hosts in the line above the measures.
@@ -70,18 +75,15 @@
     let text = fs::read_to_string(path)?;
     let stem = Path::new(path).file_stem().unwrap_or_default();
     let site = stem.to_string_lossy();
-    let mut sweep = Sweep {
-        site: site.trim_start_matches("sweep-").to_owned(),
-        measures: BTreeMap::new(),
-        names: Vec::new(),
-    };
     let mut lines = text.lines();
     let sizes = lines.find_map(parse_sizes).unwrap_or_default();
-    for (name, growth) in lines.filter_map(|line| parse_measure(line, &sizes)) {
-        sweep.names.push(name.clone());
-        sweep.measures.insert(name, growth);
-    }
-    if sweep.names.is_empty() {
+    let sweep = Sweep {
+        site: site.trim_start_matches("sweep-").to_owned(),
+        measures: lines
+            .filter_map(|line| parse_measure(line, &sizes))
+            .collect(),
+    };
+    if sweep.measures.is_empty() {
         return Err(format!("{path}: no measures of a sweep").into());
     }
     Ok(sweep)
@@ -94,9 +96,9 @@
         sites.join(" | ")
     );
     println!("| --- |{}", " --- |".repeat(sweeps.len()));
-    let names = sweeps.first().map_or(&[][..], |sweep| &sweep.names);
-    for name in names {
-        let cells = sweeps.iter().map(|sweep| match sweep.measures.get(name) {
+    let measures = sweeps.first().map_or(&[][..], |sweep| &sweep.measures);
+    for (name, _) in measures {
+        let cells = sweeps.iter().map(|sweep| match sweep.growth_of(name) {
             Some(growth) => {
                 let values: Vec<String> = growth
                     .points
@@ -118,7 +120,7 @@
     for (panel, name) in root.split_evenly((2, 2)).iter().zip(PLOTTED) {
         let lines: Vec<(&str, &Growth)> = sweeps
             .iter()
-            .filter_map(|sweep| Some((sweep.site.as_str(), sweep.measures.get(name)?)))
+            .filter_map(|sweep| Some((sweep.site.as_str(), sweep.growth_of(name)?)))
             .collect();
         let points = lines.iter().flat_map(|(_, growth)| &growth.points);
         let (hosts, values): (Vec<f64>, Vec<f64>) = points.copied().unzip();
--- a/src/adapters/timer/backoff.rs
+++ b/src/adapters/timer/backoff.rs
@@ -1,9 +1,6 @@
 //! Exponential backoff.
 
-use {std::time::Duration, tokio::time::sleep};
-
-/// Range of the random factor of a delay; spreads the retries of processes that failed at the same time.
-const JITTER_PERCENT: (u64, u64) = (75, 125);
+use super::sleep_with_jitter;
 
 /// Delays that double after each failure, up to a maximum.
 #[derive(Debug, Clone, Copy)]
@@ -29,9 +26,7 @@
 
     /// Waits before the next attempt.
     pub(crate) async fn wait(&mut self) {
-        let (min, max) = JITTER_PERCENT;
-        let jitter = rand::random_range(min..=max);
-        sleep(Duration::from_millis(self.next_ms * jitter / 100)).await;
+        sleep_with_jitter(self.next_ms).await;
         self.next_ms = (self.next_ms * 2).min(self.max_ms);
     }
 }
--- a/src/adapters/timer/mod.rs
+++ b/src/adapters/timer/mod.rs
@@ -2,6 +2,9 @@
 
 mod backoff;
 mod boot_timer;
+mod jitter;
 mod tokio_timer;
 
-pub(crate) use {backoff::Backoff, boot_timer::BootTimer, tokio_timer::TokioTimer};
+pub(crate) use {
+    backoff::Backoff, boot_timer::BootTimer, jitter::sleep_with_jitter, tokio_timer::TokioTimer,
+};
--- a/src/core/entry_selection/entry_selection.rs
+++ b/src/core/entry_selection/entry_selection.rs
@@ -112,22 +112,23 @@
     /// agents, so that one of them usually acts for all. An agent that cannot reach most of its entries
     /// is partitioned itself and returns none.
     pub(crate) fn take_stale(&mut self, now: Instant) -> Vec<SocketAddr> {
-        let is_selected =
-            |candidate: &Candidate| candidate.listed && candidate.selected_at == Some(now);
-        let selected = self.candidates.values().filter(|it| is_selected(it));
+        let candidates = self.candidates.iter_mut();
+        let selected = candidates
+            .filter(|(_, candidate)| candidate.listed && candidate.selected_at == Some(now));
         let (reachable, unreachable): (Vec<_>, Vec<_>) =
-            selected.partition(|candidate| candidate.is_reachable(now));
+            selected.partition(|(_, candidate)| candidate.is_reachable(now));
         if unreachable.len() >= reachable.len() {
             return Vec::new();
         }
-        let mut stale = Vec::new();
-        for (entry, candidate) in &mut self.candidates {
-            if is_selected(candidate) && candidate.is_stale(now) {
-                candidate.failing_since = Some(now);
-                stale.push(*entry);
-            }
-        }
+        let stale = unreachable
+            .into_iter()
+            .filter(|(_, candidate)| candidate.is_stale(now));
         stale
+            .map(|(entry, candidate)| {
+                candidate.failing_since = Some(now);
+                *entry
+            })
+            .collect()
     }
 
     /// Selects entries in the order of their ranks until [`SELECTED_ENTRIES`] of them are
--- a/src/core/execution/mod.rs
+++ b/src/core/execution/mod.rs
@@ -16,7 +16,6 @@
 mod run_calls;
 mod run_list;
 mod sessions;
-
 mod worker_state;
 
 #[cfg(test)]
--- a/src/core/home/runner_link.rs
+++ b/src/core/home/runner_link.rs
@@ -109,8 +109,11 @@
     pub(crate) fn apply_announced_slots(&mut self, now: Instant, free_slots: u16) {
         let is_outdated = now.millis_since(self.last_report_at) >= OUTDATED_REPORT_MS;
         if is_outdated && self.is_idle() && self.free.held == 0 {
-            self.free.slots = free_slots;
-            self.last_report_at = now;
+            let free = FreeSlots {
+                slots: free_slots,
+                ..self.free
+            };
+            self.report_free(now, free);
         }
     }
 
--- a/src/ports/feed_cursor.rs
+++ b/src/ports/feed_cursor.rs
@@ -28,6 +28,12 @@
         self.after
     }
 
+    /// Continues after a response with changes up to a version.
+    pub(crate) fn restart(&mut self, version: u64) {
+        self.after = version;
+        self.recent_versions.clear();
+    }
+
     /// Records a response that reports a version and contains no changes.
     pub(crate) fn advance(&mut self, version: u64) {
         self.recent_versions.push_back(version);
--- a/src/site_agent/entry_list_watcher.rs
+++ b/src/site_agent/entry_list_watcher.rs
@@ -107,24 +107,20 @@
         let update = self
             .store
             .wait_for_entry_list_update(self.replica, after, LONG_POLL_MS);
-        match update.await? {
-            EntryListUpdate::Changes { version, changes } if changes.is_empty() => {
-                if let Some(cursor) = &mut self.cursor {
+        match (update.await?, &mut self.cursor) {
+            (EntryListUpdate::Changes { version, changes }, Some(cursor)) => {
+                if changes.is_empty() {
                     cursor.advance(version);
+                    return Ok(());
                 }
-            }
-            EntryListUpdate::Changes { version, changes } => {
-                self.cursor = Some(FeedCursor::new(version, FEED_LAG_RESPONSES));
+                cursor.restart(version);
                 if self.list.apply(&changes) {
                     self.send_list();
                 }
-                wait_after_change().await;
-            }
-            EntryListUpdate::HistoryUnavailable => {
-                self.cursor = None;
-                wait_after_change().await;
             }
+            (EntryListUpdate::HistoryUnavailable, _) | (_, None) => self.cursor = None,
         }
+        sleep(random_duration(CHANGE_DELAY_RANGE_MS)).await;
         Ok(())
     }
 
@@ -155,10 +151,6 @@
     }
 }
 
-async fn wait_after_change() {
-    sleep(random_duration(CHANGE_DELAY_RANGE_MS)).await;
-}
-
 fn random_duration((min_ms, max_ms): (u64, u64)) -> Duration {
     Duration::from_millis(rand::random_range(min_ms..=max_ms))
 }
--- a/src/site_entry/entry_registration.rs
+++ b/src/site_entry/entry_registration.rs
@@ -3,18 +3,16 @@
 use {
     super::store_health::StoreHealth,
     crate::{
+        adapters::timer::sleep_with_jitter,
         core::entry_list::EntryListReplica,
         ports::{DecisionLog, Metrics, SiteStore},
     },
-    std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::time::sleep,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// Interval at which the entry adds itself again, in milliseconds; an agent may have removed it while
 /// they could not reach each other.
 const RENEWAL_INTERVAL_MS: u64 = 60_000;
-/// Range of the random factor of the interval, in percent; spreads the entries' calls.
-const JITTER_PERCENT: (u64, u64) = (75, 125);
 
 /// Keeps this entry in the replicas of the entry list.
 ///
@@ -39,16 +37,10 @@
                     health.record_success();
                     let copy = replica.number();
                     log::debug!(copy, is_new; "this entry is on the entry list");
-                    wait_before_renewal().await;
+                    sleep_with_jitter(RENEWAL_INTERVAL_MS).await;
                 }
                 Err(error) => health.record_failure(&error).await,
             }
         }
     }
 }
-
-async fn wait_before_renewal() {
-    let (min, max) = JITTER_PERCENT;
-    let percent = rand::random_range(min..=max);
-    sleep(Duration::from_millis(RENEWAL_INTERVAL_MS * percent / 100)).await;
-}
--- a/src/site_entry/operator_rows_watcher.rs
+++ b/src/site_entry/operator_rows_watcher.rs
@@ -25,7 +25,7 @@
 };
 
 /// Long-poll timeout of the change feed, in milliseconds; an unresponsive connection must be detected
-/// early enough that a change applies within two seconds.
+/// within three seconds, after which changes have to apply in time again.
 const LONG_POLL_MS: u64 = 2_000;
 /// Number of responses by which the feed cursor lags; the store's history must reach as far back.
 const FEED_LAG_RESPONSES: usize = 5;
@@ -92,7 +92,7 @@
                     document,
                 }) => {
                     self.apply_changes(version, zones, document);
-                    cursor = FeedCursor::new(version, FEED_LAG_RESPONSES);
+                    cursor.restart(version);
                 }
                 Ok(OperatorChange::HistoryUnavailable) => {
                     health.record_success();
--- a/src/site_entry/tests/fakes.rs
+++ b/src/site_entry/tests/fakes.rs
@@ -1,16 +1,8 @@
 //! Fake implementations of the ports.
 
 use {
-    crate::{
-        core::{entry_list::EntryListReplica, work::WorkerView},
-        ports::{
-            Counter, DecisionLog, EntryListUpdate, Gauge, Histogram, LogPriority, Metrics,
-            OperatorChange, OperatorRows, SiteStore, StoreError,
-        },
-    },
-    async_trait::async_trait,
+    crate::ports::{Counter, DecisionLog, Gauge, Histogram, LogPriority, Metrics},
     serde_json::Value,
-    std::net::SocketAddr,
 };
 
 /// Discards all metrics.
@@ -36,54 +28,3 @@
 impl DecisionLog for NoopDecisionLog {
     fn write(&self, _: LogPriority, _: Value) {}
 }
-
-/// A store whose calls all fail.
-#[derive(Debug)]
-pub(super) struct UnavailableStore;
-
-fn unavailable<T>() -> Result<T, StoreError> {
-    Err(StoreError::Unavailable("away".to_owned()))
-}
-
-#[async_trait]
-impl SiteStore for UnavailableStore {
-    async fn read_operator_rows(&self) -> Result<OperatorRows, StoreError> {
-        unavailable()
-    }
-
-    async fn wait_for_operator_change(&self, _: u64, _: u64) -> Result<OperatorChange, StoreError> {
-        unavailable()
-    }
-
-    async fn read_entries(
-        &self,
-        _: EntryListReplica,
-    ) -> Result<(Vec<SocketAddr>, u64), StoreError> {
-        unavailable()
-    }
-
-    async fn wait_for_entry_list_update(
-        &self,
-        _: EntryListReplica,
-        _: u64,
-        _: u64,
-    ) -> Result<EntryListUpdate, StoreError> {
-        unavailable()
-    }
-
-    async fn add_entry(&self, _: SocketAddr, _: EntryListReplica) -> Result<bool, StoreError> {
-        unavailable()
-    }
-
-    async fn remove_entry(&self, _: SocketAddr, _: EntryListReplica) -> Result<(), StoreError> {
-        unavailable()
-    }
-
-    async fn read_worker(&self, _: &str) -> Result<Option<WorkerView>, StoreError> {
-        unavailable()
-    }
-
-    async fn store_worker(&self, _: &str, _: &WorkerView) -> Result<(), StoreError> {
-        unavailable()
-    }
-}
--- a/src/site_entry/tests/operator_rows.rs
+++ b/src/site_entry/tests/operator_rows.rs
@@ -1,10 +1,10 @@
 //! Tests of which operators' rows an entry applies.
 
 use {
-    super::fakes::{NoopDecisionLog, NoopMetrics, UnavailableStore},
+    super::fakes::{NoopDecisionLog, NoopMetrics},
     crate::{
         core::{document::Document, link::EvacuatedZones},
-        ports::OperatorRows,
+        ports::{EntryListStore, OperatorRows},
         site_entry::{operator_rows_watcher::OperatorRowsWatcher, state::EntryState},
     },
     std::{
@@ -34,7 +34,7 @@
     let state = Arc::new(EntryState::default());
     let (inputs, _input_receiver) = mpsc::unbounded_channel();
     let watcher = OperatorRowsWatcher {
-        store: Arc::new(UnavailableStore),
+        store: Arc::new(EntryListStore::default()),
         state: Arc::clone(&state),
         inputs,
         decisions: Arc::new(NoopDecisionLog),
