--- a/examples/sweep_growth.rs
+++ b/examples/sweep_growth.rs
@@ -1,4 +1,5 @@
-//! Prints the growth of the busiest processes in `fleetbench sweep` as a Markdown table, and draws it as SVG.
+//! Prints how the load of the busiest processes grows with the number of hosts as a Markdown table, and draws it
+//! as SVG.
 
 use {
     plotters::{
@@ -21,7 +22,7 @@
     "entry: processor %",
     "entry: kB a second",
 ];
-const PLOT_SIZE: (u32, u32) = (1_200, 800);
+const PLOT_SIZE_PX: (u32, u32) = (1_200, 800);
 
 /// One measure of one sweep.
 #[derive(Debug)]
@@ -50,7 +51,8 @@
         .filter(|it| !it.is_empty())
 }
 
-/// Parses a line such as `agent: memory MB  2.1 / 2.2  2.3 / 2.5  2.3 / 2.6  0.08  3.0`.
+/// Parses a line such as `agent: memory MB  2.1 / 2.2  2.3 / 2.5  2.3 / 2.6  0.08  3.0`: the median and the
+/// busiest process at each size, the power, and the figure at the target size.
 fn parse_measure(line: &str, sizes: &[f64]) -> Option<(String, Growth)> {
     let (name, values) = line.split_once("  ")?;
     let mut busiest = values.split('/').skip(1);
@@ -111,7 +113,7 @@
 
 /// Draws a panel for each plotted measure, with a line for each site.
 fn draw(svg: &str, sweeps: &[Sweep]) -> Result<(), Box<dyn Error>> {
-    let root = SVGBackend::new(svg, PLOT_SIZE).into_drawing_area();
+    let root = SVGBackend::new(svg, PLOT_SIZE_PX).into_drawing_area();
     root.fill(&WHITE)?;
     for (panel, name) in root.split_evenly((2, 2)).iter().zip(PLOTTED) {
         let lines: Vec<(&str, &Growth)> = sweeps
