Measure workers' speed at agents and place tasks by expected completion

Each entry learned a worker's speed from its own few runs, lost it with each session, and its weights ignored when a task would end. Agents now report the median of run time divided by estimate, and entries place tasks by when they would end where the speeds of a service differ by more than a quarter.

--- a/src/conf/site_settings.rs
+++ b/src/conf/site_settings.rs
@@ -54,6 +54,8 @@
     pub(crate) link_listen: SocketAddr,
     /// Address advertised to agents; `link_listen` by default.
     pub(crate) link_addr: SocketAddr,
+    /// Factor of the run time of a task whose data is on another rack, in thousandths.
+    pub(crate) remote_penalty_permille: u32,
 }
 
 impl SiteEntrySettings {
@@ -66,6 +68,7 @@
             ready_listen: reader.socket_addr("ready_listen"),
             link_listen,
             link_addr: reader.socket_addr_or("link_addr", link_listen),
+            remote_penalty_permille: reader.permille("remote_penalty", 1..=100, 1_000),
         }
     }
 }
--- a/src/conf/table_reader.rs
+++ b/src/conf/table_reader.rs
@@ -216,6 +216,29 @@
         }
     }
 
+    /// Reads a number with or without decimals within a range, or the default, in thousandths.
+    pub(crate) fn permille(
+        &mut self,
+        key: &str,
+        range: RangeInclusive<u32>,
+        default_permille: u32,
+    ) -> u32 {
+        let Some(item) = self.item(key) else {
+            return default_permille;
+        };
+        let (low, high) = (*range.start(), *range.end());
+        let whole = item.as_integer().map(|value| value as f64);
+        match item.as_float().or(whole) {
+            Some(value) if value >= f64::from(low) && value <= f64::from(high) => {
+                (value * 1_000.0).round() as u32
+            }
+            _ => {
+                self.report_fault(key, format!("must be a number from {low}.0 to {high}.0"));
+                default_permille
+            }
+        }
+    }
+
     /// Reads a boolean, or the default.
     pub(crate) fn boolean(&mut self, key: &str, default: bool) -> bool {
         let Some(item) = self.item(key) else {
--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -8,10 +8,12 @@
         client_deadlines::ClientDeadlines,
         connectivity::Connectivity,
         crashes::CrashRecords,
+        expected_completion::StartCounts,
         job::{Job, JobKey},
         queue::{TaskQueue, WaitingTask},
         throughput::Throughput,
         worker_link::{WorkerKey, WorkerLink},
+        worker_speeds::WorkerSpeeds,
     },
     crate::core::{
         document::DocumentCopy,
@@ -33,6 +35,8 @@
     /// Seed for the random choice of workers; it differs between entries, so that they choose
     /// differently.
     pub(crate) seed: u64,
+    /// Factor of the run time of a task whose data is on another rack, in thousandths.
+    pub(crate) remote_penalty_permille: u32,
 }
 
 /// Tracks the jobs that its entry has accepted and dispatches their tasks to agents.
@@ -56,6 +60,10 @@
     pub(super) connectivity: Connectivity,
     /// Latest estimate.
     pub(super) throughput: Throughput,
+    pub(super) speeds: WorkerSpeeds,
+    /// Tasks of the current placement that wait for a faster worker, although others are free.
+    pub(super) held_tasks: usize,
+    pub(super) start_counts: StartCounts,
     pub(super) rng: ChaCha8Rng,
     pub(super) client_deadlines: ClientDeadlines,
     pub(super) arrivals: ArrivalRate,
@@ -88,6 +96,9 @@
             leaving_since: None,
             connectivity: Connectivity::default(),
             throughput: Throughput::default(),
+            speeds: WorkerSpeeds::default(),
+            held_tasks: 0,
+            start_counts: StartCounts::default(),
             client_deadlines: ClientDeadlines::default(),
             arrivals: ArrivalRate::default(),
             crashes: CrashRecords::default(),
@@ -130,6 +141,7 @@
         for event in events {
             self.handle_event(now, event);
         }
+        self.compare_speeds();
         if self.connectivity.may_start(now) {
             self.place_tasks(now);
         }
--- a/src/core/dispatch/job.rs
+++ b/src/core/dispatch/job.rs
@@ -155,6 +155,15 @@
         Some(self.received_at.plus_ms(left_ms))
     }
 
+    /// Time until the task must have ended for the job to meet its objective, in milliseconds.
+    pub(super) fn time_left_ms(&self, now: Instant, task: usize) -> u64 {
+        let used_ms = self.waited_ms + now.millis_since(self.received_at);
+        let later_ms = self.tasks.get(task).map_or(0, |task| {
+            later_chain_ms(&self.request, usize::from(task.step))
+        });
+        self.objective_ms.saturating_sub(used_ms + later_ms)
+    }
+
     /// Whether any of its tasks runs or may have run.
     pub(super) const fn has_begun(&self) -> bool {
         self.may_have_run || self.open_runs > 0
@@ -228,6 +237,25 @@
         .collect()
 }
 
+/// Longest chain of estimates of the steps that depend on this one, in milliseconds.
+fn later_chain_ms(request: &JobRequest, step: usize) -> u64 {
+    // Steps depend on earlier ones only.
+    let mut chains: Vec<Option<u64>> = Vec::new();
+    for (position, later) in request.steps.iter().enumerate().skip(step) {
+        let before = later.after.iter().filter_map(|before| {
+            let offset = usize::from(*before).checked_sub(step)?;
+            chains.get(offset).copied().flatten()
+        });
+        let chain_ms = if position == step {
+            Some(0)
+        } else {
+            before.max().map(|before_ms| before_ms + later.estimate_ms)
+        };
+        chains.push(chain_ms);
+    }
+    chains.into_iter().flatten().max().unwrap_or(0)
+}
+
 /// Time from the client's first attempt within which an outcome counts as in time: the longest
 /// dependency chain of estimates, times the route's stretch, plus the route's target.
 fn objective_ms(route: &Route, request: &JobRequest) -> u64 {
--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -9,6 +9,7 @@
         link::{AgentFrame, EntryFrame, EvacuatedZones, RunOutcome},
         time::Instant,
         work::RunId,
+        worker_speed::NORMAL_PERMILLE,
     },
 };
 
@@ -47,8 +48,9 @@
                 let previous = worker.view.as_ref().map(|view| &view.life);
                 if previous != view.as_ref().map(|view| &view.life) {
                     worker.health = Default::default();
-                    worker.slowness = 1.0;
+                    worker.slowness_permille = NORMAL_PERMILLE;
                 }
+                self.speeds.is_outdated = true;
                 if view.is_some() {
                     self.first_worker_at.get_or_insert(now);
                 }
@@ -58,6 +60,7 @@
             AgentFrame::Room { report, stamp_us } => {
                 worker.record_stamp(now, stamp_us);
                 worker.record_capacity(report);
+                self.speeds.is_outdated |= worker.record_slowness(report.slowness_permille);
                 self.capacity_reported.push(key);
             }
             AgentFrame::Ended { run, end, ran_ms } => self.on_run_ended(now, key, run, end, ran_ms),
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod dispatch_log_event;
 mod dispatcher;
 mod documents;
+mod expected_completion;
 mod job;
 mod links;
 mod outcomes;
@@ -19,6 +20,7 @@
 mod throughput;
 mod weighted_choice;
 mod worker_link;
+mod worker_speeds;
 
 #[cfg(test)]
 mod tests;
@@ -30,4 +32,5 @@
     },
     dispatch_log_event::DispatchLogEvent,
     dispatcher::{DispatchSettings, Dispatcher},
+    expected_completion::StartCounts,
 };
--- a/src/core/dispatch/outcomes.rs
+++ b/src/core/dispatch/outcomes.rs
@@ -71,16 +71,14 @@
         let Some(link) = self.workers.get_mut(worker) else {
             return;
         };
-        if outcome == RunOutcome::Done {
-            link.record_run(ran_ms, open.estimate_ms);
-        }
+        let slow_ms = slow_after_ms(open, link.overdue_factor());
         match outcome {
             RunOutcome::NotStarted(NotStartedReason::NoRoom) => link.record_no_room(),
             RunOutcome::NotStarted(NotStartedReason::TaskBusy | NotStartedReason::SuspectBusy) => {}
             RunOutcome::NotStarted(_) => link.paused_until = now.plus_ms(REJECTED_BACKOFF_MS),
             RunOutcome::Done | RunOutcome::Failed | RunOutcome::Stopped | RunOutcome::Lost => {}
         }
-        let Some(sample) = health_sample(open, outcome, ran_ms) else {
+        let Some(sample) = health_sample(outcome, ran_ms > slow_ms) else {
             return;
         };
         if sample == HealthSample::Success || self.most_others_are_healthy(worker) {
@@ -180,16 +178,24 @@
     }
 }
 
+/// Time after which a run is slow, in milliseconds.
+///
+/// It follows the worker's known slowness like the limit of overdue runs: placement already accounts
+/// for that, and an ejected worker would get no tasks that show its recovery.
+fn slow_after_ms(open: &OpenRun, overdue_factor: f64) -> u64 {
+    let estimate_ms = (open.estimate_ms as f64 * overdue_factor) as u64;
+    (estimate_ms * SLOW_FACTOR).max(estimate_ms + MIN_SLOW_EXCESS_MS)
+}
+
 /// What the outcome of a run says about its worker; `None` if nothing.
-fn health_sample(open: &OpenRun, outcome: RunOutcome, ran_ms: u64) -> Option<HealthSample> {
-    let slow_ms = (open.estimate_ms * SLOW_FACTOR).max(open.estimate_ms + MIN_SLOW_EXCESS_MS);
+fn health_sample(outcome: RunOutcome, is_slow: bool) -> Option<HealthSample> {
     match outcome {
-        RunOutcome::Done if ran_ms > slow_ms => Some(HealthSample::Slow),
+        RunOutcome::Done if is_slow => Some(HealthSample::Slow),
         RunOutcome::Done => Some(HealthSample::Success),
         RunOutcome::Failed | RunOutcome::NotStarted(NotStartedReason::Unhealthy) => {
             Some(HealthSample::Failed)
         }
-        RunOutcome::Stopped if ran_ms > slow_ms => Some(HealthSample::Slow),
+        RunOutcome::Stopped if is_slow => Some(HealthSample::Slow),
         RunOutcome::Stopped | RunOutcome::Lost | RunOutcome::NotStarted(_) => None,
     }
 }
--- a/src/core/dispatch/overdue.rs
+++ b/src/core/dispatch/overdue.rs
@@ -5,7 +5,8 @@
     crate::core::{link::EntryFrame, time::Instant},
 };
 
-/// A run is overdue after this many times its estimate, but not before [`MIN_OVERDUE_MS`].
+/// A run is overdue after this many times its estimate and the slowness of its worker, but not before
+/// [`MIN_OVERDUE_MS`].
 ///
 /// Run times vary around the estimate by a factor of about two; nearly all runs that take four times
 /// as long are on a stalled or very slow worker.
@@ -25,9 +26,11 @@
             let Some(link) = worker.link else {
                 continue;
             };
+            let factor = worker.overdue_factor();
             for (run, open) in &mut worker.runs {
                 let after_ms = now.millis_since(open.start_sent_at);
-                let limit_ms = (open.estimate_ms * OVERDUE_FACTOR).max(MIN_OVERDUE_MS);
+                let limit_ms = (open.estimate_ms * OVERDUE_FACTOR) as f64 * factor;
+                let limit_ms = (limit_ms as u64).max(MIN_OVERDUE_MS);
                 if !open.stopping && after_ms > limit_ms {
                     open.stopping = true;
                     let event = DispatchLogEvent::RunOverdue {
--- a/src/core/dispatch/overload.rs
+++ b/src/core/dispatch/overload.rs
@@ -120,7 +120,7 @@
     /// Concurrent tasks of a step that a worker runs for this entry: its current runs plus free
     /// capacity, or this entry's share of the worker's capacity if that is more. A new entry has
     /// few runs yet, and other entries may hold the capacity that it will get.
-    fn concurrent_tasks_at(
+    pub(super) fn concurrent_tasks_at(
         &self,
         now: Instant,
         worker: &WorkerLink,
--- a/src/core/dispatch/placement.rs
+++ b/src/core/dispatch/placement.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         DispatchAction, Dispatcher,
+        expected_completion::completion_weight,
         job::{Job, JobKey, Task, TaskState},
         queue::WaitingTask,
         weighted_choice::WeightedChoice,
@@ -20,6 +21,8 @@
 /// event, to limit CPU time. Tasks of one service are much alike, so the next ones would not fit
 /// either.
 const MAX_MISSES: usize = 24;
+/// The same for tasks that wait for a faster worker; shorter ones behind them may use the free ones.
+const MAX_HELD_TASKS: usize = 24;
 /// Weight factor of a worker in the rack that holds the task's data; elsewhere tasks take half as
 /// long again, or twice as long.
 const DATA_RACK_FACTOR: f64 = 1e6;
@@ -36,7 +39,9 @@
     pub(super) fn place_tasks(&mut self, now: Instant) {
         let mut misses = 0;
         let mut last_examined = None;
+        self.held_tasks = 0;
         while misses < MAX_MISSES
+            && self.held_tasks < MAX_HELD_TASKS
             && let Some(waiting) = self.queue.next_after(last_examined.as_ref())
         {
             last_examined = Some(waiting);
@@ -44,7 +49,8 @@
                 self.requeue(now, waiting);
                 continue;
             }
-            if !self.place(now, &waiting) {
+            let held_before = self.held_tasks;
+            if !self.place(now, &waiting) && self.held_tasks == held_before {
                 misses += 1;
             }
         }
@@ -82,6 +88,9 @@
             return false;
         }
         let is_suspect = self.crashes.is_suspect(job.run_id(task).task);
+        let terms = self.completion_terms(now, job, waiting.task);
+        let terms = terms.filter(|_| !is_suspect);
+        let mut late = Vec::new();
         let mut choice = WeightedChoice::new(&mut self.rng);
         for (key, worker) in &self.workers {
             if let Some(free) = free_capacity_for(now, worker, job, step, self.zones.as_ref())
@@ -89,12 +98,28 @@
                 && !is_at_task_limit(worker, job, task, step)
                 && !(is_suspect && worker.has_suspect_run())
             {
-                let weight = weight(worker, free, step, is_risky(key, worker, task));
-                let exponent = if is_suspect { SUSPECT_EXPONENT } else { 1 };
-                choice.add(key, weight.powi(exponent));
+                let is_risky = is_risky(key, worker, task);
+                let weight = weight(worker, free, step, is_risky);
+                let Some(terms) = &terms else {
+                    let exponent = if is_suspect { SUSPECT_EXPONENT } else { 1 };
+                    choice.add(key, weight.powi(exponent));
+                    continue;
+                };
+                match completion_weight(now, terms, worker, free, step) {
+                    Some(weight) if !is_risky => choice.add(key, weight),
+                    Some(_) | None => late.push((key, weight)),
+                }
             }
         }
-        let Some(worker) = choice.chosen() else {
+        let chosen = choice.chosen();
+        if chosen.is_none()
+            && !late.is_empty()
+            && terms.is_some_and(|terms| self.is_waiting_better(now, job, step, &terms))
+        {
+            self.held_tasks += 1;
+            return false;
+        }
+        let Some(worker) = chosen.or_else(|| self.choose(&late)) else {
             return false;
         };
         self.queue.remove(waiting);
@@ -125,11 +150,16 @@
         let Some(link) = worker.link else {
             return;
         };
-        let (needs, estimate_ms) = job
-            .step(waiting.task)
-            .map_or((Resources::default(), 0), |step| {
-                (step.needs, step.estimate_ms)
-            });
+        let time_left_ms = job.time_left_ms(now, waiting.task);
+        let (needs, estimate_ms) =
+            job.step(waiting.task)
+                .map_or((Resources::default(), 0), |step| {
+                    let estimate_ms =
+                        worker.normal_run_ms(step, self.settings.remote_penalty_permille);
+                    (step.needs, estimate_ms)
+                });
+        let expected_ms = estimate_ms as f64 * worker.slowness;
+        self.start_counts.record(expected_ms <= time_left_ms as f64);
         let Some(task) = job.tasks.get_mut(waiting.task) else {
             return;
         };
@@ -146,9 +176,11 @@
             spec: job.request.spec.clone(),
             needs,
             time_left_ms: job.deadline.millis_since(now),
+            estimate_ms,
             is_suspect,
         };
         worker.record_start(needs);
+        worker.last_start_at = now;
         let open = OpenRun {
             job: waiting.job,
             task: waiting.task,
@@ -185,24 +217,18 @@
 /// spreads the orders. Due to the square, an empty worker is four times as likely as one that is
 /// half full.
 fn weight(worker: &WorkerLink, free: Resources, step: &StepSpec, is_risky: bool) -> f64 {
-    let capacity = worker
-        .view
-        .as_ref()
-        .map_or(1, |view| view.capacity.cpu_milli.max(1));
-    let share = f64::from(free.cpu_milli) / f64::from(capacity);
-    let is_in_data_rack = step.data_rack.as_ref().is_some_and(|rack| {
-        worker
-            .view
-            .as_ref()
-            .is_some_and(|view| view.labels.contains(rack))
-    });
-    let data_rack_factor = if is_in_data_rack {
+    let risk_factor = if is_risky { AVOID_FACTOR } else { 1.0 };
+    let weight = (worker.free_share(free) / worker.slowness).powi(2);
+    weight.max(MIN_WEIGHT) * data_rack_factor(worker, step) * risk_factor
+}
+
+/// Weight factor of a worker by whether it is in the rack that holds the task's data.
+pub(super) fn data_rack_factor(worker: &WorkerLink, step: &StepSpec) -> f64 {
+    if step.data_rack.is_some() && !worker.is_remote_to_data(step) {
         DATA_RACK_FACTOR
     } else {
         1.0
-    };
-    let risk_factor = if is_risky { AVOID_FACTOR } else { 1.0 };
-    (share / worker.slowness).powi(2).max(MIN_WEIGHT) * data_rack_factor * risk_factor
+    }
 }
 
 /// Whether the task should avoid this worker: its latest run failed, was stopped or lost, or was
--- a/src/core/dispatch/tests/concurrent_entries.rs
+++ b/src/core/dispatch/tests/concurrent_entries.rs
@@ -33,6 +33,7 @@
             free: needs(SLOTS - self.running),
             starts_seen: self.starts_seen.get(&entry).copied().unwrap_or_default(),
             share_permille: EQUAL_SHARE_PERMILLE,
+            slowness_permille: 1_000,
         };
         AgentFrame::Room {
             report,
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -98,7 +98,11 @@
     fn with_seed(seed: u64) -> Self {
         let limits = RunLimits::for_resend(1_300, 50);
         Self {
-            dispatcher: Dispatcher::new(DispatchSettings { limits, seed }),
+            dispatcher: Dispatcher::new(DispatchSettings {
+                limits,
+                seed,
+                remote_penalty_permille: 1_000,
+            }),
             now: Instant::from_millis(10_000),
             stamp_us: 1,
             actions: Vec::new(),
@@ -137,6 +141,7 @@
             free: needs(cores),
             starts_seen,
             share_permille: 1_000,
+            slowness_permille: 1_000,
         };
         self.receive_report(worker, report);
     }
@@ -147,6 +152,7 @@
             free: needs(cores),
             starts_seen: 0,
             share_permille,
+            slowness_permille: 1_000,
         };
         self.receive_report(worker, report);
     }
--- a/src/core/dispatch/throughput.rs
+++ b/src/core/dispatch/throughput.rs
@@ -1,6 +1,6 @@
 //! Estimates how fast an entry processes waiting work.
 
-use super::worker_link::WorkerLink;
+use {super::worker_link::WorkerLink, crate::core::worker_speed::NORMAL_PERMILLE};
 
 /// Number of tasks that run for an entry at a time, weighted by the workers' speed.
 ///
@@ -17,7 +17,10 @@
         workers: impl Iterator<Item = &'a WorkerLink>,
         tasks_of: impl Fn(&WorkerLink) -> f64,
     ) -> Self {
-        let speeds = workers.map(|worker| tasks_of(worker) / worker.slowness);
+        let speeds = workers.map(|worker| {
+            // The reported figure: an error common to all estimates changes the throughput as well.
+            tasks_of(worker) * f64::from(NORMAL_PERMILLE) / f64::from(worker.slowness_permille)
+        });
         Self {
             concurrent_tasks: speeds.sum(),
         }
--- a/src/core/dispatch/worker_link.rs
+++ b/src/core/dispatch/worker_link.rs
@@ -10,6 +10,7 @@
         link::{CapacityReport, EvacuatedZones},
         time::Instant,
         work::{Resources, RunId, StepSpec, WorkerView},
+        worker_speed::NORMAL_PERMILLE,
     },
     slotmap::new_key_type,
     std::collections::{BTreeMap, VecDeque},
@@ -20,11 +21,6 @@
     pub(crate) struct WorkerKey;
 }
 
-/// Weight of the latest run in the moving average of the slowness.
-const SLOWNESS_WEIGHT: f64 = 0.1;
-/// Bounds of one run's ratio, so that an outlier can't distort the average.
-const SLOWNESS_BOUNDS: (f64, f64) = (0.25, 4.0);
-
 /// A run that may still be executing.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct OpenRun {
@@ -32,6 +28,7 @@
     /// The task's position in the job.
     pub(super) task: usize,
     pub(super) start_sent_at: Instant,
+    /// Expected run time on a worker of normal speed.
     pub(super) estimate_ms: u64,
     /// A stop was sent.
     pub(super) stopping: bool,
@@ -58,8 +55,12 @@
     pub(super) health: RunnerHealth,
     /// No start order is sent before then.
     pub(super) paused_until: Instant,
-    /// Moving average of the run time divided by the client's estimate.
+    /// Run time divided by the estimate, as the agent reported it, in thousandths; retained across
+    /// sessions.
+    pub(super) slowness_permille: u16,
+    /// The same in comparison with the other workers of the service.
     pub(super) slowness: f64,
+    pub(super) last_start_at: Instant,
     /// A start order was rejected for lack of capacity; the agent then reserves capacity for this
     /// entry.
     capacity_requested: bool,
@@ -82,7 +83,9 @@
             runs: BTreeMap::new(),
             health: RunnerHealth::default(),
             paused_until: now,
+            slowness_permille: NORMAL_PERMILLE,
             slowness: 1.0,
+            last_start_at: now,
             capacity_requested: false,
             report: CapacityReport::default(),
             starts_sent: 0,
@@ -188,14 +191,4 @@
         let share = (f64::from(needs.times_in(self.report.free)) * self.share()).ceil() as u32;
         u32::try_from(self.unreported.len()).is_ok_and(|in_flight| in_flight < share)
     }
-
-    /// Updates the slowness.
-    pub(super) fn record_run(&mut self, ran_ms: u64, estimate_ms: u64) {
-        if estimate_ms == 0 {
-            return;
-        }
-        let (lowest, highest) = SLOWNESS_BOUNDS;
-        let ratio = (ran_ms as f64 / estimate_ms as f64).clamp(lowest, highest);
-        self.slowness += (ratio - self.slowness) * SLOWNESS_WEIGHT;
-    }
 }
--- a/src/core/execution/capacity.rs
+++ b/src/core/execution/capacity.rs
@@ -126,6 +126,7 @@
         self.reserve_capacity(now, free, shares);
         let reserved_for = self.reservation.map(|reservation| reservation.session);
         let last_needs = self.last_needs;
+        let slowness_permille = self.speed.slowness_permille();
         for (session, link) in &mut self.sessions {
             if link.retiring_since.is_some() {
                 continue;
@@ -139,6 +140,7 @@
                 },
                 starts_seen: link.starts_seen,
                 share_permille: shares.permille_of(link.demand_milli),
+                slowness_permille,
             };
             let interval_ms = match link.capacity.reported {
                 Some(known) if last_needs.fits(known.free) == last_needs.fits(report.free) => {
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -11,6 +11,7 @@
         link::{AgentFrame, EvacuatedZones, RunOutcome},
         time::Instant,
         work::{Resources, RunLimits, TaskId, WorkerView},
+        worker_speed::MeasuredSpeed,
     },
     std::{collections::BTreeMap, mem},
 };
@@ -45,6 +46,7 @@
     pub(super) reservation: Option<CapacityReservation>,
     /// Resources that the latest start order required.
     pub(super) last_needs: Resources,
+    pub(super) speed: MeasuredSpeed,
     /// Tasks lost with an unresponsive worker.
     pub(super) lost_tasks: Option<LostTasks>,
     pub(super) actions: Vec<ExecutionAction>,
@@ -67,6 +69,7 @@
             leaving: false,
             reservation: None,
             last_needs: Resources::default(),
+            speed: MeasuredSpeed::default(),
             lost_tasks: None,
             actions: Vec::new(),
         }
@@ -105,6 +108,7 @@
         }
         self.maintain_worker(now);
         self.report_drained_sessions();
+        self.measure_speed(now);
         self.report_capacity(now);
         mem::take(&mut self.actions)
     }
@@ -185,6 +189,7 @@
             runs_lost,
         });
         self.worker = Some(WorkerState::new(now, view, sequence));
+        self.speed = MeasuredSpeed::default();
         self.mark_all_runs_uncertain(now);
     }
 
@@ -265,6 +270,7 @@
             return;
         };
         let ran_ms = run.ran_ms(now);
+        self.record_speed(now, &run, end);
         if end != RunOutcome::Done {
             self.log_event(ExecutionLogEvent::RunEnded {
                 job: task.job.to_string(),
--- a/src/core/execution/mod.rs
+++ b/src/core/execution/mod.rs
@@ -16,6 +16,7 @@
 mod run_calls;
 mod run_list;
 mod sessions;
+mod speed;
 mod worker_state;
 
 #[cfg(test)]
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -71,6 +71,7 @@
             ..Resources::default()
         },
         time_left_ms: 5_000,
+        estimate_ms: 100,
         is_suspect: false,
     }
 }
--- a/src/core/link/agent_frame.rs
+++ b/src/core/link/agent_frame.rs
@@ -73,6 +73,8 @@
     pub(crate) starts_seen: u32,
     /// Share of the worker's capacity for this entry, in thousandths; other entries get the rest.
     pub(crate) share_permille: u16,
+    /// Run time on the worker divided by the estimate, in thousandths; 1,000 if unknown.
+    pub(crate) slowness_permille: u16,
 }
 
 /// A frame from an agent to an entry.
--- a/src/core/link/entry_frame.rs
+++ b/src/core/link/entry_frame.rs
@@ -21,6 +21,9 @@
     pub(crate) needs: Resources,
     /// Time until the client's deadline, at which the agent stops the run.
     pub(crate) time_left_ms: u64,
+    /// Expected run time on a worker of normal speed, including the penalty for data on another rack;
+    /// the agent measures the speed of its worker by it.
+    pub(crate) estimate_ms: u64,
     /// A worker has crashed under the task.
     pub(crate) is_suspect: bool,
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -29,6 +29,7 @@
 pub(crate) mod time;
 pub(crate) mod verdict;
 pub(crate) mod work;
+pub(crate) mod worker_speed;
 
 #[cfg(test)]
 mod tests;
--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -434,6 +434,7 @@
         let settings = DispatchSettings {
             limits: self.setup.entry_limits,
             seed: entry as u64,
+            remote_penalty_permille: 1_000,
         };
         let process = &mut self.entries[entry];
         process.incarnation += 1;
--- a/src/ports/metrics.rs
+++ b/src/ports/metrics.rs
@@ -17,6 +17,8 @@
         WastedMessages => "rattanslip.wasted_messages",
         /// Tasks sent to the backend server.
         Starts => "rattanslip.starts",
+        /// Start orders, by whether the task was expected to meet its objective.
+        ExpectedStarts => "rattanslip.expected_starts",
         /// Responses to clients, by verdict.
         Answers => "rattanslip.answers",
         /// Calls to the platform's store, by kind and outcome.
@@ -50,6 +52,8 @@
         JobsRunning => "rattanslip.jobs_running",
         /// Running tasks at this runner.
         TasksRunning => "rattanslip.tasks_running",
+        /// Run time on the worker divided by the estimate, in thousandths.
+        Slowness => "rattanslip.slowness_permille",
     }
 }
 
--- a/src/site_agent/execution_loop.rs
+++ b/src/site_agent/execution_loop.rs
@@ -111,6 +111,8 @@
         }
         let runs = u64::try_from(self.executor.run_count()).unwrap_or(u64::MAX);
         self.metrics.set(Gauge::TasksRunning, runs);
+        let slowness_permille = u64::from(self.executor.slowness_permille());
+        self.metrics.set(Gauge::Slowness, slowness_permille);
     }
 
     fn execute(&mut self, action: ExecutionAction) {
--- a/src/site_entry/dispatch_loop.rs
+++ b/src/site_entry/dispatch_loop.rs
@@ -7,7 +7,7 @@
         core::{
             dispatch::{
                 DispatchAction, DispatchEvent, DispatchLogEvent, Dispatcher, JobOutcome, LinkId,
-                Submission, WaiterId,
+                StartCounts, Submission, WaiterId,
             },
             link::{AgentFrame, EntryFrame},
         },
@@ -169,6 +169,16 @@
         }
         let open = u64::try_from(self.dispatcher.open_jobs()).unwrap_or(u64::MAX);
         self.metrics.set(Gauge::JobsRunning, open);
+        self.count_starts();
+    }
+
+    fn count_starts(&mut self) {
+        let StartCounts { in_time, late } = self.dispatcher.take_start_counts();
+        for (reason, amount) in [("in_time", in_time), ("late", late)] {
+            if amount > 0 {
+                self.metrics.add(Counter::ExpectedStarts, reason, amount);
+            }
+        }
     }
 
     fn log_event(&self, event: &DispatchLogEvent) {
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -22,7 +22,6 @@
         core::{
             dispatch::{DispatchEvent, DispatchSettings, Dispatcher},
             entry_list::EntryListReplica,
-            work::RunLimits,
         },
     },
     std::{
@@ -75,13 +74,14 @@
 
     fn dispatch_loop(
         &self,
-        limits: RunLimits,
+        settings: &SiteEntrySettings,
         rows_watcher: Arc<OperatorRowsWatcher>,
     ) -> DispatchLoop {
         DispatchLoop {
             dispatcher: Dispatcher::new(DispatchSettings {
-                limits,
+                limits: settings.site.limits,
                 seed: rand::random(),
+                remote_penalty_permille: settings.remote_penalty_permille,
             }),
             timer: Arc::new(BootTimer),
             state: Arc::clone(&self.state),
@@ -144,7 +144,7 @@
     };
     let rows_watcher = shared.operator_rows_watcher();
     let entry_registration = shared.entry_registration(settings.link_addr);
-    let dispatch = shared.dispatch_loop(settings.site.limits, Arc::clone(&rows_watcher));
+    let dispatch = shared.dispatch_loop(&settings, Arc::clone(&rows_watcher));
     let agent_listener = listen(settings.link_listen).await?;
     let (stop, stopped) = watch::channel(false);
     serve_http_endpoints(&settings, &shared, stopped).await?;
--- a/src/site_entry/tests/site/entry_model.rs
+++ b/src/site_entry/tests/site/entry_model.rs
@@ -78,7 +78,11 @@
             known: Mutex::default(),
         });
         let dispatch = DispatchLoop {
-            dispatcher: Dispatcher::new(DispatchSettings { limits, seed: 1 }),
+            dispatcher: Dispatcher::new(DispatchSettings {
+                limits,
+                seed: 1,
+                remote_penalty_permille: 1_000,
+            }),
             timer: Arc::new(PausedTimer {
                 host: Arc::clone(host),
                 origin,
