--- a/src/conf/tests.rs
+++ b/src/conf/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of settings files and of the example documents.
 
-use super::{EntrySettings, TableReader, read_document};
+use super::{EntrySettings, SiteEntrySettings, TableReader, read_document};
 
 const ENTRY: &str = r#"
 name = "entry-1"
@@ -92,3 +92,50 @@
         "line 13: services.crew-share.prioritty: unknown field",
     ];
 }
+
+const SITE_ENTRY: &str = r#"
+name = "entry-1"
+availability_zone = "north"
+client_listen = "127.0.0.1:0"
+ready_listen = "127.0.0.1:0"
+link_listen = "127.0.0.1:0"
+metrics_listen = "127.0.0.1:0"
+store = "127.0.0.1:7000"
+"#;
+
+fn read_site_entry(text: &str) -> Result<SiteEntrySettings, Vec<super::Fault>> {
+    TableReader::read_text(text, SiteEntrySettings::read)
+}
+
+/// A mistyped penalty would send tasks to the wrong rack without notice.
+const PENALTY_FAULT: &str = "line 9: remote_penalty: must be a number from 1.0 to 100.0";
+
+fault_cases! {
+    read_site_entry;
+    a_penalty_below_one_is_rejected: format!("{SITE_ENTRY}remote_penalty = 0.9\n") => [PENALTY_FAULT];
+    a_penalty_above_a_hundred_is_rejected:
+        format!("{SITE_ENTRY}remote_penalty = 100.1\n") => [PENALTY_FAULT];
+    a_penalty_that_is_not_a_number_is_rejected:
+        format!("{SITE_ENTRY}remote_penalty = nan\n") => [PENALTY_FAULT];
+    a_penalty_as_text_is_rejected:
+        format!("{SITE_ENTRY}remote_penalty = \"3.0\"\n") => [PENALTY_FAULT];
+}
+
+macro_rules! penalty_cases {
+    ($($name:ident: $text:expr => $permille:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let settings = read_site_entry(&format!("{SITE_ENTRY}{}", $text));
+                let settings = settings.expect("no faults");
+                assert_eq!(settings.remote_penalty_permille, $permille);
+            }
+        )+
+    };
+}
+
+penalty_cases! {
+    without_a_penalty_the_rack_is_ignored: "" => 1_000;
+    a_penalty_has_decimals: "remote_penalty = 1.5\n" => 1_500;
+    a_penalty_may_be_a_whole_number: "remote_penalty = 3\n" => 3_000;
+}
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -4,6 +4,8 @@
 mod begun_jobs;
 mod concurrent_entries;
 mod crashes;
+mod uneven_placement;
+mod uneven_workers;
 
 use {
     super::{
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod lost_calls;
 mod retirement;
+mod speed;
 
 use {
     super::{
--- a/src/core/worker_speed/completion_weight.rs
+++ b/src/core/worker_speed/completion_weight.rs
@@ -1,10 +1,18 @@
 //! Weight of a worker for a task, by when the task would end there.
 
-/// Time left divided by the expected run time from which a task has ample slack: estimates are off by
-/// 40%, and a job needs all its tasks in time.
-const AMPLE_HEADROOM: f64 = 2.0;
-/// Bounds of the preference for slow workers, so that a single very slow one doesn't attract the
-/// tasks of all entries.
+/// Time left divided by the expected run time from which a task is hardly ever late: estimates are off
+/// by 40%, and a job needs all its tasks in time.
+const SAFE_HEADROOM: f64 = 2.0;
+/// The same from which a task has ample slack.
+const AMPLE_HEADROOM: f64 = 2.5;
+/// Exponent of the slowness for tasks with ample slack. A stronger preference for slow workers (one
+/// half or one) made more long tasks late near saturation, since work on slow workers holds their
+/// slots for longer.
+const AMPLE_EXPONENT: f64 = 0.25;
+/// Exponent of the slowness for other tasks, as for workers of equal speed.
+const TIGHT_EXPONENT: f64 = -1.0;
+/// Bounds of the slowness in the weight, so that a single very slow or very fast worker doesn't
+/// attract the tasks of all entries.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 2.0);
 /// Minimum weight, for workers without free CPU and tasks that need none.
 const MIN_WEIGHT: f64 = 1e-8;
@@ -58,7 +66,7 @@
     /// Weight of a worker.
     ///
     /// The more likely the task is to be late there, the lower is the weight. Among workers with ample
-    /// time, slow ones are preferred, so that fast ones stay free for long tasks and for those with
+    /// time, slow ones are slightly preferred, so that fast ones stay free for long tasks and for those with
     /// little time left.
     pub(crate) fn weight(&self, candidate: &Candidate) -> CompletionWeight {
         let expected_ms = self.expected_ms(candidate.slowness, candidate.is_remote);
@@ -66,10 +74,15 @@
             return CompletionWeight::NotInTime;
         }
         let headroom = self.time_left_ms as f64 / expected_ms.max(1.0);
-        let chance = (headroom - 1.0) / (AMPLE_HEADROOM - 1.0);
+        let chance = (headroom - 1.0) / (SAFE_HEADROOM - 1.0);
         let chance = chance.clamp(MIN_CHANCE, 1.0);
         let (lowest, highest) = SLOWNESS_BOUNDS;
-        let preference = candidate.slowness.clamp(lowest, highest);
+        let exponent = if headroom >= AMPLE_HEADROOM {
+            AMPLE_EXPONENT
+        } else {
+            TIGHT_EXPONENT
+        };
+        let preference = candidate.slowness.clamp(lowest, highest).powf(exponent);
         let weight = (candidate.free_share * chance * preference).powi(2);
         CompletionWeight::InTime(weight.max(MIN_WEIGHT))
     }
