Dial entries by a schedule that depends on the outcome of the last dial

Cause: each address had a backoff of its own up to 0.8 s, so after an outage of two seconds an agent had its last session 0.55 s (refused) to 0.92 s (no response) after the entries were back (site_agent::tests::dialler on the former dialler, 12 entries on loopback: 549, 889 and 924 ms).

Change: core/redial decides when to dial which address. New counter rattanslip_dials by outcome.

--- a/src/adapters/link/frame_link.rs
+++ b/src/adapters/link/frame_link.rs
@@ -1,7 +1,7 @@
 //! Opens and accepts sessions.
 
 use {
-    super::FrameDuplex,
+    super::{DialError, FrameDuplex},
     crate::{
         adapters::{
             peer::{SessionChannels, run_session, with_byte_counter},
@@ -22,9 +22,11 @@
 };
 
 const LINK_PATH: &str = "/link";
-/// Connect timeout, in milliseconds; shorter than the second after which TCP resends a lost SYN.
+/// Connect timeout, in milliseconds; shorter than the second after which TCP resends a lost SYN. A dial
+/// that begins while the host is unavailable delays the next one by as much.
 const CONNECT_TIMEOUT_MS: u64 = 100;
-/// Time to connect and open a session, in milliseconds.
+/// Time to connect and open a session, in milliseconds; an entry that has just started opens the
+/// sessions of all its agents with a small share of a core.
 const OPEN_TIMEOUT_MS: u64 = 500;
 /// Flow-control window of a stream and of its connection.
 const WINDOW_BYTES: u32 = 1 << 20;
@@ -38,7 +40,7 @@
 pub(crate) async fn dial_link<In, Out>(
     to: SocketAddr,
     metrics: Arc<dyn Metrics>,
-) -> Result<FrameDuplex<In, Out>, PeerError>
+) -> Result<FrameDuplex<In, Out>, DialError>
 where
     In: DeserializeOwned + Send + 'static,
     Out: Serialize + Send + 'static,
@@ -46,13 +48,13 @@
     let opening = open(to, metrics);
     timeout(Duration::from_millis(OPEN_TIMEOUT_MS), opening)
         .await
-        .map_err(|_| PeerError::Unreachable("timed out".to_owned()))?
+        .map_err(|_| DialError::NoResponse("timed out".to_owned()))?
 }
 
 async fn open<In, Out>(
     to: SocketAddr,
     metrics: Arc<dyn Metrics>,
-) -> Result<FrameDuplex<In, Out>, PeerError>
+) -> Result<FrameDuplex<In, Out>, DialError>
 where
     In: DeserializeOwned + Send + 'static,
     Out: Serialize + Send + 'static,
@@ -62,19 +64,21 @@
         TcpStream::connect(to),
     )
     .await
-    .map_err(|_| unreachable("connect timed out"))?
-    .map_err(unreachable)?;
-    socket.set_nodelay(true).map_err(unreachable)?;
+    .map_err(|_| DialError::NoResponse("connect timed out".to_owned()))?
+    .map_err(|error| DialError::connect(&error))?;
+    socket.set_nodelay(true).map_err(DialError::refused)?;
     let (mut sender, connection) = h2::client::Builder::new()
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
         .handshake(with_byte_counter(socket, metrics))
         .await
-        .map_err(unreachable)?;
+        .map_err(DialError::refused)?;
     let request = Request::post(format!("http://{to}{LINK_PATH}"))
         .body(())
-        .map_err(unreachable)?;
-    let (response, body) = sender.send_request(request, false).map_err(unreachable)?;
+        .map_err(DialError::refused)?;
+    let (response, body) = sender
+        .send_request(request, false)
+        .map_err(DialError::refused)?;
     let (duplex, channels) = duplex();
     let (opened, open) = tokio::sync::oneshot::channel();
     let session = async move {
@@ -96,7 +100,9 @@
             () = session => {}
         }
     });
-    open.await.map_err(unreachable)?.map_err(unreachable)?;
+    open.await
+        .map_err(DialError::refused)?
+        .map_err(DialError::refused)?;
     Ok(duplex)
 }
 
--- a/src/adapters/link/mod.rs
+++ b/src/adapters/link/mod.rs
@@ -1,5 +1,6 @@
 //! Sessions between agents and entries: one h2 stream with bincode frames each way.
 
+mod dial_error;
 mod duplex;
 mod frame_link;
 
@@ -7,6 +8,7 @@
 mod tests;
 
 pub(crate) use {
+    dial_error::DialError,
     duplex::FrameDuplex,
     frame_link::{dial_link, serve_links},
 };
--- a/src/ports/metrics.rs
+++ b/src/ports/metrics.rs
@@ -29,6 +29,8 @@
         ConfigChanges => "rattanslip.config_changes",
         /// Announcements, by outcome.
         Announcements => "rattanslip.announcements",
+        /// Dials of entries, by outcome.
+        Dials => "rattanslip.dials",
         /// Closed connections and sessions to peers, by cause.
         PeerLosses => "rattanslip.peer_losses",
         /// Bytes of the operators' document, by operation.
--- a/src/site_agent/dialler.rs
+++ b/src/site_agent/dialler.rs
@@ -6,10 +6,12 @@
         stale_entry_remover::StaleEntryRemover,
     },
     crate::{
-        adapters::{link::dial_link, timer::Backoff},
+        adapters::link::dial_link,
         core::{
             entry_selection::{EntrySelection, SessionGoal},
             execution::{ExecutionEvent, SessionId},
+            redial::{DialOutcome, RedialSchedule},
+            time::Instant,
         },
         ports::{Counter, Metrics, TimerService},
     },
@@ -20,21 +22,72 @@
             Arc,
             atomic::{AtomicU64, Ordering},
         },
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot, watch},
+        time::sleep,
     },
-    tokio::sync::{mpsc, oneshot, watch},
 };
 
-/// Backoff after a failed connection to an entry, in milliseconds.
-const INITIAL_DIAL_BACKOFF_MS: u64 = 50;
-const MAX_DIAL_BACKOFF_MS: u64 = 800;
 /// Interval at which the selection is updated without a change, in milliseconds.
 const SELECTION_INTERVAL_MS: u64 = 250;
 
-/// Result of a connection attempt.
+/// Report of the task that dials an entry and runs the session with it.
 #[derive(Debug, Clone, Copy)]
-struct DialResult {
-    entry: SocketAddr,
-    connected: bool,
+enum DialReport {
+    Dialled(DialOutcome),
+    /// The session has ended, and no run that was started on it is left.
+    SessionLost,
+}
+
+/// Selected entries and their dials.
+#[derive(Debug)]
+struct Dials {
+    selection: EntrySelection,
+    schedule: RedialSchedule,
+    goals: BTreeMap<SocketAddr, watch::Sender<SessionGoal>>,
+}
+
+impl Dials {
+    fn record(&mut self, now: Instant, entry: SocketAddr, report: DialReport) {
+        match report {
+            DialReport::Dialled(outcome) => {
+                self.schedule.record_dial(now, entry, outcome);
+                if outcome == DialOutcome::Connected {
+                    self.selection.record_connected(entry);
+                } else {
+                    self.selection.record_failure(now, entry);
+                }
+            }
+            DialReport::SessionLost => self.schedule.record_session_lost(now, entry),
+        }
+    }
+
+    /// Updates the selection and the goals of the sessions.
+    fn update(&mut self, now: Instant) {
+        for (entry, goal) in self.selection.update(now) {
+            if goal == SessionGoal::Maintain {
+                self.schedule.maintain(now, entry);
+            } else {
+                self.schedule.release(entry);
+            }
+            let known = self
+                .goals
+                .entry(entry)
+                .or_insert_with(|| watch::Sender::new(goal));
+            known.send_if_modified(|known| std::mem::replace(known, goal) != goal);
+        }
+    }
+
+    /// Time until the next dial is due; none is due earlier without a report or a new list.
+    fn wait_time(&self, now: Instant) -> Duration {
+        let due_at = self.schedule.next_due_at();
+        let wait_ms = due_at.map_or(SELECTION_INTERVAL_MS, |due_at| {
+            due_at.micros_since(now).div_ceil(1_000)
+        });
+        Duration::from_millis(wait_ms)
+    }
 }
 
 /// Connects to the selected entries.
@@ -52,79 +105,67 @@
     /// Selects entries from the latest list and maintains sessions with them, until no more lists
     /// are sent.
     pub(super) async fn run(self: Arc<Self>, mut lists: mpsc::UnboundedReceiver<Vec<SocketAddr>>) {
-        let mut selection = EntrySelection::new(self.agent.clone());
-        let mut goals: BTreeMap<SocketAddr, watch::Sender<SessionGoal>> = BTreeMap::new();
-        let (results, mut dial_results) = mpsc::unbounded_channel();
+        let mut dials = Dials {
+            selection: EntrySelection::new(self.agent.clone()),
+            schedule: RedialSchedule::new(self.timer.now(), rand::random()),
+            goals: BTreeMap::new(),
+        };
+        let (reports, mut dial_reports) = mpsc::unbounded_channel();
         let mut ticks = self.timer.subscribe(SELECTION_INTERVAL_MS);
         loop {
+            let wait_time = dials.wait_time(self.timer.now());
             tokio::select! {
                 entries = lists.recv() => match entries {
-                    Some(entries) => selection.set_listed(&entries),
+                    Some(entries) => dials.selection.set_listed(&entries),
                     None => return,
                 },
-                Some(result) = dial_results.recv() => {
-                    self.record_result(&mut selection, result);
+                Some((entry, report)) = dial_reports.recv() => {
+                    dials.record(self.timer.now(), entry, report);
                 }
                 _ = ticks.recv() => {}
+                () = sleep(wait_time) => {}
             }
             let now = self.timer.now();
-            let selected = selection.update(now);
-            for entry in selection.take_stale(now) {
+            dials.update(now);
+            for entry in dials.selection.take_stale(now) {
                 tokio::spawn(Arc::clone(&self.stale_entry_remover).remove(entry));
             }
-            for (entry, goal) in selected {
-                let goals = goals.entry(entry).or_insert_with(|| {
-                    let (sender, receiver) = watch::channel(goal);
-                    let session =
-                        Arc::clone(&self).maintain_session(entry, receiver, results.clone());
-                    tokio::spawn(session);
-                    sender
-                });
-                goals.send_if_modified(|known| std::mem::replace(known, goal) != goal);
+            for entry in dials.schedule.take_due(now) {
+                if let Some(goal) = dials.goals.get(&entry) {
+                    let dial = Arc::clone(&self).dial(entry, goal.subscribe(), reports.clone());
+                    tokio::spawn(dial);
+                }
             }
         }
     }
 
-    fn record_result(&self, selection: &mut EntrySelection, result: DialResult) {
-        if result.connected {
-            selection.record_connected(result.entry);
-        } else {
-            selection.record_failure(self.timer.now(), result.entry);
-        }
-    }
-
-    /// Maintains a session with one entry while it is selected.
+    /// Dials an entry and runs the session with it.
     ///
-    /// Each address has a single task for the lifetime of the process. An entry may be delisted and
-    /// listed again while its session is open; the hello of a second session would tell the entry
-    /// that no run of the first session exists.
-    async fn maintain_session(
+    /// The schedule begins no other dial of the entry before the last report of this one. An entry may
+    /// be delisted and listed again while its session is open; the hello of a second session would tell
+    /// the entry that no run of the first session exists.
+    async fn dial(
         self: Arc<Self>,
         entry: SocketAddr,
         mut goal: watch::Receiver<SessionGoal>,
-        results: mpsc::UnboundedSender<DialResult>,
+        reports: mpsc::UnboundedSender<(SocketAddr, DialReport)>,
     ) {
-        let mut backoff = Backoff::new(INITIAL_DIAL_BACKOFF_MS, MAX_DIAL_BACKOFF_MS);
-        // The sender lives as long as the process.
-        while goal
-            .wait_for(|goal| *goal == SessionGoal::Maintain)
-            .await
-            .is_ok()
-        {
-            let link = dial_link(entry, Arc::clone(&self.metrics)).await;
-            let connected = link.is_ok();
-            // The receiver lives as long as the process.
-            let _ = results.send(DialResult { entry, connected });
-            match link {
-                Ok(link) => {
-                    backoff.reset();
-                    self.run_session(entry, link, &mut goal).await;
-                    self.metrics.count(Counter::PeerLosses, "session");
-                }
-                Err(error) => {
-                    log::debug!(entry:% = entry, error:% = error; "failed to connect to an entry");
-                    backoff.wait().await;
-                }
+        let link = dial_link(entry, Arc::clone(&self.metrics)).await;
+        let outcome = match &link {
+            Ok(_) => DialOutcome::Connected,
+            Err(error) => error.outcome(),
+        };
+        self.metrics.count(Counter::Dials, outcome.as_str());
+        // The receiver lives as long as the process.
+        let _ = reports.send((entry, DialReport::Dialled(outcome)));
+        match link {
+            Ok(link) => {
+                self.run_session(entry, link, &mut goal).await;
+                self.metrics.count(Counter::PeerLosses, "session");
+                let _ = reports.send((entry, DialReport::SessionLost));
+            }
+            Err(error) => {
+                log::debug!(entry:% = entry, error:% = error; "failed to connect to an entry");
             }
         }
     }
--- a/src/site_agent/tests.rs
+++ b/src/site_agent/tests/entry_list.rs
@@ -1,8 +1,10 @@
 //! Tests of following the list of entries.
 
 use {
-    super::{entry_list_watcher::EntryListWatcher, stale_entry_remover::StaleEntryRemover},
     crate::ports::{EntryListStore, SiteStore},
+    crate::site_agent::{
+        entry_list_watcher::EntryListWatcher, stale_entry_remover::StaleEntryRemover,
+    },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{sync::mpsc, time::sleep},
 };
--- /dev/null
+++ b/src/site_agent/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of an agent's components.
+
+mod dialler;
+mod entry_list;
