Don't refuse jobs while the first agents of an entry connect

An entry that had just started refused jobs that its other workers, connected some ten milliseconds later, would have run in time.

Change: from the first available worker on, until no further one has appeared for 140 ms and for 300 ms at most, new jobs wait in the queue; then those that have not begun are evaluated as before, the most urgent first. Jobs whose latest start passes meanwhile are refused as before.

--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -11,6 +11,7 @@
         job::{Job, JobKey},
         queue::{TaskQueue, WaitingTask},
         throughput::Throughput,
+        worker_discovery::WorkerDiscovery,
         worker_link::{WorkerKey, WorkerLink},
     },
     crate::core::{
@@ -62,6 +63,7 @@
     pub(super) crashes: CrashRecords,
     /// When an agent first announced a worker.
     pub(super) first_worker_at: Option<Instant>,
+    pub(super) worker_discovery: WorkerDiscovery,
     /// Jobs accepted in the current batch of events.
     pub(super) new_jobs: Vec<JobKey>,
     /// Workers whose agents reported free capacity in the current batch of events.
@@ -92,6 +94,7 @@
             arrivals: ArrivalRate::default(),
             crashes: CrashRecords::default(),
             first_worker_at: None,
+            worker_discovery: WorkerDiscovery::default(),
             new_jobs: Vec::new(),
             capacity_reported: Vec::new(),
             actions: Vec::new(),
--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -21,6 +21,7 @@
         let Some(key) = self.by_link.get(&link).copied() else {
             return;
         };
+        let is_only_worker = matches!(frame, AgentFrame::Worker(Some(_))) && !self.has_workers();
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -52,7 +53,11 @@
                 if view.is_some() {
                     self.first_worker_at.get_or_insert(now);
                 }
+                let became_available = worker.view.is_none() && view.is_some();
                 worker.view = view;
+                if became_available {
+                    self.worker_discovery.record_worker(now, is_only_worker);
+                }
                 self.log_event(event);
             }
             AgentFrame::Room { report, stamp_us } => {
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -18,6 +18,7 @@
 mod queue;
 mod throughput;
 mod weighted_choice;
+mod worker_discovery;
 mod worker_link;
 
 #[cfg(test)]
--- a/src/core/dispatch/overload.rs
+++ b/src/core/dispatch/overload.rs
@@ -28,6 +28,9 @@
     /// urgent priority counts as ahead of a new job, also what may start after it, so that later
     /// arrivals don't displace an accepted job.
     pub(super) fn evaluate_new_jobs(&mut self, now: Instant) {
+        if self.defers_admission(now) {
+            return;
+        }
         if self.new_jobs.is_empty() || self.queue.is_empty() {
             self.new_jobs.clear();
             return;
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -4,6 +4,7 @@
 mod begun_jobs;
 mod concurrent_entries;
 mod crashes;
+mod worker_discovery;
 
 use {
     super::{
@@ -91,9 +92,15 @@
         for worker in 1..=workers {
             dispatcher.connect(worker);
         }
+        dispatcher.end_discovery();
         dispatcher
     }
 
+    /// Waits until the entry regards its workers as known.
+    fn end_discovery(&mut self) {
+        self.advance_ms(140);
+    }
+
     /// Creates a dispatcher without agents.
     fn with_seed(seed: u64) -> Self {
         let limits = RunLimits::for_resend(1_300, 50);
@@ -555,6 +562,7 @@
             // Other entries use the worker.
             dispatcher.report_share(worker, 0, share_permille);
         }
+        dispatcher.end_discovery();
         let refused = (1..=40).filter(|number| {
             dispatcher.submit(job(*number, 0, vec![step(1, 100)]));
             !dispatcher.outcomes().is_empty()
