--- a/src/core/execution/run_list.rs
+++ b/src/core/execution/run_list.rs
@@ -34,6 +34,9 @@
             } => {
                 if !self.is_current_incarnation(call, born_unix_ms) {
                     self.suspend_restarted_worker(call, born_unix_ms);
+                    if running.is_empty() {
+                        self.report_runs_ended_by_restart(call, born_unix_ms);
+                    }
                     return;
                 }
                 // The worker was unreachable, but has not crashed.
--- a/src/ports/tests/entry_list_store.rs
+++ b/src/ports/tests/entry_list_store.rs
@@ -15,9 +15,15 @@
         sync::{Mutex, MutexGuard},
         time::Duration,
     },
-    tokio::{sync::Notify, time::timeout},
+    tokio::{
+        sync::Notify,
+        time::{sleep, timeout},
+    },
 };
 
+/// Time until a call without a response fails.
+const UNRESPONSIVE_CALL: Duration = Duration::from_secs(1);
+
 /// What one replica holds, and what was read.
 #[derive(Debug, Default)]
 pub(crate) struct ListState {
@@ -28,6 +34,10 @@
     /// Versions whose changes the history lacks.
     truncated_version: u64,
     pub(crate) is_down: bool,
+    /// Whether calls get no response.
+    pub(crate) is_unresponsive: bool,
+    /// Stored view of a worker.
+    pub(crate) worker: Option<WorkerView>,
     pub(crate) calls: usize,
     /// Rows in all responses.
     pub(crate) rows_read: usize,
@@ -120,6 +130,10 @@
         _: EntryListReplica,
     ) -> Result<(Vec<SocketAddr>, u64), StoreError> {
         self.begin_call()?;
+        if self.state().is_unresponsive {
+            sleep(UNRESPONSIVE_CALL).await;
+            return unavailable();
+        }
         let mut state = self.state();
         state.rows_read += state.entries.len();
         let entries = state.entries.iter().copied().collect();
@@ -163,7 +177,8 @@
     }
 
     async fn read_worker(&self, _: &str) -> Result<Option<WorkerView>, StoreError> {
-        unavailable()
+        self.begin_call()?;
+        Ok(self.state().worker.clone())
     }
 
     async fn store_worker(&self, _: &str, _: &WorkerView) -> Result<(), StoreError> {
--- a/src/site_agent/entry_list_watcher.rs
+++ b/src/site_agent/entry_list_watcher.rs
@@ -6,10 +6,10 @@
         core::entry_list::{EntryList, EntryListReplica},
         ports::{EntryListUpdate, FeedCursor, SiteStore, StoreError},
     },
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration},
     tokio::{
         sync::mpsc,
-        time::{Instant, sleep},
+        time::{Instant, sleep, timeout_at},
     },
 };
 
@@ -18,6 +18,9 @@
 const LONG_POLL_MS: u64 = 8_000;
 /// Number of responses by which the feed cursor lags; the store's history must reach as far back.
 const FEED_LAG_RESPONSES: usize = 1;
+/// Time after which the seeds are used if the list has not been read, in milliseconds. A read usually
+/// takes less, and the agents of a fleet that starts must not all connect to the few seeds first.
+const SEEDS_AFTER_MS: u64 = 250;
 /// Backoff after failed calls to the store, in milliseconds.
 const INITIAL_STORE_BACKOFF_MS: u64 = 100;
 const MAX_STORE_BACKOFF_MS: u64 = 1_000;
@@ -47,6 +50,8 @@
     replica: EntryListReplica,
     /// Position in the change feed; `None` if the list must be read.
     cursor: Option<FeedCursor>,
+    /// When the seeds are used if the list has not been read.
+    seeds_at: Instant,
     /// When the list is to be read again.
     reread_at: Instant,
     /// Failed calls since the last successful one.
@@ -68,6 +73,7 @@
             list: EntryList::default(),
             replica: replicas[rand::random_range(0..replicas.len())],
             cursor: None,
+            seeds_at: Instant::now() + Duration::from_millis(SEEDS_AFTER_MS),
             reread_at: Instant::now(),
             failures: 0,
             backoff: Backoff::new(INITIAL_STORE_BACKOFF_MS, MAX_STORE_BACKOFF_MS),
@@ -94,7 +100,16 @@
     }
 
     async fn read_list(&mut self) -> Result<(), StoreError> {
-        let (entries, version) = self.store.read_entries(self.replica).await?;
+        let store = Arc::clone(&self.store);
+        let mut read = pin!(store.read_entries(self.replica));
+        let result = match timeout_at(self.seeds_at, &mut read).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.send_seeds();
+                read.await
+            }
+        };
+        let (entries, version) = result?;
         self.cursor = Some(FeedCursor::new(version, FEED_LAG_RESPONSES));
         self.reread_at = Instant::now() + random_duration(REREAD_AFTER_RANGE_MS);
         self.list.replace(entries);
--- a/src/site_agent/tests/entry_list.rs
+++ b/src/site_agent/tests/entry_list.rs
@@ -118,6 +118,20 @@
     assert_eq!(newest(&mut lists), Some(store.entries()));
 }
 
+/// Three reads without a response would take more than a second.
+#[tokio::test(start_paused = true)]
+async fn seeds_are_used_soon_if_the_store_does_not_respond() {
+    let (store, mut lists) = watched_store(20);
+    store.state().is_unresponsive = true;
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(newest(&mut lists), None);
+    sleep(Duration::from_millis(60)).await;
+    assert_eq!(newest(&mut lists), Some(vec![addr(u16::MAX)]));
+    store.state().is_unresponsive = false;
+    wait_s(2).await;
+    assert_eq!(newest(&mut lists), Some(store.entries()));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_removed_entry_leaves_the_lists_of_agents() {
     let (store, mut lists) = watched_store(20);
--- a/src/site_agent/tests/mod.rs
+++ b/src/site_agent/tests/mod.rs
@@ -2,3 +2,4 @@
 
 mod dialler;
 mod entry_list;
+mod worker_view;
--- a/src/site_entry/client_api.rs
+++ b/src/site_entry/client_api.rs
@@ -15,15 +15,24 @@
         ports::{Counter, DecisionLog, LogPriority, Metrics, log_decision},
     },
     async_trait::async_trait,
-    std::sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot},
+        time::Instant,
     },
-    tokio::sync::{mpsc, oneshot},
 };
 
 /// Retry delay sent to clients while this entry has no configuration, in milliseconds.
 const NOT_CONFIGURED_RETRY_MS: u64 = 1_000;
+/// Time after the start of the process until which requests wait for the first configuration, in
+/// milliseconds; it is read within this time unless the store is unavailable.
+const CONFIG_WAIT_MS: u64 = 500;
 
 /// Handles clients' requests and waits for the dispatcher's replies.
 #[derive(Debug)]
@@ -33,6 +42,7 @@
     pub(super) metrics: Arc<dyn Metrics>,
     pub(super) decisions: Arc<dyn DecisionLog>,
     pub(super) next_waiter: AtomicU64,
+    pub(super) started_at: Instant,
 }
 
 /// Notifies the dispatcher when a client disconnects before its reply.
@@ -56,7 +66,14 @@
 }
 
 impl ClientApi {
-    async fn submit(&self, http_request: &HttpRequest, id: JobId, route: &Route) -> HttpResponse {
+    /// Submits a job whose request arrived at `arrived_at`.
+    async fn submit(
+        &self,
+        http_request: &HttpRequest,
+        id: JobId,
+        route: &Route,
+        arrived_at: Instant,
+    ) -> HttpResponse {
         let request = match ClientProtocol::parse_job(http_request) {
             Ok(request) => request,
             Err(error) => {
@@ -70,12 +87,14 @@
         }
         let waiter = WaiterId(self.next_waiter.fetch_add(1, Ordering::Relaxed));
         let (reply, outcome) = oneshot::channel();
+        let time_left_ms = ClientProtocol::time_left_ms(http_request).unwrap_or(route.timeout_ms);
+        let waited_ms = u64::try_from(arrived_at.elapsed().as_millis()).unwrap_or(u64::MAX);
         let submission = Submission {
             waiter,
             id,
             request,
             route: Arc::new(route.clone()),
-            time_left_ms: ClientProtocol::time_left_ms(http_request).unwrap_or(route.timeout_ms),
+            time_left_ms: time_left_ms.saturating_sub(waited_ms),
         };
         let mut guard = DisconnectGuard {
             waiter,
@@ -121,7 +140,13 @@
     }
 
     async fn route_request(&self, http_request: &HttpRequest) -> HttpResponse {
-        let Some(config) = self.state.config() else {
+        let arrived_at = Instant::now();
+        let wait_until = self.started_at + Duration::from_millis(CONFIG_WAIT_MS);
+        let config = match self.state.config() {
+            None => self.state.wait_for_config(wait_until).await,
+            known => known,
+        };
+        let Some(config) = config else {
             self.record_rejection(http_request, "no_configuration");
             return ClientProtocol::not_configured(NOT_CONFIGURED_RETRY_MS);
         };
@@ -134,7 +159,7 @@
             .get(route.path_prefix.len()..)
             .unwrap_or_default();
         match ClientProtocol::parse_action(&http_request.method, subpath) {
-            ClientAction::Submit(id) => self.submit(http_request, id, route).await,
+            ClientAction::Submit(id) => self.submit(http_request, id, route, arrived_at).await,
             ClientAction::Status(_) | ClientAction::Cancel(_) => ClientProtocol::no_job(),
             ClientAction::Pending => self.pending(route).await,
             ClientAction::Unknown => ClientProtocol::bad_request(),
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -102,6 +102,7 @@
             metrics: Arc::clone(&self.process.metrics),
             decisions: Arc::clone(&self.process.decisions),
             next_waiter: AtomicU64::new(1),
+            started_at: Instant::now(),
         })
     }
 
@@ -145,6 +146,8 @@
     let rows_watcher = shared.operator_rows_watcher();
     let entry_registration = shared.entry_registration(settings.link_addr);
     let dispatch = shared.dispatch_loop(settings.site.limits, Arc::clone(&rows_watcher));
+    // Requests wait for the configuration, so it is read before anything else.
+    tokio::spawn(rows_watcher.follow());
     let agent_listener = listen(settings.link_listen).await?;
     let (stop, stopped) = watch::channel(false);
     serve_http_endpoints(&settings, &shared, stopped).await?;
@@ -154,7 +157,6 @@
         link_sender,
         Arc::clone(&shared.process.metrics),
     ));
-    tokio::spawn(rows_watcher.follow());
     for replica in EntryListReplica::ALL {
         tokio::spawn(Arc::clone(&entry_registration).maintain(replica));
     }
--- a/src/site_entry/state.rs
+++ b/src/site_entry/state.rs
@@ -3,15 +3,19 @@
 use {
     crate::core::routes::SiteConfig,
     std::sync::{
-        Arc, PoisonError, RwLock,
+        Arc,
         atomic::{AtomicBool, Ordering},
     },
+    tokio::{
+        sync::watch,
+        time::{Instant, timeout_at},
+    },
 };
 
 /// Configuration in force, and the inputs of the readiness probe.
 #[derive(Debug, Default)]
 pub(super) struct EntryState {
-    config: RwLock<Option<Arc<SiteConfig>>>,
+    config: watch::Sender<Option<Arc<SiteConfig>>>,
     has_workers: AtomicBool,
     leaving: AtomicBool,
 }
@@ -19,16 +23,19 @@
 impl EntryState {
     /// Returns the configuration in force, if any has been read.
     pub(super) fn config(&self) -> Option<Arc<SiteConfig>> {
-        self.config
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.config.borrow().clone()
+    }
+
+    /// Waits for the first configuration, until `deadline` at most.
+    pub(super) async fn wait_for_config(&self, deadline: Instant) -> Option<Arc<SiteConfig>> {
+        let mut config = self.config.subscribe();
+        let config = timeout_at(deadline, config.wait_for(Option::is_some)).await;
+        config.ok()?.ok()?.clone()
     }
 
     /// Replaces the configuration in force.
     pub(super) fn set_config(&self, config: SiteConfig) {
-        let mut current = self.config.write().unwrap_or_else(PoisonError::into_inner);
-        *current = Some(Arc::new(config));
+        self.config.send_replace(Some(Arc::new(config)));
     }
 
     /// Records whether some worker accepts tasks.
--- a/src/site_entry/tests/mod.rs
+++ b/src/site_entry/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of an entry's components against fakes.
 
+mod client_api;
 mod config_changes;
 mod entry_registration;
 mod events;
