Select few replacements while no entry can be reached

Cause: with all hosts dark, an agent selected twelve more entries each second. When they returned, each entry would have had the sessions of four times its agents after three seconds, and their heartbeats for the ten seconds until they are retired.

Change: without any session an agent selects 24 entries at most, for up to 10 s. A test with sockets: 144 agents dial an entry that returns after two seconds without responses; at most one in twenty has its session later than 0.3 s.

--- a/src/core/entry_selection/entry_selection.rs
+++ b/src/core/entry_selection/entry_selection.rs
@@ -14,6 +14,12 @@
 /// Time of failed connection attempts after which another entry is selected as well, in
 /// milliseconds; longer than a process takes to restart.
 const UNREACHABLE_AFTER_MS: u64 = 1_000;
+/// Number of entries that an agent selects while it can't connect to any. Replacements don't help then,
+/// and if all entries return at the same time, each of them costs sessions that are not needed.
+pub(crate) const SELECTED_WHILE_ISOLATED: usize = 2 * SELECTED_ENTRIES;
+/// Time without a connection after which more entries are selected nevertheless, in milliseconds; longer
+/// than hosts take to restart.
+const MAX_ISOLATION_MS: u64 = 10_000;
 /// How long the session with an entry that is no longer selected stays in use, in milliseconds;
 /// longer than a rolling restart keeps an entry away.
 const RETIRE_DELAY_MS: u64 = 10_000;
@@ -37,6 +43,8 @@
 struct Candidate {
     rank: u64,
     listed: bool,
+    /// Whether there is a session.
+    is_connected: bool,
     /// Since when connection attempts have failed.
     failing_since: Option<Instant>,
     /// When the entry was last selected; `None` if never.
@@ -66,6 +74,9 @@
 pub(crate) struct EntrySelection {
     agent: String,
     candidates: BTreeMap<SocketAddr, Candidate>,
+    /// Since when there has been no session with any entry, if a connection attempt has failed or a
+    /// session was lost.
+    isolated_since: Option<Instant>,
 }
 
 impl EntrySelection {
@@ -74,6 +85,7 @@
         Self {
             agent,
             candidates: BTreeMap::new(),
+            isolated_since: None,
         }
     }
 
@@ -86,6 +98,7 @@
             let candidate = self.candidates.entry(*entry).or_insert_with(|| Candidate {
                 rank: rendezvous_weight(self.agent.as_bytes(), *entry),
                 listed: true,
+                is_connected: false,
                 failing_since: None,
                 selected_at: None,
             });
@@ -96,6 +109,8 @@
     pub(crate) fn record_connected(&mut self, entry: SocketAddr) {
         if let Some(candidate) = self.candidates.get_mut(&entry) {
             candidate.failing_since = None;
+            candidate.is_connected = true;
+            self.isolated_since = None;
         }
     }
 
@@ -104,6 +119,17 @@
         if let Some(candidate) = self.candidates.get_mut(&entry) {
             candidate.failing_since.get_or_insert(now);
         }
+        self.record_session_lost(now, entry);
+    }
+
+    /// Records that there is no session with this entry.
+    pub(crate) fn record_session_lost(&mut self, now: Instant, entry: SocketAddr) {
+        if let Some(candidate) = self.candidates.get_mut(&entry) {
+            candidate.is_connected = false;
+        }
+        if !self.candidates.values().any(|other| other.is_connected) {
+            self.isolated_since.get_or_insert(now);
+        }
     }
 
     /// Returns the selected entries that are stale; call it after [`Self::update`] at the same time.
@@ -136,6 +162,14 @@
     ///
     /// Unreachable entries stay selected in addition, so that their sessions come back.
     pub(crate) fn update(&mut self, now: Instant) -> Vec<(SocketAddr, SessionGoal)> {
+        let is_isolated = self
+            .isolated_since
+            .is_some_and(|since| now.millis_since(since) < MAX_ISOLATION_MS);
+        let limit = if is_isolated {
+            SELECTED_WHILE_ISOLATED
+        } else {
+            usize::MAX
+        };
         let mut ranked: Vec<&mut Candidate> = self
             .candidates
             .values_mut()
@@ -143,7 +177,7 @@
             .collect();
         ranked.sort_by_key(|candidate| candidate.rank);
         let mut reachable = 0;
-        for candidate in ranked {
+        for candidate in ranked.into_iter().take(limit) {
             if reachable == SELECTED_ENTRIES {
                 break;
             }
--- a/src/core/entry_selection/tests.rs
+++ b/src/core/entry_selection/tests.rs
@@ -81,6 +81,42 @@
     assert!(first.iter().all(|entry| replaced.contains(entry)));
 }
 
+/// After an outage of all hosts, each entry would get the sessions of several times its agents.
+#[test]
+fn an_agent_without_any_connection_selects_few_replacements() {
+    let entries = addrs(10 * SELECTED_ENTRIES as u16);
+    let mut selection = selection(1, &entries);
+    let mut selected = 0;
+    for after_ms in (0..9_900).step_by(100) {
+        for entry in maintained(&mut selection, at(after_ms)) {
+            selection.record_failure(at(after_ms), entry);
+        }
+        selected = maintained(&mut selection, at(after_ms)).len();
+        assert!(selected <= 2 * SELECTED_ENTRIES, "{after_ms} ms");
+    }
+    assert_eq!(selected, 2 * SELECTED_ENTRIES);
+    // Their hosts may be gone for good.
+    assert!(maintained(&mut selection, at(10_000)).len() > selected);
+}
+
+/// An agent that reaches some entries must replace all others.
+#[test]
+fn an_agent_with_a_connection_replaces_all_unreachable_entries() {
+    let entries = addrs(10 * SELECTED_ENTRIES as u16);
+    let mut selection = selection(1, &entries);
+    let first = maintained(&mut selection, at(0));
+    for after_ms in (0..8_000).step_by(100) {
+        for entry in maintained(&mut selection, at(after_ms)) {
+            if entry == first[0] {
+                selection.record_connected(entry);
+            } else {
+                selection.record_failure(at(after_ms), entry);
+            }
+        }
+    }
+    assert!(maintained(&mut selection, at(8_000)).len() > 6 * SELECTED_ENTRIES);
+}
+
 /// After an outage the number of sessions must return to the limit, but not during the outage of
 /// another entry in a rolling restart.
 #[test]
--- a/src/site_agent/dialler.rs
+++ b/src/site_agent/dialler.rs
@@ -60,7 +60,10 @@
                     self.selection.record_failure(now, entry);
                 }
             }
-            DialReport::SessionLost => self.schedule.record_session_lost(now, entry),
+            DialReport::SessionLost => {
+                self.schedule.record_session_lost(now, entry);
+                self.selection.record_session_lost(now, entry);
+            }
         }
     }
 
--- a/src/site_agent/tests/dialler.rs
+++ b/src/site_agent/tests/dialler.rs
@@ -31,6 +31,8 @@
 
 /// Entries that an agent selects.
 const ENTRIES: usize = 12;
+/// Agents of an entry, with 900 agents and 75 entries.
+const AGENTS: usize = 144;
 const OUTAGE: Duration = Duration::from_secs(2);
 /// Time after the entries' return within which the agent must have its sessions.
 const SESSIONS_LIMIT: Duration = Duration::from_millis(300);
@@ -97,11 +99,11 @@
         }
     }
 
-    /// Waits until there is a session with each entry; returns the time since `start` at which the
-    /// last one was opened.
-    async fn sessions_after(&mut self, start: Instant) -> Duration {
+    /// Waits until there is a session with each of the entries; returns the time since `start` at which
+    /// the last one was opened.
+    async fn sessions_after(&mut self, start: Instant, entries: usize) -> Duration {
         let mut opened_at = BTreeMap::new();
-        while opened_at.len() < ENTRIES {
+        while opened_at.len() < entries {
             let opened = timeout(Duration::from_secs(5), self.opened.recv()).await;
             let (entry, at) = opened.expect("a session in time").expect("an agent");
             opened_at.insert(entry, at);
@@ -211,10 +213,29 @@
     drop(unresponsive);
     let start = Instant::now();
     let _running: Vec<_> = entries.iter().map(Entry::start).collect();
-    let took = agent.sessions_after(start).await;
+    let took = agent.sessions_after(start, ENTRIES).await;
     assert!(took <= SESSIONS_LIMIT, "{took:?}");
 }
 
+/// All agents of an entry dial it at about the same time.
+#[tokio::test]
+async fn an_entry_that_returns_has_nearly_all_of_its_agents_soon() {
+    let entry = Entry::new();
+    let unresponsive = entry.ignore_dials().await;
+    let mut agents: Vec<Agent> = (0..AGENTS)
+        .map(|_| Agent::start(vec![entry.addr]))
+        .collect();
+    sleep(OUTAGE).await;
+    drop(unresponsive);
+    let start = Instant::now();
+    let _running = entry.start();
+    let mut late = 0;
+    for agent in &mut agents {
+        late += usize::from(agent.sessions_after(start, 1).await > SESSIONS_LIMIT);
+    }
+    assert!(late <= AGENTS / 20, "{late} of {AGENTS} agents");
+}
+
 /// Hosts return before their processes; meanwhile connections are refused.
 #[tokio::test]
 async fn entries_that_refused_have_sessions_soon_after_their_start() {
@@ -223,7 +244,7 @@
     sleep(OUTAGE).await;
     let start = Instant::now();
     let _running: Vec<_> = entries.iter().map(Entry::start).collect();
-    let took = agent.sessions_after(start).await;
+    let took = agent.sessions_after(start, ENTRIES).await;
     assert!(took <= SESSIONS_LIMIT, "{took:?}");
     let refused = agent.dials.count_of("refused");
     assert!(refused <= 2 * 150 + 24, "{refused} dials in 2 s");
@@ -236,7 +257,7 @@
     let running: Vec<_> = entries.iter().map(Entry::start).collect();
     let start = Instant::now();
     let mut agent = Agent::start(addrs(&entries));
-    let took = agent.sessions_after(start).await;
+    let took = agent.sessions_after(start, ENTRIES).await;
     assert!(took <= SESSIONS_LIMIT, "{took:?} at first");
     for (server, _sessions) in running {
         server.abort();
@@ -250,6 +271,6 @@
     drop(unresponsive);
     let start = Instant::now();
     let _running: Vec<_> = entries.iter().map(Entry::start).collect();
-    let took = agent.sessions_after(start).await;
+    let took = agent.sessions_after(start, ENTRIES).await;
     assert!(took <= SESSIONS_LIMIT, "{took:?}");
 }
