--- a/src/site_agent/dialler.rs
+++ b/src/site_agent/dialler.rs
@@ -117,21 +117,28 @@
         let mut ticks = self.timer.subscribe(SELECTION_INTERVAL_MS);
         loop {
             let wait_time = dials.wait_time(self.timer.now());
-            tokio::select! {
+            // The selection changes slowly and is not updated for each dial.
+            let updates_selection = tokio::select! {
                 entries = lists.recv() => match entries {
-                    Some(entries) => dials.selection.set_listed(&entries),
+                    Some(entries) => {
+                        dials.selection.set_listed(&entries);
+                        true
+                    }
                     None => return,
                 },
                 Some((entry, report)) = dial_reports.recv() => {
                     dials.record(self.timer.now(), entry, report);
+                    false
                 }
-                _ = ticks.recv() => {}
-                () = sleep(wait_time) => {}
-            }
+                _ = ticks.recv() => true,
+                () = sleep(wait_time) => false,
+            };
             let now = self.timer.now();
-            dials.update(now);
-            for entry in dials.selection.take_stale(now) {
-                tokio::spawn(Arc::clone(&self.stale_entry_remover).remove(entry));
+            if updates_selection {
+                dials.update(now);
+                for entry in dials.selection.take_stale(now) {
+                    tokio::spawn(Arc::clone(&self.stale_entry_remover).remove(entry));
+                }
             }
             for entry in dials.schedule.take_due(now) {
                 if let Some(goal) = dials.goals.get(&entry) {
