--- a/tests/processes/site.rs
+++ b/tests/processes/site.rs
@@ -217,6 +217,29 @@
 }
 
 /// An entry that is stopped during a job completes it before it exits.
+/// After a power loss of all hosts, a job that arrives as soon as its entry listens must not be refused
+/// for lack of a configuration or of workers.
+#[tokio::test]
+async fn a_job_is_served_right_after_all_processes_have_restarted() {
+    let mut site = Site::start("power", 1, 4).await;
+    wait_until_serving(&site, 0).await;
+    site.stop_all_hosts();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    site.start_all_hosts();
+    let started_at = std::time::Instant::now();
+    let what = "the entry listens";
+    eventually(what, Duration::from_secs(10), || async {
+        let reply = site.submit(0, "00000000000000c1", &site_job(8, 300)).await;
+        let Ok(reply) = reply else {
+            return false;
+        };
+        println!("TRIAL {} {:?}", reply.body, started_at.elapsed());
+        assert_eq!(reply.body, r#"{"state":"completed"}"#);
+        true
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_planned_stop_interrupts_no_job() {
     let mut site = Site::start("stop", 2, 2).await;
