--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -19,6 +19,7 @@
 mod queue;
 mod throughput;
 mod weighted_choice;
+mod worker_discovery;
 mod worker_link;
 mod worker_speeds;
 
