Shares between competing queues, with one admission level for all entries

Under strict priority the least urgent queue bore the cost of every flood, and each entry had an admission threshold of its own.

- core/queue_shares: weighted max-min shares, token buckets, levels from agents, records of refused jobs.
An entry marks jobs that find no tokens as beyond the share of their queue.
- Waiting tasks are ordered by deadline class, then within before beyond; refusals count only what precedes a job in this order.
- Entries report demands in their heartbeat, agents reply with levels; an entry uses the median.
- Retry-After of competing queues is spread, and longer the lower the level.
- Routes know whether their queue competes; other queues are treated as before.
- Counter of refusals by queue, gauge and log line of the level.

--- a/src/adapters/metrics/otel_metrics.rs
+++ b/src/adapters/metrics/otel_metrics.rs
@@ -76,6 +76,22 @@
         }
     }
 
+    fn count_for_queue(&self, counter: Counter, queue: &str, reason: &'static str) {
+        if let Some(instrument) = self.counters.get(&counter) {
+            let labels = [
+                KeyValue::new("queue", queue.to_owned()),
+                KeyValue::new("reason", reason),
+            ];
+            instrument.add(1, &labels);
+        }
+    }
+
+    fn set_for_queue(&self, gauge: Gauge, queue: &str, value: u64) {
+        if let Some(instrument) = self.gauges.get(&gauge) {
+            instrument.record(value, &[KeyValue::new("queue", queue.to_owned())]);
+        }
+    }
+
     fn observe(&self, histogram: Histogram, reason: &'static str, elapsed_ms: u64) {
         if let Some(instrument) = self.histograms.get(&histogram) {
             instrument.record(elapsed_ms, &[KeyValue::new("reason", reason)]);
--- a/src/core/dispatch/admission.rs
+++ b/src/core/dispatch/admission.rs
@@ -123,7 +123,8 @@
         let waited_ms = self
             .client_deadlines
             .estimate_waited_ms(&submission.route, submission.time_left_ms);
-        let job = Job::new(now, submission, first_run, waited_ms);
+        let mut job = Job::new(now, submission, first_run, waited_ms);
+        job.share = self.admit_to_share(now, &job);
         let event = DispatchLogEvent::JobTaken {
             job: id.to_string(),
             route: job.route.name.clone(),
@@ -184,14 +185,11 @@
     /// Gives up a job with a waiting task that can't finish in time.
     pub(super) fn give_up(&mut self, now: Instant, key: JobKey) {
         if let Some(job) = self.jobs.get(key) {
-            let outcome = if job.has_begun() {
-                JobOutcome::GivenUp(GiveUpReason::DeadlinePassed)
-            } else {
-                JobOutcome::NotRun {
-                    reason: RefusalReason::Overloaded,
-                    retry_after_ms: OVERLOAD_RETRY_AFTER_MS,
-                }
-            };
+            if !job.has_begun() {
+                self.refuse_overloaded(now, key, OVERLOAD_RETRY_AFTER_MS);
+                return;
+            }
+            let outcome = JobOutcome::GivenUp(GiveUpReason::DeadlinePassed);
             self.finish_job(now, key, outcome);
         }
     }
--- a/src/core/dispatch/arrival_rate.rs
+++ b/src/core/dispatch/arrival_rate.rs
@@ -1,6 +1,9 @@
 //! Rate of arriving work.
 
-use {crate::core::time::Instant, std::collections::BTreeMap};
+use {
+    crate::core::{queue_shares::DecayingSum, time::Instant},
+    std::collections::BTreeMap,
+};
 
 /// Time constant of the rates by priority, in milliseconds; long enough to cover some hundred tasks
 /// at an entry of a small site, short enough to follow a burst of a few seconds.
@@ -16,38 +19,6 @@
     by_priority: BTreeMap<u32, DecayingSum>,
 }
 
-#[derive(Debug)]
-struct DecayingSum {
-    decay_time_ms: u64,
-    work_ms: f64,
-    updated_at: Instant,
-}
-
-impl DecayingSum {
-    fn new(decay_time_ms: u64) -> Self {
-        Self {
-            decay_time_ms,
-            work_ms: 0.0,
-            updated_at: Instant::default(),
-        }
-    }
-
-    fn at(&self, now: Instant) -> f64 {
-        let age_us = now.micros_since(self.updated_at) as f64;
-        self.work_ms * (-age_us / (self.decay_time_ms as f64 * 1_000.0)).exp()
-    }
-
-    fn add(&mut self, now: Instant, work_ms: u64) {
-        self.work_ms = self.at(now) + work_ms as f64;
-        self.updated_at = now;
-    }
-
-    /// The rate in milliseconds of work per millisecond.
-    fn rate(&self, now: Instant) -> f64 {
-        self.at(now) / self.decay_time_ms as f64
-    }
-}
-
 impl Default for ArrivalRate {
     fn default() -> Self {
         Self {
@@ -59,10 +30,10 @@
 
 impl ArrivalRate {
     pub(super) fn record(&mut self, now: Instant, priority: u32, work_ms: u64) {
-        self.total.add(now, work_ms);
+        self.total.add(now, work_ms as f64);
         let by_priority = self.by_priority.entry(priority);
         let sum = by_priority.or_insert_with(|| DecayingSum::new(DECAY_TIME_MS));
-        sum.add(now, work_ms);
+        sum.add(now, work_ms as f64);
     }
 
     /// Arrival rate of all work, in milliseconds of work per millisecond.
--- a/src/core/dispatch/dispatch_event.rs
+++ b/src/core/dispatch/dispatch_event.rs
@@ -126,6 +126,12 @@
     ApplyEvacuatedZones(EvacuatedZones),
     /// A newer document was fetched from an agent.
     ApplyDocument(Document),
+    /// The level of a competing queue has changed.
+    SetQueueLevel {
+        queue: Arc<str>,
+        /// Share of the demanded work that fits, in thousandths.
+        level_permille: u16,
+    },
     /// Write a log event.
     Log(DispatchLogEvent),
 }
--- a/src/core/dispatch/dispatch_log_event.rs
+++ b/src/core/dispatch/dispatch_log_event.rs
@@ -58,6 +58,9 @@
         /// Start orders sent.
         starts: u32,
         failed_runs: u32,
+        /// Whether the job was within or beyond the share of its queue; empty if the queue does not
+        /// compete with others.
+        share: &'static str,
         /// Tasks that were not done.
         left: usize,
     },
@@ -130,6 +133,16 @@
         /// Duration of the fetch.
         took_ms: u64,
     },
+    /// The level of a competing queue has changed between complete and reduced.
+    QueueLevel {
+        queue: String,
+        /// `complete` or `reduced`.
+        state: &'static str,
+        /// Share of the demanded work that fits, in thousandths.
+        level_permille: u16,
+        /// Demand of the queue at this entry, in thousandths of a core at a time.
+        demand_milli: u64,
+    },
     /// Newer evacuated zones are in force.
     NewsInForce {
         /// The store version.
--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -16,6 +16,7 @@
     crate::core::{
         document::DocumentCopy,
         link::{EntryFrame, EvacuatedZones},
+        queue_shares::QueueShares,
         time::Instant,
         work::{JobId, RunLimits},
     },
@@ -59,6 +60,9 @@
     pub(super) rng: ChaCha8Rng,
     pub(super) client_deadlines: ClientDeadlines,
     pub(super) arrivals: ArrivalRate,
+    pub(super) queue_shares: QueueShares,
+    /// Tasks were waiting at the start of the current batch of events.
+    pub(super) is_congested: bool,
     pub(super) crashes: CrashRecords,
     /// When an agent first announced a worker.
     pub(super) first_worker_at: Option<Instant>,
@@ -90,6 +94,8 @@
             throughput: Throughput::default(),
             client_deadlines: ClientDeadlines::default(),
             arrivals: ArrivalRate::default(),
+            queue_shares: QueueShares::default(),
+            is_congested: false,
             crashes: CrashRecords::default(),
             first_worker_at: None,
             new_jobs: Vec::new(),
@@ -124,6 +130,8 @@
         events: impl IntoIterator<Item = DispatchEvent>,
     ) -> Vec<DispatchAction> {
         self.detect_suspension(now);
+        self.is_congested = !self.queue.is_empty();
+        self.update_queue_shares(now);
         if !self.queue.is_empty() {
             self.throughput = self.estimate_throughput(now);
         }
@@ -176,6 +184,7 @@
             waited_ms: job.last_start.millis_since(job.received_at),
             starts: job.starts,
             failed_runs: job.failed_runs(),
+            share: job.share_name(),
             left: job.remaining_tasks,
         };
         self.log_event(event);
--- a/src/core/dispatch/job.rs
+++ b/src/core/dispatch/job.rs
@@ -3,6 +3,7 @@
 use {
     super::{Submission, WaiterId, worker_link::WorkerKey},
     crate::core::{
+        queue_shares::ShareGrant,
         routes::Route,
         time::Instant,
         work::{JobId, JobRequest, RunId, StepSpec, TaskId},
@@ -76,6 +77,8 @@
     pub(super) closed: bool,
     pub(super) starts: u32,
     pub(super) last_start: Instant,
+    /// Whether it is within the share of its queue.
+    pub(super) share: ShareGrant,
 }
 
 impl Job {
@@ -111,6 +114,7 @@
             closed: false,
             starts: 0,
             last_start: now,
+            share: ShareGrant::default(),
         }
     }
 
@@ -160,6 +164,16 @@
         self.may_have_run || self.open_runs > 0
     }
 
+    /// Whether it is within the share of its queue, as used in logs and metrics; empty if its queue
+    /// doesn't compete with others.
+    pub(super) fn share_name(&self) -> &'static str {
+        match (self.route.competes, self.share.is_beyond) {
+            (false, _) => "",
+            (true, false) => "within",
+            (true, true) => "beyond",
+        }
+    }
+
     pub(super) fn waiting_tasks(&self) -> usize {
         self.waiting().count()
     }
--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -31,8 +31,10 @@
             AgentFrame::Beat {
                 stamp_us,
                 document_revision,
+                queue_levels,
             } => {
                 worker.record_stamp(now, stamp_us);
+                worker.levels.record(now, queue_levels);
                 self.fetch_document(now, link, document_revision);
             }
             AgentFrame::Worker(view) => {
@@ -190,6 +192,7 @@
         let document_revision = self.document.revision();
         let is_holder = self.is_document_holder(key);
         let demand_milli = self.demand_milli(now);
+        let queue_demands = self.queue_demands(now, key);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -203,6 +206,7 @@
             news_version,
             document_revision,
             is_holder,
+            queue_demands,
         };
         self.actions.push(DispatchAction::Send { link, frame });
     }
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod overload;
 mod placement;
 mod queue;
+mod queue_levels;
 mod throughput;
 mod weighted_choice;
 mod worker_link;
--- a/src/core/dispatch/overload.rs
+++ b/src/core/dispatch/overload.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Dispatcher, JobOutcome, RefusalReason,
+        Dispatcher,
         job::{Job, JobKey},
         placement::free_capacity_for,
         queue::{DeadlineClass, WaitingTask},
@@ -15,18 +15,19 @@
 
 /// Minimum and maximum Retry-After, in milliseconds; the queue has changed after a second, and no
 /// overload can be predicted for more than half a minute.
-const RETRY_AFTER_BOUNDS_MS: (u64, u64) = (1_000, 30_000);
+pub(super) const RETRY_AFTER_BOUNDS_MS: (u64, u64) = (1_000, 30_000);
 
 /// Share of the more urgent arrivals that is expected to start before a waiting job; the others are
 /// refused or arrive later.
-const URGENT_ARRIVAL_SHARE: f64 = 0.5;
+pub(super) const URGENT_ARRIVAL_SHARE: f64 = 0.5;
 
 impl Dispatcher {
     /// Refuses jobs of this batch for which no capacity is free and which won't start in time.
     ///
     /// Refusing them at once leaves their clients time to retry. All work with the same or a more
     /// urgent priority counts as ahead of a new job, also what may start after it, so that later
-    /// arrivals don't displace an accepted job.
+    /// arrivals don't displace an accepted job. Jobs beyond the share of their queue don't count for
+    /// one within its share.
     pub(super) fn evaluate_new_jobs(&mut self, now: Instant) {
         if self.new_jobs.is_empty() || self.queue.is_empty() {
             self.new_jobs.clear();
@@ -38,8 +39,7 @@
                 continue;
             };
             let before = self.queue.work_ahead_of(&waiting);
-            let urgent =
-                self.arrivals.more_urgent_than(now, waiting.priority) * URGENT_ARRIVAL_SHARE;
+            let urgent = self.urgent_arrivals(now, &waiting);
             let throughput = self.throughput.minus(urgent);
             let starts_at =
                 throughput.map(|throughput| now.plus_ms(throughput.time_for_ms(before.work_ms)));
@@ -76,15 +76,8 @@
         if !is_refusable || self.has_capacity_for(now, job, ahead) {
             return;
         }
-        let (shortest_ms, longest_ms) = RETRY_AFTER_BOUNDS_MS;
-        let outcome = JobOutcome::NotRun {
-            reason: RefusalReason::Overloaded,
-            retry_after_ms: self
-                .throughput
-                .time_for_ms(self.queue.work_ms())
-                .clamp(shortest_ms, longest_ms),
-        };
-        self.finish_job(now, key, outcome);
+        let wait_ms = self.throughput.time_for_ms(self.queue.work_ms());
+        self.refuse_overloaded(now, key, wait_ms);
     }
 
     /// Whether the free capacity fits the job's tasks and the `ahead` tasks before them, even if
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -1,8 +1,8 @@
 //! The order in which waiting tasks are assigned to workers.
 //!
 //! Under overload, first-in-first-out order would make all jobs equally late. This queue starts
-//! tasks first that can still meet their objective, within a priority those of begun jobs first,
-//! and late ones after them. Tasks that can't finish in time are given up.
+//! tasks first that can still meet their objective, those of jobs within the share of their queue
+//! before others, within a priority those of begun jobs first, and late ones after them. Tasks that can't finish in time are given up.
 
 use {
     super::job::{Job, JobKey},
@@ -33,6 +33,8 @@
 pub(super) struct WaitingTask {
     /// As of the last evaluation.
     pub(super) deadline_class: DeadlineClass,
+    /// The job is beyond the share of its queue, and has not begun.
+    pub(super) is_beyond: bool,
     /// The route's priority; lower values go first.
     pub(super) priority: u32,
     /// No task of the job has started.
@@ -71,6 +73,7 @@
         let waiting = |deadline_class, latest_start| {
             Some(Self {
                 deadline_class,
+                is_beyond: job.share.is_beyond && !job.has_begun(),
                 priority: job.route.priority,
                 not_begun: !job.has_begun(),
                 latest_start,
@@ -156,12 +159,13 @@
         self.waiting.range(..waiting).count()
     }
 
-    /// In-time tasks of other jobs with the same or a more urgent priority.
+    /// In-time tasks of other jobs that are not beyond their share if this one is within, and have
+    /// the same or a more urgent priority otherwise.
     pub(super) fn work_ahead_of(&self, waiting: &WaitingTask) -> WorkAhead {
         let others = self.waiting.iter().filter(|other| {
             other.job != waiting.job
                 && other.deadline_class == DeadlineClass::InTime
-                && other.priority <= waiting.priority
+                && (other.is_beyond, other.priority) <= (waiting.is_beyond, waiting.priority)
         });
         others.fold(WorkAhead::default(), |ahead, other| WorkAhead {
             tasks: ahead.tasks + 1,
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -55,6 +55,7 @@
         stretch: 1.6,
         target_ms: 60,
         needs_advice: false,
+        competes: false,
     })
 }
 
@@ -194,6 +195,7 @@
                 frame: AgentFrame::Beat {
                     stamp_us,
                     document_revision: 0,
+                    queue_levels: Vec::new(),
                 },
             });
             let events: Vec<_> = heartbeats.chain([DispatchEvent::Tick]).collect();
--- a/src/core/dispatch/worker_link.rs
+++ b/src/core/dispatch/worker_link.rs
@@ -8,6 +8,7 @@
     crate::core::{
         ejection::RunnerHealth,
         link::{CapacityReport, EvacuatedZones},
+        queue_shares::LevelReport,
         time::Instant,
         work::{Resources, RunId, StepSpec, WorkerView},
     },
@@ -60,6 +61,8 @@
     pub(super) paused_until: Instant,
     /// Moving average of the run time divided by the client's estimate.
     pub(super) slowness: f64,
+    /// Levels of the queues at the agent.
+    pub(super) levels: LevelReport,
     /// A start order was rejected for lack of capacity; the agent then reserves capacity for this
     /// entry.
     capacity_requested: bool,
@@ -83,6 +86,7 @@
             health: RunnerHealth::default(),
             paused_until: now,
             slowness: 1.0,
+            levels: LevelReport::default(),
             capacity_requested: false,
             report: CapacityReport::default(),
             starts_sent: 0,
@@ -94,6 +98,7 @@
     pub(super) fn open_session(&mut self, now: Instant, link: LinkId, stamp_us: u64) {
         self.link = Some(link);
         self.view = None;
+        self.levels = LevelReport::default();
         self.last_heard_at = now;
         self.heartbeat_sent_at = None;
         self.stamp_us = stamp_us;
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -9,6 +9,7 @@
     crate::core::{
         document::DocumentCopy,
         link::{AgentFrame, EvacuatedZones, RunOutcome},
+        queue_shares::DemandLevels,
         time::Instant,
         work::{Resources, RunLimits, TaskId, WorkerView},
     },
@@ -43,6 +44,8 @@
     pub(super) leaving: bool,
     /// Free capacity reserved for one of several waiting entries.
     pub(super) reservation: Option<CapacityReservation>,
+    /// Levels of the queues that use the worker.
+    pub(super) demand_levels: DemandLevels,
     /// Resources that the latest start order required.
     pub(super) last_needs: Resources,
     /// Tasks lost with an unresponsive worker.
@@ -66,6 +69,7 @@
             last_hold_sequence: 0,
             leaving: false,
             reservation: None,
+            demand_levels: DemandLevels::default(),
             last_needs: Resources::default(),
             lost_tasks: None,
             actions: Vec::new(),
--- a/src/core/execution/mod.rs
+++ b/src/core/execution/mod.rs
@@ -10,6 +10,7 @@
 mod executor;
 mod lease;
 mod lost_calls;
+mod queue_levels;
 mod restored_worker;
 mod retirement;
 mod run;
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -7,7 +7,10 @@
         run::{Run, StopState},
     },
     crate::core::{
-        link::{AgentFrame, EntryFrame, EvacuatedZones, NotStartedReason, RunOutcome, StartOrder},
+        link::{
+            AgentFrame, EntryFrame, EvacuatedZones, NotStartedReason, QueueDemand, RunOutcome,
+            StartOrder,
+        },
         time::Instant,
         work::{RunId, RunLimits, TaskId},
     },
@@ -31,6 +34,8 @@
     pub(super) capacity: ReportedCapacity,
     /// The entry's demand in its latest heartbeat, in thousandths of a task at a time.
     pub(super) demand_milli: u32,
+    /// Demands of the competing queues in the same heartbeat.
+    pub(super) queue_demands: Vec<QueueDemand>,
     /// Since when the entry uses older zones than this agent, or when the newer ones were last sent
     /// to it.
     pub(super) zones_outdated_since: Option<Instant>,
@@ -92,6 +97,7 @@
             starts_seen: 0,
             capacity: ReportedCapacity::new(now),
             demand_milli: 0,
+            queue_demands: Vec::new(),
             zones_outdated_since: None,
             holder_since: None,
             retiring_since: None,
@@ -124,8 +130,10 @@
                 news_version,
                 document_revision,
                 is_holder,
+                queue_demands,
             } => {
                 link.demand_milli = demand_milli;
+                link.queue_demands = queue_demands;
                 self.on_entry_heartbeat(now, session, echo_us, news_version);
                 self.on_document_revision(now, session, document_revision, is_holder);
             }
@@ -179,6 +187,7 @@
             let frame = AgentFrame::Beat {
                 stamp_us: now.as_micros(),
                 document_revision: self.document.revision(),
+                queue_levels: self.queue_levels(now),
             };
             self.send(session, frame);
         }
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -83,6 +83,7 @@
         news_version: 0,
         document_revision: 0,
         is_holder: false,
+        queue_demands: Vec::new(),
     }
 }
 
@@ -267,6 +268,7 @@
             news_version: 0,
             document_revision: 4,
             is_holder: *is_holder,
+            queue_demands: Vec::new(),
         });
         let is_request = |action: &&ExecutionAction| {
             matches!(
@@ -496,6 +498,7 @@
         news_version: 0,
         document_revision: 0,
         is_holder: false,
+        queue_demands: Vec::new(),
     });
     test.send_frame(EntryFrame::Start(start_order(1)));
     assert_eq!(
--- a/src/core/link/agent_frame.rs
+++ b/src/core/link/agent_frame.rs
@@ -1,7 +1,7 @@
 //! Frames from an agent to an entry.
 
 use {
-    super::EvacuatedZones,
+    super::{EvacuatedZones, QueueLevel},
     crate::core::{
         document::{DocumentPart, PartRequest},
         verdict::reasons,
@@ -90,6 +90,8 @@
         stamp_us: u64,
         /// Revision of the document that the agent holds; zero without one.
         document_revision: u64,
+        /// Levels of the queues that compete for the worker.
+        queue_levels: Vec<QueueLevel>,
     },
     /// The agent's worker, or `None` if it is not ready.
     Worker(Option<WorkerView>),
--- a/src/core/link/entry_frame.rs
+++ b/src/core/link/entry_frame.rs
@@ -1,7 +1,7 @@
 //! Frames from an entry to an agent.
 
 use {
-    super::EvacuatedZones,
+    super::{EvacuatedZones, QueueDemand},
     crate::core::{
         document::{DocumentPart, PartRequest},
         work::{Resources, RunId},
@@ -41,6 +41,8 @@
         document_revision: u64,
         /// The agent is to hold the document, for entries that cannot reach the store.
         is_holder: bool,
+        /// Demands of the competing queues of the agent's service.
+        queue_demands: Vec<QueueDemand>,
     },
     /// Starts a task.
     Start(StartOrder),
--- a/src/core/link/mod.rs
+++ b/src/core/link/mod.rs
@@ -6,9 +6,11 @@
 mod agent_frame;
 mod entry_frame;
 mod evacuated_zones;
+mod queue_level;
 
 pub(crate) use {
     agent_frame::{AgentFrame, CapacityReport, NotStartedReason, RunOutcome},
     entry_frame::{EntryFrame, StartOrder},
     evacuated_zones::EvacuatedZones,
+    queue_level::{MAX_REPORTED_QUEUES, QueueDemand, QueueLevel},
 };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -20,6 +20,7 @@
 pub(crate) mod link;
 pub(crate) mod message;
 pub(crate) mod placement;
+pub(crate) mod queue_shares;
 pub(crate) mod roster;
 pub(crate) mod routes;
 pub(crate) mod run_times;
--- a/src/core/routes/route_table.rs
+++ b/src/core/routes/route_table.rs
@@ -1,6 +1,6 @@
 //! Maps requests to queues by host and path.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The route to a queue, with the queue's settings.
 #[derive(Debug, Clone, PartialEq)]
@@ -25,6 +25,8 @@
     pub(crate) target_ms: u64,
     /// Whether starts on this queue need a ticket of the advice service.
     pub(crate) needs_advice: bool,
+    /// Whether its service has another queue with a different priority; [`RouteTable::new`] sets it.
+    pub(crate) competes: bool,
 }
 
 /// Routes by host, then by path prefix.
@@ -37,7 +39,15 @@
     /// Creates a table of these routes.
     pub(crate) fn new(routes: impl IntoIterator<Item = Route>) -> Self {
         let mut table = Self::default();
-        for route in routes {
+        let routes: Vec<Route> = routes.into_iter().collect();
+        let mut priorities: BTreeMap<String, BTreeSet<u32>> = BTreeMap::new();
+        for route in &routes {
+            let of_service = priorities.entry(route.service.clone()).or_default();
+            of_service.insert(route.priority);
+        }
+        for mut route in routes {
+            let of_service = priorities.get(&route.service);
+            route.competes = of_service.is_some_and(|priorities| priorities.len() > 1);
             let prefixes = table.hosts.entry(route.host.clone()).or_default();
             prefixes.insert(route.path_prefix.clone(), route);
         }
--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -490,6 +490,7 @@
                 self.handle_entry_event(entry, DispatchEvent::Document(document));
             }
             DispatchAction::Log(event) => self.trace(format!("entry {entry}: {event:?}")),
+            DispatchAction::SetQueueLevel { .. } => {}
         }
     }
 
@@ -1379,6 +1380,7 @@
         stretch: 1.6,
         target_ms: 60,
         needs_advice: false,
+        competes: false,
     }
 }
 
--- a/src/entry/tests/fakes.rs
+++ b/src/entry/tests/fakes.rs
@@ -37,6 +37,10 @@
 
     fn observe(&self, _: Histogram, _: &'static str, _: u64) {}
 
+    fn count_for_queue(&self, _: Counter, _: &str, _: &'static str) {}
+
+    fn set_for_queue(&self, _: Gauge, _: &str, _: u64) {}
+
     fn set(&self, _gauge: Gauge, _value: u64) {}
 
     fn render(&self) -> String {
--- a/src/platform/config_document.rs
+++ b/src/platform/config_document.rs
@@ -96,6 +96,8 @@
         stretch: body.stretch,
         target_ms: body.target_duration_ms,
         needs_advice: body.advice.is_some(),
+        // Set by the route table.
+        competes: false,
     }
 }
 
--- a/src/ports/metrics.rs
+++ b/src/ports/metrics.rs
@@ -7,6 +7,9 @@
     Counter {
         /// Rejected requests (`not-run`), by reason.
         Refusals => "rattanslip.refusals",
+        /// Jobs of competing queues that were refused for lack of capacity, by queue, and by whether they
+        /// were within the share of the queue.
+        QueueRefusals => "rattanslip.queue_refusals",
         /// Retries, by the reason why the previous attempt failed.
         Retries => "rattanslip.retries",
         /// Finished jobs at their home, by verdict reason.
@@ -46,6 +49,8 @@
         ConfigVersion => "rattanslip.config_version",
         /// Live agents.
         AgentsAlive => "rattanslip.agents_alive",
+        /// Share of a competing queue's demand that fits, in thousandths, by queue.
+        QueueLevel => "rattanslip.queue_level_permille",
         /// Unfinished jobs at this home.
         JobsRunning => "rattanslip.jobs_running",
         /// Running tasks at this runner.
@@ -73,8 +78,14 @@
     /// Adds an amount to a counter under a reason.
     fn add(&self, counter: Counter, reason: &'static str, amount: u64);
 
+    /// Adds one to a counter of a queue under a reason.
+    fn count_for_queue(&self, counter: Counter, queue: &str, reason: &'static str);
+
     fn set(&self, gauge: Gauge, value: u64);
 
+    /// Sets a queue's value of a gauge.
+    fn set_for_queue(&self, gauge: Gauge, queue: &str, value: u64);
+
     /// Records a duration under a reason.
     fn observe(&self, histogram: Histogram, reason: &'static str, elapsed_ms: u64);
 
--- a/src/site_entry/dispatch_loop.rs
+++ b/src/site_entry/dispatch_loop.rs
@@ -7,7 +7,7 @@
         core::{
             dispatch::{
                 DispatchAction, DispatchEvent, DispatchLogEvent, Dispatcher, JobOutcome, LinkId,
-                Submission, WaiterId,
+                RefusalReason, Submission, WaiterId,
             },
             link::{AgentFrame, EntryFrame},
         },
@@ -164,6 +164,14 @@
                 DispatchAction::ApplyDocument(document) => {
                     self.rows_watcher.apply_document(document, "agent");
                 }
+                DispatchAction::SetQueueLevel {
+                    queue,
+                    level_permille,
+                } => {
+                    let level_permille = u64::from(level_permille);
+                    self.metrics
+                        .set_for_queue(Gauge::QueueLevel, &queue, level_permille);
+                }
                 DispatchAction::Log(event) => self.log_event(&event),
             }
         }
@@ -177,8 +185,15 @@
                 answer,
                 took_ms,
                 waited_ms,
+                route,
+                reason,
+                share,
                 ..
             } => {
+                if *reason == RefusalReason::Overloaded.as_str() && !share.is_empty() {
+                    self.metrics
+                        .count_for_queue(Counter::QueueRefusals, route, share);
+                }
                 self.metrics.observe(Histogram::JobTook, answer, *took_ms);
                 self.metrics
                     .observe(Histogram::JobWaited, answer, *waited_ms);
@@ -215,6 +230,7 @@
             | DispatchLogEvent::AgentConnected { .. }
             | DispatchLogEvent::AgentLost { .. }
             | DispatchLogEvent::WorkerChanged { .. }
+            | DispatchLogEvent::QueueLevel { .. }
             | DispatchLogEvent::NewsInForce { .. } => LogPriority::Notable,
         };
         log_decision(&*self.decisions, priority, event);
