Queue shares: floods in a simulated site; order of classes, run costs, faster levels

- A job beyond its share begins only where all its tasks fit, and not while a task within its share waits.
One free slot started a job whose other tasks then preceded everything.
- Queues that demand about their share precede the part of a flooding queue that is within its share: their bursts otherwise came out of the least urgent queue.
- Demands count the time that runs occupy slots, and the cores that a task displaces; estimates alone promised more than the workers have.

--- a/src/core/dispatch/job.rs
+++ b/src/core/dispatch/job.rs
@@ -3,7 +3,7 @@
 use {
     super::{Submission, WaiterId, worker_link::WorkerKey},
     crate::core::{
-        queue_shares::ShareGrant,
+        queue_shares::{ShareClass, ShareGrant},
         routes::Route,
         time::Instant,
         work::{JobId, JobRequest, RunId, StepSpec, TaskId},
@@ -167,10 +167,10 @@
     /// Whether it is within the share of its queue, as used in logs and metrics; empty if its queue
     /// doesn't compete with others.
     pub(super) fn share_name(&self) -> &'static str {
-        match (self.route.competes, self.share.is_beyond) {
+        match (self.route.competes, self.share.class) {
             (false, _) => "",
-            (true, false) => "within",
-            (true, true) => "beyond",
+            (true, ShareClass::Fitting | ShareClass::Within) => "within",
+            (true, ShareClass::Beyond) => "beyond",
         }
     }
 
--- a/src/core/dispatch/outcomes.rs
+++ b/src/core/dispatch/outcomes.rs
@@ -56,6 +56,7 @@
             self.log_event(event);
         }
         self.update_worker_stats(now, worker, &open, outcome, ran_ms);
+        self.record_run_cost(now, &open, outcome, ran_ms);
         self.apply_outcome(now, worker, open, outcome);
     }
 
--- a/src/core/dispatch/overload.rs
+++ b/src/core/dispatch/overload.rs
@@ -83,7 +83,7 @@
     /// Whether the free capacity fits the job's tasks and the `ahead` tasks before them, even if
     /// the limit on unreported start orders delays them. Nothing is refused while the site still
     /// has free capacity.
-    fn has_capacity_for(&self, now: Instant, job: &Job, ahead: usize) -> bool {
+    pub(super) fn has_capacity_for(&self, now: Instant, job: &Job, ahead: usize) -> bool {
         let zones = self.zones.as_ref();
         let needed = ahead + job.waiting_tasks();
         job.request.steps.iter().any(|step| {
--- a/src/core/dispatch/placement.rs
+++ b/src/core/dispatch/placement.rs
@@ -10,6 +10,7 @@
     },
     crate::core::{
         link::{EntryFrame, EvacuatedZones, StartOrder},
+        queue_shares::ShareClass,
         time::Instant,
         work::{Resources, StepSpec},
     },
@@ -36,6 +37,7 @@
     pub(super) fn place_tasks(&mut self, now: Instant) {
         let mut misses = 0;
         let mut last_examined = None;
+        let mut within_waits = false;
         while misses < MAX_MISSES
             && let Some(waiting) = self.queue.next_after(last_examined.as_ref())
         {
@@ -44,8 +46,13 @@
                 self.requeue(now, waiting);
                 continue;
             }
+            let is_beyond = waiting.share_class == ShareClass::Beyond;
+            if is_beyond && within_waits {
+                break;
+            }
             if !self.place(now, &waiting) {
                 misses += 1;
+                within_waits |= !is_beyond;
             }
         }
     }
@@ -81,6 +88,9 @@
         if job.open_runs > 0 && self.crashes.has_task_of(job.id) {
             return false;
         }
+        if waiting.share_class == ShareClass::Beyond && !self.has_capacity_for(now, job, 0) {
+            return false;
+        }
         let is_suspect = self.crashes.is_suspect(job.run_id(task).task);
         let mut choice = WeightedChoice::new(&mut self.rng);
         for (key, worker) in &self.workers {
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -6,7 +6,7 @@
 
 use {
     super::job::{Job, JobKey},
-    crate::core::time::Instant,
+    crate::core::{queue_shares::ShareClass, time::Instant},
     std::{collections::BTreeSet, ops::Bound},
 };
 
@@ -33,8 +33,8 @@
 pub(super) struct WaitingTask {
     /// As of the last evaluation.
     pub(super) deadline_class: DeadlineClass,
-    /// The job is beyond the share of its queue, and has not begun.
-    pub(super) is_beyond: bool,
+    /// How the job relates to the share of its queue; a job that has begun isn't put behind.
+    pub(super) share_class: ShareClass,
     /// The route's priority; lower values go first.
     pub(super) priority: u32,
     /// No task of the job has started.
@@ -73,7 +73,11 @@
         let waiting = |deadline_class, latest_start| {
             Some(Self {
                 deadline_class,
-                is_beyond: job.share.is_beyond && !job.has_begun(),
+                share_class: if job.has_begun() {
+                    ShareClass::Fitting
+                } else {
+                    job.share.class
+                },
                 priority: job.route.priority,
                 not_begun: !job.has_begun(),
                 latest_start,
@@ -159,13 +163,13 @@
         self.waiting.range(..waiting).count()
     }
 
-    /// In-time tasks of other jobs that are not beyond their share if this one is within, and have
-    /// the same or a more urgent priority otherwise.
+    /// In-time tasks of other jobs with an earlier share class, or with the same one and the same or
+    /// a more urgent priority.
     pub(super) fn work_ahead_of(&self, waiting: &WaitingTask) -> WorkAhead {
         let others = self.waiting.iter().filter(|other| {
             other.job != waiting.job
                 && other.deadline_class == DeadlineClass::InTime
-                && (other.is_beyond, other.priority) <= (waiting.is_beyond, waiting.priority)
+                && (other.share_class, other.priority) <= (waiting.share_class, waiting.priority)
         });
         others.fold(WorkAhead::default(), |ahead, other| WorkAhead {
             tasks: ahead.tasks + 1,
--- a/src/core/dispatch/queue_levels.rs
+++ b/src/core/dispatch/queue_levels.rs
@@ -6,10 +6,10 @@
         job::{Job, JobKey},
         overload::{RETRY_AFTER_BOUNDS_MS, URGENT_ARRIVAL_SHARE},
         queue::WaitingTask,
-        worker_link::{WorkerKey, WorkerLink},
+        worker_link::{OpenRun, WorkerKey, WorkerLink},
     },
     crate::core::{
-        link::{EvacuatedZones, QueueDemand},
+        link::{EvacuatedZones, QueueDemand, RunOutcome},
         queue_shares::{LevelReport, PoolCapacity, ShareGrant},
         time::Instant,
         work::WorkerView,
@@ -36,7 +36,7 @@
             let mut pool = PoolCapacity::default();
             let mut reports: Vec<&LevelReport> = Vec::with_capacity(self.workers.len());
             for (worker, view) in usable {
-                pool.add_worker(view.capacity, worker.share(), worker.slowness);
+                pool.add_worker(view.capacity, worker.share());
                 reports.push(&worker.levels);
             }
             changes.extend(shares.update(now, pool, &reports));
@@ -57,6 +57,28 @@
         }
     }
 
+    /// Records how long a run has occupied its slot.
+    pub(super) fn record_run_cost(
+        &mut self,
+        now: Instant,
+        open: &OpenRun,
+        outcome: RunOutcome,
+        ran_ms: u64,
+    ) {
+        if matches!(outcome, RunOutcome::NotStarted(_)) {
+            return;
+        }
+        let Some(job) = self.jobs.get(open.job) else {
+            return;
+        };
+        let estimate_ms = match outcome {
+            RunOutcome::Done => open.estimate_ms,
+            _ => 0,
+        };
+        self.queue_shares
+            .record_run(now, &job.route, ran_ms, estimate_ms);
+    }
+
     /// Demands of the competing queues of the agent's service.
     pub(super) fn queue_demands(&self, now: Instant, key: WorkerKey) -> Vec<QueueDemand> {
         let worker = self.workers.get(key);
--- a/src/core/execution/queue_levels.rs
+++ b/src/core/execution/queue_levels.rs
@@ -2,9 +2,23 @@
 
 use {
     super::Executor,
-    crate::core::{link::QueueLevel, time::Instant},
+    crate::core::{link::QueueLevel, queue_shares::COMPLETE_PERMILLE, time::Instant},
 };
 
+/// Smallest change of a level that is sent before the next regular heartbeat, in thousandths; that
+/// one may be a liveness timeout away, in which a flood would fill the queues of the entries.
+const MIN_CHANGE_PERMILLE: u16 = 50;
+
+/// Whether a level differs so much from the one that was sent that the entry must learn of it.
+pub(super) fn have_changed(levels: &[QueueLevel], sent: &[QueueLevel]) -> bool {
+    let has_changed = |level: &QueueLevel| {
+        let known = sent.iter().find(|known| known.queue == level.queue);
+        let known = known.map_or(COMPLETE_PERMILLE, |known| known.level_permille);
+        known.abs_diff(level.level_permille) >= MIN_CHANGE_PERMILLE
+    };
+    levels.iter().any(has_changed)
+}
+
 impl Executor {
     /// Levels of the queues, computed from the latest demands of all entries with a session that is
     /// in use. A lost session takes its demands along.
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -4,12 +4,13 @@
     super::{
         ExecutionAction, ExecutionLogEvent, Executor, SessionId,
         capacity::ReportedCapacity,
+        queue_levels::have_changed,
         run::{Run, StopState},
     },
     crate::core::{
         link::{
-            AgentFrame, EntryFrame, EvacuatedZones, NotStartedReason, QueueDemand, RunOutcome,
-            StartOrder,
+            AgentFrame, EntryFrame, EvacuatedZones, NotStartedReason, QueueDemand, QueueLevel,
+            RunOutcome, StartOrder,
         },
         time::Instant,
         work::{RunId, RunLimits, TaskId},
@@ -36,6 +37,8 @@
     pub(super) demand_milli: u32,
     /// Demands of the competing queues in the same heartbeat.
     pub(super) queue_demands: Vec<QueueDemand>,
+    /// Levels of the queues in the latest heartbeat to the entry.
+    pub(super) sent_levels: Vec<QueueLevel>,
     /// Since when the entry uses older zones than this agent, or when the newer ones were last sent
     /// to it.
     pub(super) zones_outdated_since: Option<Instant>,
@@ -98,6 +101,7 @@
             capacity: ReportedCapacity::new(now),
             demand_milli: 0,
             queue_demands: Vec::new(),
+            sent_levels: Vec::new(),
             zones_outdated_since: None,
             holder_since: None,
             retiring_since: None,
@@ -181,13 +185,19 @@
             // Sent again after another delay in case this copy is lost.
             link.zones_outdated_since = Some(now);
         }
-        if link.is_heartbeat_due(now, self.settings.limits) {
+        let is_due = link.is_heartbeat_due(now, self.settings.limits);
+        let queue_levels = self.queue_levels(now);
+        let Some(link) = self.sessions.get_mut(&session) else {
+            return;
+        };
+        if is_due || have_changed(&queue_levels, &link.sent_levels) {
             link.stamped_at = Some(now);
             link.heartbeat_sent_at = Some(now);
+            link.sent_levels = queue_levels.clone();
             let frame = AgentFrame::Beat {
                 stamp_us: now.as_micros(),
                 document_revision: self.document.revision(),
-                queue_levels: self.queue_levels(now),
+                queue_levels,
             };
             self.send(session, frame);
         }
--- a/src/core/queue_shares/decaying_sum.rs
+++ b/src/core/queue_shares/decaying_sum.rs
@@ -19,18 +19,18 @@
         }
     }
 
-    fn at(&self, now: Instant) -> f64 {
+    pub(crate) fn sum_at(&self, now: Instant) -> f64 {
         let age_us = now.micros_since(self.updated_at) as f64;
         self.sum * (-age_us / (self.decay_time_ms as f64 * 1_000.0)).exp()
     }
 
     pub(crate) fn add(&mut self, now: Instant, amount: f64) {
-        self.sum = self.at(now) + amount;
+        self.sum = self.sum_at(now) + amount;
         self.updated_at = now;
     }
 
     /// The rate per millisecond.
     pub(crate) fn rate(&self, now: Instant) -> f64 {
-        self.at(now) / self.decay_time_ms as f64
+        self.sum_at(now) / self.decay_time_ms as f64
     }
 }
--- a/src/core/queue_shares/mod.rs
+++ b/src/core/queue_shares/mod.rs
@@ -15,6 +15,7 @@
 mod queue_share;
 mod queue_shares;
 mod refused_jobs;
+mod run_cost;
 mod service_shares;
 
 #[cfg(test)]
@@ -23,7 +24,12 @@
 use refused_jobs::RefusedJobs;
 
 pub(crate) use {
-    decaying_sum::DecayingSum, demand_levels::DemandLevels, level_report::LevelReport,
-    level_state::LevelChange, pool_capacity::PoolCapacity, queue_share::ShareGrant,
-    queue_shares::QueueShares, service_shares::ServiceShares,
+    decaying_sum::DecayingSum,
+    demand_levels::DemandLevels,
+    level_report::LevelReport,
+    level_state::LevelChange,
+    pool_capacity::PoolCapacity,
+    queue_share::{COMPLETE_PERMILLE, ShareClass, ShareGrant},
+    queue_shares::QueueShares,
+    service_shares::ServiceShares,
 };
--- a/src/core/queue_shares/queue_shares.rs
+++ b/src/core/queue_shares/queue_shares.rs
@@ -76,6 +76,19 @@
         }
     }
 
+    /// Records that a run has ended, with the estimate of the work that it has done.
+    pub(crate) fn record_run(
+        &mut self,
+        now: Instant,
+        route: &Route,
+        ran_ms: u64,
+        estimate_ms: u64,
+    ) {
+        if let Some(service) = self.services.get_mut(&route.service) {
+            service.record_run(now, &route.name, ran_ms, estimate_ms);
+        }
+    }
+
     /// Factor of the time after which a refused job may be submitted again; it is larger the less of
     /// the queue's demand fits.
     pub(crate) fn retry_factor(&self, route: &Route) -> f64 {
@@ -97,7 +110,7 @@
     ) -> f64 {
         let service = self.services.get(&route.service);
         service.map_or(0.0, |service| {
-            service.urgent_tasks(now, grant.is_beyond, route.priority, needs)
+            service.urgent_tasks(now, grant.class, route.priority, needs)
         })
     }
 
--- a/src/core/queue_shares/service_shares.rs
+++ b/src/core/queue_shares/service_shares.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        LevelChange, LevelReport, PoolCapacity, ShareGrant,
+        LevelChange, LevelReport, PoolCapacity, ShareClass, ShareGrant,
         demand_levels::levels,
         max_min::ShareClaim,
         queue_share::{COMPLETE_PERMILLE, QueueShare},
@@ -50,7 +50,7 @@
         self.queues.retain(|_, queue| !queue.is_idle(now));
         let queues = self.queues.values();
         let claims: Vec<ShareClaim> = queues
-            .map(|queue| ShareClaim::new(queue.demand_cores(now), queue.priority))
+            .map(|queue| ShareClaim::new(queue.recent_occupied_cores(now), queue.priority))
             .collect();
         let own_levels = match pool.own_cores() > 0.0 {
             true => levels(pool.own_cores(), &claims),
@@ -60,13 +60,14 @@
         for ((name, queue), own_level) in self.queues.iter_mut().zip(own_levels) {
             let previous = queue.level_permille;
             let median = LevelReport::median(reports, now, name);
+            queue.own_level_permille = own_level;
             queue.set_level(now, median.unwrap_or(own_level));
             let new_state = queue.logged_state.update(now, queue.state());
             if queue.level_permille != previous || new_state.is_some() {
                 changes.push(LevelChange {
                     queue: Arc::clone(name),
                     level_permille: queue.level_permille,
-                    demand_milli: (queue.demand_cores(now) * 1_000.0) as u64,
+                    demand_milli: (queue.occupied_cores(now) * 1_000.0) as u64,
                     new_state,
                 });
             }
@@ -87,6 +88,12 @@
         queue.admit(now, work, job.is_congested, job.is_returning)
     }
 
+    pub(super) fn record_run(&mut self, now: Instant, queue: &str, ran_ms: u64, estimate_ms: u64) {
+        if let Some(queue) = self.queues.get_mut(queue) {
+            queue.run_cost.record(now, ran_ms, estimate_ms);
+        }
+    }
+
     pub(super) fn refund(&mut self, queue: &str, tokens: f64) {
         if let Some(queue) = self.queues.get_mut(queue) {
             queue.refund(tokens);
@@ -111,24 +118,33 @@
 
     /// Expected work that starts before a job waiting now, as tasks with these needs at a time.
     ///
-    /// Jobs within their share are admitted, so all of them count for a job beyond its share.
+    /// Jobs of a class that precedes the job's are usually admitted, so all of them count.
     pub(super) fn urgent_tasks(
         &self,
         now: Instant,
-        is_beyond: bool,
+        class: ShareClass,
         priority: u32,
         needs: Resources,
     ) -> f64 {
         let cores = self.queues.values().map(|queue| {
-            let within = queue.within_cores(now);
-            let is_more_urgent = queue.priority < priority;
-            let uncertain = match (is_beyond, is_more_urgent) {
-                (true, true) => (queue.demand_cores(now) - within).max(0.0),
-                (false, true) => within,
-                (_, false) => 0.0,
+            let demand = queue.demand_cores(now);
+            let (fitting, within) = match queue.is_fitting() {
+                true => (demand, 0.0),
+                false => (0.0, queue.within_cores(now)),
+            };
+            let beyond = (demand - fitting - within).max(0.0);
+            let (certain, uncertain) = match class {
+                ShareClass::Fitting => (0.0, fitting),
+                ShareClass::Within => (fitting, within),
+                ShareClass::Beyond => (fitting + within, beyond),
             };
-            let certain = if is_beyond { within } else { 0.0 };
-            certain + uncertain * URGENT_ARRIVAL_SHARE
+            let is_more_urgent = queue.priority < priority;
+            certain
+                + if is_more_urgent {
+                    uncertain * URGENT_ARRIVAL_SHARE
+                } else {
+                    0.0
+                }
         });
         let cores_of_task = self.pool.cores_of(needs);
         if cores_of_task <= 0.0 {
@@ -143,7 +159,7 @@
 
     /// Demands for the agents; of more than [`MAX_REPORTED_QUEUES`] queues, the largest ones.
     pub(super) fn demands(&self, now: Instant) -> Vec<QueueDemand> {
-        let cores = self.pool.speed_cores();
+        let cores = self.pool.cores();
         if cores <= 0.0 {
             return Vec::new();
         }
@@ -152,7 +168,7 @@
             .map(|(name, queue)| QueueDemand {
                 queue: Arc::clone(name),
                 priority: queue.priority,
-                demand_ppm: (queue.demand_cores(now) / cores * 1e6) as u32,
+                demand_ppm: (queue.occupied_cores(now) / cores * 1e6) as u32,
             })
             .collect();
         if demands.len() > MAX_REPORTED_QUEUES {
--- a/src/core/queue_shares/tests/buckets.rs
+++ b/src/core/queue_shares/tests/buckets.rs
@@ -55,16 +55,15 @@
     let mut test = TestShares::new();
     let (urgent, other) = (route("urgent", 0), route("other", 1));
     test.flood(&[(&urgent, 100, 100.0), (&other, 100, 100.0)], 2_000);
+    // The bucket fills.
+    test.now = test.now.plus_ms(600);
     let first = test.submit(&urgent, 10_000, true);
-    test.now = test.now.plus_ms(1);
     let second = test.submit(&urgent, 10, true);
-    let mut refused = first;
-    refused.tokens += 10.0;
     test.shares
-        .record_refusal(test.now, JobId(test.last_id - 1), &urgent, refused);
+        .record_refusal(test.now, JobId(test.last_id - 1), &urgent, first);
     let third = test.submit(&urgent, 10, true);
     assert_eq!(
-        (first.is_beyond, second.is_beyond, third.is_beyond),
+        (first.is_beyond(), second.is_beyond(), third.is_beyond()),
         (false, true, false)
     );
 }
--- a/src/core/queue_shares/tests/mod.rs
+++ b/src/core/queue_shares/tests/mod.rs
@@ -6,7 +6,7 @@
 mod refused_jobs;
 
 use {
-    super::{LevelReport, PoolCapacity, QueueShares, ShareGrant},
+    super::{LevelReport, PoolCapacity, QueueShares, ShareClass, ShareGrant},
     crate::core::{
         link::{QueueDemand, QueueLevel},
         routes::Route,
@@ -77,6 +77,12 @@
     }
 }
 
+impl ShareGrant {
+    fn is_beyond(self) -> bool {
+        self.class == ShareClass::Beyond
+    }
+}
+
 /// Shares of an entry that is alone at its workers, with its clock.
 struct TestShares {
     shares: QueueShares,
@@ -121,7 +127,7 @@
             cpu_milli: POOL_CORES * 1_000,
             ..Resources::default()
         };
-        pool.add_worker(capacity, 1.0, 1.0);
+        pool.add_worker(capacity, 1.0);
         let reports: Vec<&LevelReport> = self.reports.iter().collect();
         for (_, shares) in self.shares.due_updates(self.now) {
             shares.update(self.now, pool, &reports);
@@ -142,7 +148,7 @@
                     credit[index] -= 1.0;
                     submitted[index] += 1;
                     let grant = self.submit(route, *estimate_ms, true);
-                    within[index] += u64::from(!grant.is_beyond);
+                    within[index] += u64::from(!grant.is_beyond());
                 }
             }
             self.update();
--- a/src/core/queue_shares/tests/refused_jobs.rs
+++ b/src/core/queue_shares/tests/refused_jobs.rs
@@ -32,10 +32,10 @@
     let mut test = TestShares::new();
     let (urgent, other) = (route("urgent", 0), route("other", 1));
     test.flood(&[(&urgent, 100, 100.0), (&other, 100, 100.0)], 2_000);
-    while !test.submit(&urgent, 10, true).is_beyond {}
+    while !test.submit(&urgent, 10, true).is_beyond() {}
     let refused = JobId(test.last_id);
     test.shares
         .record_refusal(test.now, refused, &urgent, ShareGrant::default());
-    assert!(test.submit(&urgent, 10, true).is_beyond);
-    assert!(!test.submit_id(refused.0, &urgent, 10, true).is_beyond);
+    assert!(test.submit(&urgent, 10, true).is_beyond());
+    assert!(!test.submit_id(refused.0, &urgent, 10, true).is_beyond());
 }
--- /dev/null
+++ b/src/core/tests/floods/all_queues.rs
@@ -0,0 +1,44 @@
+//! Tests of floods of all queues.
+
+use super::{
+    flood_site::{CORES, FloodSite, Tampering},
+    one_queue::{ENTRY_SHARES, queues},
+};
+
+/// Part of the capacity that the shares add up to.
+const SHARED_CAPACITY: f64 = 0.9;
+const FLOOD: std::ops::Range<u64> = 6..14;
+
+fn run_flood() -> FloodSite {
+    let factor = |ms, _| if ms < 5_000 { 1.0 } else { 3.0 };
+    let mut site = FloodSite::new(3, &queues(), &ENTRY_SHARES, factor, Tampering::NONE);
+    site.run(15_500);
+    site
+}
+
+/// Under strict priority the least urgent queue got nothing. Each entry had an admission threshold
+/// of its own, and refused another part of its jobs.
+#[test]
+fn flooding_queues_get_their_weighted_shares_at_each_entry() {
+    let site = run_flood();
+    let seconds = (FLOOD.end - FLOOD.start) as f64;
+    for (queue, load) in queues().iter().enumerate() {
+        let received = site.received(queue, FLOOD);
+        let cores = (received.in_time + received.late) as f64 * load.core_seconds() / seconds;
+        let part = cores / CORES;
+        let share = [6.0, 3.0, 2.0][queue] / 11.0 * SHARED_CAPACITY;
+        assert!(
+            (0.85..=1.15).contains(&(part / share)),
+            "queue {queue}: {part:.3} for {share:.3}"
+        );
+    }
+    // The least urgent queue has too few jobs for a comparison of entries.
+    for queue in 0..2 {
+        let entries = 0..ENTRY_SHARES.len();
+        let refused = entries.map(|entry| site.received_at(entry, queue, FLOOD).refused_share());
+        let refused: Vec<f64> = refused.collect();
+        let lowest = refused.iter().copied().fold(1.0, f64::min);
+        let highest = refused.iter().copied().fold(0.0, f64::max);
+        assert!(highest - lowest <= 0.06, "queue {queue}: {refused:.3?}");
+    }
+}
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -5,6 +5,7 @@
 
 mod client_model;
 mod faults;
+mod floods;
 mod link_model;
 mod seeded_rng;
 mod seeds;
