--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod overload;
 mod placement;
 mod queue;
+mod queue_levels;
 mod throughput;
 mod weighted_choice;
 mod worker_discovery;
--- a/src/core/dispatch/placement.rs
+++ b/src/core/dispatch/placement.rs
@@ -11,6 +11,7 @@
     },
     crate::core::{
         link::{EntryFrame, EvacuatedZones, StartOrder},
+        queue_shares::ShareClass,
         time::Instant,
         work::{Resources, StepSpec},
     },
@@ -39,6 +40,7 @@
     pub(super) fn place_tasks(&mut self, now: Instant) {
         let mut misses = 0;
         let mut last_examined = None;
+        let mut within_waits = false;
         self.held_tasks = 0;
         while misses < MAX_MISSES
             && self.held_tasks < MAX_HELD_TASKS
@@ -49,9 +51,14 @@
                 self.requeue(now, waiting);
                 continue;
             }
+            let is_beyond = waiting.share_class == ShareClass::Beyond;
+            if is_beyond && within_waits {
+                break;
+            }
             let held_before = self.held_tasks;
             if !self.place(now, &waiting) && self.held_tasks == held_before {
                 misses += 1;
+                within_waits |= !is_beyond;
             }
         }
     }
@@ -87,6 +94,9 @@
         if job.open_runs > 0 && self.crashes.has_task_of(job.id) {
             return false;
         }
+        if waiting.share_class == ShareClass::Beyond && !self.has_capacity_for(now, job, 0) {
+            return false;
+        }
         let is_suspect = self.crashes.is_suspect(job.run_id(task).task);
         let terms = self.completion_terms(now, job, waiting.task);
         let terms = terms.filter(|_| !is_suspect);
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -1,12 +1,12 @@
 //! The order in which waiting tasks are assigned to workers.
 //!
 //! Under overload, first-in-first-out order would make all jobs equally late. This queue starts
-//! tasks first that can still meet their objective, within a priority those of begun jobs first,
-//! and late ones after them. Tasks that can't finish in time are given up.
+//! tasks first that can still meet their objective, those of jobs within the share of their queue
+//! before others, within a priority those of begun jobs first, and late ones after them. Tasks that can't finish in time are given up.
 
 use {
     super::job::{Job, JobKey},
-    crate::core::time::Instant,
+    crate::core::{queue_shares::ShareClass, time::Instant},
     std::{collections::BTreeSet, ops::Bound},
 };
 
@@ -33,6 +33,8 @@
 pub(super) struct WaitingTask {
     /// As of the last evaluation.
     pub(super) deadline_class: DeadlineClass,
+    /// How the job relates to the share of its queue; a job that has begun isn't put behind.
+    pub(super) share_class: ShareClass,
     /// The route's priority; lower values go first.
     pub(super) priority: u32,
     /// No task of the job has started.
@@ -71,6 +73,11 @@
         let waiting = |deadline_class, latest_start| {
             Some(Self {
                 deadline_class,
+                share_class: if job.has_begun() {
+                    ShareClass::Fitting
+                } else {
+                    job.share.class
+                },
                 priority: job.route.priority,
                 not_begun: !job.has_begun(),
                 latest_start,
@@ -156,12 +163,13 @@
         self.waiting.range(..waiting).count()
     }
 
-    /// In-time tasks of other jobs with the same or a more urgent priority.
+    /// In-time tasks of other jobs with an earlier share class, or with the same one and the same or
+    /// a more urgent priority.
     pub(super) fn work_ahead_of(&self, waiting: &WaitingTask) -> WorkAhead {
         let others = self.waiting.iter().filter(|other| {
             other.job != waiting.job
                 && other.deadline_class == DeadlineClass::InTime
-                && other.priority <= waiting.priority
+                && (other.share_class, other.priority) <= (waiting.share_class, waiting.priority)
         });
         others.fold(WorkAhead::default(), |ahead, other| WorkAhead {
             tasks: ahead.tasks + 1,
--- a/src/core/dispatch/worker_link.rs
+++ b/src/core/dispatch/worker_link.rs
@@ -8,6 +8,7 @@
     crate::core::{
         ejection::RunnerHealth,
         link::{CapacityReport, EvacuatedZones},
+        queue_shares::LevelReport,
         time::Instant,
         work::{Resources, RunId, StepSpec, WorkerView},
         worker_speed::NORMAL_PERMILLE,
@@ -61,6 +62,8 @@
     /// The same in comparison with the other workers of the service.
     pub(super) slowness: f64,
     pub(super) last_start_at: Instant,
+    /// Levels of the queues at the agent.
+    pub(super) levels: LevelReport,
     /// A start order was rejected for lack of capacity; the agent then reserves capacity for this
     /// entry.
     capacity_requested: bool,
@@ -86,6 +89,7 @@
             slowness_permille: NORMAL_PERMILLE,
             slowness: 1.0,
             last_start_at: now,
+            levels: LevelReport::default(),
             capacity_requested: false,
             report: CapacityReport::default(),
             starts_sent: 0,
@@ -97,6 +101,7 @@
     pub(super) fn open_session(&mut self, now: Instant, link: LinkId, stamp_us: u64) {
         self.link = Some(link);
         self.view = None;
+        self.levels = LevelReport::default();
         self.last_heard_at = now;
         self.heartbeat_sent_at = None;
         self.stamp_us = stamp_us;
