--- a/src/core/tests/floods/flood_site.rs
+++ b/src/core/tests/floods/flood_site.rs
@@ -100,7 +100,13 @@
         let now = Instant::from_millis(10_000);
         let limits = RunLimits::for_resend(1_300, 50);
         let entries = 0..entry_shares.len() as u64;
-        let entries = entries.map(|seed| Dispatcher::new(DispatchSettings { limits, seed }));
+        let entries = entries.map(|seed| {
+            Dispatcher::new(DispatchSettings {
+                limits,
+                remote_penalty_permille: 1_000,
+                seed,
+            })
+        });
         let agents = (0..WORKERS).map(|agent| {
             Executor::new(ExecutorSettings {
                 agent: format!("agent-{agent}"),
--- a/src/site_agent/tests/dialler.rs
+++ b/src/site_agent/tests/dialler.rs
@@ -55,8 +55,12 @@
         }
     }
 
+    fn count_for_queue(&self, _: Counter, _: &str, _: &'static str) {}
+
     fn set(&self, _: Gauge, _: u64) {}
 
+    fn set_for_queue(&self, _: Gauge, _: &str, _: u64) {}
+
     fn observe(&self, _: Histogram, _: &'static str, _: u64) {}
 
     fn render(&self) -> String {
