--- a/src/core/redial/tests.rs
+++ b/src/core/redial/tests.rs
@@ -126,11 +126,10 @@
 
     /// Maximum number of dials within any second.
     fn max_dials_per_s(&self) -> usize {
-        let within = |from_ms: u64| move |at_ms: &u64| (from_ms..from_ms + 1_000).contains(at_ms);
         let times: Vec<u64> = self.dials.iter().map(|(at_ms, _)| *at_ms).collect();
-        let counts = times
-            .iter()
-            .map(|from_ms| times.iter().copied().filter(within(*from_ms)).count());
+        let counts = times.iter().enumerate().map(|(first, from_ms)| {
+            times[first..].partition_point(|at_ms| *at_ms < from_ms + 1_000)
+        });
         counts.max().unwrap_or(0)
     }
 }
