--- a/src/core/dispatch/tests/uneven_workers.rs
+++ b/src/core/dispatch/tests/uneven_workers.rs
@@ -368,7 +368,7 @@
             }
             let free = agent.free();
             let is_changed = std::mem::replace(&mut agent.reported_free, free) != free;
-            let is_heartbeat_due = self.ticks % HEARTBEAT_TICKS == 0;
+            let is_heartbeat_due = self.ticks.is_multiple_of(HEARTBEAT_TICKS);
             if is_changed || is_heartbeat_due {
                 frames.push((*worker, agent.report(0, now)));
             }
@@ -406,7 +406,7 @@
 
 /// A quarter of the workers has half the speed of the others.
 fn half_speed_quarter(worker: u64) -> f64 {
-    if worker % 4 == 0 {
+    if worker.is_multiple_of(4) {
         1.0 / 0.55
     } else {
         1.0 / 1.2
@@ -418,7 +418,7 @@
 }
 
 fn four_times_slower_quarter(worker: u64) -> f64 {
-    if worker % 4 == 0 { 4.0 } else { 1.0 }
+    if worker.is_multiple_of(4) { 4.0 } else { 1.0 }
 }
 
 macro_rules! load_cases {
--- a/src/core/execution/tests/speed.rs
+++ b/src/core/execution/tests/speed.rs
@@ -23,14 +23,14 @@
 }
 
 fn reported_slowness(test: &TestExecutor) -> Option<u16> {
-    let reports = test.actions.iter().filter_map(|action| match action {
+    let mut reports = test.actions.iter().rev().filter_map(|action| match action {
         ExecutionAction::Send {
             frame: AgentFrame::Room { report, .. },
             ..
         } => Some(report.slowness_permille),
         _ => None,
     });
-    reports.last()
+    reports.next()
 }
 
 macro_rules! outcome_cases {
