Let jobs that are late anyway measure slow workers

A worker on which all tasks would be late gets one every 700 ms, so that its recovery is noticed; each of them made another job late. The other tasks of such a job are now preferred for the next ones.

--- a/src/core/dispatch/expected_completion.rs
+++ b/src/core/dispatch/expected_completion.rs
@@ -25,6 +25,11 @@
 /// milliseconds. An agent needs eight runs in 8 s for its measurement; without any, it reports the
 /// normal speed, and all entries would send tasks at once.
 const PROBE_INTERVAL_MS: f64 = 700.0;
+/// The same for a job that has such a task already, in milliseconds: it is late anyway, so its other
+/// tasks make no further job late.
+const LATE_JOB_PROBE_INTERVAL_MS: f64 = 500.0;
+/// Weight factor of a worker that is to get such a task, if the job is late anyway.
+const LATE_JOB_FACTOR: f64 = 1e3;
 
 /// Start orders by whether the task was expected to meet its objective.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -113,7 +118,7 @@
     terms: &TaskTerms,
     worker: &WorkerLink,
     free: Resources,
-    step: &StepSpec,
+    (job, step): (&Job, &StepSpec),
 ) -> Option<f64> {
     let candidate = Candidate {
         slowness: worker.slowness,
@@ -122,8 +127,13 @@
     };
     let weight = match terms.weight(&candidate) {
         CompletionWeight::InTime(weight) => weight,
-        CompletionWeight::NotInTime if is_probe_due(now, terms, worker, &candidate) => {
-            candidate.free_share.powi(2)
+        CompletionWeight::NotInTime if is_probe_due(now, terms, worker, &candidate, job) => {
+            let factor = if job.is_expected_late {
+                LATE_JOB_FACTOR
+            } else {
+                1.0
+            };
+            candidate.free_share.powi(2) * factor
         }
         CompletionWeight::NotInTime => return None,
     };
@@ -136,9 +146,15 @@
     terms: &TaskTerms,
     worker: &WorkerLink,
     candidate: &Candidate,
+    job: &Job,
 ) -> bool {
     let is_slow = candidate.slowness > PROBE_SLOWNESS;
-    let interval_ms = PROBE_INTERVAL_MS / worker.share().max(0.01);
+    let interval_ms = if job.is_expected_late {
+        LATE_JOB_PROBE_INTERVAL_MS
+    } else {
+        PROBE_INTERVAL_MS
+    };
+    let interval_ms = interval_ms / worker.share().max(0.01);
     let is_due = now.millis_since(worker.last_start_at) as f64 >= interval_ms;
     let normal_ms = terms.expected_ms(1.0, candidate.is_remote);
     is_slow && is_due && terms.is_in_time(0.0, normal_ms)
--- a/src/core/dispatch/job.rs
+++ b/src/core/dispatch/job.rs
@@ -74,6 +74,8 @@
     pub(super) may_have_run: bool,
     /// The outcome is sent, or no client waits for it.
     pub(super) closed: bool,
+    /// A task was started where it is expected to miss the objective.
+    pub(super) is_expected_late: bool,
     pub(super) starts: u32,
     pub(super) last_start: Instant,
 }
@@ -109,6 +111,7 @@
             open_runs: 0,
             may_have_run: false,
             closed: false,
+            is_expected_late: false,
             starts: 0,
             last_start: now,
         }
--- a/src/core/dispatch/placement.rs
+++ b/src/core/dispatch/placement.rs
@@ -105,7 +105,7 @@
                     choice.add(key, weight.powi(exponent));
                     continue;
                 };
-                match completion_weight(now, terms, worker, free, step) {
+                match completion_weight(now, terms, worker, free, (job, step)) {
                     Some(weight) if !is_risky => choice.add(key, weight),
                     Some(_) | None => late.push((key, weight)),
                 }
@@ -159,7 +159,9 @@
                     (step.needs, estimate_ms)
                 });
         let expected_ms = estimate_ms as f64 * worker.slowness;
-        self.start_counts.record(expected_ms <= time_left_ms as f64);
+        let is_in_time = expected_ms <= time_left_ms as f64;
+        self.start_counts.record(is_in_time);
+        job.is_expected_late |= !is_in_time;
         let Some(task) = job.tasks.get_mut(waiting.task) else {
             return;
         };
