--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -4,6 +4,7 @@
 mod begun_jobs;
 mod concurrent_entries;
 mod crashes;
+mod queue_shares;
 
 use {
     super::{
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -4,6 +4,7 @@
 mod capacity_shares;
 mod crashes;
 mod lost_calls;
+mod queue_levels;
 mod retirement;
 
 use {
--- a/src/core/tests/seeds.rs
+++ b/src/core/tests/seeds.rs
@@ -8,6 +8,7 @@
 const FIXED_SEEDS: u64 = 250;
 const RETIREMENT_SEEDS: u64 = 100;
 const CRASH_SEEDS: u64 = 100;
+const COMPETITION_SEEDS: u64 = 100;
 /// Jobs of a simulation whose tasks crash their workers.
 const CRASHING_JOBS: u64 = 1;
 /// Seeds within which an unsafe setup must cause a double run.
@@ -56,6 +57,24 @@
     );
 }
 
+/// Shares of competing queues must neither lose jobs nor refuse more of them.
+#[test]
+fn competing_queues_violate_no_invariant() {
+    let completed = |competing_queues: bool| {
+        let setup = Setup {
+            competing_queues,
+            ..Setup::production()
+        };
+        let counts = (0..COMPETITION_SEEDS).map(|seed| {
+            let report = assert_no_violations(seed, setup).report;
+            u64::from(report.outcome_counts["completed"])
+        });
+        counts.sum::<u64>()
+    };
+    let (with, without) = (completed(true), completed(false));
+    assert!(with * 100 > without * 98, "{with}, without {without}");
+}
+
 /// The timeout of a lost start was taken for that of its repetition, and the task ran twice.
 #[test]
 fn a_repeated_start_runs_once() {
@@ -102,7 +121,8 @@
     );
 }
 
-/// `RATTANSLIP_SEEDS=FIRST..END cargo test --release more_seeds -- --ignored` runs other seeds.
+/// `RATTANSLIP_SEEDS=FIRST..END cargo test --release more_seeds -- --ignored` runs other seeds; odd
+/// ones have competing queues.
 #[test]
 #[ignore = "runs thousands of seeds; started by hand"]
 fn more_seeds_on_demand() {
@@ -111,7 +131,11 @@
     let (first, end): (u64, u64) = (first.parse().expect("first"), end.parse().expect("end"));
     let mut failed = Vec::new();
     for seed in first..end {
-        let simulation = simulate(seed, Setup::production());
+        let setup = Setup {
+            competing_queues: seed % 2 == 1,
+            ..Setup::production()
+        };
+        let simulation = simulate(seed, setup);
         if !simulation.report.violations.is_empty() {
             println!("seed {seed}: {:?}", simulation.report.violations);
             if std::env::var_os("RATTANSLIP_STORY").is_some() {
--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -54,6 +54,8 @@
     pub(super) retired_sessions: u64,
     /// Number of jobs whose tasks crash each worker that starts them.
     pub(super) crashing_jobs: u64,
+    /// Whether jobs belong to three queues of different priorities, instead of one.
+    pub(super) competing_queues: bool,
 }
 
 impl Setup {
@@ -65,6 +67,7 @@
             agent_limits: limits,
             retired_sessions: 0,
             crashing_jobs: 0,
+            competing_queues: false,
         }
     }
 }
@@ -1030,7 +1033,7 @@
             waiter: WaiterId(call.2),
             id: model.job,
             request: request(model.tasks, model.run_ms),
-            route: Arc::new(route()),
+            route: Arc::new(route(self.setup.competing_queues.then_some(model.job))),
             time_left_ms: model.deadline.millis_since(now),
         };
         self.waiters.insert(call, client);
@@ -1368,19 +1371,21 @@
     }
 }
 
-fn route() -> Route {
+/// The route of the only queue, or of one of three competing queues for this job.
+fn route(competing_job: Option<JobId>) -> Route {
+    let priority = competing_job.map_or(0, |job| (job.0 % 3) as u32);
     Route {
-        name: "shares".to_owned(),
+        name: format!("shares-{priority}"),
         host: "a.example".to_owned(),
         path_prefix: "/".to_owned(),
         service: "shares".to_owned(),
         timeout_ms: 1_500,
         max_attempts: 3,
-        priority: 0,
+        priority,
         stretch: 1.6,
         target_ms: 60,
         needs_advice: false,
-        competes: false,
+        competes: competing_job.is_some(),
     }
 }
 
