--- a/src/core/dispatch/placement.rs
+++ b/src/core/dispatch/placement.rs
@@ -37,7 +37,6 @@
     pub(super) fn place_tasks(&mut self, now: Instant) {
         let mut misses = 0;
         let mut last_examined = None;
-        let mut within_waits = false;
         while misses < MAX_MISSES
             && let Some(waiting) = self.queue.next_after(last_examined.as_ref())
         {
@@ -46,13 +45,8 @@
                 self.requeue(now, waiting);
                 continue;
             }
-            let is_beyond = waiting.share_class == ShareClass::Beyond;
-            if is_beyond && within_waits {
-                break;
-            }
             if !self.place(now, &waiting) {
                 misses += 1;
-                within_waits |= !is_beyond;
             }
         }
     }
@@ -88,6 +82,7 @@
         if job.open_runs > 0 && self.crashes.has_task_of(job.id) {
             return false;
         }
+        // Once begun, its other tasks precede those of all other jobs.
         if waiting.share_class == ShareClass::Beyond && !self.has_capacity_for(now, job, 0) {
             return false;
         }
