--- a/src/core/dispatch/placement.rs
+++ b/src/core/dispatch/placement.rs
@@ -40,7 +40,6 @@
     pub(super) fn place_tasks(&mut self, now: Instant) {
         let mut misses = 0;
         let mut last_examined = None;
-        let mut within_waits = false;
         self.held_tasks = 0;
         while misses < MAX_MISSES
             && self.held_tasks < MAX_HELD_TASKS
@@ -51,14 +50,9 @@
                 self.requeue(now, waiting);
                 continue;
             }
-            let is_beyond = waiting.share_class == ShareClass::Beyond;
-            if is_beyond && within_waits {
-                break;
-            }
             let held_before = self.held_tasks;
             if !self.place(now, &waiting) && self.held_tasks == held_before {
                 misses += 1;
-                within_waits |= !is_beyond;
             }
         }
     }
@@ -94,6 +88,7 @@
         if job.open_runs > 0 && self.crashes.has_task_of(job.id) {
             return false;
         }
+        // Once begun, its other tasks precede those of all other jobs.
         if waiting.share_class == ShareClass::Beyond && !self.has_capacity_for(now, job, 0) {
             return false;
         }
