--- a/src/core/tests/floods/all_queues.rs
+++ b/src/core/tests/floods/all_queues.rs
@@ -7,6 +7,8 @@
 
 /// Part of the capacity that the shares add up to.
 const SHARED_CAPACITY: f64 = 0.9;
+/// Part of the clients at each entry.
+const UNEQUAL_ENTRIES: [f64; 4] = [0.15, 0.20, 0.25, 0.40];
 const FLOOD: std::ops::Range<u64> = 6..14;
 
 fn run_flood() -> FloodSite {
@@ -16,10 +18,9 @@
     site
 }
 
-/// Under strict priority the least urgent queue got nothing. Each entry had an admission threshold
-/// of its own, and refused another part of its jobs.
+/// Under strict priority the least urgent queue got nothing.
 #[test]
-fn flooding_queues_get_their_weighted_shares_at_each_entry() {
+fn flooding_queues_get_their_weighted_shares() {
     let site = run_flood();
     let seconds = (FLOOD.end - FLOOD.start) as f64;
     for (queue, load) in queues().iter().enumerate() {
@@ -32,13 +33,24 @@
             "queue {queue}: {part:.3} for {share:.3}"
         );
     }
+}
+
+/// Each entry had an admission threshold of its own, so clients of one entry were refused more often
+/// than those of another.
+#[test]
+fn entries_of_unequal_demand_refuse_alike_in_a_flood() {
+    let mut queues = queues();
+    queues[0].cpu_milli = 1_200;
+    let factor = |ms, _| if ms < 5_000 { 1.0 } else { 3.0 };
+    let mut site = FloodSite::new(3, &queues, &UNEQUAL_ENTRIES, factor, Tampering::NONE);
+    site.run(15_500);
     // The least urgent queue has too few jobs for a comparison of entries.
     for queue in 0..2 {
-        let entries = 0..ENTRY_SHARES.len();
+        let entries = 0..UNEQUAL_ENTRIES.len();
         let refused = entries.map(|entry| site.received_at(entry, queue, FLOOD).refused_share());
         let refused: Vec<f64> = refused.collect();
         let lowest = refused.iter().copied().fold(1.0, f64::min);
         let highest = refused.iter().copied().fold(0.0, f64::max);
-        assert!(highest - lowest <= 0.06, "queue {queue}: {refused:.3?}");
+        assert!(highest - lowest <= 0.05, "queue {queue}: {refused:.3?}");
     }
 }
--- a/src/core/tests/floods/one_queue.rs
+++ b/src/core/tests/floods/one_queue.rs
@@ -1,8 +1,11 @@
 //! Tests of floods of a single queue.
 
-use super::{
-    flood_load::{FloodQueue, Received},
-    flood_site::{CORES, FloodSite, Tampering},
+use {
+    super::{
+        flood_load::{FloodQueue, Received},
+        flood_site::{CORES, FloodSite, Tampering},
+    },
+    std::ops::Range,
 };
 
 /// Three quarters of the capacity; the less urgent queues are within their weighted shares.
@@ -41,22 +44,32 @@
     }
 }
 
-/// Under strict priority a flood of the most urgent queue took all capacity from the others. Until
-/// the entries have noticed it, it still does.
-#[test]
-fn queues_at_their_usual_demand_lose_nothing_to_a_more_urgent_flood() {
-    let (mut at_onset, mut later) = (Received::default(), Received::default());
+/// What the clients of the queues at their usual demand received in these seconds.
+fn received_beside_urgent_flood(seconds: Range<u64>) -> Received {
+    let mut received = Received::default();
     for seed in 1..=2 {
         let site = run(seed, urgent_flood, 14_000);
         for queue in 1..3 {
-            at_onset = at_onset.plus(site.received(queue, 5..6));
-            later = later.plus(site.received(queue, 6..12));
+            received = received.plus(site.received(queue, seconds.clone()));
         }
         let flooding = site.received(0, 6..12);
         assert!(flooding.in_time > 0 && flooding.refused_share() > 0.3);
     }
-    assert!(later.lost() <= 0.02, "{later:?}");
-    assert!(at_onset.lost() <= 0.25, "{at_onset:?}");
+    received
+}
+
+/// Under strict priority a flood of the most urgent queue took all capacity from the others.
+#[test]
+fn queues_at_their_usual_demand_lose_nothing_to_a_lasting_urgent_flood() {
+    let received = received_beside_urgent_flood(6..12);
+    assert!(received.lost() <= 0.02, "{received:?}");
+}
+
+/// The same from the start of the flood, when the entries have not noticed it yet.
+#[test]
+fn queues_at_their_usual_demand_lose_nothing_at_the_onset_of_an_urgent_flood() {
+    let received = received_beside_urgent_flood(5..12);
+    assert!(received.lost() <= 0.02, "{received:?}");
 }
 
 /// A queue that is alone uses the capacity that the others leave, and they get it back as soon as
--- a/src/core/tests/floods/wrong_figures.rs
+++ b/src/core/tests/floods/wrong_figures.rs
@@ -75,5 +75,5 @@
         ..Tampering::NONE
     };
     let received = received_by_others(tampering, 8..12);
-    assert!(received.lost() <= 0.05, "{received:?}");
+    assert!(received.lost() <= 0.03, "{received:?}");
 }
--- a/src/core/worker_speed/tests/measured_speed.rs
+++ b/src/core/worker_speed/tests/measured_speed.rs
@@ -169,7 +169,7 @@
         worker.advance_ms(3_000);
         worker.slowness = 4.0;
         let took_ms = worker.time_until(2_000..8_001);
-        assert!(took_ms <= 1_100, "seed {seed}: {took_ms}");
+        assert!(took_ms <= 1_000, "seed {seed}: {took_ms}");
     }
 }
 
