Read-through: session state and worker announcements in places of their own

EntryLink moves to a file of its own with its constructor, and the handling of a worker's announcement to a function; no change of behaviour.

--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -8,7 +8,7 @@
     crate::core::{
         link::{AgentFrame, EntryFrame, EvacuatedZones, RunOutcome},
         time::Instant,
-        work::RunId,
+        work::{RunId, WorkerView},
         worker_speed::NORMAL_PERMILLE,
     },
 };
@@ -22,7 +22,6 @@
         let Some(key) = self.by_link.get(&link).copied() else {
             return;
         };
-        let is_only_worker = matches!(frame, AgentFrame::Worker(Some(_))) && !self.has_workers();
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -39,31 +38,7 @@
                 worker.levels.record(now, queue_levels);
                 self.fetch_document(now, link, document_revision);
             }
-            AgentFrame::Worker(view) => {
-                let event = DispatchLogEvent::WorkerChanged {
-                    agent: worker.agent.clone(),
-                    worker: view
-                        .as_ref()
-                        .map(|view| view.life.id.clone())
-                        .unwrap_or_default(),
-                    draining: view.as_ref().is_some_and(|view| view.draining),
-                };
-                let previous = worker.view.as_ref().map(|view| &view.life);
-                if previous != view.as_ref().map(|view| &view.life) {
-                    worker.health = Default::default();
-                    worker.slowness_permille = NORMAL_PERMILLE;
-                }
-                self.speeds.is_outdated = true;
-                if view.is_some() {
-                    self.first_worker_at.get_or_insert(now);
-                }
-                let became_available = worker.view.is_none() && view.is_some();
-                worker.view = view;
-                if became_available {
-                    self.worker_discovery.record_worker(now, is_only_worker);
-                }
-                self.log_event(event);
-            }
+            AgentFrame::Worker(view) => self.on_worker_view(now, key, view),
             AgentFrame::Room { report, stamp_us } => {
                 worker.record_stamp(now, stamp_us);
                 worker.record_capacity(report);
@@ -83,6 +58,37 @@
         }
     }
 
+    /// Applies the agent's announcement of its worker, or that it has none.
+    fn on_worker_view(&mut self, now: Instant, key: WorkerKey, view: Option<WorkerView>) {
+        let is_only_worker = view.is_some() && !self.has_workers();
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let event = DispatchLogEvent::WorkerChanged {
+            agent: worker.agent.clone(),
+            worker: view
+                .as_ref()
+                .map(|view| view.life.id.clone())
+                .unwrap_or_default(),
+            draining: view.as_ref().is_some_and(|view| view.draining),
+        };
+        let previous = worker.view.as_ref().map(|view| &view.life);
+        if previous != view.as_ref().map(|view| &view.life) {
+            worker.health = Default::default();
+            worker.slowness_permille = NORMAL_PERMILLE;
+        }
+        self.speeds.is_outdated = true;
+        if view.is_some() {
+            self.first_worker_at.get_or_insert(now);
+        }
+        let became_available = worker.view.is_none() && view.is_some();
+        worker.view = view;
+        if became_available {
+            self.worker_discovery.record_worker(now, is_only_worker);
+        }
+        self.log_event(event);
+    }
+
     /// Opens a session; its hello states that no run of an earlier session is executing there any
     /// more.
     ///
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -1,8 +1,9 @@
 //! The order in which waiting tasks are assigned to workers.
 //!
 //! Under overload, first-in-first-out order would make all jobs equally late. This queue starts
-//! tasks first that can still meet their objective, those of jobs within the share of their queue
-//! before others, within a priority those of begun jobs first, and late ones after them. Tasks that can't finish in time are given up.
+//! tasks first that can still meet their objective, among these those of jobs within the share of
+//! their queue, then by priority, and within a priority those of begun jobs; late ones come last.
+//! Tasks that can't finish in time are given up.
 
 use {
     super::job::{Job, JobKey},
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         ExecutionAction, ExecutionEvent, ExecutionLogEvent, SessionId,
-        capacity::CapacityReservation, crashes::LostTasks, run::Run, sessions::EntryLink,
+        capacity::CapacityReservation, crashes::LostTasks, entry_link::EntryLink, run::Run,
         worker_state::WorkerState,
     },
     crate::core::{
--- a/src/core/execution/mod.rs
+++ b/src/core/execution/mod.rs
@@ -5,6 +5,7 @@
 mod capacity_shares;
 mod crashes;
 mod documents;
+mod entry_link;
 mod execution_event;
 mod execution_log_event;
 mod executor;
--- a/src/core/worker_speed/completion_weight.rs
+++ b/src/core/worker_speed/completion_weight.rs
@@ -5,9 +5,8 @@
 const SAFE_HEADROOM: f64 = 2.0;
 /// The same from which a task has ample slack.
 const AMPLE_HEADROOM: f64 = 2.5;
-/// Exponent of the slowness for tasks with ample slack. A stronger preference for slow workers (one
-/// half or one) made more long tasks late near saturation, since work on slow workers holds their
-/// slots for longer.
+/// Exponent of the slowness for tasks with ample slack. A stronger preference for slow workers makes
+/// long tasks late near saturation, since work on slow workers holds their slots for longer.
 const AMPLE_EXPONENT: f64 = 0.25;
 /// Exponent of the slowness for other tasks, as for workers of equal speed.
 const TIGHT_EXPONENT: f64 = -1.0;
