--- a/src/core/dispatch/overload.rs
+++ b/src/core/dispatch/overload.rs
@@ -17,10 +17,6 @@
 /// overload can be predicted for more than half a minute.
 pub(super) const RETRY_AFTER_BOUNDS_MS: (u64, u64) = (1_000, 30_000);
 
-/// Share of the more urgent arrivals that is expected to start before a waiting job; the others are
-/// refused or arrive later.
-pub(super) const URGENT_ARRIVAL_SHARE: f64 = 0.5;
-
 impl Dispatcher {
     /// Refuses jobs of this batch for which no capacity is free and which won't start in time.
     ///
--- a/src/core/dispatch/queue_levels.rs
+++ b/src/core/dispatch/queue_levels.rs
@@ -4,13 +4,13 @@
     super::{
         DispatchAction, DispatchLogEvent, Dispatcher, JobOutcome, RefusalReason,
         job::{Job, JobKey},
-        overload::{RETRY_AFTER_BOUNDS_MS, URGENT_ARRIVAL_SHARE},
+        overload::RETRY_AFTER_BOUNDS_MS,
         queue::WaitingTask,
         worker_link::{OpenRun, WorkerKey, WorkerLink},
     },
     crate::core::{
         link::{EvacuatedZones, QueueDemand, RunOutcome},
-        queue_shares::{LevelReport, PoolCapacity, ShareGrant},
+        queue_shares::{LevelReport, PoolCapacity, ShareGrant, URGENT_ARRIVAL_SHARE},
         time::Instant,
         work::WorkerView,
     },
--- a/src/core/queue_shares/mod.rs
+++ b/src/core/queue_shares/mod.rs
@@ -31,5 +31,5 @@
     pool_capacity::PoolCapacity,
     queue_share::{COMPLETE_PERMILLE, ShareClass, ShareGrant},
     queue_shares::QueueShares,
-    service_shares::ServiceShares,
+    service_shares::{ServiceShares, URGENT_ARRIVAL_SHARE},
 };
--- a/src/core/queue_shares/service_shares.rs
+++ b/src/core/queue_shares/service_shares.rs
@@ -17,7 +17,7 @@
 
 /// Share of the more urgent arrivals that is expected to start before a waiting job; the others are
 /// refused or arrive later.
-const URGENT_ARRIVAL_SHARE: f64 = 0.5;
+pub(crate) const URGENT_ARRIVAL_SHARE: f64 = 0.5;
 
 /// A job as the shares see it.
 #[derive(Debug, Clone, Copy)]
