A slowdown shows by the latest runs that have ended

Callers: until a worker that becomes four times slower is known, it gets as many tasks as before, and their jobs are late. It took up to 1.7 s instead of one.

Cause: the median counts 32 runs that ended before the change against what 13 slots show since then: a run that executes counts once it exceeds the median, two at most, so 26 of 58 even with all slots late. The report changes only when enough slow runs have ended.

Fix: if four of the six latest runs that ended took more than twice what was reported, and longer than nine in ten of the earlier ones, these count no longer. They are retained, so that six runs are enough for a measurement. The rule goes by runs that have ended, as running ones are mostly the long ones.

--- a/src/core/worker_speed/measured_speed.rs
+++ b/src/core/worker_speed/measured_speed.rs
@@ -28,6 +28,12 @@
 /// Slowness from which [`RECOVERY_RUNS`] applies, in thousandths; short runs of a healthy worker are
 /// wrong estimates.
 const MIN_RECOVERY_PERMILLE: u16 = 1_500;
+/// Number of the [`SLOWDOWN_WINDOW`] latest runs that must have taken more than [`SLOWDOWN_FACTOR`]
+/// times the reported slowness for earlier runs to count no longer. So many long runs at once are rare
+/// on a worker of constant speed; after a slowdown, some runs that were nearly done still end early.
+const SLOWDOWN_RUNS: usize = 4;
+const SLOWDOWN_WINDOW: usize = 6;
+const SLOWDOWN_FACTOR: u16 = 2;
 /// The reported slowness is a multiple of this, in thousandths.
 const STEP_PERMILLE: u16 = 50;
 /// Minimum change of the reported slowness, in thousandths; a smaller one is noise and would cost
@@ -46,6 +52,8 @@
 struct DoneRun {
     at: Instant,
     slowness_permille: u16,
+    /// The worker has become slower since then.
+    is_outdated: bool,
 }
 
 /// Robust measurement of a worker's slowness: run time divided by the estimate.
@@ -84,8 +92,10 @@
         self.done.push_back(DoneRun {
             at: now,
             slowness_permille,
+            is_outdated: false,
         });
         self.forget_before_recovery();
+        self.mark_before_slowdown();
     }
 
     /// Drops the runs before a recovery.
@@ -100,6 +110,48 @@
         }
     }
 
+    /// Marks the runs before a slowdown as outdated. They are retained, so that the few runs since
+    /// then are enough for a measurement.
+    ///
+    /// The slow runs must also have taken longer than nine in ten of the earlier ones: where the
+    /// estimates of some tasks are much too short, several of them in a row show no slowdown.
+    fn mark_before_slowdown(&mut self) {
+        let Some(earlier_runs) = self.done.len().checked_sub(SLOWDOWN_WINDOW) else {
+            return;
+        };
+        let limit_permille = self.reported_permille.saturating_mul(SLOWDOWN_FACTOR);
+        if !self.has_slowed_down(earlier_runs, limit_permille) {
+            return;
+        }
+        let Some(usual_permille) = self.nine_tenths_permille(earlier_runs) else {
+            return;
+        };
+        if self.has_slowed_down(earlier_runs, limit_permille.max(usual_permille)) {
+            let earlier = self.done.iter_mut().take(earlier_runs);
+            earlier.for_each(|run| run.is_outdated = true);
+        }
+    }
+
+    /// Whether enough of the runs after the `earlier_runs` first ones exceed the limit.
+    fn has_slowed_down(&self, earlier_runs: usize, limit_permille: u16) -> bool {
+        let latest = self.done.iter().skip(earlier_runs);
+        let slow = latest.filter(|run| run.slowness_permille > limit_permille);
+        slow.count() >= SLOWDOWN_RUNS
+    }
+
+    /// Slowness that nine in ten of the `earlier_runs` first runs don't exceed; `None` with too few of
+    /// them.
+    fn nine_tenths_permille(&self, earlier_runs: usize) -> Option<u16> {
+        let earlier = self.done.iter().take(earlier_runs);
+        let current = earlier.filter(|run| !run.is_outdated);
+        let mut slowness: Vec<u16> = current.map(|run| run.slowness_permille).collect();
+        if slowness.len() < MIN_RUNS {
+            return None;
+        }
+        slowness.sort_unstable();
+        slowness.get(slowness.len() * 9 / 10).copied()
+    }
+
     /// Whether [`Self::measure`] is due.
     pub(crate) fn is_due(&self, now: Instant) -> bool {
         self.measured_at
@@ -124,8 +176,10 @@
             let age_ms = now.millis_since(run.at) as f64;
             (run.slowness_permille, (-age_ms / HALF_LIFE_MS).exp2())
         };
-        let mut samples: Vec<(u16, f64)> = self.done.iter().map(weighted).collect();
-        let predicted_permille = if samples.len() < MIN_RUNS {
+        let outdated_runs = self.done.iter().filter(|run| run.is_outdated).count();
+        let current = self.done.iter().filter(|run| !run.is_outdated);
+        let mut samples: Vec<(u16, f64)> = current.map(weighted).collect();
+        let predicted_permille = if self.done.len() < MIN_RUNS {
             NORMAL_PERMILLE
         } else {
             weighted_median(&mut samples)
@@ -137,7 +191,7 @@
             let weight = if is_far_beyond { EXCESS_WEIGHT } else { 1.0 };
             (slowness_permille, weight)
         }));
-        let measured_permille = if samples.len() < MIN_RUNS {
+        let measured_permille = if samples.len() + outdated_runs < MIN_RUNS {
             NORMAL_PERMILLE
         } else {
             weighted_median(&mut samples)
--- a/src/core/worker_speed/tests/measured_speed.rs
+++ b/src/core/worker_speed/tests/measured_speed.rs
@@ -173,6 +173,65 @@
     }
 }
 
+/// Time until a worker is known as slow that becomes four times slower, by seed, in milliseconds. It
+/// has taken `slowness` times the estimates before.
+fn slowdown_times_ms(slowness: f64, starts_per_s: Option<u32>) -> Vec<u64> {
+    let time_with_seed = |seed| {
+        let mut worker = WorkerModel::with_seed(slowness, seed);
+        worker.starts_per_s = starts_per_s;
+        worker.advance_ms(3_000);
+        worker.slowness = slowness * 4.0;
+        worker.time_until((slowness * 2_000.0) as u16..8_001)
+    };
+    (0..SEEDS).map(time_with_seed).collect()
+}
+
+macro_rules! slowdown_cases {
+    ($($(#[$doc:meta])* $name:ident: $slowness:expr, $starts_per_s:expr;)+) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let took_ms = slowdown_times_ms($slowness, $starts_per_s);
+                assert!(took_ms.iter().all(|took_ms| *took_ms <= 1_000), "{took_ms:?}");
+            }
+        )+
+    };
+}
+
+slowdown_cases! {
+    /// A worker that was faster than most is still faster than the others for its first slow runs.
+    a_fast_worker_that_becomes_four_times_slower_is_known_within_a_second: 0.8, None;
+    /// A worker with free slots has fewer runs by which its slowdown shows.
+    a_worker_with_free_slots_that_becomes_four_times_slower_is_known_within_a_second: 1.0, Some(30);
+    /// A worker with few tasks would make a job late with each task that it gets.
+    a_worker_with_few_tasks_that_becomes_four_times_slower_is_known_within_a_second: 1.0, Some(10);
+    /// In a service of mixed speeds, the slow workers become slower, too.
+    a_slow_worker_that_becomes_four_times_slower_is_known_within_a_second: 1.82, None;
+}
+
+/// Tasks with estimates that are much too short must not make a worker of constant speed slow.
+#[test]
+fn a_minority_of_wrong_estimates_rarely_shows_a_slowdown() {
+    const RUNS: u32 = 2_000;
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut speed = MeasuredSpeed::default();
+    let mut now = Instant::from_millis(10_000);
+    let mut slow = 0;
+    for _ in 0..RUNS {
+        now = now.plus_ms(25);
+        let ran_ms = if rng.random_range(0..10) < 3 {
+            400
+        } else {
+            100
+        };
+        speed.record_done(now, ran_ms, 100);
+        speed.measure(now, std::iter::empty());
+        slow += u32::from(speed.slowness_permille() >= 2_000);
+    }
+    assert!(slow * 100 <= RUNS * 5, "{slow} of {RUNS}");
+}
+
 /// A worker that gets few tasks while it is slow must be known as healthy soon after its recovery.
 #[test]
 fn a_recovered_worker_with_few_tasks_is_known_within_seconds() {
