Free slots go to the waiting entry that has used least of its share

Callers: in a flood, jobs were refused by the entry at which they came in.

Cause, by counts: its jobs were admitted (1,184 of 1,799 refusals and runs of its second queue were "within the share"), but not started: its runs took 1,458 ms of slots for each thousandth of the clients, those of the others 1,842 to 1,931. A free slot was reserved for the entry with the lowest (runs + 1) / share. With shares of 1.5, 2, 2.5 and 4 of 10 slots that is a divisor method that favours large shares, and the same at each worker, so the difference doesn't average out.

Fix: slots are compared over time: what the runs of an entry have occupied in the last second, and will until they end as estimated, in cores, for its share. An entry with 1.5 slots has one or two by turns.

--- a/src/core/execution/capacity.rs
+++ b/src/core/execution/capacity.rs
@@ -7,6 +7,7 @@
         time::Instant,
         work::Resources,
     },
+    std::cmp::Reverse,
 };
 
 /// Minimum time between capacity reports that no entry is waiting for, in milliseconds.
@@ -113,7 +114,7 @@
     ///
     /// If all waiting entries learned of each free slot, all would send a start for it and all but
     /// one would be rejected. So free capacity is reserved for one waiting entry at a time, the one
-    /// with the fewest runs for its share of the worker first; the other waiting entries see none.
+    /// that uses least for its share of the worker first; the other waiting entries see none.
     /// Entries that are not waiting see all of it.
     pub(super) fn report_capacity(&mut self, now: Instant) {
         let free = match self.worker.as_ref() {
@@ -200,21 +201,18 @@
         if self.reservation.is_some() {
             return;
         }
-        // The run that the reservation leads to counts as well, so that an entry without runs does not
-        // always come first.
-        let use_of_share = |session: SessionId, demand_milli: u32| {
-            let runs = self.runs.values().filter(|run| run.session == session);
-            (runs.count() + 1) * 1_000 / usize::from(shares.permille_of(demand_milli)).max(1)
-        };
         let waiting = self.sessions.iter();
         let waiting = waiting.filter(|(_, link)| link.capacity.waits_for(free));
-        let next = waiting.min_by_key(|(session, link)| {
-            (
-                use_of_share(**session, link.demand_milli),
-                link.capacity.reported_at,
-            )
+        let candidates = waiting.map(|(session, link)| {
+            let share_permille = shares.permille_of(link.demand_milli).max(1);
+            let use_of_share = self.capacity_use(now, *session) / f64::from(share_permille);
+            (use_of_share, Reverse(share_permille), session, link)
+        });
+        let next = candidates.min_by(|a, b| {
+            let by_use = a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
+            by_use.then_with(|| a.3.capacity.reported_at.cmp(&b.3.capacity.reported_at))
         });
-        self.reservation = next.map(|(session, link)| CapacityReservation {
+        self.reservation = next.map(|(_, _, session, link)| CapacityReservation {
             session: *session,
             since: now,
             starts_seen: link.starts_seen,
--- a/src/core/execution/entry_link.rs
+++ b/src/core/execution/entry_link.rs
@@ -1,7 +1,7 @@
 //! State of a session with an entry.
 
 use {
-    super::capacity::ReportedCapacity,
+    super::{capacity::ReportedCapacity, capacity_use::CapacityUse},
     crate::core::{
         link::{QueueDemand, QueueLevel},
         time::Instant,
@@ -21,6 +21,7 @@
     /// Start orders received on this session.
     pub(super) starts_seen: u32,
     pub(super) capacity: ReportedCapacity,
+    pub(super) capacity_use: CapacityUse,
     /// The entry's demand in its latest heartbeat, in thousandths of a task at a time.
     pub(super) demand_milli: u32,
     /// Demands of the competing queues in the same heartbeat.
@@ -48,6 +49,7 @@
             last_received_at: now,
             starts_seen: 0,
             capacity: ReportedCapacity::new(now),
+            capacity_use: CapacityUse::new(),
             demand_milli: 0,
             queue_demands: Vec::new(),
             sent_levels: Vec::new(),
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -45,6 +45,8 @@
     pub(super) leaving: bool,
     /// Free capacity reserved for one of several waiting entries.
     pub(super) reservation: Option<CapacityReservation>,
+    /// Until when the use of capacity is recorded.
+    pub(super) use_recorded_at: Instant,
     /// Levels of the queues that use the worker.
     pub(super) demand_levels: DemandLevels,
     /// Resources that the latest start order required.
@@ -71,6 +73,7 @@
             last_hold_sequence: 0,
             leaving: false,
             reservation: None,
+            use_recorded_at: Instant::default(),
             demand_levels: DemandLevels::default(),
             last_needs: Resources::default(),
             speed: MeasuredSpeed::default(),
@@ -86,6 +89,7 @@
 
     /// Handles one event and returns the actions to execute.
     pub(crate) fn handle(&mut self, now: Instant, event: ExecutionEvent) -> Vec<ExecutionAction> {
+        self.record_capacity_use(now);
         match event {
             ExecutionEvent::SessionOpened { session, entry } => {
                 self.on_session_opened(now, session, entry);
--- a/src/core/execution/mod.rs
+++ b/src/core/execution/mod.rs
@@ -3,6 +3,7 @@
 
 mod capacity;
 mod capacity_shares;
+mod capacity_use;
 mod crashes;
 mod documents;
 mod entry_link;
