An entry stays congested for half a second after tasks have waited

Cause, by counts: jobs take tokens of their queue's share only while tasks wait at their entry. Its own queue is short because it has few jobs, not because there is no flood.

Fix: an entry counts as congested while tasks wait there and for the half second in which a bucket fills. Where nothing has waited lately, no tokens count, as before.

--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -70,8 +70,8 @@
     pub(super) client_deadlines: ClientDeadlines,
     pub(super) arrivals: ArrivalRate,
     pub(super) queue_shares: QueueShares,
-    /// Tasks were waiting at the start of the current batch of events.
-    pub(super) is_congested: bool,
+    /// When tasks last waited at the start of a batch of events.
+    pub(super) congested_at: Option<Instant>,
     pub(super) crashes: CrashRecords,
     /// When an agent first announced a worker.
     pub(super) first_worker_at: Option<Instant>,
@@ -108,7 +108,7 @@
             client_deadlines: ClientDeadlines::default(),
             arrivals: ArrivalRate::default(),
             queue_shares: QueueShares::default(),
-            is_congested: false,
+            congested_at: None,
             crashes: CrashRecords::default(),
             first_worker_at: None,
             worker_discovery: WorkerDiscovery::default(),
@@ -144,7 +144,9 @@
         events: impl IntoIterator<Item = DispatchEvent>,
     ) -> Vec<DispatchAction> {
         self.detect_suspension(now);
-        self.is_congested = !self.queue.is_empty();
+        if !self.queue.is_empty() {
+            self.congested_at = Some(now);
+        }
         self.update_queue_shares(now);
         if !self.queue.is_empty() {
             self.throughput = self.estimate_throughput(now);
--- a/src/core/dispatch/queue_levels.rs
+++ b/src/core/dispatch/queue_levels.rs
@@ -17,11 +17,19 @@
     rand::RngExt,
 };
 
+/// Time for which an entry counts as congested after tasks have waited there, in milliseconds.
+///
+/// In a flood, the queue of an entry with few clients is empty for moments. If its jobs didn't count
+/// against its share then, it would refuse fewer of them than the other entries.
+const CONGESTION_MEMORY_MS: u64 = 500;
+
 impl Dispatcher {
     /// Records an arriving job at the shares of its queue.
     pub(super) fn admit_to_share(&mut self, now: Instant, job: &Job) -> ShareGrant {
+        let is_recent = |at: Instant| now.millis_since(at) < CONGESTION_MEMORY_MS;
+        let is_congested = self.congested_at.is_some_and(is_recent);
         self.queue_shares
-            .admit(now, job.id, &job.route, &job.request, self.is_congested)
+            .admit(now, job.id, &job.route, &job.request, is_congested)
     }
 
     /// Updates capacities and levels of the services with competing queues, if they are due.
--- a/src/core/queue_shares/queue_share.rs
+++ b/src/core/queue_shares/queue_share.rs
@@ -89,8 +89,8 @@
 
     /// Records an arriving job and decides whether it is within the share.
     ///
-    /// Tokens count only while tasks wait at the entry; until then no queue takes capacity from
-    /// another one. All jobs of a queue whose demand fits are within its share, also when several
+    /// Tokens count only while the entry is congested; until then no queue takes capacity from another
+    /// one. All jobs of a queue whose demand fits are within its share, also when several
     /// arrive at once.
     pub(super) fn admit(
         &mut self,
--- a/src/core/queue_shares/queue_shares.rs
+++ b/src/core/queue_shares/queue_shares.rs
@@ -29,7 +29,7 @@
 
 impl QueueShares {
     /// Records an arriving job and decides whether it is within the share of its queue.
-    /// `is_congested` states whether tasks wait at this entry.
+    /// `is_congested` states whether tasks wait at this entry or did so recently.
     pub(crate) fn admit(
         &mut self,
         now: Instant,
--- a/src/core/queue_shares/service_shares.rs
+++ b/src/core/queue_shares/service_shares.rs
@@ -25,7 +25,7 @@
     pub(super) queue: &'a str,
     pub(super) priority: u32,
     pub(super) request: &'a JobRequest,
-    /// Tasks wait at the entry.
+    /// Tasks wait at the entry or did so recently.
     pub(super) is_congested: bool,
     /// The job was refused recently.
     pub(super) is_returning: bool,
