The use of tasks without CPU needs counts by their time; a test of lent capacity

Where all tasks need no CPU, the use of all entries was zero, and the one with the largest share would have come first each time; not seen at callers, found by reading. The least need that counts is a thousandth of a core. Lent capacity has a test at the level of the shares; without the second bucket all jobs beyond the share count as lent.

--- a/src/core/execution/capacity.rs
+++ b/src/core/execution/capacity.rs
@@ -203,16 +203,16 @@
         }
         let waiting = self.sessions.iter();
         let waiting = waiting.filter(|(_, link)| link.capacity.waits_for(free));
-        let candidates = waiting.map(|(session, link)| {
-            let share_permille = shares.permille_of(link.demand_milli).max(1);
-            let use_of_share = self.capacity_use(now, *session) / f64::from(share_permille);
-            (use_of_share, Reverse(share_permille), session, link)
+        let next = waiting.min_by_key(|(session, link)| {
+            let share_permille = u64::from(shares.permille_of(link.demand_milli).max(1));
+            let use_of_share = self.capacity_use(now, **session) * 1_000 / share_permille;
+            (
+                use_of_share,
+                Reverse(share_permille),
+                link.capacity.reported_at,
+            )
         });
-        let next = candidates.min_by(|a, b| {
-            let by_use = a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
-            by_use.then_with(|| a.3.capacity.reported_at.cmp(&b.3.capacity.reported_at))
-        });
-        self.reservation = next.map(|(_, _, session, link)| CapacityReservation {
+        self.reservation = next.map(|(session, link)| CapacityReservation {
             session: *session,
             since: now,
             starts_seen: link.starts_seen,
--- a/src/core/execution/capacity_use.rs
+++ b/src/core/execution/capacity_use.rs
@@ -37,8 +37,8 @@
     }
 
     /// Capacity that an entry's runs have occupied recently and will occupy until they end as
-    /// estimated.
-    pub(super) fn capacity_use(&self, now: Instant, session: SessionId) -> f64 {
+    /// estimated, in milliseconds of a thousandth of a core.
+    pub(super) fn capacity_use(&self, now: Instant, session: SessionId) -> u64 {
         let link = self.sessions.get(&session);
         let recent = link.map_or(0.0, |link| link.capacity_use.0.sum_at(now));
         let runs = self.runs.values().filter(|run| run.session == session);
@@ -46,10 +46,12 @@
             let left_ms = run.order.estimate_ms.saturating_sub(run.ran_ms(now));
             cpu_milli(run) * left_ms as f64
         });
-        recent + expected.sum::<f64>()
+        (recent + expected.sum::<f64>()) as u64
     }
 }
 
+/// The CPU that a run needs, in thousandths of a core; at least one, so that the use of tasks without
+/// such needs is compared by their time.
 fn cpu_milli(run: &Run) -> f64 {
-    f64::from(run.order.needs.cpu_milli)
+    f64::from(run.order.needs.cpu_milli.max(1))
 }
--- a/src/core/queue_shares/tests/buckets.rs
+++ b/src/core/queue_shares/tests/buckets.rs
@@ -68,6 +68,38 @@
     );
 }
 
+/// An entry whose own queue is short at times must not take all the capacity that is lent.
+#[test]
+fn lent_capacity_is_granted_in_proportion_to_the_share() {
+    let mut test = TestShares::new();
+    let route = route("q", 0);
+    test.reports = (0..3).map(|_| LevelReport::default()).collect();
+    let mut granted_ms = [0; 3];
+    for step in 0..1_000 {
+        for report in &mut test.reports {
+            report.record(test.now, vec![level("q", 450)]);
+        }
+        test.now = test.now.plus_ms(10);
+        let grant = test.submit(&route, 50, true);
+        // The demand is known by then.
+        if step >= 300 {
+            let class = match grant.class {
+                ShareClass::Fitting | ShareClass::Within => 0,
+                ShareClass::Beyond => 1,
+                ShareClass::Excess => 2,
+            };
+            granted_ms[class] += 50;
+        }
+    }
+    let [within_ms, lent_ms, refused_ms] = granted_ms.map(f64::from);
+    // Nine tenths of the capacity are shared out.
+    assert!(
+        (0.10..=0.13).contains(&(lent_ms / within_ms)),
+        "{granted_ms:?}"
+    );
+    assert!(refused_ms / 35_000.0 >= 0.45, "{granted_ms:?}");
+}
+
 /// A short flood must not leave a queue in debt for long after its demand has fallen.
 #[test]
 fn a_debt_is_refilled_within_five_seconds() {
