--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A worker that is taken away announces it, while what its agent sends no longer arrives there."""
+"""A worker that is taken away announces it, while its agent's answers to its reports no longer arrive."""
 import pathlib, sys, time
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
@@ -25,7 +25,7 @@
             pass
         time.sleep(DRAIN_S + LONGER_S - 0.1)
         if trouble:
-            deployment.cut(LEAVING, both_ways=False)
+            deployment.cut(LEAVING, to_worker=(), to_agent=("from",))
         time.sleep(0.1)
         record("leave_sent", worker=worker.id)
         status = worker.report(f"/v1/Instances.Leave/{worker.id}", {"born": worker.born}, NO_ACK_S)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -410,12 +410,11 @@
         self.links[number] = [Link((host, PORTS["app"]), (worker, PORTS["app"])),
                               Link((worker, PORTS["control"]), (host, PORTS["control"]))]
 
-    def cut(self, number, both_ways=True):
-        """Partitions a worker from its agent; with one way only, what the agent sends doesn't arrive."""
-        to_worker, to_agent = self.links[number]
-        to_worker.cut_ways = {"to", "from"} if both_ways else {"to"}
-        to_agent.cut_ways = {"to", "from"} if both_ways else {"from"}
-        self.record("cut", worker=f"w-{number}", both_ways=both_ways)
+    def cut(self, number, to_worker=("to", "from"), to_agent=("to", "from")):
+        """Cuts directions of a worker's two links: the one for its agent's calls, and the one for its reports."""
+        for link, ways in zip(self.links[number], (to_worker, to_agent)):
+            link.cut_ways = set(ways)
+        self.record("cut", worker=f"w-{number}", calls=list(to_worker), reports=list(to_agent))
 
     def heal(self, number):
         for link in self.links[number]:
