review: case 1 inside the site's share, and without any disruption in its control run

One of thirteen workers is taken away (share .0769; the site file's largest is .0772) and the cut lasts 3 s as quoted. The check is as it was.

A script that cannot start, or is ended by a signal, now ends its programs.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,13 +4,31 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
 import deployment as site
 
-WORKERS, LEAVING = 7, 1          # one of seven: below the share of 0.15
+WORKERS, LEAVING = 13, 1         # one of thirteen: below the largest share of scale_in on the site, 0.0772
 DRAIN_S, LONGER_S = 2.0, 0.2     # drain_ms, "and a little longer"
-CUT_S = 3.0                      # default of srv_cut: 5
+CUT_S = 3.0                      # for_s of srv_cut: 5
 NO_ACK_S = 2.0                   # "some seconds" without an acknowledgement
 LONG_MS, LONG_DEADLINE_MS = 3600, 8000
 
 
+def take_away(deployment, worker):
+    """Drains the worker and ends it; its agent's answers don't reach it from shortly before its Leave on."""
+    record = deployment.record
+    worker.state = "draining"
+    while worker.heartbeat() != 200:
+        pass
+    time.sleep(DRAIN_S + LONGER_S - 0.1)
+    cut_at = site.now()
+    deployment.cut(LEAVING, to_worker=(), to_agent=("from",))
+    time.sleep(0.1)
+    record("leave_sent", worker=worker.id)
+    status = worker.report(f"/v1/Instances.Leave/{worker.id}", {"born": worker.born}, NO_ACK_S)
+    record("leave_answered", worker=worker.id, answer=status)
+    worker.end()
+    time.sleep(max(0, cut_at + CUT_S - site.now()))
+    deployment.heal(LEAVING)
+
+
 def case(folder, trouble):
     deployment = site.Site(folder, workers=WORKERS, proxied=(LEAVING,), timeout_ms=LONG_DEADLINE_MS)
     record, worker = deployment.record, deployment.workers[LEAVING]
@@ -18,22 +36,10 @@
         time.sleep(3)
         finish = deployment.load(8, lambda chance: site.job(2, chance.choice([60, 200, 900])), 1500, 14)
         time.sleep(1)
-        finish_long = deployment.load(16, lambda chance: site.job(2, LONG_MS), LONG_DEADLINE_MS, 1, seed=2)
+        finish_long = deployment.load(30, lambda chance: site.job(2, LONG_MS), LONG_DEADLINE_MS, 1, seed=2)
         time.sleep(1.1)
-        worker.state = "draining"
-        while worker.heartbeat() != 200:
-            pass
-        time.sleep(DRAIN_S + LONGER_S - 0.1)
-        if trouble:
-            deployment.cut(LEAVING, to_worker=(), to_agent=("from",))
-        time.sleep(0.1)
-        record("leave_sent", worker=worker.id)
-        status = worker.report(f"/v1/Instances.Leave/{worker.id}", {"born": worker.born}, NO_ACK_S)
-        record("leave_answered", worker=worker.id, answer=status)
-        worker.end()
         if trouble:
-            time.sleep(max(0, CUT_S - NO_ACK_S))
-            deployment.heal(LEAVING)
+            take_away(deployment, worker)
         finish()
         finish_long()
     finally:
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -373,6 +373,13 @@
         self.temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.record = Record(folder / "record.txt")
         self.block, self.programs, self.workers, self.agents, self.entries = free_block(), [], [], [], []
+        try:
+            self.start(entries, workers, zones, proxied, timeout_ms)
+        except BaseException:
+            self.close()
+            raise
+
+    def start(self, entries, workers, zones, proxied, timeout_ms):
         self.stopping, self.answers, self.config_version = False, {}, 0
         self.proxied, self.links = proxied, {}
         deploy = tomllib.loads((TOP / "deploy/system.toml").read_text())
@@ -557,6 +564,11 @@
     """Runs a case; exits with its result, or with 2 if it could not run."""
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # A signal ends the case as an error does, so that its programs are ended too.
+    def interrupt(number, _):
+        raise RuntimeError(f"signal {number}")
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, interrupt)
     try:
         result = case(folder, trouble)
     except Exception as error:
