Tasks of a leaving worker are freed by a confirmed stop, not by its announcement

Cause: Executor::on_worker_left reported all confirmed runs as lost when the announcement arrived. A worker executes its runs until its process ends, and it waits for the acknowledgement before.

Ruled out: the lost acknowledgement (the tasks are freed before it is written), a second session or a wrong hello (no entry_connected), an expired lease at the entry (run_lost follows the agent's report by 1 ms).

Change: the agent stops the runs of a leaving worker, renews its lease no more, reports each run when its stop or end is confirmed or the lease has expired, and acknowledges the announcement once no run is left. An announcement names its incarnation (`born`), so a late one does not stop the runs of the next incarnation; a heartbeat that arrives after it does not make the worker usable again. A worker that has left is no longer polled. New log line: worker_leaving.

Why it works: a task starts again only after an end in the run list, a confirmed stop, an expired lease or a later incarnation.

Weighed: waiting for the lease alone. Where the worker waits for its acknowledgement the confirmed stop frees the tasks at once.

--- a/src/core/execution/execution_event.rs
+++ b/src/core/execution/execution_event.rs
@@ -4,7 +4,7 @@
     super::ExecutionLogEvent,
     crate::core::{
         link::{AgentFrame, EntryFrame, RunOutcome},
-        work::{TaskId, WorkerView},
+        work::{TaskId, WorkerIncarnation, WorkerView},
     },
     std::sync::Arc,
 };
@@ -118,6 +118,25 @@
     Unanswered,
 }
 
+/// A worker that has announced that it leaves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct LeavingWorker {
+    /// Name of the worker.
+    pub(crate) id: String,
+    /// Start time of its incarnation, if the worker sends it.
+    pub(crate) born_unix_ms: Option<u64>,
+}
+
+impl LeavingWorker {
+    /// Whether the announcement is one of this incarnation.
+    pub(crate) fn is_incarnation(&self, incarnation: &WorkerIncarnation) -> bool {
+        self.id == incarnation.id
+            && self
+                .born_unix_ms
+                .is_none_or(|born| born == incarnation.born_unix_ms)
+    }
+}
+
 /// Input of the executor.
 #[derive(Debug)]
 pub(crate) enum ExecutionEvent {
@@ -144,11 +163,8 @@
     },
     /// A worker view persisted by an earlier process of this agent was loaded.
     WorkerRestored { view: WorkerView },
-    /// The worker announced that it is shutting down.
-    WorkerLeft {
-        /// Name of the worker.
-        worker: String,
-    },
+    /// The worker announced that it leaves; its runs go on until they are stopped or its process ends.
+    WorkerLeaving(LeavingWorker),
     /// The worker responded to a start call, or the call failed.
     StartAnswered {
         call: StartCall,
--- a/src/core/execution/execution_log_event.rs
+++ b/src/core/execution/execution_log_event.rs
@@ -37,6 +37,12 @@
         /// Runs still on the worker.
         runs: usize,
     },
+    /// The worker has announced that it leaves; its runs are stopped.
+    WorkerLeaving {
+        worker: String,
+        /// Runs still on the worker.
+        runs: usize,
+    },
     /// The worker no longer responds; it gets no starts until its next response.
     WorkerUnresponsive {
         worker: String,
@@ -45,7 +51,7 @@
         /// Number of its runs.
         runs: usize,
     },
-    /// The worker left, or did not respond until its lease expired.
+    /// The worker leaves and has no more runs, or did not respond until its lease expired.
     WorkerLost {
         worker: String,
         cause: &'static str,
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -3,8 +3,11 @@
 use {
     super::{
         ExecutionAction, ExecutionEvent, ExecutionLogEvent, SessionId,
-        capacity::CapacityReservation, crashes::LostTasks, entry_link::EntryLink, run::Run,
-        worker_state::WorkerState,
+        capacity::CapacityReservation,
+        crashes::LostTasks,
+        entry_link::EntryLink,
+        run::Run,
+        worker_state::{Departure, WorkerState},
     },
     crate::core::{
         document::DocumentCopy,
@@ -101,7 +104,7 @@
             ExecutionEvent::Frame { session, frame } => self.on_frame(now, session, frame),
             ExecutionEvent::Heartbeat { view, sequence } => self.on_heartbeat(now, view, sequence),
             ExecutionEvent::WorkerRestored { view } => self.on_worker_restored(now, view),
-            ExecutionEvent::WorkerLeft { worker } => self.on_worker_left(now, &worker),
+            ExecutionEvent::WorkerLeaving(worker) => self.on_worker_leaving(now, &worker),
             ExecutionEvent::StartAnswered { call, response } => {
                 self.on_start_answered(now, &call, response);
             }
@@ -114,6 +117,7 @@
             ExecutionEvent::Shutdown => self.on_shutdown(),
             ExecutionEvent::Tick => self.on_tick(now),
         }
+        self.finish_departure();
         self.maintain_worker(now);
         self.report_drained_sessions();
         self.measure_speed(now);
@@ -134,7 +138,7 @@
     ///
     /// Ignores reports that arrive out of order: of an earlier incarnation, or with an older
     /// sequence number.
-    fn on_heartbeat(&mut self, now: Instant, view: WorkerView, sequence: u64) {
+    fn on_heartbeat(&mut self, now: Instant, mut view: WorkerView, sequence: u64) {
         if view.service != self.settings.service {
             return;
         }
@@ -162,6 +166,8 @@
         };
         worker.report_sequence = sequence;
         worker.restored_at = None;
+        // A heartbeat may arrive after the announcement that the worker leaves.
+        view.draining |= worker.departure != Departure::Serving;
         if worker.view == view {
             return;
         }
@@ -201,27 +207,6 @@
         self.mark_all_runs_uncertain(now);
     }
 
-    fn on_worker_left(&mut self, now: Instant, worker: &str) {
-        if self
-            .worker
-            .as_ref()
-            .is_none_or(|known| known.view.life.id != worker)
-        {
-            return;
-        }
-        let runs = self.mark_confirmed_runs_lost(now, "worker_left");
-        self.log_event(ExecutionLogEvent::WorkerLost {
-            worker: worker.to_owned(),
-            cause: "left",
-            runs,
-        });
-        if let Some(known) = &mut self.worker {
-            known.ready = false;
-            known.view.draining = true;
-        }
-        self.announce_worker();
-    }
-
     fn on_shutdown(&mut self) {
         self.leaving = true;
         self.announce_worker();
--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -1,7 +1,10 @@
 //! The worker's lease, the fencing token, and detection of an unresponsive worker.
 
 use {
-    super::{ExecutionAction, ExecutionLogEvent, Executor, HoldCall, worker_state::ClockReading},
+    super::{
+        ExecutionAction, ExecutionLogEvent, Executor, HoldCall,
+        worker_state::{ClockReading, Departure},
+    },
     crate::core::{link::RunOutcome, time::Instant, work::TaskId},
 };
 
@@ -25,7 +28,10 @@
 impl Executor {
     /// Renews the lease, keeps a long poll open and drops an unresponsive worker.
     pub(super) fn maintain_worker(&mut self, now: Instant) {
-        if self.worker.is_none() {
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        if worker.departure == Departure::Left {
             return;
         }
         self.drop_unresponsive_worker(now);
@@ -66,9 +72,10 @@
         if !is_due || is_idle {
             return;
         }
-        // The lease of an unresponsive worker is not renewed, so that it expires as early as
+        // The lease of an unresponsive or leaving worker is not renewed, so that it expires as early as
         // possible.
-        let extends_lease = worker.accepts_starts() && has_runs;
+        let is_serving = worker.departure == Departure::Serving;
+        let extends_lease = worker.accepts_starts() && is_serving && has_runs;
         let lease_until_ms = if extends_lease {
             self.extend_lease(now)
         } else {
@@ -157,6 +164,9 @@
         }
         worker.ready = false;
         worker.renewed_at = None;
+        if worker.departure == Departure::Leaving {
+            worker.departure = Departure::Left;
+        }
         let name = worker.view.life.id.clone();
         self.record_unresponsive_worker();
         let runs = self.mark_all_runs_lost(now, "lease_over");
--- a/src/core/execution/mod.rs
+++ b/src/core/execution/mod.rs
@@ -5,6 +5,7 @@
 mod capacity_shares;
 mod capacity_use;
 mod crashes;
+mod departure;
 mod documents;
 mod entry_link;
 mod execution_event;
@@ -27,8 +28,8 @@
 
 pub(crate) use {
     execution_event::{
-        ExecutionAction, ExecutionEvent, HoldCall, HoldResponse, ListedEnd, ListedRun, SessionId,
-        StartCall, StartResponse, StopCall,
+        ExecutionAction, ExecutionEvent, HoldCall, HoldResponse, LeavingWorker, ListedEnd,
+        ListedRun, SessionId, StartCall, StartResponse, StopCall,
     },
     execution_log_event::ExecutionLogEvent,
     executor::{Executor, ExecutorSettings},
--- a/src/core/execution/run_list.rs
+++ b/src/core/execution/run_list.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         ExecutionAction, ExecutionLogEvent, Executor, HoldCall, HoldResponse, ListedEnd, ListedRun,
-        run::StartState, worker_state::ClockReading,
+        run::StartState,
+        worker_state::{ClockReading, Departure},
     },
     crate::core::{
         link::{NotStartedReason, RunOutcome},
@@ -226,7 +227,8 @@
         let Some(worker) = &mut self.worker else {
             return;
         };
-        if worker.ready || orphans > 0 || call.token < token {
+        let has_left = worker.departure == Departure::Left;
+        if worker.ready || has_left || orphans > 0 || call.token < token {
             return;
         }
         worker.ready = true;
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -3,6 +3,7 @@
 mod capacity_reports;
 mod capacity_shares;
 mod crashes;
+mod departure;
 mod lost_calls;
 mod queue_levels;
 mod restored_worker;
@@ -12,7 +13,8 @@
 use {
     super::{
         ExecutionAction, ExecutionEvent, ExecutionLogEvent, Executor, ExecutorSettings, HoldCall,
-        HoldResponse, ListedEnd, ListedRun, SessionId, StartCall, StartResponse,
+        HoldResponse, LeavingWorker, ListedEnd, ListedRun, SessionId, StartCall, StartResponse,
+        StopCall,
     },
     crate::core::{
         link::{AgentFrame, EntryFrame, EvacuatedZones, NotStartedReason, RunOutcome, StartOrder},
--- a/src/core/execution/worker_state.rs
+++ b/src/core/execution/worker_state.rs
@@ -17,12 +17,24 @@
     pub(super) at: Instant,
 }
 
+/// Progress of the worker's planned shutdown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Departure {
+    /// The worker has not announced that it leaves.
+    Serving,
+    /// The worker has announced that it leaves; its runs are being stopped.
+    Leaving,
+    /// No run is left at the leaving worker.
+    Left,
+}
+
 /// State of one incarnation of the worker.
 #[derive(Debug)]
 pub(super) struct WorkerState {
     /// The worker's latest report about itself.
     pub(super) view: WorkerView,
     pub(super) report_sequence: u64,
+    pub(super) departure: Departure,
     /// When the view was restored from an earlier process; `None` once the worker has reported to
     /// this one.
     pub(super) restored_at: Option<Instant>,
@@ -57,6 +69,7 @@
         Self {
             view,
             report_sequence,
+            departure: Departure::Serving,
             restored_at: None,
             clock: None,
             last_seen_end: 0,
--- a/src/core/tests/faults.rs
+++ b/src/core/tests/faults.rs
@@ -64,6 +64,13 @@
     DrainWorker {
         worker: usize,
     },
+    /// The worker drains for `drain_ms`, announces that it leaves, and ends once that is
+    /// acknowledged, or some time later if the acknowledgement is lost.
+    RemoveWorker {
+        worker: usize,
+        drain_ms: u64,
+        acknowledgement_lost: bool,
+    },
     /// Connections of all clients of the entry disconnect.
     ResetClients {
         entry: usize,
--- a/src/core/tests/seeds.rs
+++ b/src/core/tests/seeds.rs
@@ -7,6 +7,7 @@
 
 const FIXED_SEEDS: u64 = 250;
 const RETIREMENT_SEEDS: u64 = 100;
+const DEPARTURE_SEEDS: u64 = 100;
 const CRASH_SEEDS: u64 = 100;
 const COMPETITION_SEEDS: u64 = 100;
 /// Jobs of a simulation whose tasks crash their workers.
@@ -100,6 +101,18 @@
     assert!(with * 100 > without * 97, "{with}, without {without}");
 }
 
+/// Tasks that outlast the draining of their worker were started elsewhere while they still ran there.
+#[test]
+fn removed_workers_violate_no_invariant() {
+    for seed in 0..DEPARTURE_SEEDS {
+        let setup = Setup {
+            removed_workers: 8,
+            ..Setup::production()
+        };
+        assert_no_violations(seed, setup);
+    }
+}
+
 /// A task that crashes each worker that starts it must not go through the site, and must not take
 /// the jobs beside it along.
 #[test]
@@ -122,7 +135,7 @@
 }
 
 /// `RATTANSLIP_SEEDS=FIRST..END cargo test --release more_seeds -- --ignored` runs other seeds; odd
-/// ones have competing queues.
+/// ones have competing queues, and each third one has workers that leave.
 #[test]
 #[ignore = "runs thousands of seeds; started by hand"]
 fn more_seeds_on_demand() {
@@ -133,6 +146,7 @@
     for seed in first..end {
         let setup = Setup {
             competing_queues: seed % 2 == 1,
+            removed_workers: if seed % 3 == 0 { 8 } else { 0 },
             ..Setup::production()
         };
         let simulation = simulate(seed, setup);
--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -15,8 +15,8 @@
         },
         document::Document,
         execution::{
-            ExecutionAction, ExecutionEvent, Executor, ExecutorSettings, HoldResponse, SessionId,
-            StartResponse,
+            ExecutionAction, ExecutionEvent, Executor, ExecutorSettings, HoldResponse,
+            LeavingWorker, SessionId, StartResponse,
         },
         link::{AgentFrame, EntryFrame, EvacuatedZones, RunOutcome},
         routes::Route,
@@ -42,6 +42,8 @@
 const FAULTS: u64 = 7;
 const TICK_MS: u64 = 20;
 const HEARTBEAT_INTERVAL_MS: u64 = 1_500;
+/// Time after which a leaving worker ends without an acknowledgement, in milliseconds.
+const UNACKNOWLEDGED_LEAVE_MS: u64 = 2_000;
 /// Delay until a starting agent has read the stored view of its worker, in milliseconds.
 const WORKER_VIEW_READ_MS: u64 = 8;
 
@@ -50,6 +52,8 @@
 pub(super) struct Setup {
     pub(super) entry_limits: RunLimits,
     pub(super) agent_limits: RunLimits,
+    /// Number of workers that drain, announce that they leave, and end.
+    pub(super) removed_workers: u64,
     /// Number of sessions that agents retire.
     pub(super) retired_sessions: u64,
     /// Number of jobs whose tasks crash each worker that starts them.
@@ -65,6 +69,7 @@
         Self {
             entry_limits: limits,
             agent_limits: limits,
+            removed_workers: 0,
             retired_sessions: 0,
             crashing_jobs: 0,
             competing_queues: false,
@@ -152,6 +157,11 @@
         same_id: bool,
     },
     EndFault(Fault),
+    /// The process of a leaving worker ends, unless the incarnation has ended already.
+    EndWorker {
+        worker: usize,
+        born_unix_ms: u64,
+    },
 }
 
 #[derive(Debug)]
@@ -181,6 +191,8 @@
     agent_connected: Vec<bool>,
     late_calls: Vec<(u64, Instant)>,
     worker_disconnected_until: Vec<Instant>,
+    /// Leaving workers that wait for the acknowledgement of their announcement.
+    departures: BTreeMap<usize, LeavingWorker>,
     /// Worker views that agents have persisted.
     stored_worker_views: BTreeMap<usize, WorkerView>,
     stalled_links: BTreeMap<(usize, usize), Instant>,
@@ -209,6 +221,7 @@
             agent_connected: vec![false; WORKERS],
             late_calls: vec![(0, Instant::default()); WORKERS],
             worker_disconnected_until: vec![Instant::default(); WORKERS],
+            departures: BTreeMap::new(),
             stored_worker_views: BTreeMap::new(),
             stalled_links: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -264,6 +277,15 @@
             let at_ms = self.rng.between(1_500, 2_000 + LOAD_DURATION_MS);
             self.schedule_in_ms(at_ms, Event::StartFault(fault));
         }
+        for _ in 0..self.setup.removed_workers {
+            let fault = Fault::RemoveWorker {
+                worker: self.rng.index(WORKERS),
+                drain_ms: self.rng.between(200, 2_500),
+                acknowledgement_lost: self.rng.percent_chance(50),
+            };
+            let at_ms = self.rng.between(1_500, 2_000 + LOAD_DURATION_MS);
+            self.schedule_in_ms(at_ms, Event::StartFault(fault));
+        }
         for _ in 0..self.setup.retired_sessions {
             let (entry, agent) = (self.rng.index(ENTRIES), self.rng.index(WORKERS));
             let at_ms = self.rng.between(1_500, 2_000 + LOAD_DURATION_MS);
@@ -428,6 +450,10 @@
             Event::StartEntry { entry } => self.start_entry(entry),
             Event::StartAgent { agent } => self.start_agent(agent),
             Event::RestartWorker { worker, same_id } => self.restart_worker(worker, same_id),
+            Event::EndWorker {
+                worker,
+                born_unix_ms,
+            } => self.end_leaving_worker(worker, born_unix_ms),
         }
     }
 
@@ -710,10 +736,15 @@
         let Some(executor) = &mut process.machine else {
             return;
         };
+        let announces_departure = matches!(event, ExecutionEvent::WorkerLeaving(_));
+        let has_runs = executor.run_count() > 0;
         let actions = executor.handle(now, event);
         for action in actions {
             self.execute_agent_action(agent, action);
         }
+        if announces_departure || has_runs {
+            self.acknowledge_departure(agent);
+        }
     }
 
     fn execute_agent_action(&mut self, agent: usize, action: ExecutionAction) {
@@ -1004,6 +1035,75 @@
         self.schedule_in_ms(1, Event::Heartbeat { worker });
     }
 
+    /// Sends the announcement of a draining worker that it leaves; it may arrive late.
+    fn announce_departure(&mut self, worker: usize, acknowledgement_lost: bool) {
+        let model = &self.workers[worker];
+        if !self.worker_alive[worker] || !model.draining {
+            return;
+        }
+        let leaving = LeavingWorker {
+            id: model.incarnation.id.clone(),
+            born_unix_ms: Some(model.incarnation.born_unix_ms),
+        };
+        let born_unix_ms = model.incarnation.born_unix_ms;
+        self.trace(format!("worker {worker}: leaves"));
+        if !acknowledgement_lost {
+            self.departures.insert(worker, leaving.clone());
+        }
+        self.schedule_in_ms(
+            UNACKNOWLEDGED_LEAVE_MS,
+            Event::EndWorker {
+                worker,
+                born_unix_ms,
+            },
+        );
+        let delay_ms = if self.rng.percent_chance(10) {
+            self.rng.between(500, 4_000)
+        } else {
+            1
+        };
+        self.schedule_in_ms(
+            delay_ms,
+            Event::AgentInput {
+                agent: worker,
+                incarnation: self.agents[worker].incarnation,
+                event: ExecutionEvent::WorkerLeaving(leaving),
+            },
+        );
+    }
+
+    /// Lets a leaving worker end once its agent acknowledges the announcement.
+    fn acknowledge_departure(&mut self, agent: usize) {
+        let Some(leaving) = self.departures.get(&agent) else {
+            return;
+        };
+        let Some(executor) = &self.agents[agent].machine else {
+            return;
+        };
+        if executor.has_runs_at(leaving) {
+            return;
+        }
+        let born_unix_ms = leaving.born_unix_ms.unwrap_or_default();
+        self.departures.remove(&agent);
+        let worker = agent;
+        self.schedule_soon(Event::EndWorker {
+            worker,
+            born_unix_ms,
+        });
+    }
+
+    fn end_leaving_worker(&mut self, worker: usize, born_unix_ms: u64) {
+        let is_same = self.workers[worker].incarnation.born_unix_ms == born_unix_ms;
+        if !is_same || !self.worker_alive[worker] {
+            return;
+        }
+        self.trace(format!("worker {worker}: ends"));
+        self.departures.remove(&worker);
+        self.worker_alive[worker] = false;
+        let same_id = self.rng.percent_chance(30);
+        self.schedule_in_ms(1_000, Event::RestartWorker { worker, same_id });
+    }
+
     fn run_count_at(&self, worker: usize) -> usize {
         if self.worker_alive[worker] {
             self.workers[worker].active_runs().len()
@@ -1225,6 +1325,13 @@
                 self.schedule_in_ms(1, Event::Heartbeat { worker });
                 self.schedule_in_ms(2_500, Event::EndFault(fault));
             }
+            Fault::RemoveWorker {
+                worker, drain_ms, ..
+            } => {
+                self.workers[worker].draining = true;
+                self.schedule_in_ms(1, Event::Heartbeat { worker });
+                self.schedule_in_ms(drain_ms, Event::EndFault(fault));
+            }
             Fault::ResetClients { entry } => self.disconnect_clients(entry),
             Fault::EvacuateZone { for_ms } => {
                 self.evacuated_at = Some(now);
@@ -1247,6 +1354,11 @@
                     },
                 );
             }
+            Fault::RemoveWorker {
+                worker,
+                acknowledgement_lost,
+                ..
+            } => self.announce_departure(worker, acknowledgement_lost),
             Fault::EvacuateZone { .. } => {
                 self.evacuated_at = None;
                 self.set_evacuated(false);
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -6,7 +6,7 @@
         parse_worker_report,
     },
     crate::{
-        core::{document::Document, work::UnsupportedFeature},
+        core::{document::Document, execution::LeavingWorker, work::UnsupportedFeature},
         ports::SiteStore,
     },
     base64::{Engine, engine::general_purpose::STANDARD},
@@ -76,6 +76,22 @@
     assert_eq!(parse_heartbeat(&[0xff, 0xfe, 0x00]), None);
 }
 
+/// A late announcement must be told from one of the current incarnation.
+#[test]
+fn a_leave_names_the_incarnation() {
+    let leave = |body: &[u8]| parse_worker_report("/v1/Instances.Leave/w-1", body)?.ok();
+    let announcement = |born_unix_ms| {
+        Some(WorkerReport::Leave(LeavingWorker {
+            id: "w-1".to_owned(),
+            born_unix_ms,
+        }))
+    };
+    assert_eq!(leave(br#"{"born": 1700}"#), announcement(Some(1_700)));
+    assert_eq!(leave(b""), announcement(None));
+    assert_eq!(leave(b"{}"), announcement(None));
+    assert_eq!(leave(br#"{"born": "soon"}"#), None);
+}
+
 macro_rules! unsupported_jobs {
     ($($name:ident: $change:expr => $feature:expr;)+) => {
         $(
--- a/src/platform/worker_reports.rs
+++ b/src/platform/worker_reports.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{PlatformError, json::read_json},
-    crate::core::work::{Resources, WorkerIncarnation, WorkerView},
+    crate::core::{
+        execution::LeavingWorker,
+        work::{Resources, WorkerIncarnation, WorkerView},
+    },
     serde::Deserialize,
 };
 
@@ -38,6 +41,13 @@
     born: u64,
 }
 
+#[derive(Debug, Default, Deserialize)]
+struct LeaveBody {
+    /// Start of the worker incarnation, in Unix milliseconds.
+    #[serde(default)]
+    born: Option<u64>,
+}
+
 /// A call from a worker.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum WorkerReport {
@@ -47,8 +57,8 @@
         /// Number of the report; increases within one incarnation.
         sequence: u64,
     },
-    /// The worker is shutting down.
-    Leave { worker: String },
+    /// The worker leaves: its process ends soon, at the latest after the acknowledgement.
+    Leave(LeavingWorker),
 }
 
 /// Parses a call from the worker; `None` for an unknown path.
@@ -57,14 +67,24 @@
     body: &[u8],
 ) -> Option<Result<WorkerReport, PlatformError>> {
     if let Some(worker) = path.strip_prefix(LEAVE_PATH) {
-        return Some(Ok(WorkerReport::Leave {
-            worker: worker.to_owned(),
-        }));
+        return Some(parse_leave(worker, body));
     }
     let worker = path.strip_prefix(HEARTBEAT_PATH)?;
     Some(parse_heartbeat(worker, body))
 }
 
+fn parse_leave(worker: &str, body: &[u8]) -> Result<WorkerReport, PlatformError> {
+    let body: LeaveBody = if body.is_empty() {
+        LeaveBody::default()
+    } else {
+        read_json(body)?
+    };
+    Ok(WorkerReport::Leave(LeavingWorker {
+        id: worker.to_owned(),
+        born_unix_ms: body.born,
+    }))
+}
+
 fn parse_heartbeat(worker: &str, body: &[u8]) -> Result<WorkerReport, PlatformError> {
     let body: HeartbeatBody = read_json(body)?;
     let view = WorkerView {
--- a/src/site_agent/execution_loop.rs
+++ b/src/site_agent/execution_loop.rs
@@ -4,7 +4,10 @@
     crate::{
         adapters::link::FrameDuplex,
         core::{
-            execution::{ExecutionAction, ExecutionEvent, ExecutionLogEvent, Executor, SessionId},
+            execution::{
+                ExecutionAction, ExecutionEvent, ExecutionLogEvent, Executor, LeavingWorker,
+                SessionId,
+            },
             link::{AgentFrame, EntryFrame},
             work::WorkerView,
         },
@@ -33,6 +36,11 @@
         event: ExecutionEvent,
         handled: oneshot::Sender<()>,
     },
+    /// The worker announced that it leaves, and waits until none of its runs is left.
+    WorkerLeaving {
+        worker: LeavingWorker,
+        stopped: oneshot::Sender<()>,
+    },
     /// A session with an entry was opened.
     SessionOpened {
         session: SessionId,
@@ -55,6 +63,8 @@
     pub(super) metrics: Arc<dyn Metrics>,
     pub(super) sessions: BTreeMap<SessionId, mpsc::UnboundedSender<AgentFrame>>,
     pub(super) drain_notifiers: BTreeMap<SessionId, oneshot::Sender<()>>,
+    /// Announcements of leaving workers that are not acknowledged yet.
+    pub(super) departures: Vec<(LeavingWorker, oneshot::Sender<()>)>,
     /// Latest view of the worker, persisted for the agent's next process.
     pub(super) worker_view: watch::Sender<Option<WorkerView>>,
     /// Turns true once no run of an earlier process is left at the worker.
@@ -88,6 +98,10 @@
                 // The worker may have given up waiting.
                 let _ = handled.send(());
             }
+            LoopInput::WorkerLeaving { worker, stopped } => {
+                self.departures.push((worker.clone(), stopped));
+                self.handle(ExecutionEvent::WorkerLeaving(worker));
+            }
             LoopInput::SessionOpened {
                 session,
                 entry,
@@ -109,12 +123,22 @@
         for action in self.executor.handle(now, event) {
             self.execute(action);
         }
+        self.acknowledge_departures();
         let runs = u64::try_from(self.executor.run_count()).unwrap_or(u64::MAX);
         self.metrics.set(Gauge::TasksRunning, runs);
         let slowness_permille = u64::from(self.executor.slowness_permille());
         self.metrics.set(Gauge::Slowness, slowness_permille);
     }
 
+    fn acknowledge_departures(&mut self) {
+        let executor = &self.executor;
+        let is_stopped = |(worker, _): &mut (LeavingWorker, _)| !executor.has_runs_at(worker);
+        for (_, stopped) in self.departures.extract_if(.., is_stopped) {
+            // The worker may have given up waiting.
+            let _ = stopped.send(());
+        }
+    }
+
     fn execute(&mut self, action: ExecutionAction) {
         match action {
             ExecutionAction::Send { session, frame } => {
@@ -187,6 +211,7 @@
             | ExecutionLogEvent::SessionRetired { .. }
             | ExecutionLogEvent::WorkerSeen { .. }
             | ExecutionLogEvent::WorkerDraining { .. }
+            | ExecutionLogEvent::WorkerLeaving { .. }
             | ExecutionLogEvent::WorkerUnresponsive { .. }
             | ExecutionLogEvent::WorkerLost { .. }
             | ExecutionLogEvent::WorkerReady { .. }
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -72,6 +72,7 @@
             metrics: Arc::clone(&self.process.metrics),
             sessions: BTreeMap::new(),
             drain_notifiers: BTreeMap::new(),
+            departures: Vec::new(),
             worker_view,
             stale_runs_stopped,
             input_sender: self.inputs.clone(),
--- a/src/site_agent/worker_report_handler.rs
+++ b/src/site_agent/worker_report_handler.rs
@@ -34,16 +34,20 @@
             Some(Ok(report)) => report,
         };
         self.metrics.count(Counter::Announcements, "taken");
-        let event = match report {
-            WorkerReport::Heartbeat { view, sequence } => {
-                ExecutionEvent::Heartbeat { view, sequence }
-            }
-            WorkerReport::Leave { worker } => ExecutionEvent::WorkerLeft { worker },
-        };
         // The report is acknowledged after the executor has handled it: a worker that is about to
         // exit relies on getting no more tasks.
         let (handled, acknowledgement) = tokio::sync::oneshot::channel();
-        let sent = self.inputs.send(LoopInput::Report { event, handled });
+        let input = match report {
+            WorkerReport::Heartbeat { view, sequence } => LoopInput::Report {
+                event: ExecutionEvent::Heartbeat { view, sequence },
+                handled,
+            },
+            WorkerReport::Leave(worker) => LoopInput::WorkerLeaving {
+                worker,
+                stopped: handled,
+            },
+        };
+        let sent = self.inputs.send(input);
         match (sent, acknowledgement.await) {
             (Ok(()), Ok(())) => HttpResponse::json(StatusCode::OK, "{}"),
             _ => HttpResponse::empty(StatusCode::SERVICE_UNAVAILABLE),
--- a/src/site_entry/tests/events.rs
+++ b/src/site_entry/tests/events.rs
@@ -1,7 +1,7 @@
 //! Checks that the operations page documents every log event.
 
 /// Every log event of an entry, an agent, and a process as a whole.
-const EVENTS: [&str; 43] = [
+const EVENTS: [&str; 44] = [
     "job_taken",
     "job_refused",
     "job_joined",
@@ -23,6 +23,7 @@
     "worker_ready",
     "worker_changed",
     "worker_draining",
+    "worker_leaving",
     "worker_lost",
     "worker_unresponsive",
     "worker_crashed",
--- a/src/standin/site_worker.rs
+++ b/src/standin/site_worker.rs
@@ -32,12 +32,14 @@
     tokio::{
         net::TcpListener,
         sync::watch,
-        time::{Instant, sleep},
+        time::{Instant, sleep, timeout},
     },
 };
 
 /// Interval between checks for finished runs.
 const POLL_INTERVAL_MS: u64 = 5;
+/// Time after which a leaving worker ends without an acknowledgement, in milliseconds.
+const LEAVE_TIMEOUT_MS: u64 = 2_000;
 /// Run time if the spec gives none.
 const DEFAULT_RUN_MS: u64 = 50;
 
@@ -217,7 +219,14 @@
 
     async fn send_leave(&self) {
         let path = format!("/v1/Instances.Leave/{}", self.args.id);
-        self.call_agent(path, "{}".to_owned()).await;
+        let body = json!({"born": self.model().incarnation.born_unix_ms});
+        let limit = Duration::from_millis(LEAVE_TIMEOUT_MS);
+        if timeout(limit, self.call_agent(path, body.to_string()))
+            .await
+            .is_err()
+        {
+            log::debug!("the agent did not acknowledge that this worker leaves");
+        }
     }
 
     fn start(&self, body: &WorkerCallBody) -> HttpResponse {
--- a/tests/processes/site.rs
+++ b/tests/processes/site.rs
@@ -22,6 +22,30 @@
         .collect()
 }
 
+/// Tasks that ran on two workers at the same time.
+fn tasks_run_twice_at_once(site: &Site) -> Vec<String> {
+    let mut events: Vec<(u64, &str, String)> = Vec::new();
+    for run in site.runs() {
+        events.push((run.begun_at_us, "begin", run.task.clone()));
+        events.push((run.ended_at_us.unwrap_or(u64::MAX), "end", run.task));
+    }
+    events.sort();
+    let mut running: BTreeMap<String, usize> = BTreeMap::new();
+    let mut twice = Vec::new();
+    for (_, event, task) in events {
+        let count = running.entry(task.clone()).or_default();
+        if event == "end" {
+            *count -= 1;
+            continue;
+        }
+        *count += 1;
+        if *count > 1 {
+            twice.push(task);
+        }
+    }
+    twice
+}
+
 /// Waits until an entry completes a job. Before its first contact with an agent it rejects short
 /// jobs.
 async fn wait_until_serving(site: &Site, entry: usize) {
@@ -253,6 +277,29 @@
     assert!(status.success());
 }
 
+/// A worker executes its runs until it ends, also after it has announced that it leaves: their tasks
+/// were started elsewhere at once.
+#[tokio::test]
+async fn tasks_of_a_leaving_worker_run_once_at_a_time() {
+    let site = Site::start("leaving", 1, 3).await;
+    wait_until_serving(&site, 0).await;
+    let entry = site.entries[0].client_addr;
+    let submitting = tokio::spawn(submit_to(entry, "00000000000000a7", site_job(6, 1_500)));
+    eventually("a task runs", Duration::from_secs(5), || async {
+        site.runs().iter().any(|run| run.is_open_at(0))
+    })
+    .await;
+    let agent = site.workers[0].report_addr;
+    let path = "/v1/Instances.Leave/w-0";
+    assert_eq!(request("POST", agent, path, &[], "{}").await.status, 200);
+    let is_acknowledged_early = site.runs().iter().any(|run| run.is_open_at(0));
+    let reply = submitting.await.expect("task").expect("reply");
+    assert_eq!(reply.body, r#"{"state":"completed"}"#);
+    assert_eq!(tasks_run_twice_at_once(&site), Vec::<String>::new());
+    assert!(!tasks_begun_twice(&site).is_empty());
+    assert!(!is_acknowledged_early);
+}
+
 /// Malformed reports are rejected with 400, and the known worker keeps working.
 #[tokio::test]
 async fn a_malformed_worker_report_is_rejected() {
--- a/tests/processes/support/site.rs
+++ b/tests/processes/support/site.rs
@@ -41,6 +41,23 @@
     settings: PathBuf,
 }
 
+/// A run at a worker, with times of the host's boot clock.
+#[derive(Debug)]
+pub struct SiteRun {
+    pub worker: usize,
+    pub task: String,
+    number: u64,
+    pub begun_at_us: u64,
+    pub ended_at_us: Option<u64>,
+}
+
+impl SiteRun {
+    /// Whether the run has begun at this worker and not ended yet.
+    pub fn is_open_at(&self, worker: usize) -> bool {
+        self.worker == worker && self.ended_at_us.is_none()
+    }
+}
+
 /// A running site; its processes are killed on drop.
 #[derive(Debug)]
 pub struct Site {
@@ -250,6 +267,39 @@
         runs
     }
 
+    /// Runs at all workers since they started.
+    pub fn runs(&self) -> Vec<SiteRun> {
+        let mut runs: Vec<SiteRun> = Vec::new();
+        for (worker, process) in self.workers.iter().enumerate() {
+            for line in fs::read_to_string(&process.log).expect("log").lines() {
+                let Ok(line) = serde_json::from_str::<Value>(line) else {
+                    continue;
+                };
+                let (Some(event), Some(task)) = (line["event"].as_str(), line["task"].as_str())
+                else {
+                    continue;
+                };
+                let at_us = line["at_us"].as_u64().expect("time");
+                let number = line["run"].as_u64().expect("run number");
+                if event == "begin" {
+                    runs.push(SiteRun {
+                        worker,
+                        task: task.to_owned(),
+                        number,
+                        begun_at_us: at_us,
+                        ended_at_us: None,
+                    });
+                    continue;
+                }
+                let run = runs
+                    .iter_mut()
+                    .find(|run| run.is_open_at(worker) && run.task == task && run.number == number);
+                run.expect("an earlier begin").ended_at_us = Some(at_us);
+            }
+        }
+        runs
+    }
+
     /// Returns the log of an entry or agent.
     pub fn log(&self, process: &str) -> String {
         fs::read_to_string(self.folder.join(format!("{process}.log"))).expect("log")
