--- a/src/site_entry/process_log_event.rs
+++ b/src/site_entry/process_log_event.rs
@@ -52,6 +52,8 @@
         call: &'static str,
         /// Duration of the outage.
         away_ms: u64,
+        /// Number of calls that failed.
+        failed_calls: u64,
     },
     /// A new configuration is in force.
     ConfigInForce {
--- a/src/site_entry/store_health.rs
+++ b/src/site_entry/store_health.rs
@@ -6,7 +6,7 @@
         adapters::timer::Backoff,
         ports::{Counter, DecisionLog, LogPriority, Metrics, StoreError, log_decision},
     },
-    std::{sync::Arc, time::Instant},
+    std::{mem, sync::Arc, time::Instant},
 };
 
 /// Backoff after failed calls, in milliseconds.
@@ -20,6 +20,8 @@
     decisions: Arc<dyn DecisionLog>,
     metrics: Arc<dyn Metrics>,
     unavailable_since: Option<Instant>,
+    /// Failed calls since then.
+    failed_calls: u64,
     backoff: Backoff,
 }
 
@@ -35,6 +37,7 @@
             decisions: Arc::clone(decisions),
             metrics: Arc::clone(metrics),
             unavailable_since: None,
+            failed_calls: 0,
             backoff: Backoff::new(INITIAL_BACKOFF_MS, MAX_BACKOFF_MS),
         }
     }
@@ -46,8 +49,11 @@
         if let Some(unavailable_since) = self.unavailable_since.take() {
             let away_ms =
                 u64::try_from(unavailable_since.elapsed().as_millis()).unwrap_or(u64::MAX);
-            let call = self.call;
-            let event = ProcessLogEvent::StoreRegained { call, away_ms };
+            let event = ProcessLogEvent::StoreRegained {
+                call: self.call,
+                away_ms,
+                failed_calls: mem::take(&mut self.failed_calls),
+            };
             log_decision(&*self.decisions, LogPriority::Notable, &event);
         }
     }
@@ -59,6 +65,7 @@
             StoreError::OutcomeUnknown(_) => "outcome_unknown",
         };
         self.metrics.count(Counter::StoreCalls, outcome);
+        self.failed_calls += 1;
         if self.unavailable_since.is_none() {
             self.unavailable_since = Some(Instant::now());
             let event = ProcessLogEvent::StoreLost {
