After a timeout no call uses a connection that was open before

What callers saw: an added route was refused with 404 for 5.7 to 5.9 s after its acknowledgement when the open connections to the store had gone silent 2.5 s after a start of the entries; 3.0 s were due. Evacuations take the same path.

Cause: a timeout closed only its own connection. The idle ones in the pool had gone silent with it, stayed there for 8 s, and each later call took one of them and waited for its own timeout.

Ruled out: a slow store or slow connects (the read that gets a new connection takes 2 ms), the backoff (under 0.4 s in all), feeds that miss changes (the row comes with the first read that succeeds), and the time of detection (2.2 s of the 3.0).

Change: ConnectionPool, the connections of one client to one server, is replaced as a whole after a timeout of a call that was sent on it. Calls in flight go on on their connections, and concurrent timeouts replace it once. It serves the calls to the store and to the worker of a site and the store of the standalone deployment. After a feed call that took long, the rows are read at once: the pause between reads counts from the last read. New counter: rattanslip_connection_replacements_total.

Why it works: what a path still pays after the silence is the timeout of the call in flight, 2.5 s for the feed; the next call opens a new connection. A shorter timeout is not needed.

--- a/src/adapters/platform/http_store.rs
+++ b/src/adapters/platform/http_store.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        adapters::http::read_body_with_idle_timeout,
+        adapters::http::{
+            BodyError, ConnectionPool, PoolSettings, PooledClient, read_body_with_idle_timeout,
+        },
         ports::{
             Counter, Metrics, ObjectStore, Row, StoreError, Table, Transaction, TransactionOutcome,
         },
@@ -11,38 +13,45 @@
     bytes::Bytes,
     http::{Method, Request, StatusCode},
     http_body_util::Full,
-    hyper_util::{
-        client::legacy::{Client, connect::HttpConnector},
-        rt::TokioExecutor,
-    },
     serde::de::DeserializeOwned,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
+/// Idle timeout of connections, in milliseconds.
+const IDLE_TIMEOUT_MS: u64 = 90_000;
+
 /// The platform at one address.
 #[derive(Debug)]
 pub(crate) struct HttpStore {
     addr: SocketAddr,
     timeout_ms: u64,
-    client: Client<HttpConnector, Full<Bytes>>,
+    pool: ConnectionPool,
     metrics: Arc<dyn Metrics>,
 }
 
 impl HttpStore {
     /// Creates a client; a call fails if no part of its response arrives for `timeout_ms`.
     pub(crate) fn new(addr: SocketAddr, timeout_ms: u64, metrics: Arc<dyn Metrics>) -> Self {
-        let client = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .build_http();
+        let pool = ConnectionPool::new(PoolSettings {
+            connect_timeout_ms: None,
+            idle_timeout_ms: IDLE_TIMEOUT_MS,
+        });
         Self {
             addr,
             timeout_ms,
-            client,
+            pool,
             metrics,
         }
     }
 
+    fn handle_timeout(&self, client: &PooledClient) -> StoreError {
+        if self.pool.replace_connections(client) {
+            self.metrics.count(Counter::ConnectionReplacements, "store");
+        }
+        StoreError::OutcomeUnknown("timed out".to_owned())
+    }
+
     async fn send(
         &self,
         method: Method,
@@ -56,19 +65,25 @@
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| StoreError::Unavailable(error.to_string()))?;
         let limit = Duration::from_millis(self.timeout_ms);
-        let response = timeout(limit, self.client.request(request)).await;
-        let response = response
-            .map_err(|_| StoreError::OutcomeUnknown("timed out".to_owned()))?
-            .map_err(|error| {
-                if error.is_connect() {
-                    StoreError::Unavailable(error.to_string())
-                } else {
-                    StoreError::OutcomeUnknown(error.to_string())
-                }
-            })?;
+        let client = self.pool.client();
+        let Ok(response) = timeout(limit, client.request(request)).await else {
+            return Err(self.handle_timeout(&client));
+        };
+        let response = response.map_err(|error| {
+            if error.is_connect() {
+                StoreError::Unavailable(error.to_string())
+            } else {
+                StoreError::OutcomeUnknown(error.to_string())
+            }
+        })?;
         let status = response.status();
-        let body = read_body_with_idle_timeout(response.into_body(), self.timeout_ms).await;
-        let body = body.map_err(StoreError::OutcomeUnknown)?;
+        let body = match read_body_with_idle_timeout(response.into_body(), self.timeout_ms).await {
+            Ok(body) => body,
+            Err(BodyError::TimedOut) => return Err(self.handle_timeout(&client)),
+            Err(BodyError::Lost(error)) => {
+                return Err(StoreError::OutcomeUnknown(error.to_string()));
+            }
+        };
         if status == StatusCode::SERVICE_UNAVAILABLE {
             return Err(StoreError::Unavailable("the platform is down".to_owned()));
         }
--- a/src/adapters/timer/backoff.rs
+++ b/src/adapters/timer/backoff.rs
@@ -1,6 +1,6 @@
 //! Exponential backoff.
 
-use super::sleep_with_jitter;
+use {super::sleep_with_jitter, tokio::time::Instant};
 
 /// Delays that double after each failure, up to a maximum.
 #[derive(Debug, Clone, Copy)]
@@ -26,7 +26,13 @@
 
     /// Waits before the next attempt.
     pub(crate) async fn wait(&mut self) {
-        sleep_with_jitter(self.next_ms).await;
+        self.wait_since(Instant::now()).await;
+    }
+
+    /// Waits before the next attempt, counted from an earlier time.
+    pub(crate) async fn wait_since(&mut self, since: Instant) {
+        let elapsed_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+        sleep_with_jitter(self.next_ms.saturating_sub(elapsed_ms)).await;
         self.next_ms = (self.next_ms * 2).min(self.max_ms);
     }
 }
--- a/src/platform/http_worker_client.rs
+++ b/src/platform/http_worker_client.rs
@@ -17,7 +17,6 @@
     async_trait::async_trait,
     http::{HeaderName, HeaderValue, Method, StatusCode},
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
 };
 
 /// Header with the id of the worker incarnation that a call is intended for.
@@ -84,12 +83,11 @@
 #[derive(Debug)]
 pub(crate) struct HttpWorkerClient {
     client: PlatformHttpClient,
-    addr: SocketAddr,
 }
 
 impl HttpWorkerClient {
-    pub(crate) const fn new(client: PlatformHttpClient, addr: SocketAddr) -> Self {
-        Self { client, addr }
+    pub(crate) const fn new(client: PlatformHttpClient) -> Self {
+        Self { client }
     }
 
     async fn post<B: Serialize>(
@@ -105,7 +103,6 @@
         self.client
             .call(PlatformRequest {
                 method: Method::POST,
-                to: self.addr,
                 path: path.to_owned(),
                 headers: vec![(EXPECTED_INSTANCE, expected)],
                 body,
--- a/src/platform/platform_http_client.rs
+++ b/src/platform/platform_http_client.rs
@@ -2,16 +2,17 @@
 
 use {
     super::PlatformError,
-    crate::adapters::http::read_body_with_idle_timeout,
+    crate::{
+        adapters::http::{
+            BodyError, ConnectionPool, PoolSettings, PooledClient, read_body_with_idle_timeout,
+        },
+        ports::{Counter, Metrics},
+    },
     bytes::Bytes,
     http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode},
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
-    hyper_util::{
-        client::legacy::{Client, connect::HttpConnector},
-        rt::{TokioExecutor, TokioTimer},
-    },
-    std::{error::Error, io, net::SocketAddr, time::Duration},
+    std::{error::Error, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -23,7 +24,6 @@
 #[derive(Debug)]
 pub(super) struct PlatformRequest {
     pub(super) method: Method,
-    pub(super) to: SocketAddr,
     /// Path and query.
     pub(super) path: String,
     pub(super) headers: Vec<(HeaderName, HeaderValue)>,
@@ -32,41 +32,50 @@
     pub(super) timeout_ms: u64,
 }
 
-/// HTTP client with a connection pool; addresses servers by IP address.
-#[derive(Debug, Clone)]
+/// HTTP client of one server, with a connection pool.
+#[derive(Debug)]
 pub(crate) struct PlatformHttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    addr: SocketAddr,
+    /// Name of the server in metrics.
+    server: &'static str,
+    pool: ConnectionPool,
+    metrics: Arc<dyn Metrics>,
 }
 
 impl PlatformHttpClient {
-    pub(crate) fn new() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS))
-            .retry_canceled_requests(false)
-            .build(connector);
-        Self { client }
+    pub(crate) fn new(addr: SocketAddr, server: &'static str, metrics: Arc<dyn Metrics>) -> Self {
+        let pool = ConnectionPool::new(PoolSettings {
+            connect_timeout_ms: Some(CONNECT_TIMEOUT_MS),
+            idle_timeout_ms: IDLE_TIMEOUT_MS,
+        });
+        Self {
+            addr,
+            server,
+            pool,
+            metrics,
+        }
     }
 
     /// Sends a request and reads the complete response; the timeout covers both.
     ///
     /// A timeout closes the connection, so that a late response can't be mistaken for that of a
-    /// later call.
+    /// later call, and no later call uses a connection that was open before.
     pub(super) async fn call(
         &self,
         call: PlatformRequest,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
         let limit = Duration::from_millis(call.timeout_ms);
+        let client = self.pool.client();
         let exchange = async {
-            let response = self.send(call).await?;
+            let response = self.send(&client, call).await?;
             let status = response.status();
             let body = response.into_body().collect().await;
             Ok((status, body.map_err(no_response)?.to_bytes()))
         };
-        timeout(limit, exchange).await.map_err(|_| timed_out())?
+        match timeout(limit, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(self.handle_timeout(&client)),
+        }
     }
 
     /// Sends a request whose response may be large. The timeout covers the response head; the body may take any time
@@ -77,17 +86,35 @@
         idle_timeout_ms: u64,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
         let limit = Duration::from_millis(call.timeout_ms);
-        let response = timeout(limit, self.send(call));
-        let response = response.await.map_err(|_| timed_out())??;
+        let client = self.pool.client();
+        let Ok(response) = timeout(limit, self.send(&client, call)).await else {
+            return Err(self.handle_timeout(&client));
+        };
+        let response = response?;
         let status = response.status();
-        let body = read_body_with_idle_timeout(response.into_body(), idle_timeout_ms).await;
-        Ok((status, body.map_err(no_response)?))
+        match read_body_with_idle_timeout(response.into_body(), idle_timeout_ms).await {
+            Ok(body) => Ok((status, body)),
+            Err(BodyError::TimedOut) => Err(self.handle_timeout(&client)),
+            Err(error) => Err(no_response(error)),
+        }
     }
 
-    async fn send(&self, call: PlatformRequest) -> Result<Response<Incoming>, PlatformError> {
+    fn handle_timeout(&self, client: &PooledClient) -> PlatformError {
+        if self.pool.replace_connections(client) {
+            self.metrics
+                .count(Counter::ConnectionReplacements, self.server);
+        }
+        no_response("timed out")
+    }
+
+    async fn send(
+        &self,
+        client: &PooledClient,
+        call: PlatformRequest,
+    ) -> Result<Response<Incoming>, PlatformError> {
         let mut request = Request::builder()
             .method(call.method)
-            .uri(format!("http://{}{}", call.to, call.path));
+            .uri(format!("http://{}{}", self.addr, call.path));
         if !call.body.is_empty() {
             request = request.header(http::header::CONTENT_TYPE, "application/json");
         }
@@ -95,7 +122,7 @@
         request
             .headers_mut()
             .extend(call.headers.into_iter().collect::<HeaderMap>());
-        self.client.request(request).await.map_err(|error| {
+        client.request(request).await.map_err(|error| {
             if is_refused(&error) {
                 PlatformError::Refused(error.to_string())
             } else if error.is_connect() {
@@ -124,7 +151,3 @@
 fn no_response(error: impl ToString) -> PlatformError {
     PlatformError::NoResponse(error.to_string())
 }
-
-fn timed_out() -> PlatformError {
-    no_response("timed out")
-}
--- a/src/platform/rows_store.rs
+++ b/src/platform/rows_store.rs
@@ -100,12 +100,11 @@
 #[derive(Debug)]
 pub(crate) struct RowsStore {
     client: PlatformHttpClient,
-    addr: SocketAddr,
 }
 
 impl RowsStore {
-    pub(crate) const fn new(client: PlatformHttpClient, addr: SocketAddr) -> Self {
-        Self { client, addr }
+    pub(crate) const fn new(client: PlatformHttpClient) -> Self {
+        Self { client }
     }
 
     async fn get(
@@ -115,7 +114,6 @@
     ) -> Result<(StatusCode, Bytes), PlatformError> {
         let call = PlatformRequest {
             method: Method::GET,
-            to: self.addr,
             path,
             headers: Vec::new(),
             body: Vec::new(),
@@ -177,7 +175,6 @@
         let body = write_json(body)?;
         let call = PlatformRequest {
             method: Method::POST,
-            to: self.addr,
             path: "/v1/rows-tx".to_owned(),
             headers: Vec::new(),
             body,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,13 +1,16 @@
 //! Tests of the platform's formats and calls.
 
+mod silent_connections;
+
 use {
     super::{
         PlatformHttpClient, RowsStore, WorkerReport, job_body::parse_job, parse_config,
         parse_worker_report,
     },
     crate::{
+        adapters::metrics::OtelMetrics,
         core::{document::Document, execution::LeavingWorker, work::UnsupportedFeature},
-        ports::SiteStore,
+        ports::{Metrics, SiteStore},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     serde_json::{Value, json},
@@ -18,6 +21,10 @@
     },
 };
 
+fn metrics() -> Arc<dyn Metrics> {
+    Arc::new(OtelMetrics::new().expect("metrics"))
+}
+
 const HEARTBEAT: &str = "/v1/Instances.Heartbeat/w-1";
 
 fn heartbeat() -> Value {
@@ -154,7 +161,7 @@
             socket.write_all(part).await.expect("part");
         }
     });
-    let store = RowsStore::new(PlatformHttpClient::new(), addr);
+    let store = RowsStore::new(PlatformHttpClient::new(addr, "store", metrics()));
     let rows = store.read_operator_rows().await.expect("rows");
     let text = rows.document.expect("valid document").text;
     assert_eq!(&*text, document.as_bytes());
--- a/src/ports/metrics.rs
+++ b/src/ports/metrics.rs
@@ -26,6 +26,8 @@
         Answers => "rattanslip.answers",
         /// Calls to the platform's store, by kind and outcome.
         StoreCalls => "rattanslip.store_calls",
+        /// Replacements of all connections to a server after a timeout, by server.
+        ConnectionReplacements => "rattanslip.connection_replacements",
         /// Digests sent to other entries, by outcome.
         Digests => "rattanslip.digests",
         /// Notices to agents that their zone or worker was opened or closed, by outcome.
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -20,7 +20,7 @@
             execution::{ExecutionEvent, Executor, ExecutorSettings},
             work::WorkerView,
         },
-        platform::HttpWorkerClient,
+        platform::{HttpWorkerClient, PlatformHttpClient},
         site_entry::{ProcessLogEvent, SiteProcess},
     },
     std::{
@@ -61,12 +61,11 @@
             limits: settings.site.limits,
             first_token: initial_token(),
         });
+        let metrics = Arc::clone(&self.process.metrics);
+        let client = PlatformHttpClient::new(settings.worker, "worker", metrics);
         ExecutionLoop {
             executor,
-            worker: Arc::new(HttpWorkerClient::new(
-                self.process.caller.clone(),
-                settings.worker,
-            )),
+            worker: Arc::new(HttpWorkerClient::new(client)),
             timer: Arc::new(BootTimer),
             decisions: Arc::clone(&self.process.decisions),
             metrics: Arc::clone(&self.process.metrics),
--- a/src/site_entry/operator_rows_watcher.rs
+++ b/src/site_entry/operator_rows_watcher.rs
@@ -19,9 +19,8 @@
     std::{
         collections::BTreeMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Instant,
     },
-    tokio::sync::mpsc,
+    tokio::{sync::mpsc, time::Instant},
 };
 
 /// Long-poll timeout of the change feed, in milliseconds; an unresponsive connection must be detected
@@ -67,7 +66,7 @@
                     self.apply_rows(rows);
                     self.follow_changes(version, &mut health, &mut backoff)
                         .await;
-                    backoff.wait().await;
+                    backoff.wait_since(started_at).await;
                 }
                 Err(error) => health.record_failure(&error).await,
             }
--- a/src/site_entry/site_process.rs
+++ b/src/site_entry/site_process.rs
@@ -20,7 +20,6 @@
 /// Metrics, log and platform access of one process.
 #[derive(Debug)]
 pub(crate) struct SiteProcess {
-    pub(crate) caller: PlatformHttpClient,
     pub(crate) store: Arc<dyn SiteStore>,
     pub(crate) metrics: Arc<dyn Metrics>,
     pub(crate) decisions: Arc<dyn DecisionLog>,
@@ -29,13 +28,12 @@
 impl SiteProcess {
     /// Creates the components from the settings.
     pub(crate) fn new(site: &SiteSettings) -> Result<Self, RunError> {
-        let metrics = OtelMetrics::new().map_err(RunError::metrics)?;
+        let metrics: Arc<dyn Metrics> = Arc::new(OtelMetrics::new().map_err(RunError::metrics)?);
         let writer = DecisionWriter::start(&site.name).map_err(RunError::Runtime)?;
-        let caller = PlatformHttpClient::new();
+        let store_client = PlatformHttpClient::new(site.store, "store", Arc::clone(&metrics));
         Ok(Self {
-            store: Arc::new(RowsStore::new(caller.clone(), site.store)),
-            caller,
-            metrics: Arc::new(metrics),
+            store: Arc::new(RowsStore::new(store_client)),
+            metrics,
             decisions: Arc::new(writer),
         })
     }
