Standalone: silent connections to a backend server cost one task, not one each

A stop request had no timeout at all; it is given up after a second, and its connections are replaced.

Test: backend::tests::silent_connections_cost_one_deadline. With the line that closes idle connections removed it was not run; before, the run after the first was sent on the second silent connection by construction.

--- a/src/adapters/backend/http_backend.rs
+++ b/src/adapters/backend/http_backend.rs
@@ -3,6 +3,7 @@
 use {
     super::gated_connection::{GatedConnection, WriteGate},
     crate::{
+        adapters::http::{ConnectionPool, PoolSettings},
         core::{
             gate::SharedPermit,
             job::{TaskOutcome, TaskRef},
@@ -15,16 +16,12 @@
     bytes::Bytes,
     http::{Request, StatusCode, header::HOST},
     http_body_util::{BodyExt, Full},
-    hyper_util::{
-        client::legacy::{Client, connect::HttpConnector},
-        rt::TokioExecutor,
-    },
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
         time::Duration,
     },
-    tokio::time::{Instant, timeout_at},
+    tokio::time::{Instant, timeout, timeout_at},
 };
 
 pub(crate) const RUN_PATH: &str = "/run";
@@ -36,6 +33,11 @@
 /// Header of an error response; `1` if the task did not run.
 pub(crate) const NOT_RUN_HEADER: &str = "rattanslip-not-run";
 
+/// Timeout of a stop request, in milliseconds.
+const STOP_TIMEOUT_MS: u64 = 1_000;
+/// Idle timeout of the connections for stop requests, in milliseconds.
+const IDLE_TIMEOUT_MS: u64 = 90_000;
+
 /// Client of the backend server at its announced address.
 #[derive(Debug)]
 pub(crate) struct HttpBackend {
@@ -46,7 +48,7 @@
     idle: Mutex<Vec<(SocketAddr, GatedConnection)>>,
     max_idle_connections: usize,
     /// For requests that need no permit.
-    client: Client<HttpConnector, Full<Bytes>>,
+    pool: ConnectionPool,
 }
 
 impl HttpBackend {
@@ -56,16 +58,17 @@
         permit: Arc<SharedPermit>,
         timer: Arc<dyn TimerService>,
     ) -> Self {
-        let client = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .build_http();
+        let pool = ConnectionPool::new(PoolSettings {
+            connect_timeout_ms: None,
+            idle_timeout_ms: IDLE_TIMEOUT_MS,
+        });
         Self {
             addr: Mutex::new(None),
             permit,
             timer,
             idle: Mutex::default(),
             max_idle_connections,
-            client,
+            pool,
         }
     }
 
@@ -186,7 +189,11 @@
         let gate = connection.gate();
         match timeout_at(deadline, self.exchange(addr, connection, request)).await {
             Ok(outcome) => outcome,
-            Err(_) => failure_outcome(&gate, MayHaveRunReason::DeadlinePassed),
+            Err(_) => {
+                // All open connections may have gone silent, not only this one.
+                self.lock_idle().clear();
+                failure_outcome(&gate, MayHaveRunReason::DeadlinePassed)
+            }
         }
     }
 
@@ -197,9 +204,14 @@
         let request = Request::post(format!("http://{addr}{STOP_PATH}"))
             .header(TASK_HEADER, task.to_string())
             .body(Full::new(Bytes::new()));
-        if let Ok(request) = request {
-            // Best effort: the task's outcome comes with the response to its run request.
-            let _ = self.client.request(request).await;
+        let Ok(request) = request else {
+            return;
+        };
+        // Best effort: the task's outcome comes with the response to its run request.
+        let client = self.pool.client();
+        let limit = Duration::from_millis(STOP_TIMEOUT_MS);
+        if timeout(limit, client.request(request)).await.is_err() {
+            self.pool.replace_connections(&client);
         }
     }
 }
--- a/src/adapters/backend/tests.rs
+++ b/src/adapters/backend/tests.rs
@@ -9,7 +9,7 @@
             message::StartFrame,
             ticket::{AgentId, TicketId},
             time::Instant,
-            verdict::NotRunReason,
+            verdict::{MayHaveRunReason, NotRunReason},
         },
         ports::{BackendServer, TimerService},
     },
@@ -42,6 +42,8 @@
 #[derive(Debug)]
 struct Server {
     connections: Arc<AtomicU64>,
+    /// Connections with lower numbers deliver nothing any more.
+    silent_below: Arc<AtomicU64>,
     read: Arc<Mutex<Vec<u8>>>,
 }
 
@@ -50,17 +52,22 @@
     let addr = listener.local_addr().expect("address");
     let server = Server {
         connections: Arc::default(),
+        silent_below: Arc::default(),
         read: Arc::default(),
     };
     let (connections, read) = (Arc::clone(&server.connections), Arc::clone(&server.read));
+    let silent_below = Arc::clone(&server.silent_below);
     tokio::spawn(async move {
         while let Ok((mut socket, _)) = listener.accept().await {
-            connections.fetch_add(1, Ordering::SeqCst);
-            let read = Arc::clone(&read);
+            let number = connections.fetch_add(1, Ordering::SeqCst);
+            let (read, silent_below) = (Arc::clone(&read), Arc::clone(&silent_below));
             tokio::spawn(async move {
                 let mut buffer = [0; 4_096];
                 while let Ok(bytes @ 1..) = socket.read(&mut buffer).await {
                     read.lock().expect("lock").extend(&buffer[..bytes]);
+                    if number < silent_below.load(Ordering::SeqCst) {
+                        continue;
+                    }
                     let reply = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
                     socket.write_all(reply).await.expect("write");
                 }
@@ -134,3 +141,26 @@
     }
     assert_eq!(server.connections.load(Ordering::SeqCst), 1);
 }
+
+/// Each idle connection that had gone silent cost another task.
+#[tokio::test]
+async fn silent_connections_cost_one_deadline() {
+    let (permit, clock) = (
+        Arc::new(SharedPermit::default()),
+        Arc::new(ManualClock::default()),
+    );
+    permit.set_expiry(Instant::from_millis(3_000));
+    let (backend, server) = backend(&permit, &clock).await;
+    let outcomes = tokio::join!(backend.run(start(0)), backend.run(start(1)));
+    assert_eq!(outcomes, (done(), done()));
+    let opened = server.connections.load(Ordering::SeqCst);
+    assert_eq!(opened, 2);
+    server.silent_below.store(opened, Ordering::SeqCst);
+    let late = StartFrame {
+        deadline_ms: 100,
+        ..start(2)
+    };
+    let reason = MayHaveRunReason::DeadlinePassed;
+    assert_eq!(backend.run(late).await, TaskOutcome::MayHaveRun { reason });
+    assert_eq!(backend.run(start(3)).await, done());
+}
