--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -14,5 +14,6 @@
 mod planned_stop;
 mod policy;
 mod programs;
+mod silent_connections;
 mod site;
 mod support;
--- a/tests/processes/support/mod.rs
+++ b/tests/processes/support/mod.rs
@@ -21,7 +21,7 @@
     port::free_addr,
     process::Process,
     proxy::Proxy,
-    site::{Site, site_config, site_job, submit_to},
+    site::{HOST, Site, site_config, site_job, submit_to},
 };
 
 use std::time::{Duration, Instant};
--- a/tests/processes/support/proxy.rs
+++ b/tests/processes/support/proxy.rs
@@ -59,6 +59,11 @@
         self.blackholed_below.send_replace(connection_count);
     }
 
+    /// Number of connections that were opened.
+    pub fn connection_count(&self) -> u64 {
+        self.connection_count.load(Ordering::SeqCst)
+    }
+
     /// Blackholes the open connections and closes new ones immediately.
     pub fn partition(&self) {
         self.reject_new.send_replace(true);
--- a/tests/processes/support/site.rs
+++ b/tests/processes/support/site.rs
@@ -2,7 +2,7 @@
 //! platform's store and the workers.
 
 use {
-    super::{Process, Reply, eventually, free_addr, request, try_request},
+    super::{Process, Proxy, Reply, eventually, free_addr, request, try_request},
     base64::{Engine, engine::general_purpose::STANDARD},
     serde_json::{Value, json},
     std::{
@@ -65,6 +65,8 @@
     pub entries: Vec<SiteEntry>,
     pub workers: Vec<SiteWorker>,
     _store_process: Process,
+    /// Through which all other processes reach the store.
+    store_proxy: Proxy,
     folder: PathBuf,
 }
 
@@ -87,6 +89,7 @@
         let store_process = Process::start(standin, &args, &folder.join("store.log"));
         let mut site = Self {
             store,
+            store_proxy: Proxy::start(store).await,
             entries: Vec::new(),
             workers: Vec::new(),
             _store_process: store_process,
@@ -128,6 +131,16 @@
         assert_eq!(reply.status, 200);
     }
 
+    /// Lets the open connections to the store go silent; new ones work.
+    pub fn silence_store_connections(&self) {
+        self.store_proxy.blackhole_open_connections();
+    }
+
+    /// Number of connections to the store that were opened.
+    pub fn store_connections(&self) -> u64 {
+        self.store_proxy.connection_count()
+    }
+
     /// Replaces the injected faults of the store.
     pub async fn set_store_faults(&self, faults: &Value) {
         request("POST", self.store, "/faults", &[], &faults.to_string()).await;
@@ -141,7 +154,7 @@
             common_settings(
                 &format!("entry-{number}"),
                 "north",
-                self.store,
+                self.store_proxy.addr,
                 metrics_addr
             ),
             link_addr
@@ -171,7 +184,12 @@
         let zone = ["north", "south"][number % 2];
         let text = format!(
             "{}service = \"shares\"\nworker = \"{addr}\"\nworker_listen = \"{report_addr}\"\n",
-            common_settings(&format!("agent-{number}"), zone, self.store, free_addr())
+            common_settings(
+                &format!("agent-{number}"),
+                zone,
+                self.store_proxy.addr,
+                free_addr()
+            )
         );
         let settings = self.folder.join(format!("agent-{number}.toml"));
         fs::write(&settings, text).expect("settings");
