--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -191,8 +191,10 @@
     agent_connected: Vec<bool>,
     late_calls: Vec<(u64, Instant)>,
     worker_disconnected_until: Vec<Instant>,
-    /// Leaving workers that wait for the acknowledgement of their announcement.
+    /// Announcements of leaving workers that have arrived and are not acknowledged yet.
     departures: BTreeMap<usize, LeavingWorker>,
+    /// Workers whose announcement is not acknowledged, by worker and start of the incarnation.
+    lost_acknowledgements: BTreeSet<(usize, u64)>,
     /// Worker views that agents have persisted.
     stored_worker_views: BTreeMap<usize, WorkerView>,
     stalled_links: BTreeMap<(usize, usize), Instant>,
@@ -222,6 +224,7 @@
             late_calls: vec![(0, Instant::default()); WORKERS],
             worker_disconnected_until: vec![Instant::default(); WORKERS],
             departures: BTreeMap::new(),
+            lost_acknowledgements: BTreeSet::new(),
             stored_worker_views: BTreeMap::new(),
             stalled_links: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -736,15 +739,14 @@
         let Some(executor) = &mut process.machine else {
             return;
         };
-        let announces_departure = matches!(event, ExecutionEvent::WorkerLeaving(_));
-        let has_runs = executor.run_count() > 0;
+        if let ExecutionEvent::WorkerLeaving(leaving) = &event {
+            self.departures.insert(agent, leaving.clone());
+        }
         let actions = executor.handle(now, event);
         for action in actions {
             self.execute_agent_action(agent, action);
         }
-        if announces_departure || has_runs {
-            self.acknowledge_departure(agent);
-        }
+        self.acknowledge_departure(agent);
     }
 
     fn execute_agent_action(&mut self, agent: usize, action: ExecutionAction) {
@@ -1047,8 +1049,8 @@
         };
         let born_unix_ms = model.incarnation.born_unix_ms;
         self.trace(format!("worker {worker}: leaves"));
-        if !acknowledgement_lost {
-            self.departures.insert(worker, leaving.clone());
+        if acknowledgement_lost {
+            self.lost_acknowledgements.insert((worker, born_unix_ms));
         }
         self.schedule_in_ms(
             UNACKNOWLEDGED_LEAVE_MS,
@@ -1086,6 +1088,9 @@
         let born_unix_ms = leaving.born_unix_ms.unwrap_or_default();
         self.departures.remove(&agent);
         let worker = agent;
+        if self.lost_acknowledgements.contains(&(worker, born_unix_ms)) {
+            return;
+        }
         self.schedule_soon(Event::EndWorker {
             worker,
             born_unix_ms,
