--- a/tests/processes/site.rs
+++ b/tests/processes/site.rs
@@ -282,17 +282,30 @@
 #[tokio::test]
 async fn tasks_of_a_leaving_worker_run_once_at_a_time() {
     let site = Site::start("leaving", 1, 3).await;
-    wait_until_serving(&site, 0).await;
+    eventually("all workers serve", Duration::from_secs(20), || async {
+        let id = format!("{:016x}", rand::random::<u64>());
+        // The job needs all slots of all workers.
+        let reply = site.submit(0, &id, &site_job(12, 30)).await;
+        let runs = site.runs();
+        reply.is_ok() && (0..3).all(|worker| runs.iter().any(|run| run.worker == worker))
+    })
+    .await;
     let entry = site.entries[0].client_addr;
     let submitting = tokio::spawn(submit_to(entry, "00000000000000a7", site_job(6, 1_500)));
+    let leaving = || {
+        let runs = site.runs();
+        let open = runs.into_iter().find(|run| run.ended_at_us.is_none());
+        open.map(|run| run.worker)
+    };
     eventually("a task runs", Duration::from_secs(5), || async {
-        site.runs().iter().any(|run| run.is_open_at(0))
+        leaving().is_some()
     })
     .await;
-    let agent = site.workers[0].report_addr;
-    let path = "/v1/Instances.Leave/w-0";
-    assert_eq!(request("POST", agent, path, &[], "{}").await.status, 200);
-    let is_acknowledged_early = site.runs().iter().any(|run| run.is_open_at(0));
+    let worker = leaving().expect("a worker with a run");
+    let agent = site.workers[worker].report_addr;
+    let path = format!("/v1/Instances.Leave/w-{worker}");
+    assert_eq!(request("POST", agent, &path, &[], "{}").await.status, 200);
+    let is_acknowledged_early = site.runs().iter().any(|run| run.is_open_at(worker));
     let reply = submitting.await.expect("task").expect("reply");
     assert_eq!(reply.body, r#"{"state":"completed"}"#);
     assert_eq!(tasks_run_twice_at_once(&site), Vec::<String>::new());
