--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -1005,9 +1005,13 @@
             draining: model.draining,
         };
         let sequence = model.reports;
+        self.send_report(worker, 5, ExecutionEvent::Heartbeat { view, sequence });
+    }
+
+    /// Sends a worker's report to its agent; a share of the reports arrives late.
+    fn send_report(&mut self, worker: usize, late_percent: u64, event: ExecutionEvent) {
         let incarnation = self.agents[worker].incarnation;
-        let event = ExecutionEvent::Heartbeat { view, sequence };
-        let delay_ms = if self.rng.percent_chance(5) {
+        let delay_ms = if self.rng.percent_chance(late_percent) {
             self.rng.between(500, 4_000)
         } else {
             1
@@ -1059,19 +1063,7 @@
                 born_unix_ms,
             },
         );
-        let delay_ms = if self.rng.percent_chance(10) {
-            self.rng.between(500, 4_000)
-        } else {
-            1
-        };
-        self.schedule_in_ms(
-            delay_ms,
-            Event::AgentInput {
-                agent: worker,
-                incarnation: self.agents[worker].incarnation,
-                event: ExecutionEvent::WorkerLeaving(leaving),
-            },
-        );
+        self.send_report(worker, 10, ExecutionEvent::WorkerLeaving(leaving));
     }
 
     /// Lets a leaving worker end once its agent acknowledges the announcement.
