--- a/src/platform/worker_reports.rs
+++ b/src/platform/worker_reports.rs
@@ -57,7 +57,7 @@
         /// Number of the report; increases within one incarnation.
         sequence: u64,
     },
-    /// The worker leaves: its process ends soon, at the latest after the acknowledgement.
+    /// The worker leaves: its process ends after the acknowledgement, or some seconds later without one.
     Leave(LeavingWorker),
 }
 
