--- a/src/core/dispatch/dispatch_log_event.rs
+++ b/src/core/dispatch/dispatch_log_event.rs
@@ -71,6 +71,8 @@
         agent: String,
         /// The run's outcome.
         end: &'static str,
+        /// What shows the end: `agent`, `new_session`, or `limits_expired`.
+        source: &'static str,
         /// Time since the start order.
         after_ms: u64,
         /// Time since the agent was last heard from.
--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         DispatchAction, DispatchLogEvent, Dispatcher, LinkId,
+        outcomes::RunEnd,
         worker_link::{WorkerKey, WorkerLink},
     },
     crate::core::{
@@ -45,7 +46,14 @@
                 self.speeds.is_outdated |= worker.record_slowness(report.slowness_permille);
                 self.capacity_reported.push(key);
             }
-            AgentFrame::Ended { run, end, ran_ms } => self.on_run_ended(now, key, run, end, ran_ms),
+            AgentFrame::Ended { run, end, ran_ms } => {
+                let end = RunEnd {
+                    outcome: end,
+                    ran_ms,
+                    source: "agent",
+                };
+                self.on_run_ended(now, key, run, end);
+            }
             AgentFrame::Crashed { tasks } => self.on_worker_crashed(now, &tasks),
             AgentFrame::News(zones) => self
                 .actions
@@ -114,7 +122,7 @@
             self.actions.push(DispatchAction::Close { link });
             return;
         }
-        self.mark_runs_lost(now, key);
+        self.mark_runs_lost(now, key, "new_session");
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -132,13 +140,18 @@
     }
 
     /// Treats all runs of an agent as ended with an unknown outcome.
-    fn mark_runs_lost(&mut self, now: Instant, key: WorkerKey) {
+    fn mark_runs_lost(&mut self, now: Instant, key: WorkerKey, source: &'static str) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
         let runs: Vec<RunId> = worker.runs.keys().copied().collect();
         for run in runs {
-            self.on_run_ended(now, key, run, RunOutcome::Lost, 0);
+            let end = RunEnd {
+                outcome: RunOutcome::Lost,
+                ran_ms: 0,
+                source,
+            };
+            self.on_run_ended(now, key, run, end);
         }
     }
 
@@ -187,7 +200,7 @@
                 Some(_) if heartbeat_due => self.send_heartbeat(now, key),
                 Some(_) => {}
                 None if runs_finished => {
-                    self.mark_runs_lost(now, key);
+                    self.mark_runs_lost(now, key, "limits_expired");
                     self.remove_agent(key);
                 }
                 None => {}
--- a/src/core/dispatch/outcomes.rs
+++ b/src/core/dispatch/outcomes.rs
@@ -28,15 +28,26 @@
 /// are noise.
 const MIN_SLOW_EXCESS_MS: u64 = 100;
 
+/// End of a run, and what it follows from.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RunEnd {
+    pub(super) outcome: RunOutcome,
+    pub(super) ran_ms: u64,
+    /// For logs: the agent's report, a new session with it, or the time limit of a lost session.
+    pub(super) source: &'static str,
+}
+
 impl Dispatcher {
     pub(super) fn on_run_ended(
         &mut self,
         now: Instant,
         worker: WorkerKey,
         run: RunId,
-        outcome: RunOutcome,
-        ran_ms: u64,
+        end: RunEnd,
     ) {
+        let RunEnd {
+            outcome, ran_ms, ..
+        } = end;
         let Some(link) = self.workers.get_mut(worker) else {
             return;
         };
@@ -50,6 +61,7 @@
                 run: run.to_string(),
                 agent: link.agent.clone(),
                 end: outcome.as_str(),
+                source: end.source,
                 after_ms: now.millis_since(open.start_sent_at),
                 heard_ms_ago: now.millis_since(link.last_heard_at),
             };
--- a/src/core/execution/execution_log_event.rs
+++ b/src/core/execution/execution_log_event.rs
@@ -31,6 +31,13 @@
         /// Runs lost with the earlier worker.
         runs_lost: usize,
     },
+    /// A report of another incarnation than the known one was ignored.
+    ReportIgnored {
+        worker: String,
+        /// Start time of the incarnation that the report names.
+        born_unix_ms: u64,
+        reason: &'static str,
+    },
     /// The worker is draining and gets no more starts.
     WorkerDraining {
         worker: String,
@@ -85,7 +92,7 @@
         /// The outcome.
         end: &'static str,
         ran_ms: u64,
-        /// Why the run was stopped; empty if it was not.
+        /// Why the run was stopped, or what shows its loss; empty if it ended by itself.
         cause: &'static str,
     },
     /// A start call got no response; a run list under a higher fencing token resolves its outcome.
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -151,7 +151,14 @@
             )
         });
         match known {
-            Some((born_unix_ms, _, false)) if view.life.born_unix_ms < born_unix_ms => return,
+            Some((born_unix_ms, _, false)) if view.life.born_unix_ms < born_unix_ms => {
+                self.log_event(ExecutionLogEvent::ReportIgnored {
+                    worker: view.life.id,
+                    born_unix_ms: view.life.born_unix_ms,
+                    reason: "earlier_incarnation",
+                });
+                return;
+            }
             Some((_, newest, true)) if sequence <= newest => return,
             Some((_, _, true)) => {}
             Some((_, _, false)) | None => {
--- a/src/core/execution/run_list.rs
+++ b/src/core/execution/run_list.rs
@@ -214,7 +214,10 @@
             }
         }
         for (task, end) in finished {
-            self.finish_run(now, task, end);
+            match end {
+                RunOutcome::Lost => self.finish_run_with_cause(now, task, end, "not_listed"),
+                _ => self.finish_run(now, task, end),
+            }
         }
         for task in void {
             self.retry_start(now, task, NotStartedReason::OrderLost);
--- a/src/site_agent/execution_loop.rs
+++ b/src/site_agent/execution_loop.rs
@@ -210,6 +210,7 @@
             | ExecutionLogEvent::EntryLost { .. }
             | ExecutionLogEvent::SessionRetired { .. }
             | ExecutionLogEvent::WorkerSeen { .. }
+            | ExecutionLogEvent::ReportIgnored { .. }
             | ExecutionLogEvent::WorkerDraining { .. }
             | ExecutionLogEvent::WorkerLeaving { .. }
             | ExecutionLogEvent::WorkerUnresponsive { .. }
--- a/src/site_entry/tests/events.rs
+++ b/src/site_entry/tests/events.rs
@@ -1,7 +1,7 @@
 //! Checks that the operations page documents every log event.
 
 /// Every log event of an entry, an agent, and a process as a whole.
-const EVENTS: [&str; 44] = [
+const EVENTS: [&str; 45] = [
     "job_taken",
     "job_refused",
     "job_joined",
@@ -20,6 +20,7 @@
     "entry_lost",
     "session_retired",
     "worker_seen",
+    "report_ignored",
     "worker_ready",
     "worker_changed",
     "worker_draining",
