Use a new incarnation of a worker only after it has responded

What callers saw: one heartbeat with another id and a later start time marked all confirmed runs of the worker lost at once. Their tasks started elsewhere and ran twice, and the worker stayed unused for good, since its own reports have an earlier start time. Under the worker's own id with a later start time it stayed unused as well. A worker whose start time is lower than that of the known one (its clock was set back) was never used.

Cause: `Executor::start_incarnation` took the report itself for proof that the known incarnation is over. Other senders write to the same address, and a report may be late.

Why the fix works: a report changes nothing by itself. The agent calls the worker in the name of the reported incarnation; only a run list with the reported start time confirms it. Calls from before the latest change of the incarnation confirm nothing, so a late response can't undo a later change. Runs of an earlier worker of another name end when its lease has expired; until then run lists and responses of its successor say nothing about them. If the earlier worker is back, they are its runs again. Runs of the same name are resolved by the run list of the new incarnation, as before, if it was requested after their start was confirmed or under a higher token. A stop that an earlier incarnation confirmed is repeated. Four reports may be unconfirmed at a time, and a log line about ignored reports is written once a second at most.

Responses to calls that name a replaced worker no longer count as responses or failed polls of its successor.

An unconfirmed report that shows no crash has a test of its own.

--- a/src/core/execution/execution_log_event.rs
+++ b/src/core/execution/execution_log_event.rs
@@ -28,8 +28,8 @@
         worker: String,
         /// Start time of the incarnation.
         born_unix_ms: u64,
-        /// Runs lost with the earlier worker.
-        runs_lost: usize,
+        /// Unfinished runs of earlier incarnations.
+        runs: usize,
     },
     /// A report of another incarnation than the known one was ignored.
     ReportIgnored {
@@ -37,6 +37,8 @@
         /// Start time of the incarnation that the report names.
         born_unix_ms: u64,
         reason: &'static str,
+        /// Reports ignored for that reason since the previous line about it, with this one.
+        reports: u64,
     },
     /// The worker is draining and gets no more starts.
     WorkerDraining {
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -6,6 +6,7 @@
         capacity::CapacityReservation,
         crashes::LostTasks,
         entry_link::EntryLink,
+        incarnations::{IgnoredReportsByReason, UnconfirmedReport},
         run::Run,
         worker_state::{Departure, WorkerState},
     },
@@ -45,6 +46,9 @@
     pub(super) token: u64,
     pub(super) token_step: u64,
     pub(super) last_hold_sequence: u64,
+    /// Reports of other incarnations that a call is to confirm.
+    pub(super) unconfirmed_reports: Vec<UnconfirmedReport>,
+    pub(super) ignored_reports: IgnoredReportsByReason,
     pub(super) leaving: bool,
     /// Free capacity reserved for one of several waiting entries.
     pub(super) reservation: Option<CapacityReservation>,
@@ -74,6 +78,8 @@
             zones: None,
             document: DocumentCopy::default(),
             last_hold_sequence: 0,
+            unconfirmed_reports: Vec::new(),
+            ignored_reports: BTreeMap::new(),
             leaving: false,
             reservation: None,
             use_recorded_at: Instant::default(),
@@ -117,7 +123,9 @@
             ExecutionEvent::Shutdown => self.on_shutdown(),
             ExecutionEvent::Tick => self.on_tick(now),
         }
+        self.end_runs_of_replaced_workers(now);
         self.finish_departure();
+        self.confirm_reports(now);
         self.maintain_worker(now);
         self.report_drained_sessions();
         self.measure_speed(now);
@@ -136,34 +144,17 @@
 
     /// Applies the worker's report about itself.
     ///
-    /// Ignores reports that arrive out of order: of an earlier incarnation, or with an older
-    /// sequence number.
+    /// Ignores reports of the known incarnation that arrive out of order.
     fn on_heartbeat(&mut self, now: Instant, mut view: WorkerView, sequence: u64) {
         if view.service != self.settings.service {
             return;
         }
-        let known = self.worker.as_ref().map(|worker| {
-            let born_unix_ms = worker.view.life.born_unix_ms;
-            (
-                born_unix_ms,
-                worker.report_sequence,
-                worker.view.life == view.life,
-            )
-        });
-        match known {
-            Some((born_unix_ms, _, false)) if view.life.born_unix_ms < born_unix_ms => {
-                self.log_event(ExecutionLogEvent::ReportIgnored {
-                    worker: view.life.id,
-                    born_unix_ms: view.life.born_unix_ms,
-                    reason: "earlier_incarnation",
-                });
-                return;
-            }
-            Some((_, newest, true)) if sequence <= newest => return,
-            Some((_, _, true)) => {}
-            Some((_, _, false)) | None => {
-                self.persist_worker(view.clone());
-                self.start_incarnation(now, view, sequence);
+        let known = self.worker.as_ref();
+        match known.filter(|worker| worker.view.life == view.life) {
+            Some(worker) if sequence <= worker.report_sequence => return,
+            Some(_) => {}
+            None => {
+                self.on_other_incarnation(now, view, sequence);
                 return;
             }
         }
@@ -188,32 +179,6 @@
         self.announce_worker();
     }
 
-    /// Starts tracking a new incarnation of the worker.
-    ///
-    /// A worker may restart under the same name and accept starts seconds before its first report
-    /// arrives. Pending and confirmed runs may therefore belong to the new incarnation; they stay
-    /// uncertain until its run list under a higher token resolves them.
-    pub(super) fn start_incarnation(&mut self, now: Instant, view: WorkerView, sequence: u64) {
-        self.record_new_incarnation();
-        let same_name = self
-            .worker
-            .as_ref()
-            .is_some_and(|known| known.view.life.id == view.life.id);
-        let runs_lost = if same_name {
-            0
-        } else {
-            self.mark_confirmed_runs_lost(now, "worker_restarted")
-        };
-        self.log_event(ExecutionLogEvent::WorkerSeen {
-            worker: view.life.id.clone(),
-            born_unix_ms: view.life.born_unix_ms,
-            runs_lost,
-        });
-        self.worker = Some(WorkerState::new(now, view, sequence));
-        self.speed = MeasuredSpeed::default();
-        self.mark_all_runs_uncertain(now);
-    }
-
     fn on_shutdown(&mut self) {
         self.leaving = true;
         self.announce_worker();
@@ -246,6 +211,7 @@
             return Resources::default();
         };
         let runs = self.runs.values();
+        let runs = runs.filter(|run| run.replaced_worker.is_none());
         runs.fold(worker.view.capacity, |free, run| {
             free.minus(run.order.needs)
         })
--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -179,22 +179,14 @@
     }
 
     fn mark_all_runs_lost(&mut self, now: Instant, cause: &'static str) -> usize {
-        let confirmed = self.mark_confirmed_runs_lost(now, cause);
-        let unconfirmed: Vec<TaskId> = self.runs.keys().copied().collect();
-        // The worker may have started them before it became unresponsive.
-        for task in &unconfirmed {
+        // The worker may also have started those whose start call got no response.
+        let runs = self.runs.iter();
+        let runs = runs.filter(|(_, run)| run.replaced_worker.is_none());
+        let tasks: Vec<TaskId> = runs.map(|(task, _)| *task).collect();
+        for task in &tasks {
             self.finish_run_with_cause(now, *task, RunOutcome::Lost, cause);
         }
-        confirmed + unconfirmed.len()
-    }
-
-    /// Marks the runs lost that the worker is known to have started.
-    pub(super) fn mark_confirmed_runs_lost(&mut self, now: Instant, cause: &'static str) -> usize {
-        let confirmed = self.confirmed_tasks();
-        for task in &confirmed {
-            self.finish_run_with_cause(now, *task, RunOutcome::Lost, cause);
-        }
-        confirmed.len()
+        tasks.len()
     }
 
     /// Raises the token above one that the worker rejected.
--- a/src/core/execution/lost_calls.rs
+++ b/src/core/execution/lost_calls.rs
@@ -27,7 +27,8 @@
         let mut is_unresponsive = has_runs && worker.renewed_at.is_some_and(is_unanswered);
         let mut lost: Vec<(TaskId, u64)> = Vec::new();
         let mut requests_run_list = false;
-        for (task, run) in &mut self.runs {
+        let runs = self.runs.iter_mut();
+        for (task, run) in runs.filter(|(_, run)| run.replaced_worker.is_none()) {
             match &mut run.start {
                 StartState::Pending { since, .. } if is_unanswered(*since) => {
                     is_unresponsive = true
--- a/src/core/execution/mod.rs
+++ b/src/core/execution/mod.rs
@@ -11,6 +11,7 @@
 mod execution_event;
 mod execution_log_event;
 mod executor;
+mod incarnations;
 mod lease;
 mod lost_calls;
 mod queue_levels;
--- a/src/core/execution/restored_worker.rs
+++ b/src/core/execution/restored_worker.rs
@@ -23,7 +23,7 @@
         if self.worker.is_some() || view.service != self.settings.service {
             return;
         }
-        self.start_incarnation(now, view, 0);
+        self.start_incarnation(now, view, 0, now);
         if let Some(worker) = &mut self.worker {
             worker.restored_at = Some(now);
         }
--- a/src/core/execution/run.rs
+++ b/src/core/execution/run.rs
@@ -43,6 +43,14 @@
     pub(super) confirmed_from_hold: Option<u64>,
 }
 
+/// A worker that was replaced by one of another name while it had a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct ReplacedWorker {
+    pub(super) id: String,
+    /// When its lease has certainly expired.
+    pub(super) lease_expires_at: Instant,
+}
+
 /// An unfinished run.
 #[derive(Debug)]
 pub(super) struct Run {
@@ -52,11 +60,15 @@
     /// Run number at the worker; higher than the entry's if earlier runs of the task finished on
     /// this worker.
     pub(super) number: u32,
+    /// Token of the latest start call.
+    pub(super) token: u64,
     /// Number of start calls sent.
     pub(super) start_calls: u32,
     /// When the start order was received.
     pub(super) received_at: Instant,
     pub(super) start: StartState,
+    /// The worker that has the run, unless that is the known one.
+    pub(super) replaced_worker: Option<ReplacedWorker>,
     /// Set once the run is to be stopped.
     pub(super) stop: Option<StopState>,
 }
--- a/src/core/execution/run_calls.rs
+++ b/src/core/execution/run_calls.rs
@@ -26,12 +26,14 @@
         let run = Run {
             session,
             number: order.run.number,
+            token: self.token,
             start_calls: 0,
             received_at: now,
             start: StartState::Pending {
                 since: now,
                 token: self.token,
             },
+            replaced_worker: None,
             stop: None,
             order,
         };
@@ -53,6 +55,7 @@
             return;
         };
         run.start_calls += 1;
+        run.token = token;
         run.start = StartState::Pending { since: now, token };
         let call = StartCall {
             worker,
@@ -86,6 +89,10 @@
         call: &StartCall,
         response: StartResponse,
     ) {
+        // The worker that the call names may have been replaced since.
+        if call.worker != self.worker_name() {
+            return;
+        }
         if !matches!(response, StartResponse::Unanswered | StartResponse::Refused) {
             self.record_worker_response(now);
         }
@@ -185,11 +192,19 @@
     /// which of them it has.
     ///
     /// The earlier incarnation may have started a run without its response arriving, so a run
-    /// missing from the list is lost rather than not started.
-    pub(super) fn mark_all_runs_uncertain(&mut self, now: Instant) {
-        let uncertain: Vec<TaskId> = self.runs.keys().copied().collect();
-        let token = self.token;
-        for task in uncertain {
+    /// missing from the list is lost rather than not started. `called_at` is the time of the call that
+    /// confirmed the new incarnation.
+    pub(super) fn mark_all_runs_uncertain(&mut self, now: Instant, called_at: Instant) {
+        let uncertain = self.runs.iter().map(|(task, run)| {
+            // A list that was requested after the confirmation contains the run if the worker has it,
+            // whatever its token; an earlier one may have been made before the start took effect.
+            let token = match run.start {
+                StartState::Confirmed { at } if at < called_at => 0,
+                _ => run.token,
+            };
+            (*task, token)
+        });
+        for (task, token) in uncertain.collect::<Vec<_>>() {
             self.mark_run_uncertain(now, task, token);
             if let Some(run) = self.runs.get_mut(&task)
                 && let StartState::Unresolved {
@@ -204,6 +219,13 @@
     /// Records a confirmed stop and requests the run list that will show its effect.
     pub(super) fn on_stop_answered(&mut self, call: &StopCall, confirmed: bool) {
         let next_hold = self.last_hold_sequence + 1;
+        // An earlier incarnation may have confirmed the stop; the current one may execute the run.
+        let is_current = self.worker.as_ref().is_some_and(|worker| {
+            worker.view.life.id == call.worker && worker.first_token <= call.token
+        });
+        if !is_current {
+            return;
+        }
         let Some(run) = self.runs.get_mut(&call.task) else {
             return;
         };
@@ -228,6 +250,7 @@
         let mut due = Vec::new();
         for (task, run) in &mut self.runs {
             if let Some(stop) = &mut run.stop
+                && run.replaced_worker.is_none()
                 && stop.confirmed_from_hold.is_none()
                 && now.millis_since(stop.sent_at) >= STOP_RETRY_INTERVAL_MS
             {
--- a/src/core/execution/run_list.rs
+++ b/src/core/execution/run_list.rs
@@ -26,6 +26,11 @@
         {
             worker.long_polls.remove(&call.sequence);
         }
+        let is_known_worker = self.on_reported_worker_answered(now, call, &response)
+            && call.worker == self.worker_name();
+        if !is_known_worker {
+            return;
+        }
         match response {
             HoldResponse::RunList {
                 born_unix_ms,
@@ -125,7 +130,7 @@
             if self
                 .runs
                 .get(&listed.task)
-                .is_some_and(|run| is_listed_number(run.number))
+                .is_some_and(|run| run.replaced_worker.is_none() && is_listed_number(run.number))
             {
                 self.confirm_start(now, listed.task);
                 self.finish_run(now, listed.task, listed.end);
@@ -185,7 +190,8 @@
     fn reconcile_runs(&mut self, now: Instant, call: &HoldCall, listed: &BTreeMap<TaskId, u32>) {
         let mut finished = Vec::new();
         let mut void = Vec::new();
-        for (task, run) in &mut self.runs {
+        let runs = self.runs.iter_mut();
+        for (task, run) in runs.filter(|(_, run)| run.replaced_worker.is_none()) {
             let is_listed = listed.get(task) == Some(&run.number);
             let stopped = run
                 .stop
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -342,7 +342,9 @@
             sent_at: now,
             confirmed_from_hold: None,
         });
-        let number = run.number;
-        self.call_stop(task, number);
+        if run.replaced_worker.is_none() {
+            let number = run.number;
+            self.call_stop(task, number);
+        }
     }
 }
--- a/src/core/execution/tests/crashes.rs
+++ b/src/core/execution/tests/crashes.rs
@@ -50,7 +50,7 @@
     assert_eq!(lose_worker(&mut test, &HoldResponse::Unanswered), []);
     test.send_worker_heartbeat(BORN_MS, 2, false);
     assert_eq!(crashed_tasks(&test), []);
-    test.send_worker_heartbeat(BORN_MS + 9_000, 1, false);
+    test.replace_incarnation(BORN_MS + 9_000, 1);
     assert_eq!(crashed_tasks(&test), [run(1).task]);
 }
 
@@ -60,7 +60,7 @@
     let mut test = TestExecutor::ready();
     test.start_task(1, StartResponse::Accepted);
     test.send_worker_heartbeat(BORN_MS, 2, true);
-    test.send_worker_heartbeat(BORN_MS + 9_000, 1, false);
+    test.replace_incarnation(BORN_MS + 9_000, 1);
     assert_eq!(crashed_tasks(&test), []);
 }
 
@@ -91,6 +91,18 @@
     assert_eq!(lose_worker(&mut test, &HoldResponse::Unanswered), []);
     test.send_run_list(latest_poll(), &[], &[]);
     assert!(test.executor.announced_worker().is_some());
-    test.send_worker_heartbeat(BORN_MS + 60_000, 1, false);
+    test.replace_incarnation(BORN_MS + 60_000, 1);
+    assert_eq!(crashed_tasks(&test), []);
+}
+
+/// The report of another incarnation shows no crash: it may come from another sender.
+#[test]
+fn an_unconfirmed_incarnation_shows_no_crash() {
+    let mut test = TestExecutor::ready();
+    assert_eq!(lose_worker(&mut test, &HoldResponse::Unanswered), []);
+    test.send_worker_heartbeat(BORN_MS + 9_000, 1, false);
+    assert_eq!(crashed_tasks(&test), []);
+    let call = test.hold_calls().remove(0);
+    test.send_run_list(call, &[], &[]);
     assert_eq!(crashed_tasks(&test), []);
 }
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -4,6 +4,7 @@
 mod capacity_shares;
 mod crashes;
 mod departure;
+mod incarnations;
 mod lost_calls;
 mod queue_levels;
 mod restored_worker;
@@ -181,6 +182,19 @@
         self.send_event(ExecutionEvent::HoldAnswered { call, response });
     }
 
+    /// Sends the report of another incarnation, and its response to the call that is to confirm it.
+    fn replace_incarnation(&mut self, born_unix_ms: u64, sequence: u64) {
+        self.send_worker_heartbeat(born_unix_ms, sequence, false);
+        let call = self.hold_calls().remove(0);
+        let response = HoldResponse::RunList {
+            born_unix_ms: Some(born_unix_ms),
+            clock_ms: 40,
+            running: Vec::new(),
+            ended: Vec::new(),
+        };
+        self.send_event(ExecutionEvent::HoldAnswered { call, response });
+    }
+
     fn hold_calls(&self) -> Vec<HoldCall> {
         let hold_calls = self.actions.iter().filter_map(|action| match action {
             ExecutionAction::Hold(call) => Some(call.clone()),
--- a/src/core/execution/tests/speed.rs
+++ b/src/core/execution/tests/speed.rs
@@ -66,6 +66,6 @@
 fn a_new_incarnation_is_measured_anew() {
     let mut test = TestExecutor::ready();
     run_slow_tasks(&mut test, RunOutcome::Done);
-    test.send_worker_heartbeat(BORN_MS + 9_000, 9, false);
+    test.replace_incarnation(BORN_MS + 9_000, 9);
     assert_eq!(test.executor.slowness_permille(), 1_000);
 }
--- a/src/core/execution/worker_state.rs
+++ b/src/core/execution/worker_state.rs
@@ -34,6 +34,8 @@
     /// The worker's latest report about itself.
     pub(super) view: WorkerView,
     pub(super) report_sequence: u64,
+    /// Token when the incarnation became the known one.
+    pub(super) first_token: u64,
     pub(super) departure: Departure,
     /// When the view was restored from an earlier process; `None` once the worker has reported to
     /// this one.
@@ -65,10 +67,16 @@
 
 impl WorkerState {
     /// Creates the state of an incarnation that has not been polled yet.
-    pub(super) fn new(now: Instant, view: WorkerView, report_sequence: u64) -> Self {
+    pub(super) fn new(
+        now: Instant,
+        view: WorkerView,
+        report_sequence: u64,
+        first_token: u64,
+    ) -> Self {
         Self {
             view,
             report_sequence,
+            first_token,
             departure: Departure::Serving,
             restored_at: None,
             clock: None,
