First fencing token of an agent counts milliseconds

Two processes of an agent that started within one second had the same fencing token. The later one read an empty run list under that token, sent its hellos, and the entries started the tasks of the earlier process elsewhere; a start call of the earlier process that was still on its way was then executed, since its token was not lower, and the task ran twice until the agent found the stray run. The same held for an earlier process that had raised its token above the second count.

Evidence: restarts::a_start_call_of_an_earlier_process_is_fenced_within_a_second plays both processes against the model of the worker.

assertion `left == right` failed left: Accepted right: Fenced

A process takes longer than a millisecond to start, and raises its token once for each lost call at most, so the later token is higher than any that the earlier process used. The step after a rejection grows by the same factor, so that a clock that was set back costs as many rejections as before.

--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -8,8 +8,9 @@
     crate::core::{link::RunOutcome, time::Instant, work::TaskId},
 };
 
-/// First increment of a fencing token that the worker rejected; doubles with each rejection.
-pub(crate) const INITIAL_TOKEN_STEP: u64 = 16;
+/// First increment of a fencing token that the worker rejected, for a system clock that was set back by
+/// up to 16 s; doubles with each rejection.
+pub(crate) const INITIAL_TOKEN_STEP: u64 = 16_000;
 /// Renewals within one lease, so that three in a row may fail.
 const RENEWALS_PER_LEASE: u64 = 4;
 /// Long poll timeout while tasks run, in milliseconds; also the maximum delay of an outcome after a
--- a/src/core/execution/mod.rs
+++ b/src/core/execution/mod.rs
@@ -11,6 +11,7 @@
 mod execution_event;
 mod execution_log_event;
 mod executor;
+mod first_token;
 mod lease;
 mod lost_calls;
 mod queue_levels;
@@ -33,5 +34,6 @@
     },
     execution_log_event::ExecutionLogEvent,
     executor::{Executor, ExecutorSettings},
+    first_token::first_token,
     lease::INITIAL_TOKEN_STEP,
 };
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -6,6 +6,7 @@
 mod departure;
 mod lost_calls;
 mod queue_levels;
+mod restarts;
 mod restored_worker;
 mod retirement;
 mod speed;
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -17,7 +17,7 @@
         cli::{RunError, listen, log_reload_signals, stop_signal},
         conf::SiteAgentSettings,
         core::{
-            execution::{ExecutionEvent, Executor, ExecutorSettings},
+            execution::{ExecutionEvent, Executor, ExecutorSettings, first_token},
             work::WorkerView,
         },
         platform::{HttpWorkerClient, PlatformHttpClient},
@@ -55,11 +55,12 @@
         worker_view: watch::Sender<Option<WorkerView>>,
         stale_runs_stopped: watch::Sender<bool>,
     ) -> ExecutionLoop {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         let executor = Executor::new(ExecutorSettings {
             agent: settings.site.name.clone(),
             service: settings.service.clone(),
             limits: settings.site.limits,
-            first_token: initial_token(),
+            first_token: first_token(since_epoch.unwrap_or_default()),
         });
         let metrics = Arc::clone(&self.process.metrics);
         let client = PlatformHttpClient::new(settings.worker, "worker", metrics);
@@ -177,15 +178,6 @@
     dialler.run(lists).await;
 }
 
-/// Returns a fencing token above those of this agent's earlier processes if the system clock is
-/// correct.
-///
-/// Otherwise the worker rejects the token and the executor raises it.
-fn initial_token() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.unwrap_or_default().as_secs()
-}
-
 async fn count_runs(inputs: &mpsc::UnboundedSender<LoopInput>) -> usize {
     let (reply, run_count) = oneshot::channel();
     if inputs.send(LoopInput::CountRuns { reply }).is_err() {
