Sessions wait for the lease after the worker has rejected a token

An agent whose system clock was set back raises its first token until the worker accepts it. That token may still be below those of start calls of the earlier process that are under way: the worker has seen a lower one of that process at the time. The run list under it counted as proof that no run of the earlier process can start any more, so the agent sent its hellos, the entries started the tasks elsewhere, and the call was executed afterwards.

Evidence: restarts::sessions_wait_for_the_lease_if_the_first_token_was_rejected, in which the worker accepts the earlier call after the list.

assertion failed: !may_open_sessions

A run list now opens the sessions only if no token of this process was rejected. Otherwise they are opened once the leases of the earlier process have expired, after which the worker rejects its calls as late.

--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -205,6 +205,17 @@
         let (worker, token) = (self.worker_name(), self.token);
         self.log_event(ExecutionLogEvent::Fenced { worker, token });
     }
+
+    /// Reports that no run of an earlier process is left at the worker, and that none can start there.
+    ///
+    /// After the worker has rejected a token, the next one that it accepts may still be below those of
+    /// start calls that are under way. Such calls end with their lease only.
+    pub(super) fn report_stale_runs_stopped(&mut self) {
+        let was_rejected = self.token_step > INITIAL_TOKEN_STEP;
+        if !was_rejected {
+            self.actions.push(ExecutionAction::StaleRunsStopped);
+        }
+    }
 }
 
 /// Extra time that a span may take on a worker's clock that runs 2% slow.
--- a/src/core/execution/restored_worker.rs
+++ b/src/core/execution/restored_worker.rs
@@ -45,7 +45,7 @@
                 && born_unix_ms.is_some_and(|born| born > incarnation.born_unix_ms)
         });
         if has_restarted && call.token >= self.token {
-            self.actions.push(ExecutionAction::StaleRunsStopped);
+            self.report_stale_runs_stopped();
         }
     }
 
--- a/src/core/execution/run_list.rs
+++ b/src/core/execution/run_list.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        ExecutionAction, ExecutionLogEvent, Executor, HoldCall, HoldResponse, ListedEnd, ListedRun,
+        ExecutionLogEvent, Executor, HoldCall, HoldResponse, ListedEnd, ListedRun,
         run::StartState,
         worker_state::{ClockReading, Departure},
     },
@@ -236,7 +236,7 @@
         }
         worker.ready = true;
         let name = worker.view.life.id.clone();
-        self.actions.push(ExecutionAction::StaleRunsStopped);
+        self.report_stale_runs_stopped();
         self.log_event(ExecutionLogEvent::WorkerReady {
             worker: name,
             token,
--- a/src/core/execution/tests/restarts.rs
+++ b/src/core/execution/tests/restarts.rs
@@ -76,3 +76,33 @@
     let response = execute(&mut worker, later.now, &delayed);
     assert_eq!(response, StartResponse::Fenced);
 }
+
+/// After the system clock was set back, a token that the worker accepted was not above that of a start
+/// call of the earlier process that was still under way, and the task ran twice. The lease alone
+/// bounds such calls.
+#[test]
+fn sessions_wait_for_the_lease_if_the_first_token_was_rejected() {
+    let mut earlier = TestExecutor::started_at(EARLIER_START);
+    let mut worker = worker_model(earlier.now, BORN_MS);
+    earlier.send_delayed_start(&mut worker);
+    // Its token is raised, and neither list nor start call under it have reached the worker.
+    let task = run(1).task;
+    let token = earlier.executor.token;
+    let now = earlier.now;
+    earlier.executor.mark_run_uncertain(now, task, token);
+    earlier.send_frame(EntryFrame::Start(start_order(2)));
+    let delayed = earlier.start_calls().remove(0);
+    let mut later = TestExecutor::started_at(EARLIER_START - Duration::from_secs(16));
+    later.now = earlier.now.plus_ms(50);
+    later.send_worker_heartbeat(BORN_MS, 2, false);
+    let mut may_open_sessions = false;
+    for _ in 0..3 {
+        later.answer_holds(&mut worker);
+        may_open_sessions |= later.may_open_sessions();
+        later.advance(100);
+    }
+    assert!(later.executor.announced_worker().is_some());
+    let response = execute(&mut worker, later.now, &delayed);
+    assert_eq!(response, StartResponse::Accepted);
+    assert!(!may_open_sessions);
+}
