A start call that is lost with its lease is fenced as well

When a worker doesn't respond until its lease has expired, its agent reports the unconfirmed runs as lost, and their tasks start elsewhere. Their start calls may still be under way. The same incarnation rejects them as late, but one that has restarted under its name has a clock that starts again, so that the lease's end is far in its future, and the agent went on calling it under the token of the start call: it executed the call, and the task ran twice.

Evidence: restarts::a_start_call_that_outlives_its_lease_is_fenced_at_a_restarted_worker.

assertion `left == right` failed left: Accepted right: Fenced

The agent now raises its token before it reports such runs. The first poll that a restarted worker answers makes it reject the earlier call.

--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -182,6 +182,10 @@
     fn mark_all_runs_lost(&mut self, now: Instant, cause: &'static str) -> usize {
         let confirmed = self.mark_confirmed_runs_lost(now, cause);
         let unconfirmed: Vec<TaskId> = self.runs.keys().copied().collect();
+        if !unconfirmed.is_empty() {
+            // Their start calls are late at this incarnation, but not at one whose clock starts again.
+            self.raise_token_above(self.token);
+        }
         // The worker may have started them before it became unresponsive.
         for task in &unconfirmed {
             self.finish_run_with_cause(now, *task, RunOutcome::Lost, cause);
--- a/src/core/execution/run_calls.rs
+++ b/src/core/execution/run_calls.rs
@@ -159,9 +159,7 @@
     /// Once the worker has responded to a hold call with the higher token, it either lists the run
     /// or will reject the start call whenever that arrives.
     pub(super) fn mark_run_uncertain(&mut self, now: Instant, task: TaskId, call_token: u64) {
-        if self.token <= call_token {
-            self.token = call_token + 1;
-        }
+        self.raise_token_above(call_token);
         let token = self.token;
         let Some(run) = self.runs.get_mut(&task) else {
             return;
@@ -181,6 +179,14 @@
         self.request_run_list();
     }
 
+    /// Raises the fencing token above that of a call, which has no effect once the worker has responded
+    /// under the new one.
+    pub(super) const fn raise_token_above(&mut self, call_token: u64) {
+        if self.token <= call_token {
+            self.token = call_token + 1;
+        }
+    }
+
     /// Marks all runs uncertain when a new incarnation of the worker starts; its run list shows
     /// which of them it has.
     ///
--- a/src/core/execution/tests/restarts.rs
+++ b/src/core/execution/tests/restarts.rs
@@ -106,3 +106,23 @@
     assert_eq!(response, StartResponse::Accepted);
     assert!(!may_open_sessions);
 }
+
+/// A start call that was lost with its lease was executed by the worker's next incarnation, whose
+/// clock starts again, although its task already ran elsewhere.
+#[test]
+fn a_start_call_that_outlives_its_lease_is_fenced_at_a_restarted_worker() {
+    let mut test = TestExecutor::started_at(EARLIER_START);
+    let mut worker = worker_model(test.now, BORN_MS);
+    test.now = test.now.plus_ms(5_000);
+    let delayed = test.send_delayed_start(&mut worker);
+    while test.outcomes().is_empty() {
+        test.advance(20);
+        test.renew_entry_lease();
+    }
+    assert_eq!(test.outcomes(), [RunOutcome::Lost]);
+    let mut restarted = worker_model(test.now, BORN_MS + 6_000);
+    test.advance(100);
+    test.answer_holds(&mut restarted);
+    let response = execute(&mut restarted, test.now, &delayed);
+    assert_eq!(response, StartResponse::Fenced);
+}
