A run that goes on after its confirmed stop is stopped again

A stop that the worker had confirmed was never repeated. A worker that restarted under its name may begin the run afterwards, by a start call that was still under way, and the confirmation of its earlier incarnation counted for this run too. The run went on to its end, while its entry, which had given it up with its session or its lease, started the task elsewhere after its time limit.

Evidence: restarts::a_run_that_is_listed_after_its_confirmed_stop_is_stopped_again.

assertion failed: stops > 0

A run that a later list still contains, longer after the stop than a stop takes, counts as not stopped, so the stop is repeated every 100 ms as for one without a confirmation.

--- a/src/core/execution/run_calls.rs
+++ b/src/core/execution/run_calls.rs
@@ -18,7 +18,7 @@
 const MAX_START_CALLS: u32 = 6;
 /// Time before an unconfirmed stop call is repeated, in milliseconds; longer than a stop usually
 /// takes.
-const STOP_RETRY_INTERVAL_MS: u64 = 100;
+pub(super) const STOP_RETRY_INTERVAL_MS: u64 = 100;
 
 impl Executor {
     pub(super) fn start_run(&mut self, now: Instant, session: SessionId, order: StartOrder) {
--- a/src/core/execution/run_list.rs
+++ b/src/core/execution/run_list.rs
@@ -4,6 +4,7 @@
     super::{
         ExecutionLogEvent, Executor, HoldCall, HoldResponse, ListedEnd, ListedRun,
         run::StartState,
+        run_calls::STOP_RETRY_INTERVAL_MS,
         worker_state::{ClockReading, Departure},
     },
     crate::core::{
@@ -183,6 +184,7 @@
 
     /// Resolves uncertain starts and confirmed stops by whether their run is listed.
     fn reconcile_runs(&mut self, now: Instant, call: &HoldCall, listed: &BTreeMap<TaskId, u32>) {
+        let stopped_after_ms = self.settings.limits.stop_ms + STOP_RETRY_INTERVAL_MS;
         let mut finished = Vec::new();
         let mut void = Vec::new();
         for (task, run) in &mut self.runs {
@@ -210,6 +212,14 @@
                 StartState::Confirmed { .. } if !is_listed && stopped => {
                     finished.push((*task, RunOutcome::Stopped));
                 }
+                StartState::Confirmed { .. } if stopped => {
+                    // The confirmation was for an earlier incarnation if the run goes on for long.
+                    if let Some(stop) = &mut run.stop
+                        && now.millis_since(stop.sent_at) >= stopped_after_ms
+                    {
+                        stop.confirmed_from_hold = None;
+                    }
+                }
                 StartState::Confirmed { .. } => {}
             }
         }
--- a/src/core/execution/tests/restarts.rs
+++ b/src/core/execution/tests/restarts.rs
@@ -126,3 +126,43 @@
     let response = execute(&mut restarted, test.now, &delayed);
     assert_eq!(response, StartResponse::Fenced);
 }
+
+/// A run that a restarted worker began after its earlier incarnation had confirmed the stop went on,
+/// since the stop counted as confirmed; its entry started the task elsewhere after the time limit.
+#[test]
+fn a_run_that_is_listed_after_its_confirmed_stop_is_stopped_again() {
+    let mut test = TestExecutor::ready();
+    test.start_task(1, StartResponse::Accepted);
+    test.send_frame(EntryFrame::Stop { run: run(1) });
+    let stop = StopCall {
+        worker: "w".to_owned(),
+        task: run(1).task,
+        number: 1,
+        token: 100,
+    };
+    test.send_event(ExecutionEvent::StopAnswered {
+        call: stop,
+        confirmed: true,
+    });
+    test.send_worker_heartbeat(BORN_MS + 500, 1, false);
+    let mut stops = 0;
+    for clock_ms in [40, 140, 240] {
+        for call in test.hold_calls() {
+            let response = HoldResponse::RunList {
+                born_unix_ms: Some(BORN_MS + 500),
+                clock_ms,
+                running: vec![ListedRun {
+                    task: run(1).task,
+                    number: 1,
+                }],
+                ended: Vec::new(),
+            };
+            test.send_event(ExecutionEvent::HoldAnswered { call, response });
+            stops += test.stop_count();
+        }
+        test.advance(100);
+        stops += test.stop_count();
+        test.renew_entry_lease();
+    }
+    assert!(stops > 0);
+}
