The worker's lease ends if the stop of a lost entry's run isn't confirmed

An entry that hears nothing from an agent starts its tasks elsewhere 1.2 s after the agent's last timestamp. The agent stops them when its lease for the entry expires, and was to let the worker's lease expire if that fails. It did so only for a worker that responds to nothing: while stop calls got lost and polls were answered, each renewal prolonged the run, for as long as the agent had one, and the task ran twice after the limit.

Evidence: entry_loss::runs_of_a_lost_entry_end_with_the_lease_if_no_stop_is_confirmed.

assertion failed: worker.active_runs().is_empty()

The lease is no longer extended, by a renewal or by a start, while such a stop has been unconfirmed for the time that a stop takes at most.

--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -40,12 +40,16 @@
         self.long_poll(now);
     }
 
-    /// Returns a new end of the lease on the worker's clock, or `None` if that clock is unknown.
+    /// Returns a new end of the lease on the worker's clock, or `None` if that clock is unknown or the
+    /// lease must end because a stop is overdue.
     ///
     /// Because the end is a point on the worker's clock, a call that is delayed beyond it has no
     /// effect on arrival.
     pub(super) fn extend_lease(&mut self, now: Instant) -> Option<u64> {
         let limits = self.settings.limits;
+        if self.has_overdue_stop(now) {
+            return None;
+        }
         let worker = self.worker.as_mut()?;
         let ClockReading { clock_ms, at } = worker.clock?;
         let until_ms = clock_ms + now.millis_since(at) + limits.lease_ms;
--- a/src/core/execution/run.rs
+++ b/src/core/execution/run.rs
@@ -37,6 +37,8 @@
 pub(super) struct StopState {
     /// Cause of the stop, for logs.
     pub(super) cause: &'static str,
+    /// When the first stop call was sent.
+    pub(super) since: Instant,
     /// When the latest stop call was sent.
     pub(super) sent_at: Instant,
     /// Sequence number of the first hold call sent after the worker confirmed the stop.
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -312,6 +312,21 @@
         }
     }
 
+    /// Whether the worker leaves the stop of a lost entry's run unconfirmed for longer than a stop takes.
+    ///
+    /// The entry starts the task elsewhere after its time limit, which leaves time for a stop and for the
+    /// end of the worker's lease.
+    pub(super) fn has_overdue_stop(&self, now: Instant) -> bool {
+        let stop_ms = self.settings.limits.stop_ms;
+        self.runs.values().any(|run| {
+            let is_overdue = run.stop.is_some_and(|stop| {
+                stop.confirmed_from_hold.is_none() && now.millis_since(stop.since) >= stop_ms
+            });
+            let link = self.sessions.get(&run.session);
+            is_overdue && link.is_none_or(|link| now >= link.lease_until)
+        })
+    }
+
     /// Reports disconnected sessions without unfinished runs.
     pub(super) fn report_drained_sessions(&mut self) {
         let runs = &self.runs;
@@ -339,6 +354,7 @@
         }
         run.stop = Some(StopState {
             cause,
+            since: now,
             sent_at: now,
             confirmed_from_hold: None,
         });
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -4,6 +4,7 @@
 mod capacity_shares;
 mod crashes;
 mod departure;
+mod entry_loss;
 mod lost_calls;
 mod queue_levels;
 mod restarts;
