--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -3,13 +3,15 @@
 use {
     super::{
         ExecutionAction, ExecutionLogEvent, Executor, HoldCall,
+        run::{Run, StartState},
         worker_state::{ClockReading, Departure},
     },
     crate::core::{link::RunOutcome, time::Instant, work::TaskId},
 };
 
-/// First increment of a fencing token that the worker rejected; doubles with each rejection.
-pub(crate) const INITIAL_TOKEN_STEP: u64 = 16;
+/// First increment of a fencing token that the worker rejected, for a system clock that was set back by
+/// up to 16 s; doubles with each rejection.
+pub(crate) const INITIAL_TOKEN_STEP: u64 = 16_000;
 /// Renewals within one lease, so that three in a row may fail.
 const RENEWALS_PER_LEASE: u64 = 4;
 /// Long poll timeout while tasks run, in milliseconds; also the maximum delay of an outcome after a
@@ -39,12 +41,16 @@
         self.long_poll(now);
     }
 
-    /// Returns a new end of the lease on the worker's clock, or `None` if that clock is unknown.
+    /// Returns a new end of the lease on the worker's clock, or `None` if that clock is unknown or the
+    /// lease must end because a stop is overdue.
     ///
     /// Because the end is a point on the worker's clock, a call that is delayed beyond it has no
     /// effect on arrival.
     pub(super) fn extend_lease(&mut self, now: Instant) -> Option<u64> {
         let limits = self.settings.limits;
+        if self.has_overdue_stop(now) {
+            return None;
+        }
         let worker = self.worker.as_mut()?;
         let ClockReading { clock_ms, at } = worker.clock?;
         let until_ms = clock_ms + now.millis_since(at) + limits.lease_ms;
@@ -179,10 +185,15 @@
     }
 
     fn mark_all_runs_lost(&mut self, now: Instant, cause: &'static str) -> usize {
-        // The worker may also have started those whose start call got no response.
         let runs = self.runs.iter();
         let runs = runs.filter(|(_, run)| run.replaced_worker.is_none());
-        let tasks: Vec<TaskId> = runs.map(|(task, _)| *task).collect();
+        let tasks: Vec<TaskId> = runs.clone().map(|(task, _)| *task).collect();
+        let is_unconfirmed = |run: &Run| !matches!(run.start, StartState::Confirmed { .. });
+        if runs.clone().any(|(_, run)| is_unconfirmed(run)) {
+            // Their start calls are late at this incarnation, but not at one whose clock starts again.
+            self.raise_token_above(self.token);
+        }
+        // The worker may also have started those whose start call got no response.
         for task in &tasks {
             self.finish_run_with_cause(now, *task, RunOutcome::Lost, cause);
         }
@@ -196,6 +207,17 @@
         let (worker, token) = (self.worker_name(), self.token);
         self.log_event(ExecutionLogEvent::Fenced { worker, token });
     }
+
+    /// Reports that no run of an earlier process is left at the worker, and that none can start there.
+    ///
+    /// After the worker has rejected a token, the next one that it accepts may still be below those of
+    /// start calls that are under way. Such calls end with their lease only.
+    pub(super) fn report_stale_runs_stopped(&mut self) {
+        let was_rejected = self.token_step > INITIAL_TOKEN_STEP;
+        if !was_rejected {
+            self.actions.push(ExecutionAction::StaleRunsStopped);
+        }
+    }
 }
 
 /// Extra time that a span may take on a worker's clock that runs 2% slow.
--- a/src/core/execution/mod.rs
+++ b/src/core/execution/mod.rs
@@ -11,6 +11,7 @@
 mod execution_event;
 mod execution_log_event;
 mod executor;
+mod first_token;
 mod incarnations;
 mod lease;
 mod lost_calls;
@@ -34,5 +35,6 @@
     },
     execution_log_event::ExecutionLogEvent,
     executor::{Executor, ExecutorSettings},
+    first_token::first_token,
     lease::INITIAL_TOKEN_STEP,
 };
--- a/src/core/execution/run_list.rs
+++ b/src/core/execution/run_list.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        ExecutionAction, ExecutionLogEvent, Executor, HoldCall, HoldResponse, ListedEnd, ListedRun,
+        ExecutionLogEvent, Executor, HoldCall, HoldResponse, ListedEnd, ListedRun,
         run::StartState,
+        run_calls::STOP_RETRY_INTERVAL_MS,
         worker_state::{ClockReading, Departure},
     },
     crate::core::{
@@ -188,6 +189,7 @@
 
     /// Resolves uncertain starts and confirmed stops by whether their run is listed.
     fn reconcile_runs(&mut self, now: Instant, call: &HoldCall, listed: &BTreeMap<TaskId, u32>) {
+        let stopped_after_ms = self.settings.limits.stop_ms + STOP_RETRY_INTERVAL_MS;
         let mut finished = Vec::new();
         let mut void = Vec::new();
         let runs = self.runs.iter_mut();
@@ -216,6 +218,14 @@
                 StartState::Confirmed { .. } if !is_listed && stopped => {
                     finished.push((*task, RunOutcome::Stopped));
                 }
+                StartState::Confirmed { .. } if stopped => {
+                    // The confirmation was for an earlier incarnation if the run goes on for long.
+                    if let Some(stop) = &mut run.stop
+                        && now.millis_since(stop.sent_at) >= stopped_after_ms
+                    {
+                        stop.confirmed_from_hold = None;
+                    }
+                }
                 StartState::Confirmed { .. } => {}
             }
         }
@@ -242,7 +252,7 @@
         }
         worker.ready = true;
         let name = worker.view.life.id.clone();
-        self.actions.push(ExecutionAction::StaleRunsStopped);
+        self.report_stale_runs_stopped();
         self.log_event(ExecutionLogEvent::WorkerReady {
             worker: name,
             token,
