Reject heartbeats that lack what each worker sends

What callers saw: heartbeats of other senders to an agent's address were answered 200 and taken for reports of a worker, without `address`, `version`, `slots`, `cold_remaining_ms` or `born`, or with one of another type. One without `born` counted as an incarnation that started in 1970.

Cause: the parser required only the fields that the agent uses, and ignored the others, although the protocol says that a heartbeat with fields missing or of another type comes from another writer and names no worker to use.

Why the fix works: each field that the protocol lists is required with its type; an empty id in the path is rejected as well. More fields are still allowed, and `labels` may be missing as before. `cold_remaining_ms` may have a fraction: the protocol calls only `born` a whole number.

--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -76,6 +76,46 @@
     a_negative_sequence_is_rejected: |body| body["seq"] = json!(-1);
     a_fractional_start_time_is_rejected: |body| body["born"] = json!(1.5);
     a_body_that_is_a_list_is_rejected: |body| *body = json!([1, 2]);
+    a_missing_address_is_rejected: |body| remove(body, "address");
+    an_address_that_is_a_number_is_rejected: |body| body["address"] = json!(8_080);
+    a_missing_version_is_rejected: |body| remove(body, "version");
+    a_version_that_is_a_number_is_rejected: |body| body["version"] = json!(1);
+    a_missing_number_of_slots_is_rejected: |body| remove(body, "slots");
+    a_number_of_slots_that_is_text_is_rejected: |body| body["slots"] = json!("8");
+    a_negative_number_of_slots_is_rejected: |body| body["slots"] = json!(-8);
+    a_missing_cold_time_is_rejected: |body| remove(body, "cold_remaining_ms");
+    a_cold_time_that_is_text_is_rejected: |body| body["cold_remaining_ms"] = json!("0");
+    a_cold_time_that_is_null_is_rejected: |body| body["cold_remaining_ms"] = Value::Null;
+    a_missing_start_time_is_rejected: |body| remove(body, "born");
+    a_start_time_that_is_text_is_rejected: |body| body["born"] = json!("1700000000000");
+    a_missing_service_is_rejected: |body| remove(body, "service");
+    a_missing_state_is_rejected: |body| remove(body, "state");
+    a_missing_capacity_is_rejected: |body| remove(body, "capacity");
+    a_missing_sequence_is_rejected: |body| remove(body, "seq");
+    labels_that_are_text_are_rejected: |body| body["labels"] = json!("a");
+}
+
+fn remove(body: &mut Value, field: &str) {
+    body.as_object_mut().expect("an object").remove(field);
+}
+
+/// Later versions of the format may add fields, and workers without labels leave them out.
+#[test]
+fn a_heartbeat_with_more_fields_and_without_labels_is_valid() {
+    let mut body = heartbeat();
+    remove(&mut body, "labels");
+    body["remaining_ms"] = json!(2_000);
+    body["colour"] = json!({"name": "blue"});
+    assert!(parse_heartbeat(body.to_string().as_bytes()).is_some());
+}
+
+/// An empty name addresses no worker: calls that name it would reach any.
+#[test]
+fn a_report_without_a_name_is_rejected() {
+    let body = heartbeat().to_string();
+    let parse = |path| parse_worker_report(path, body.as_bytes());
+    assert!(parse("/v1/Instances.Heartbeat/").is_some_and(|report| report.is_err()));
+    assert!(parse("/v1/Instances.Leave/").is_some_and(|report| report.is_err()));
 }
 
 #[test]
--- a/src/platform/worker_reports.rs
+++ b/src/platform/worker_reports.rs
@@ -27,17 +27,27 @@
     gpu: u32,
 }
 
+/// A heartbeat; one without a field that each worker sends, or with one of another type, comes from another
+/// sender and names no worker.
 #[derive(Debug, Deserialize)]
 struct HeartbeatBody {
     service: String,
+    #[serde(rename = "address")]
+    _address: String,
     zone: String,
+    #[serde(rename = "version")]
+    _version: String,
+    #[serde(rename = "slots")]
+    _slots: u64,
     state: StateBody,
+    /// May have a fraction.
+    #[serde(rename = "cold_remaining_ms")]
+    _cold_remaining_ms: f64,
     capacity: CapacityBody,
     #[serde(default)]
     labels: Vec<String>,
     seq: u64,
     /// Start of the worker incarnation, in Unix milliseconds.
-    #[serde(default)]
     born: u64,
 }
 
@@ -66,11 +76,15 @@
     path: &str,
     body: &[u8],
 ) -> Option<Result<WorkerReport, PlatformError>> {
-    if let Some(worker) = path.strip_prefix(LEAVE_PATH) {
-        return Some(parse_leave(worker, body));
+    let (worker, parse): (_, fn(&str, &[u8]) -> _) = match path.strip_prefix(LEAVE_PATH) {
+        Some(worker) => (worker, parse_leave),
+        None => (path.strip_prefix(HEARTBEAT_PATH)?, parse_heartbeat),
+    };
+    if worker.is_empty() {
+        let detail = "the report names no worker".to_owned();
+        return Some(Err(PlatformError::Malformed(detail)));
     }
-    let worker = path.strip_prefix(HEARTBEAT_PATH)?;
-    Some(parse_heartbeat(worker, body))
+    Some(parse(worker, body))
 }
 
 fn parse_leave(worker: &str, body: &[u8]) -> Result<WorkerReport, PlatformError> {
