Log reports of another service

What callers saw: a heartbeat of another service was answered 200 and ignored without a trace; an agent that was configured for the wrong service looked like one whose worker does not report.

Cause: `Executor::on_heartbeat` returned without a log line.

Evidence: on the code before,

incarnations.rs:616: a_report_of_another_service_is_logged_and_ignored left: 0 right: 1

Why the fix works: such reports are logged with `report_ignored` and the reason `other_service`, at most once a second with their number.

--- a/src/core/execution/execution_log_event.rs
+++ b/src/core/execution/execution_log_event.rs
@@ -31,7 +31,7 @@
         /// Unfinished runs of earlier incarnations.
         runs: usize,
     },
-    /// A report of another incarnation than the known one was ignored.
+    /// Reports of another service, or of another incarnation than the known one, were ignored.
     ReportIgnored {
         worker: String,
         /// Start time of the incarnation that the report names.
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -147,6 +147,7 @@
     /// Ignores reports of the known incarnation that arrive out of order.
     fn on_heartbeat(&mut self, now: Instant, mut view: WorkerView, sequence: u64) {
         if view.service != self.settings.service {
+            self.ignore_report(now, &view, "other_service");
             return;
         }
         let known = self.worker.as_ref();
--- a/src/core/execution/tests/incarnations.rs
+++ b/src/core/execution/tests/incarnations.rs
@@ -596,3 +596,23 @@
     site.deliver();
     assert_eq!(site.persisted(), Vec::<&WorkerIncarnation>::new());
 }
+
+/// Reports of another service left no trace.
+#[test]
+fn a_report_of_another_service_is_logged_and_ignored() {
+    let mut site = Site::ready();
+    let mut view = view(BORN_MS, true);
+    view.service = "other".to_owned();
+    for sequence in 2..50 {
+        let view = view.clone();
+        site.send(ExecutionEvent::Heartbeat { view, sequence });
+    }
+    let is_logged = |event: &ExecutionLogEvent| {
+        let ExecutionLogEvent::ReportIgnored { reason, .. } = event else {
+            return false;
+        };
+        *reason == "other_service"
+    };
+    assert_eq!(site.lines(is_logged), 1);
+    assert_eq!(site.starts_at(1).as_deref(), Some("w"));
+}
