Use a worker again that reports on after a Leave of another sender

What callers saw: a Leave call without a body names no incarnation, so it can't be told from one of the worker. One from another sender stopped all runs of the worker and left it unused for good, although it reported on as ready.

Cause: nothing but another incarnation ended `Departure::Leaving` and `Left`.

Evidence: on the code before,

departure.rs:232: a_worker_that_reports_after_an_announcement_serves_again left: false right: true departure.rs:280: a_report_after_an_announcement_frees_no_run assertion failed: test.accepts_start(2)

Why the fix works: a report of the same incarnation as ready, with a higher number, that arrives more than a second after the latest announcement was sent after it, since a heartbeat call takes a second at most. The worker stays: a worker that counts as left is polled again, and gets starts after its run list under the current token. Its runs are stopped nevertheless, and no run ends by the report. `worker_stays` is logged.

--- a/src/core/execution/departure.rs
+++ b/src/core/execution/departure.rs
@@ -9,6 +9,10 @@
     crate::core::{time::Instant, work::TaskId},
 };
 
+/// Time after the announcement that the worker leaves in which reports from before it may arrive, in
+/// milliseconds: the platform's timeout of a report.
+const REPORT_TIMEOUT_MS: u64 = 1_000;
+
 impl Executor {
     /// Whether runs may still execute at a worker that has announced that it leaves.
     ///
@@ -28,7 +32,11 @@
         let Some(worker) = &mut self.worker else {
             return;
         };
-        if !leaving.is_incarnation(&worker.view.life) || worker.departure != Departure::Serving {
+        if !leaving.is_incarnation(&worker.view.life) {
+            return;
+        }
+        worker.leave_received_at = Some(now);
+        if worker.departure != Departure::Serving {
             return;
         }
         worker.departure = Departure::Leaving;
@@ -44,6 +52,25 @@
         }
     }
 
+    /// Handles a report of the known incarnation that it is ready, after it was announced that it leaves.
+    ///
+    /// An announcement without a start time may come from another sender. A worker that reports on stays;
+    /// its runs are stopped nevertheless, and once it has left, its run list comes before new starts.
+    pub(super) fn reverse_departure(&mut self, now: Instant) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        let may_be_late = worker
+            .leave_received_at
+            .is_some_and(|left_at| now.millis_since(left_at) <= REPORT_TIMEOUT_MS);
+        if worker.departure == Departure::Serving || may_be_late {
+            return;
+        }
+        worker.departure = Departure::Serving;
+        let name = worker.view.life.id.clone();
+        self.log_event(ExecutionLogEvent::WorkerStays { worker: name });
+    }
+
     /// Forgets a leaving worker once none of its runs is left.
     pub(super) fn finish_departure(&mut self) {
         let Some(worker) = &mut self.worker else {
--- a/src/core/execution/execution_log_event.rs
+++ b/src/core/execution/execution_log_event.rs
@@ -52,6 +52,8 @@
         /// Runs still on the worker.
         runs: usize,
     },
+    /// The worker reports on as ready, although it was announced that it leaves.
+    WorkerStays { worker: String },
     /// The worker no longer responds; it gets no starts until its next response.
     WorkerUnresponsive {
         worker: String,
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -159,6 +159,9 @@
                 return;
             }
         }
+        if !view.draining {
+            self.reverse_departure(now);
+        }
         let runs = self.runs.len();
         let Some(worker) = &mut self.worker else {
             return;
--- a/src/core/execution/tests/departure.rs
+++ b/src/core/execution/tests/departure.rs
@@ -188,3 +188,106 @@
     test.send_worker_heartbeat(BORN_MS + 1, 1, false);
     assert_eq!(test.hold_calls().len(), 1);
 }
+
+impl TestExecutor {
+    /// Lets `elapsed_ms` pass while the worker lists no runs.
+    fn pass_without_runs(&mut self, elapsed_ms: u64) {
+        for _ in 0..elapsed_ms / 20 {
+            self.advance(20);
+            self.renew_entry_lease();
+            for call in self.hold_calls() {
+                if call.wait_ms == 0 {
+                    self.send_run_list(call, &[], &[]);
+                }
+            }
+        }
+    }
+
+    fn accepts_start(&mut self, job: u64) -> bool {
+        self.send_frame(EntryFrame::Start(start_order(job)));
+        self.start_calls().len() == 1
+    }
+}
+
+macro_rules! reports_after_an_announcement {
+    ($($(#[$doc:meta])* $name:ident: $wait_ms:expr, $sequence:expr, $draining:expr => $serves:expr;)+) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let mut test = TestExecutor::ready();
+                let worker = announcement("w", None);
+                test.send_event(ExecutionEvent::WorkerLeaving(worker));
+                assert_eq!(test.announced_draining(), Some(None));
+                test.pass_without_runs($wait_ms);
+                test.send_worker_heartbeat(BORN_MS, $sequence, $draining);
+                assert!(!test.accepts_start(1), "it serves before its run list");
+                test.pass_without_runs(200);
+                assert_eq!(test.accepts_start(2), $serves);
+            }
+        )+
+    };
+}
+
+reports_after_an_announcement! {
+    /// An announcement of another sender left the worker unused for good.
+    a_worker_that_reports_after_an_announcement_serves_again: 1_020, 2, false => true;
+    /// The report may have been sent before the announcement.
+    a_report_within_the_timeout_after_an_announcement_proves_nothing: 1_000, 2, false => false;
+    an_older_report_after_an_announcement_proves_nothing: 1_020, 1, false => false;
+    a_draining_worker_that_was_announced_to_leave_is_not_used: 1_020, 2, true => false;
+}
+
+/// A worker that ends after a delayed report must not get starts.
+#[test]
+fn a_worker_that_reports_after_an_announcement_must_respond_first() {
+    let mut test = TestExecutor::ready();
+    test.send_leave();
+    test.pass_without_runs(1_020);
+    test.send_worker_heartbeat(BORN_MS, 2, false);
+    for _ in 0..50 {
+        test.advance(20);
+        test.renew_entry_lease();
+        assert!(!test.accepts_start(1));
+    }
+}
+
+/// The report of a worker that stays says nothing about the stops of its runs.
+#[test]
+fn a_report_after_an_announcement_frees_no_run() {
+    let mut test = TestExecutor::ready();
+    test.start_task(1, StartResponse::Accepted);
+    test.send_leave();
+    for _ in 0..52 {
+        test.advance(20);
+        test.renew_entry_lease();
+        for call in test.hold_calls() {
+            if call.wait_ms == 0 {
+                test.send_run_list(call, &[run(1)], &[]);
+            }
+        }
+        assert_eq!(test.outcomes(), []);
+    }
+    test.send_worker_heartbeat(BORN_MS, 2, false);
+    assert_eq!(test.outcomes(), []);
+    test.advance(100);
+    assert_eq!(test.stop_count(), 1);
+    test.confirm_stops();
+    let poll = test.hold_calls().remove(0);
+    test.send_run_list(poll, &[], &[]);
+    assert_eq!(test.outcomes(), [RunOutcome::Stopped]);
+    test.renew_entry_lease();
+    assert!(test.accepts_start(2));
+}
+
+/// Each repeated announcement counts: reports from before it may arrive for a second.
+#[test]
+fn a_report_after_a_repeated_announcement_may_be_late() {
+    let mut test = TestExecutor::ready();
+    test.send_leave();
+    test.pass_without_runs(1_020);
+    test.send_leave();
+    test.send_worker_heartbeat(BORN_MS, 2, false);
+    test.pass_without_runs(200);
+    assert!(!test.accepts_start(1));
+}
--- a/src/core/execution/worker_state.rs
+++ b/src/core/execution/worker_state.rs
@@ -37,6 +37,8 @@
     /// Token when the incarnation became the known one.
     pub(super) first_token: u64,
     pub(super) departure: Departure,
+    /// When it was last announced that the worker leaves.
+    pub(super) leave_received_at: Option<Instant>,
     /// When the view was restored from an earlier process; `None` once the worker has reported to
     /// this one.
     pub(super) restored_at: Option<Instant>,
@@ -78,6 +80,7 @@
             report_sequence,
             first_token,
             departure: Departure::Serving,
+            leave_received_at: None,
             restored_at: None,
             clock: None,
             last_seen_end: 0,
--- a/src/site_agent/execution_loop.rs
+++ b/src/site_agent/execution_loop.rs
@@ -213,6 +213,7 @@
             | ExecutionLogEvent::ReportIgnored { .. }
             | ExecutionLogEvent::WorkerDraining { .. }
             | ExecutionLogEvent::WorkerLeaving { .. }
+            | ExecutionLogEvent::WorkerStays { .. }
             | ExecutionLogEvent::WorkerUnresponsive { .. }
             | ExecutionLogEvent::WorkerLost { .. }
             | ExecutionLogEvent::WorkerReady { .. }
--- a/src/site_entry/tests/events.rs
+++ b/src/site_entry/tests/events.rs
@@ -1,7 +1,7 @@
 //! Checks that the operations page documents every log event.
 
 /// Every log event of an entry, an agent, and a process as a whole.
-const EVENTS: [&str; 45] = [
+const EVENTS: [&str; 46] = [
     "job_taken",
     "job_refused",
     "job_joined",
@@ -25,6 +25,7 @@
     "worker_changed",
     "worker_draining",
     "worker_leaving",
+    "worker_stays",
     "worker_lost",
     "worker_unresponsive",
     "worker_crashed",
