--- a/src/core/execution/execution_log_event.rs
+++ b/src/core/execution/execution_log_event.rs
@@ -31,7 +31,7 @@
         /// Unfinished runs of earlier incarnations.
         runs: usize,
     },
-    /// A report of another incarnation than the known one was ignored.
+    /// Reports of another service, or of another incarnation than the known one, were ignored.
     ReportIgnored {
         worker: String,
         /// Start time of the incarnation that the report names.
@@ -52,6 +52,8 @@
         /// Runs still on the worker.
         runs: usize,
     },
+    /// The worker reports on as ready, although it was announced that it leaves.
+    WorkerStays { worker: String },
     /// The worker no longer responds; it gets no starts until its next response.
     WorkerUnresponsive {
         worker: String,
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -147,6 +147,7 @@
     /// Ignores reports of the known incarnation that arrive out of order.
     fn on_heartbeat(&mut self, now: Instant, mut view: WorkerView, sequence: u64) {
         if view.service != self.settings.service {
+            self.ignore_report(now, &view, "other_service");
             return;
         }
         let known = self.worker.as_ref();
@@ -158,6 +159,9 @@
                 return;
             }
         }
+        if !view.draining {
+            self.reverse_departure(now);
+        }
         let runs = self.runs.len();
         let Some(worker) = &mut self.worker else {
             return;
