A task that is busy at one worker starts nowhere else

An agent rejects a start with `task_busy` while it has an unfinished run of the task, which another entry has started for an earlier attempt of the client. The entry waited 60 ms, longer than a stop usually takes, and then started the task on any worker: nothing showed that the run had ended, and with an entry that hasn't seen that its client is gone it goes on for as long as the task takes.

Evidence: dispatch::tests::sessions::a_busy_task_starts_nowhere_else.

The task is now ordered from the same worker every 60 ms until its agent accepts it, which it does once the run has ended. A worker that takes no tasks at all can't show that; after the time limit of lost sessions the task may start elsewhere. That last case remains without proof for an entry that still has a client.

--- a/src/core/dispatch/job.rs
+++ b/src/core/dispatch/job.rs
@@ -48,6 +48,8 @@
     pub(super) avoid: Option<WorkerKey>,
     /// Earliest time of the next start.
     pub(super) not_before: Instant,
+    /// The agent that has another entry's run of the task, and when it last said so.
+    pub(super) busy_at: Option<(WorkerKey, Instant)>,
 }
 
 /// A job from its acceptance until its last run has ended.
@@ -250,6 +252,7 @@
             lost_runs: 0,
             avoid: None,
             not_before: now,
+            busy_at: None,
         })
         .collect()
 }
--- a/src/core/dispatch/outcomes.rs
+++ b/src/core/dispatch/outcomes.rs
@@ -142,6 +142,11 @@
         let Some(task) = job.tasks.get_mut(open.task) else {
             return;
         };
+        if outcome == RunOutcome::NotStarted(NotStartedReason::TaskBusy) {
+            task.busy_at = Some((worker, now));
+        } else if !precedes_busy_check(outcome) {
+            task.busy_at = None;
+        }
         match outcome {
             RunOutcome::Done => {
                 task.state = TaskState::Done;
@@ -200,6 +205,20 @@
     (estimate_ms * SLOW_FACTOR).max(estimate_ms + MIN_SLOW_EXCESS_MS)
 }
 
+/// Whether an agent rejects a start for this reason before it looks for an unfinished run of the task.
+const fn precedes_busy_check(outcome: RunOutcome) -> bool {
+    matches!(
+        outcome,
+        RunOutcome::NotStarted(
+            NotStartedReason::NoWorker
+                | NotStartedReason::Unresponsive
+                | NotStartedReason::RightLapsed
+                | NotStartedReason::Draining
+                | NotStartedReason::Evacuated
+        )
+    )
+}
+
 /// What the outcome of a run says about its worker; `None` if nothing.
 fn health_sample(outcome: RunOutcome, is_slow: bool) -> Option<HealthSample> {
     match outcome {
--- a/src/core/dispatch/placement.rs
+++ b/src/core/dispatch/placement.rs
@@ -92,6 +92,7 @@
         if waiting.share_class == ShareClass::Beyond && !self.has_capacity_for(now, job, 0) {
             return false;
         }
+        let busy_at = self.busy_worker(now, job, task, step);
         let is_suspect = self.crashes.is_suspect(job.run_id(task).task);
         let terms = self.completion_terms(now, job, waiting.task);
         let terms = terms.filter(|_| !is_suspect);
@@ -100,6 +101,7 @@
         for (key, worker) in &self.workers {
             if let Some(free) = free_capacity_for(now, worker, job, step, self.zones.as_ref())
                 && worker.may_send_start(step.needs)
+                && busy_at.is_none_or(|busy| busy == key)
                 && !is_at_task_limit(worker, job, task, step)
                 && !(is_suspect && worker.has_suspect_run())
             {
@@ -135,6 +137,27 @@
         true
     }
 
+    /// The worker that has another entry's run of the task. The task may start there only: the agent
+    /// accepts it once that run has ended.
+    ///
+    /// A worker that takes no tasks can't show that. Its run has been stopped after the time limit,
+    /// unless its entry still has a client that waits.
+    fn busy_worker(
+        &self,
+        now: Instant,
+        job: &Job,
+        task: &Task,
+        step: &StepSpec,
+    ) -> Option<WorkerKey> {
+        let (key, since) = task.busy_at?;
+        let view = self
+            .workers
+            .get(key)
+            .and_then(|worker| worker.usable_view(now, job, step, self.zones.as_ref()));
+        let limit_ms = self.settings.limits.runs_stopped_after_ms();
+        (view.is_some() || now.millis_since(since) < limit_ms).then_some(key)
+    }
+
     /// Places the other tasks of a job whose first task was just started. Those without a fitting
     /// worker stay queued ahead of jobs that have not begun.
     fn place_remaining_tasks(&mut self, now: Instant, key: JobKey) {
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -5,6 +5,7 @@
 mod concurrent_entries;
 mod crashes;
 mod queue_shares;
+mod sessions;
 mod uneven_placement;
 mod uneven_workers;
 mod worker_discovery;
