--- a/src/core/execution/tests/entry_loss.rs
+++ b/src/core/execution/tests/entry_loss.rs
@@ -39,3 +39,18 @@
     assert!(is_started);
     assert!(worker.active_runs().is_empty());
 }
+
+/// An order that was under way when its session was closed must not start a task: the hello of the next
+/// session denies it.
+#[test]
+fn a_start_on_a_closed_session_is_ignored() {
+    let mut test = TestExecutor::ready();
+    test.send_event(ExecutionEvent::SessionLost { session: SESSION });
+    let drained = ExecutionAction::SessionDrained { session: SESSION };
+    assert!(test.actions.contains(&drained));
+    test.send_frame(EntryFrame::Start(start_order(1)));
+    assert!(test.start_calls().is_empty());
+    test.open_session_of("entry", SessionId(2));
+    test.send_frame(EntryFrame::Start(start_order(1)));
+    assert!(test.start_calls().is_empty());
+}
--- a/src/core/execution/tests/restarts.rs
+++ b/src/core/execution/tests/restarts.rs
@@ -166,3 +166,22 @@
     }
     assert!(stops > 0);
 }
+
+/// The end of an earlier run of a task must not free a later start that the worker may still execute:
+/// the worker must reject that start because the number has ended there.
+#[test]
+fn a_start_that_ends_with_an_earlier_run_has_not_begun() {
+    let mut test = TestExecutor::ready();
+    let mut worker = worker_model(test.now, BORN_MS);
+    test.send_frame(EntryFrame::Start(start_order(1)));
+    let call = test.start_calls().remove(0);
+    execute(&mut worker, test.now, &call);
+    worker.advance(test.now.plus_ms(200));
+    let HoldResponse::RunList { ended, .. } = worker.hold(test.now, &latest_poll()) else {
+        panic!("the worker rejected the poll");
+    };
+    test.send_run_list(latest_poll(), &[], &ended);
+    assert_eq!(test.outcomes().len(), 1);
+    let response = execute(&mut worker, test.now, &call);
+    assert_eq!(response, StartResponse::NumberUsed);
+}
