Runs of a restarted worker are lost after the longest lease it may have

A worker that restarts under its name executes start and renewal calls for its earlier incarnation that are still under way. Their lease ends on a clock that showed more, so the worker shortens it to the longest that it grants, 1 s, and a lease never gets shorter. Its agent counted 0.44 s from its own next call: if the worker then didn't respond, its runs were reported as lost, and their tasks started elsewhere, while they could still execute.

Evidence: restarts::a_lease_that_a_restarted_worker_took_from_an_earlier_call_is_waited_for.

assertion failed: restarted.active_runs().is_empty()

When a worker becomes ready with runs of an earlier incarnation, the agent assumes that it granted the longest lease just then; its later calls have the higher token, which voids those for the earlier incarnation.

--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -23,6 +23,8 @@
 const LONG_POLL_SLACK_MS: u64 = 200;
 /// Failed polls after which an idle worker counts as unavailable.
 const MAX_FAILED_POLLS: u32 = 3;
+/// Longest lease that a worker grants, in milliseconds; the platform's `hold_max_ms`.
+const MAX_GRANTED_LEASE_MS: u64 = 1_000;
 /// Time between polls of a worker that is not ready or does not respond, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 100;
 
@@ -58,6 +60,15 @@
         Some(until_ms)
     }
 
+    /// Assumes that the worker granted the longest lease before it rejected the calls for its earlier
+    /// incarnation, whose clock showed more.
+    pub(super) fn assume_longest_lease(&mut self, now: Instant) {
+        let lease_ms = MAX_GRANTED_LEASE_MS + clock_drift_ms(MAX_GRANTED_LEASE_MS);
+        if let Some(worker) = &mut self.worker {
+            worker.lease_expires_at = worker.lease_expires_at.max(now.plus_ms(lease_ms));
+        }
+    }
+
     fn renew_lease(&mut self, now: Instant) {
         let limits = self.settings.limits;
         let renew_ms = limits.lease_ms / RENEWALS_PER_LEASE;
--- a/src/core/execution/run_list.rs
+++ b/src/core/execution/run_list.rs
@@ -156,7 +156,7 @@
         }
         let orphans = self.stop_orphaned_runs(&listed);
         self.reconcile_runs(now, call, &listed);
-        self.mark_worker_ready(call, orphans);
+        self.mark_worker_ready(now, call, orphans);
     }
 
     /// Stops runs that this process does not know: runs of an earlier process of this agent, and
@@ -235,8 +235,9 @@
     }
 
     /// Marks the worker ready once its run list under the current token contains no orphaned runs.
-    fn mark_worker_ready(&mut self, call: &HoldCall, orphans: usize) {
+    fn mark_worker_ready(&mut self, now: Instant, call: &HoldCall, orphans: usize) {
         let token = self.token;
+        let has_earlier_runs = !self.runs.is_empty();
         let Some(worker) = &mut self.worker else {
             return;
         };
@@ -246,6 +247,9 @@
         }
         worker.ready = true;
         let name = worker.view.life.id.clone();
+        if has_earlier_runs {
+            self.assume_longest_lease(now);
+        }
         self.report_stale_runs_stopped();
         self.log_event(ExecutionLogEvent::WorkerReady {
             worker: name,
--- a/src/core/execution/tests/restarts.rs
+++ b/src/core/execution/tests/restarts.rs
@@ -185,3 +185,27 @@
     let response = execute(&mut worker, test.now, &call);
     assert_eq!(response, StartResponse::NumberUsed);
 }
+
+/// A worker that has restarted under its name executes calls for its earlier incarnation, whose clock
+/// showed more, under the longest lease that it grants. Its runs were reported as lost before that
+/// lease had expired.
+#[test]
+fn a_lease_that_a_restarted_worker_took_from_an_earlier_call_is_waited_for() {
+    let mut test = TestExecutor::started_at(EARLIER_START);
+    let mut worker = worker_model(test.now, BORN_MS);
+    test.now = test.now.plus_ms(5_000);
+    let delayed = test.send_delayed_start(&mut worker);
+    let born_unix_ms = BORN_MS + 6_000;
+    let mut restarted = worker_model(test.now, born_unix_ms);
+    let (response, _) = restarted.start(test.now, &delayed, 5_000, RunOutcome::Done);
+    assert_eq!(response, StartResponse::Accepted);
+    test.send_worker_heartbeat(born_unix_ms, 1, false);
+    test.answer_holds(&mut restarted);
+    assert_eq!(test.executor.run_count(), 1);
+    while test.outcomes().is_empty() {
+        test.advance(20);
+        test.renew_entry_lease();
+    }
+    restarted.advance(test.now);
+    assert!(restarted.active_runs().is_empty());
+}
