--- a/src/cli/args/standin_args.rs
+++ b/src/cli/args/standin_args.rs
@@ -83,6 +83,9 @@
     /// Interval between its reports
     #[arg(long, default_value_t = 1_500)]
     pub(crate) heartbeat_ms: u64,
+    /// Report at once and wait for the listen address while an earlier worker still uses it
+    #[arg(long)]
+    pub(crate) wait_for_address: bool,
 }
 
 /// Arguments of many agents in one process.
--- a/src/standin/site_worker.rs
+++ b/src/standin/site_worker.rs
@@ -26,6 +26,7 @@
     serde_json::{Value, json},
     std::{
         collections::BTreeMap,
+        io::ErrorKind,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
@@ -40,6 +41,10 @@
 const POLL_INTERVAL_MS: u64 = 5;
 /// Time after which a leaving worker ends without an acknowledgement, in milliseconds.
 const LEAVE_TIMEOUT_MS: u64 = 2_000;
+/// Interval between attempts to listen on an address that an earlier worker still uses.
+const BIND_RETRY_MS: u64 = 5;
+/// Header that names the worker for which a call is intended.
+const EXPECTED_INSTANCE: &str = "rattanslip-expected-instance";
 /// Run time if the spec gives none.
 const DEFAULT_RUN_MS: u64 = 50;
 
@@ -87,9 +92,14 @@
 
 /// Runs the worker until SIGTERM.
 pub(crate) async fn run_site_worker(args: SiteWorkerArgs) -> Result<(), RunError> {
-    let listener = TcpListener::bind(args.listen)
-        .await
-        .map_err(|error| RunError::Listen(args.listen, error))?;
+    let bound = TcpListener::bind(args.listen).await;
+    let is_awaited = args.wait_for_address
+        && matches!(&bound, Err(error) if error.kind() == ErrorKind::AddrInUse);
+    let listener = if is_awaited {
+        None
+    } else {
+        Some(bound.map_err(|error| RunError::Listen(args.listen, error))?)
+    };
     let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
@@ -108,8 +118,7 @@
         logged_runs: Mutex::default(),
     });
     let (_stop, stopped) = watch::channel(false);
-    let handler: Arc<dyn HttpHandler> = Arc::<SiteWorker>::clone(&worker);
-    tokio::spawn(serve_http(listener, handler, stopped));
+    tokio::spawn(Arc::clone(&worker).serve_calls(listener, stopped));
     tokio::spawn(Arc::clone(&worker).send_heartbeats());
     tokio::spawn(Arc::clone(&worker).poll_runs());
     stop_signal().await;
@@ -139,6 +148,29 @@
         self.faults.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Serves calls on the listener, or on the listen address once that is free.
+    async fn serve_calls(
+        self: Arc<Self>,
+        listener: Option<TcpListener>,
+        stopped: watch::Receiver<bool>,
+    ) {
+        let mut bound = listener;
+        let listener = loop {
+            if let Some(listener) = bound {
+                break listener;
+            }
+            sleep(Duration::from_millis(BIND_RETRY_MS)).await;
+            bound = TcpListener::bind(self.args.listen).await.ok();
+        };
+        serve_http(listener, self, stopped).await;
+    }
+
+    /// Whether the call names another worker.
+    fn is_misdirected(&self, request: &HttpRequest) -> bool {
+        let expected = request.header(EXPECTED_INSTANCE);
+        expected.is_some_and(|id| id != self.args.id)
+    }
+
     /// Prints the runs that started or ended since the previous call.
     fn log_run_changes(&self) {
         let mut model = self.model();
@@ -346,6 +378,9 @@
     }
 
     async fn execute(&self, request: &HttpRequest) -> HttpResponse {
+        if self.is_misdirected(request) {
+            return HttpResponse::empty(StatusCode::MISDIRECTED_REQUEST);
+        }
         let Ok(body) = serde_json::from_slice::<WorkerCallBody>(&request.body) else {
             return HttpResponse::empty(StatusCode::BAD_REQUEST);
         };
