Simulate reports of other writers, replacements that report early, and workers that return

New faults: heartbeats and Leave calls of another writer, one at a time and in series of ten within a second, at any moment and soon after a disruption; replacements that report up to 2 s before the earlier worker ends; workers back under their own id, also with an earlier start time; agents that start twice within one second.

--- a/src/core/tests/faults.rs
+++ b/src/core/tests/faults.rs
@@ -71,6 +71,29 @@
         drain_ms: u64,
         acknowledgement_lost: bool,
     },
+    /// A replacement under another id starts and reports; the earlier worker ends `overlap_ms` later.
+    ReplaceWorker {
+        worker: usize,
+        drains: bool,
+        overlap_ms: u64,
+    },
+    /// The worker crashes and restarts under its own id, with its clock set back.
+    ReturnWorker {
+        worker: usize,
+        down_ms: u64,
+        clock_back_ms: u64,
+    },
+    /// The agent starts twice within one second, so that both processes have the same first token.
+    RestartAgentTwice {
+        agent: usize,
+        gap_ms: u64,
+    },
+    /// Another writer sends the report to the agent `count` times within one second.
+    ForeignReports {
+        agent: usize,
+        report: ForeignReport,
+        count: u64,
+    },
     /// Connections of all clients of the entry disconnect.
     ResetClients {
         entry: usize,
@@ -81,6 +104,24 @@
     },
 }
 
+/// A report that another writer sends to an agent; times are relative to the start of the worker, or to
+/// the present if `is_later`.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum ForeignReport {
+    /// A heartbeat of another incarnation.
+    Heartbeat {
+        own_id: bool,
+        is_later: bool,
+        offset_ms: u64,
+    },
+    /// Leave of the worker's id, without `born`.
+    LeaveWithoutBorn,
+    /// Leave of another id.
+    LeaveOfOther,
+    /// Leave of the worker's id, with the start of an earlier incarnation.
+    LeaveOfEarlier { offset_ms: u64 },
+}
+
 impl Fault {
     /// Returns a random fault.
     pub(super) fn random(rng: &mut SeededRng, entries: usize, workers: usize) -> Self {
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -6,6 +6,7 @@
 mod client_model;
 mod faults;
 mod floods;
+mod incarnations;
 mod link_model;
 mod seeded_rng;
 mod seeds;
--- a/src/core/tests/seeds.rs
+++ b/src/core/tests/seeds.rs
@@ -10,6 +10,7 @@
 const DEPARTURE_SEEDS: u64 = 100;
 const CRASH_SEEDS: u64 = 100;
 const COMPETITION_SEEDS: u64 = 100;
+const INCARNATION_SEEDS: u64 = 100;
 /// Jobs of a simulation whose tasks crash their workers.
 const CRASHING_JOBS: u64 = 1;
 /// Seeds within which an unsafe setup must cause a double run.
@@ -113,6 +114,74 @@
     }
 }
 
+/// Returns the number of jobs completed by all seeds of a setup, none of which may cause a violation.
+fn completed_jobs(setup: Setup) -> u64 {
+    let counts = (0..INCARNATION_SEEDS).map(|seed| {
+        let report = assert_no_violations(seed, setup).report;
+        u64::from(report.outcome_counts["completed"])
+    });
+    counts.sum()
+}
+
+/// A heartbeat of another id with a later start freed all runs of the worker, which then stayed unused.
+#[test]
+fn a_report_of_another_writer_frees_no_run() {
+    let without = Setup {
+        removed_workers: 2,
+        early_replacements: 2,
+        double_restarts: 2,
+        ..Setup::production()
+    };
+    let with = Setup {
+        foreign_reports: 12,
+        ..without
+    };
+    let (with, without) = (completed_jobs(with), completed_jobs(without));
+    assert!(with * 100 >= without * 97, "{with}, without {without}");
+}
+
+/// A worker stayed unused after a Leave call that it had not sent, although it reported on as ready.
+#[test]
+fn a_leave_call_of_another_writer_costs_no_worker() {
+    let without = Setup {
+        removed_workers: 4,
+        ..Setup::production()
+    };
+    let with = Setup {
+        foreign_leaves: 12,
+        ..without
+    };
+    let (with, without) = (completed_jobs(with), completed_jobs(without));
+    assert!(with * 100 >= without * 97, "{with}, without {without}");
+}
+
+/// The first report of a replacement freed the runs of the earlier worker, which still executed them.
+#[test]
+fn a_replacement_that_reports_early_frees_no_run() {
+    completed_jobs(Setup {
+        early_replacements: 8,
+        ..Setup::production()
+    });
+}
+
+/// A worker that was back under its own id with an earlier start time stayed unused.
+#[test]
+fn a_worker_back_under_its_own_id_is_used() {
+    completed_jobs(Setup {
+        returned_workers: 8,
+        ..Setup::production()
+    });
+}
+
+/// The two processes have the same first token, so calls of the earlier one are not fenced.
+#[test]
+fn an_agent_that_restarts_twice_in_a_second_leaves_no_run() {
+    completed_jobs(Setup {
+        double_restarts: 8,
+        ..Setup::production()
+    });
+}
+
 /// A task that crashes each worker that starts it must not go through the site, and must not take
 /// the jobs beside it along.
 #[test]
@@ -135,7 +204,8 @@
 }
 
 /// `RATTANSLIP_SEEDS=FIRST..END cargo test --release more_seeds -- --ignored` runs other seeds; odd
-/// ones have competing queues, and each third one has workers that leave.
+/// ones have competing queues, each third one has workers that leave, and each second pair has workers
+/// and agents that change their incarnation and reports of other writers.
 #[test]
 #[ignore = "runs thousands of seeds; started by hand"]
 fn more_seeds_on_demand() {
@@ -144,9 +214,15 @@
     let (first, end): (u64, u64) = (first.parse().expect("first"), end.parse().expect("end"));
     let mut failed = Vec::new();
     for seed in first..end {
+        let incarnation_faults = if seed % 4 < 2 { 0 } else { 3 };
         let setup = Setup {
             competing_queues: seed % 2 == 1,
             removed_workers: if seed % 3 == 0 { 8 } else { 0 },
+            early_replacements: incarnation_faults,
+            returned_workers: incarnation_faults,
+            double_restarts: incarnation_faults,
+            foreign_reports: incarnation_faults * 4,
+            foreign_leaves: incarnation_faults * 2,
             ..Setup::production()
         };
         let simulation = simulate(seed, setup);
--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         client_model::{ClientModel, RETRY_DELAY_MS},
-        faults::Fault,
+        faults::{Fault, ForeignReport},
         link_model::LinkModel,
         seeded_rng::SeededRng,
         simulation_report::SimulationReport,
@@ -21,7 +21,10 @@
         link::{AgentFrame, EntryFrame, EvacuatedZones, RunOutcome},
         routes::Route,
         time::Instant,
-        work::{JobId, JobRequest, Resources, RunLimits, StepSpec, TaskId, WorkerView},
+        work::{
+            JobId, JobRequest, Resources, RunLimits, StepSpec, TaskId, WorkerIncarnation,
+            WorkerView,
+        },
     },
     crate::standin::WorkerModel,
     std::{
@@ -31,11 +34,11 @@
 };
 
 const ENTRIES: usize = 3;
-const WORKERS: usize = 4;
-const SLOTS_PER_WORKER: usize = 4;
+pub(super) const WORKERS: usize = 4;
+pub(super) const SLOTS_PER_WORKER: usize = 4;
 const ZONES: [&str; 2] = ["north", "south"];
 /// Period in which jobs arrive and faults start, in milliseconds.
-const LOAD_DURATION_MS: u64 = 12_000;
+pub(super) const LOAD_DURATION_MS: u64 = 12_000;
 /// All jobs must have finished by then, in milliseconds.
 const SIMULATION_DURATION_MS: u64 = 32_000;
 pub(super) const JOBS: u64 = 60;
@@ -60,6 +63,17 @@
     pub(super) crashing_jobs: u64,
     /// Whether jobs belong to three queues of different priorities, instead of one.
     pub(super) competing_queues: bool,
+    /// Number of workers that are replaced under another id; the replacement reports before the
+    /// earlier worker has ended.
+    pub(super) early_replacements: u64,
+    /// Number of workers that crash and are back under their own id within two seconds.
+    pub(super) returned_workers: u64,
+    /// Number of agents that restart twice within one second.
+    pub(super) double_restarts: u64,
+    /// Number of times that another writer sends reports of other incarnations to an agent.
+    pub(super) foreign_reports: u64,
+    /// Number of times that another writer calls Leave at an agent.
+    pub(super) foreign_leaves: u64,
 }
 
 impl Setup {
@@ -73,12 +87,17 @@
             retired_sessions: 0,
             crashing_jobs: 0,
             competing_queues: false,
+            early_replacements: 0,
+            returned_workers: 0,
+            double_restarts: 0,
+            foreign_reports: 0,
+            foreign_leaves: 0,
         }
     }
 }
 
 #[derive(Debug)]
-enum Event {
+pub(super) enum Event {
     EntryTick {
         entry: usize,
         incarnation: u64,
@@ -157,6 +176,21 @@
         same_id: bool,
     },
     EndFault(Fault),
+    /// A worker restarts under its own id, with its clock set back.
+    ReturnWorker {
+        worker: usize,
+        clock_back_ms: u64,
+    },
+    /// A replaced worker ends, and its replacement gets its address.
+    TakeOver {
+        worker: usize,
+        id: String,
+    },
+    /// An agent receives a report of another writer.
+    ForeignReport {
+        agent: usize,
+        report: ForeignReport,
+    },
     /// The process of a leaving worker ends, unless the incarnation has ended already.
     EndWorker {
         worker: usize,
@@ -179,18 +213,24 @@
 
 #[derive(Debug)]
 pub(super) struct Simulation {
-    setup: Setup,
-    rng: SeededRng,
-    now: Instant,
+    pub(super) setup: Setup,
+    pub(super) rng: SeededRng,
+    pub(super) now: Instant,
     events: BTreeMap<(Instant, u64), Event>,
     last_event_id: u64,
     entries: Vec<Process<Dispatcher>>,
     agents: Vec<Process<Executor>>,
-    workers: Vec<WorkerModel>,
-    worker_alive: Vec<bool>,
+    pub(super) workers: Vec<WorkerModel>,
+    pub(super) worker_alive: Vec<bool>,
+    /// Replacements that report while the earlier worker still has the address.
+    pub(super) replacements: BTreeMap<usize, WorkerModel>,
+    /// The worker that each agent announced last.
+    pub(super) announced_workers: BTreeMap<usize, Option<WorkerView>>,
     agent_connected: Vec<bool>,
     late_calls: Vec<(u64, Instant)>,
     worker_disconnected_until: Vec<Instant>,
+    /// Announcements of leaving workers that were sent, by worker and start of the incarnation.
+    sent_departures: BTreeSet<(usize, u64)>,
     /// Announcements of leaving workers that have arrived and are not acknowledged yet.
     departures: BTreeMap<usize, LeavingWorker>,
     /// Workers whose announcement is not acknowledged, by worker and start of the incarnation.
@@ -220,9 +260,12 @@
             agents: Vec::new(),
             workers: Vec::new(),
             worker_alive: vec![true; WORKERS],
+            replacements: BTreeMap::new(),
+            announced_workers: BTreeMap::new(),
             agent_connected: vec![false; WORKERS],
             late_calls: vec![(0, Instant::default()); WORKERS],
             worker_disconnected_until: vec![Instant::default(); WORKERS],
+            sent_departures: BTreeSet::new(),
             departures: BTreeMap::new(),
             lost_acknowledgements: BTreeSet::new(),
             stored_worker_views: BTreeMap::new(),
@@ -295,6 +338,7 @@
             let fault = Fault::RetireSession { entry, agent };
             self.schedule_in_ms(at_ms, Event::StartFault(fault));
         }
+        self.schedule_incarnation_faults();
     }
 
     fn add_client(&mut self, number: u64, at_ms: u64) {
@@ -325,7 +369,7 @@
         self.events.insert((when, self.last_event_id), event);
     }
 
-    fn schedule_in_ms(&mut self, delay_ms: u64, event: Event) {
+    pub(super) fn schedule_in_ms(&mut self, delay_ms: u64, event: Event) {
         let when = self.now.plus_ms(delay_ms);
         self.schedule_at(when, event);
     }
@@ -336,7 +380,7 @@
         self.schedule_at(when, event);
     }
 
-    fn trace(&mut self, what: String) {
+    pub(super) fn trace(&mut self, what: String) {
         let at_ms = self.now.as_micros() as f64 / 1_000.0;
         self.report.trace.push(format!("{at_ms:10.1} {what}"));
     }
@@ -386,6 +430,7 @@
             let what = format!("{open} jobs at entries and {runs} runs at agents remain");
             self.report.record_violation(what);
         }
+        self.check_workers_are_used();
     }
 
     fn handle_event(&mut self, event: Event) {
@@ -453,6 +498,12 @@
             Event::StartEntry { entry } => self.start_entry(entry),
             Event::StartAgent { agent } => self.start_agent(agent),
             Event::RestartWorker { worker, same_id } => self.restart_worker(worker, same_id),
+            Event::ReturnWorker {
+                worker,
+                clock_back_ms,
+            } => self.return_worker(worker, clock_back_ms),
+            Event::TakeOver { worker, id } => self.take_over(worker, &id),
+            Event::ForeignReport { agent, report } => self.deliver_foreign_report(agent, report),
             Event::EndWorker {
                 worker,
                 born_unix_ms,
@@ -721,7 +772,7 @@
         }
     }
 
-    fn handle_agent_event(&mut self, agent: usize, event: ExecutionEvent) {
+    pub(super) fn handle_agent_event(&mut self, agent: usize, event: ExecutionEvent) {
         let now = self.now;
         let process = &mut self.agents[agent];
         if process.suspended_until > now {
@@ -739,7 +790,10 @@
         let Some(executor) = &mut process.machine else {
             return;
         };
-        if let ExecutionEvent::WorkerLeaving(leaving) = &event {
+        if let ExecutionEvent::WorkerLeaving(leaving) = &event
+            && let Some(born_unix_ms) = leaving.born_unix_ms
+            && self.sent_departures.contains(&(agent, born_unix_ms))
+        {
             self.departures.insert(agent, leaving.clone());
         }
         let actions = executor.handle(now, event);
@@ -751,7 +805,12 @@
 
     fn execute_agent_action(&mut self, agent: usize, action: ExecutionAction) {
         match action {
-            ExecutionAction::Send { session, frame } => self.send_frame_to_entry(session.0, frame),
+            ExecutionAction::Send { session, frame } => {
+                if let AgentFrame::Worker(view) = &frame {
+                    self.announced_workers.insert(agent, view.clone());
+                }
+                self.send_frame_to_entry(session.0, frame);
+            }
             ExecutionAction::Close { session } => {
                 let now = self.now;
                 if let Some(model) = self.links.get_mut(&session.0) {
@@ -974,7 +1033,7 @@
         }
     }
 
-    fn advance_worker(&mut self, worker: usize) {
+    pub(super) fn advance_worker(&mut self, worker: usize) {
         let now = self.now;
         for task in self.workers[worker].advance(now) {
             self.report.done_tasks.insert(task);
@@ -986,30 +1045,21 @@
         self.schedule_in_ms(10, Event::WorkerTick { worker });
     }
 
-    fn heartbeat(&mut self, worker: usize) {
+    pub(super) fn heartbeat(&mut self, worker: usize) {
         self.schedule_in_ms(HEARTBEAT_INTERVAL_MS, Event::Heartbeat { worker });
         if !self.worker_alive[worker] {
             return;
         }
         let model = &mut self.workers[worker];
         model.reports += 1;
-        let view = WorkerView {
-            life: model.incarnation.clone(),
-            service: "shares".to_owned(),
-            availability_zone: ZONES[worker % ZONES.len()].to_owned(),
-            capacity: Resources {
-                cpu_milli: 1_000 * SLOTS_PER_WORKER as u32,
-                ..Resources::default()
-            },
-            labels: Vec::new(),
-            draining: model.draining,
-        };
+        let view = worker_view(worker, &model.incarnation, model.draining);
         let sequence = model.reports;
         self.send_report(worker, 5, ExecutionEvent::Heartbeat { view, sequence });
+        self.report_replacement(worker);
     }
 
     /// Sends a worker's report to its agent; a share of the reports arrives late.
-    fn send_report(&mut self, worker: usize, late_percent: u64, event: ExecutionEvent) {
+    pub(super) fn send_report(&mut self, worker: usize, late_percent: u64, event: ExecutionEvent) {
         let incarnation = self.agents[worker].incarnation;
         let delay_ms = if self.rng.percent_chance(late_percent) {
             self.rng.between(500, 4_000)
@@ -1053,6 +1103,7 @@
         };
         let born_unix_ms = model.incarnation.born_unix_ms;
         self.trace(format!("worker {worker}: leaves"));
+        self.sent_departures.insert((worker, born_unix_ms));
         if acknowledgement_lost {
             self.lost_acknowledgements.insert((worker, born_unix_ms));
         }
@@ -1329,6 +1380,23 @@
                 self.schedule_in_ms(1, Event::Heartbeat { worker });
                 self.schedule_in_ms(drain_ms, Event::EndFault(fault));
             }
+            Fault::ReplaceWorker { worker, .. } => self.start_replacement(worker, fault),
+            Fault::ReturnWorker {
+                worker,
+                down_ms,
+                clock_back_ms,
+            } => {
+                self.worker_alive[worker] = false;
+                self.schedule_in_ms(
+                    down_ms,
+                    Event::ReturnWorker {
+                        worker,
+                        clock_back_ms,
+                    },
+                );
+            }
+            Fault::RestartAgentTwice { agent, gap_ms } => self.restart_agent_twice(agent, gap_ms),
+            Fault::ForeignReports { agent, .. } => self.send_foreign_reports(agent, fault),
             Fault::ResetClients { entry } => self.disconnect_clients(entry),
             Fault::EvacuateZone { for_ms } => {
                 self.evacuated_at = Some(now);
@@ -1434,6 +1502,25 @@
     }
 }
 
+/// The report of one incarnation of the worker at this host.
+pub(super) fn worker_view(
+    worker: usize,
+    incarnation: &WorkerIncarnation,
+    draining: bool,
+) -> WorkerView {
+    WorkerView {
+        life: incarnation.clone(),
+        service: "shares".to_owned(),
+        availability_zone: ZONES[worker % ZONES.len()].to_owned(),
+        capacity: Resources {
+            cpu_milli: 1_000 * SLOTS_PER_WORKER as u32,
+            ..Resources::default()
+        },
+        labels: Vec::new(),
+        draining,
+    }
+}
+
 /// The event that follows from a call to a host without a worker process.
 fn refused(action: &ExecutionAction) -> ExecutionEvent {
     match action {
