Resolve the runs of a restarted worker before its report

What callers saw: after a worker had restarted under its name, the runs of the earlier incarnation had no outcome until the new one reported, up to a heartbeat later. A restart with an earlier start time, after a clock was set back, was not noticed before its report.

Cause: a run list of a later incarnation only suspended the worker, and "later" was decided by the start time.

Evidence: on the code before,

incarnations.rs:644: a_restart_is_resolved_before_its_report left: [] right: [Lost] incarnations.rs:644: a_restart_with_an_earlier_start_time_is_resolved_before_its_report left: [] right: [Lost]

Why the fix works: a response with another start time, to a call that was sent after the known incarnation had responded, comes from a later one, whatever its clock says. It becomes the known one as draining, so that it gets no starts before its report, and its run list under a higher token resolves the runs. This replaces `suspend_restarted_worker` and `report_runs_ended_by_restart`: an empty list of a restarted worker reports that no run is left, as before.

--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -145,7 +145,7 @@
     /// Applies the worker's report about itself.
     ///
     /// Ignores reports of the known incarnation that arrive out of order.
-    fn on_heartbeat(&mut self, now: Instant, mut view: WorkerView, sequence: u64) {
+    pub(super) fn on_heartbeat(&mut self, now: Instant, mut view: WorkerView, sequence: u64) {
         if view.service != self.settings.service {
             self.ignore_report(now, &view, "other_service");
             return;
--- a/src/core/execution/incarnations.rs
+++ b/src/core/execution/incarnations.rs
@@ -141,9 +141,14 @@
                     self.ignore_report(now, &view, "not_confirmed");
                     return false;
                 }
-                self.unconfirmed_reports.clear();
-                self.persist_worker(view.clone());
-                self.start_incarnation(now, view, sequence, called_at);
+                let known = self.worker.as_ref().map(|worker| &worker.view.life);
+                if known == Some(&view.life) {
+                    // Its response to another call was earlier.
+                    self.on_heartbeat(now, view, sequence);
+                } else {
+                    self.persist_worker(view.clone());
+                    self.start_incarnation(now, view, sequence, called_at);
+                }
                 return true;
             }
             HoldResponse::OtherWorker => {
@@ -163,6 +168,35 @@
         false
     }
 
+    /// Starts tracking a later incarnation of the same name that has responded before its report.
+    ///
+    /// Its run list resolves the runs of the earlier one. It gets no starts before its report: it may be of
+    /// another kind, or draining.
+    pub(super) fn detect_restart(
+        &mut self,
+        now: Instant,
+        call: &HoldCall,
+        born_unix_ms: Option<u64>,
+    ) {
+        let Some((worker, born_unix_ms)) = self.worker.as_ref().zip(born_unix_ms) else {
+            return;
+        };
+        let known = &worker.view.life;
+        let is_later = match worker.known_from_call {
+            Some(newest_call) => call.sequence > newest_call,
+            None => born_unix_ms > known.born_unix_ms,
+        };
+        if known.id != call.worker || known.born_unix_ms == born_unix_ms || !is_later {
+            return;
+        }
+        let mut view = worker.view.clone();
+        view.life.born_unix_ms = born_unix_ms;
+        view.draining = true;
+        // When the call was sent is not known, so that only a list under a higher token resolves the runs.
+        self.start_incarnation(now, view, 0, Instant::default());
+        self.announce_worker();
+    }
+
     /// Starts tracking another incarnation of the worker; no run ends by that.
     ///
     /// A worker may restart under the same name and accept starts seconds before its first report
@@ -182,6 +216,9 @@
             born_unix_ms: view.life.born_unix_ms,
             runs: self.runs.len(),
         });
+        // Responses to earlier calls in the name of others may be late.
+        let is_of_view = |report: &UnconfirmedReport| report.view.life == view.life;
+        self.unconfirmed_reports.retain(is_of_view);
         let mut worker = WorkerState::new(now, view, sequence, self.token);
         let known = self.worker.take();
         for run in self.runs.values_mut() {
--- a/src/core/execution/restored_worker.rs
+++ b/src/core/execution/restored_worker.rs
@@ -1,7 +1,7 @@
 //! Use of the worker view that an earlier process of this agent persisted.
 
 use {
-    super::{ExecutionAction, Executor, HoldCall},
+    super::{ExecutionAction, Executor},
     crate::core::{time::Instant, work::WorkerView},
 };
 
@@ -29,26 +29,6 @@
         }
     }
 
-    /// Reports that no run of an earlier process is left at a worker that has restarted under the same
-    /// name and whose run list is empty.
-    ///
-    /// The runs of the earlier incarnation have ended with it, and the new one rejects starts under
-    /// lower tokens. The worker itself is used after its report, but sessions need not wait for that.
-    pub(super) fn report_runs_ended_by_restart(
-        &mut self,
-        call: &HoldCall,
-        born_unix_ms: Option<u64>,
-    ) {
-        let has_restarted = self.worker.as_ref().is_some_and(|worker| {
-            let incarnation = &worker.view.life;
-            incarnation.id == call.worker
-                && born_unix_ms.is_some_and(|born| born > incarnation.born_unix_ms)
-        });
-        if has_restarted && call.token >= self.token {
-            self.actions.push(ExecutionAction::StaleRunsStopped);
-        }
-    }
-
     /// Sends no more starts to a restored worker that does not report.
     ///
     /// It may have announced its shutdown to the earlier process.
--- a/src/core/execution/run_list.rs
+++ b/src/core/execution/run_list.rs
@@ -38,11 +38,8 @@
                 running,
                 ended,
             } => {
+                self.detect_restart(now, call, born_unix_ms);
                 if !self.is_current_incarnation(call, born_unix_ms) {
-                    self.suspend_restarted_worker(call, born_unix_ms);
-                    if running.is_empty() {
-                        self.report_runs_ended_by_restart(call, born_unix_ms);
-                    }
                     return;
                 }
                 // The worker was unreachable, but has not crashed.
@@ -76,7 +73,7 @@
     /// Whether a run list belongs to the known incarnation.
     ///
     /// A worker may restart under the same name, and responses of the earlier incarnation may
-    /// arrive late. Run lists of other incarnations are ignored until the worker reports.
+    /// arrive late.
     fn is_current_incarnation(&self, call: &HoldCall, born_unix_ms: Option<u64>) -> bool {
         self.worker.as_ref().is_some_and(|worker| {
             let incarnation = &worker.view.life;
@@ -85,21 +82,6 @@
         })
     }
 
-    /// Sends no more starts to a worker that has restarted under the same name until it reports.
-    ///
-    /// Its clock is not known yet, so the lease of a start call could be too long.
-    fn suspend_restarted_worker(&mut self, call: &HoldCall, born_unix_ms: Option<u64>) {
-        let Some(worker) = &mut self.worker else {
-            return;
-        };
-        let incarnation = &worker.view.life;
-        let is_newer = born_unix_ms.is_some_and(|born| born > incarnation.born_unix_ms);
-        if incarnation.id == call.worker && is_newer && worker.ready {
-            worker.ready = false;
-            self.announce_worker();
-        }
-    }
-
     /// Whether a newer run list has already been applied.
     fn is_stale(&self, clock_ms: u64) -> bool {
         let clock = self.worker.as_ref().and_then(|worker| worker.clock);
@@ -107,10 +89,12 @@
     }
 
     fn record_clock(&mut self, now: Instant, clock_ms: u64) {
+        let newest_call = self.last_hold_sequence;
         let Some(worker) = &mut self.worker else {
             return;
         };
         worker.record_response(now);
+        worker.known_from_call.get_or_insert(newest_call);
         // Responses may arrive out of order; the clock never runs backwards.
         if worker.clock.is_none_or(|known| clock_ms >= known.clock_ms) {
             worker.clock = Some(ClockReading { clock_ms, at: now });
--- a/src/core/execution/tests/incarnations.rs
+++ b/src/core/execution/tests/incarnations.rs
@@ -616,3 +616,33 @@
     assert_eq!(site.lines(is_logged), 1);
     assert_eq!(site.starts_at(1).as_deref(), Some("w"));
 }
+
+macro_rules! silent_restart_cases {
+    ($($(#[$doc:meta])* $name:ident: $born_unix_ms:expr;)+) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let mut site = Site::ready();
+                site.start(1);
+                site.deliver();
+                site.pass(200);
+                site.restart_worker($born_unix_ms);
+                site.pass(300);
+                let outcomes: Vec<RunOutcome> = site.outcomes.iter().map(|(_, end)| *end).collect();
+                assert_eq!(outcomes, [RunOutcome::Lost]);
+                // Its kind and its state are not known before its report.
+                assert_eq!(site.starts_at(2), None);
+                site.send(report_of("w", $born_unix_ms, 1));
+                site.deliver();
+                assert_eq!(site.starts_at(3).as_deref(), Some("w"));
+            }
+        )+
+    };
+}
+
+silent_restart_cases! {
+    /// The runs stayed in doubt until the report, and for good if the worker ended before it.
+    a_restart_is_resolved_before_its_report: BORN_MS + 500;
+    a_restart_with_an_earlier_start_time_is_resolved_before_its_report: BORN_MS - 500;
+}
--- a/src/core/execution/worker_state.rs
+++ b/src/core/execution/worker_state.rs
@@ -34,6 +34,9 @@
     /// The worker's latest report about itself.
     pub(super) view: WorkerView,
     pub(super) report_sequence: u64,
+    /// Newest call when the first run list of the incarnation arrived: responses to later calls are not of
+    /// an earlier incarnation.
+    pub(super) known_from_call: Option<u64>,
     /// Token when the incarnation became the known one.
     pub(super) first_token: u64,
     pub(super) departure: Departure,
@@ -78,6 +81,7 @@
         Self {
             view,
             report_sequence,
+            known_from_call: None,
             first_token,
             departure: Departure::Serving,
             leave_received_at: None,
