Forget an unconfirmed report when its worker leaves

What callers saw: tasks could start on a worker that had reported and announced that it leaves before the agent's call in its name was answered; they were lost when its process ended.

Cause: an announcement of another incarnation than the known one was ignored, and the late response then made the worker the known one.

Evidence: on the code before,

incarnations.rs:670: a_worker_that_leaves_before_its_confirmation_is_not_used left: Some("v") right: Some("v") (assert_ne)

Why the fix works: the announcement removes the report, so that the response confirms nothing. An announcement of another sender costs the worker one report. A second test covers the stop of a run at a replaced worker: it isn't sent to the successor and doesn't free the run. That one passed before.

--- a/src/core/execution/departure.rs
+++ b/src/core/execution/departure.rs
@@ -5,7 +5,10 @@
 //! may start elsewhere as soon as the worker confirms it.
 
 use {
-    super::{ExecutionLogEvent, Executor, LeavingWorker, worker_state::Departure},
+    super::{
+        ExecutionLogEvent, Executor, LeavingWorker, incarnations::UnconfirmedReport,
+        worker_state::Departure,
+    },
     crate::core::{time::Instant, work::TaskId},
 };
 
@@ -26,9 +29,12 @@
         is_leaving && !self.runs.is_empty()
     }
 
-    /// Stops all runs of a leaving worker. Ignores announcements of other incarnations, which may
-    /// arrive late, and repeated ones.
+    /// Stops all runs of a leaving worker, and forgets its report if that is not confirmed yet. Ignores
+    /// announcements of other incarnations, which may arrive late, and repeated ones.
     pub(super) fn on_worker_leaving(&mut self, now: Instant, leaving: &LeavingWorker) {
+        let is_leaving = |report: &UnconfirmedReport| leaving.is_incarnation(&report.view.life);
+        self.unconfirmed_reports
+            .retain(|report| !is_leaving(report));
         let Some(worker) = &mut self.worker else {
             return;
         };
--- a/src/core/execution/incarnations.rs
+++ b/src/core/execution/incarnations.rs
@@ -32,7 +32,7 @@
 /// A report of another incarnation than the known one.
 #[derive(Debug)]
 pub(super) struct UnconfirmedReport {
-    view: WorkerView,
+    pub(super) view: WorkerView,
     sequence: u64,
     received_at: Instant,
     /// When the worker was last called by the reported name.
--- a/src/core/execution/tests/incarnations.rs
+++ b/src/core/execution/tests/incarnations.rs
@@ -646,3 +646,49 @@
     a_restart_is_resolved_before_its_report: BORN_MS + 500;
     a_restart_with_an_earlier_start_time_is_resolved_before_its_report: BORN_MS - 500;
 }
+
+/// A worker that leaves before its report is confirmed must not be used by the late response.
+#[test]
+fn a_worker_that_leaves_before_its_confirmation_is_not_used() {
+    let mut site = Site::ready();
+    site.replace_worker("v", BORN_MS + 500);
+    site.send(report_of("v", BORN_MS + 500, 1));
+    let calls = std::mem::take(&mut site.calls);
+    let late: Vec<ExecutionEvent> = calls
+        .into_iter()
+        .filter_map(|call| site.execute(call))
+        .collect();
+    let worker = LeavingWorker {
+        id: "v".to_owned(),
+        born_unix_ms: Some(BORN_MS + 500),
+    };
+    site.send(ExecutionEvent::WorkerLeaving(worker));
+    for event in late {
+        site.send(event);
+    }
+    site.deliver();
+    assert_ne!(site.starts_at(1).as_deref(), Some("v"));
+}
+
+/// The stop of a run at a replaced worker must not be sent to its successor, which would then reject a
+/// start of the task, nor free the run before the lease has expired.
+#[test]
+fn a_run_of_a_replaced_worker_is_not_stopped_at_its_successor() {
+    let mut site = Site::ready();
+    site.start(1);
+    site.deliver();
+    let started_at = site.test.now;
+    site.replace_worker("v", BORN_MS + 500);
+    site.send(report_of("v", BORN_MS + 500, 1));
+    site.deliver();
+    site.send_frame(EntryFrame::Stop { run: run(1) });
+    let is_stop = |action: &ExecutionAction| matches!(action, ExecutionAction::Stop(_));
+    assert!(!site.calls.iter().any(is_stop));
+    while site.outcomes.is_empty() {
+        site.pass(TICK_MS);
+    }
+    let waited_ms = site.test.now.millis_since(started_at);
+    assert!(waited_ms >= limits().max_lease_ms(), "{waited_ms} ms");
+    assert_eq!(site.starts_at(1).as_deref(), Some("v"));
+    assert_eq!(site.worker.active_runs().len(), 1);
+}
