--- a/src/core/execution/execution_log_event.rs
+++ b/src/core/execution/execution_log_event.rs
@@ -28,15 +28,17 @@
         worker: String,
         /// Start time of the incarnation.
         born_unix_ms: u64,
-        /// Runs lost with the earlier worker.
-        runs_lost: usize,
+        /// Unfinished runs of earlier incarnations.
+        runs: usize,
     },
-    /// A report of another incarnation than the known one was ignored.
+    /// Reports of another service, or of another incarnation than the known one, were ignored.
     ReportIgnored {
         worker: String,
         /// Start time of the incarnation that the report names.
         born_unix_ms: u64,
         reason: &'static str,
+        /// Reports ignored for that reason since the previous line about it, with this one.
+        reports: u64,
     },
     /// The worker is draining and gets no more starts.
     WorkerDraining {
@@ -50,6 +52,8 @@
         /// Runs still on the worker.
         runs: usize,
     },
+    /// The worker reports on as ready, although it was announced that it leaves.
+    WorkerStays { worker: String },
     /// The worker no longer responds; it gets no starts until its next response.
     WorkerUnresponsive {
         worker: String,
--- a/src/core/execution/worker_state.rs
+++ b/src/core/execution/worker_state.rs
@@ -34,7 +34,11 @@
     /// The worker's latest report about itself.
     pub(super) view: WorkerView,
     pub(super) report_sequence: u64,
+    /// Token when the incarnation became the known one.
+    pub(super) first_token: u64,
     pub(super) departure: Departure,
+    /// When it was last announced that the worker leaves.
+    pub(super) leave_received_at: Option<Instant>,
     /// When the view was restored from an earlier process; `None` once the worker has reported to
     /// this one.
     pub(super) restored_at: Option<Instant>,
@@ -65,11 +69,18 @@
 
 impl WorkerState {
     /// Creates the state of an incarnation that has not been polled yet.
-    pub(super) fn new(now: Instant, view: WorkerView, report_sequence: u64) -> Self {
+    pub(super) fn new(
+        now: Instant,
+        view: WorkerView,
+        report_sequence: u64,
+        first_token: u64,
+    ) -> Self {
         Self {
             view,
             report_sequence,
+            first_token,
             departure: Departure::Serving,
+            leave_received_at: None,
             restored_at: None,
             clock: None,
             last_seen_end: 0,
