--- a/src/core/tests/incarnations.rs
+++ b/src/core/tests/incarnations.rs
@@ -118,7 +118,7 @@
 
     /// Delivers a report of another writer, if the agent is up.
     pub(super) fn deliver_foreign_report(&mut self, agent: usize, report: ForeignReport) {
-        let now_ms = self.now.as_micros() / 1_000;
+        let now_ms = self.unix_ms();
         let own = self.workers[agent].incarnation.clone();
         let event = match report {
             ForeignReport::Heartbeat {
@@ -131,7 +131,7 @@
                     born_unix_ms: if is_later {
                         now_ms + offset_ms
                     } else {
-                        own.born_unix_ms.saturating_sub(offset_ms)
+                        own.born_unix_ms - offset_ms
                     },
                 };
                 ExecutionEvent::Heartbeat {
@@ -150,7 +150,7 @@
             ForeignReport::LeaveOfEarlier { offset_ms } => {
                 ExecutionEvent::WorkerLeaving(LeavingWorker {
                     id: own.id,
-                    born_unix_ms: Some(own.born_unix_ms.saturating_sub(offset_ms)),
+                    born_unix_ms: Some(own.born_unix_ms - offset_ms),
                 })
             }
         };
@@ -170,7 +170,7 @@
             return;
         }
         self.workers[worker].draining |= drains;
-        let born_unix_ms = self.now.as_micros() / 1_000;
+        let born_unix_ms = self.unix_ms();
         let id = format!("w{worker}-{born_unix_ms}");
         let slow_permille = self.rng.between(0, 21);
         let model = WorkerModel::new(
@@ -209,9 +209,9 @@
 
     /// Starts a worker again under its own id, at a time that may be earlier by its clock.
     pub(super) fn return_worker(&mut self, worker: usize, clock_back_ms: u64) {
-        let now_ms = self.now.as_micros() / 1_000;
+        let now_ms = self.unix_ms();
         let mut life = self.workers[worker].incarnation.clone();
-        let born_unix_ms = now_ms.saturating_sub(clock_back_ms);
+        let born_unix_ms = now_ms - clock_back_ms;
         // Two incarnations under one id never have the same start time.
         life.born_unix_ms = if born_unix_ms == life.born_unix_ms {
             born_unix_ms + 1
--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -47,6 +47,8 @@
 const HEARTBEAT_INTERVAL_MS: u64 = 1_500;
 /// Time after which a leaving worker ends without an acknowledgement, in milliseconds.
 const UNACKNOWLEDGED_LEAVE_MS: u64 = 2_000;
+/// Unix time at the start of the simulated clock, in milliseconds.
+const START_UNIX_MS: u64 = 1_000_000;
 /// Delay until a starting agent has read the stored view of its worker, in milliseconds.
 const WORKER_VIEW_READ_MS: u64 = 8;
 
@@ -300,7 +302,7 @@
             let model = WorkerModel::new(
                 self.now,
                 format!("w{worker}"),
-                1_000,
+                self.unix_ms(),
                 slow_permille,
                 SLOTS_PER_WORKER,
             );
@@ -369,6 +371,10 @@
         self.events.insert((when, self.last_event_id), event);
     }
 
+    pub(super) fn unix_ms(&self) -> u64 {
+        START_UNIX_MS + self.now.as_micros() / 1_000
+    }
+
     pub(super) fn schedule_in_ms(&mut self, delay_ms: u64, event: Event) {
         let when = self.now.plus_ms(delay_ms);
         self.schedule_at(when, event);
@@ -1077,7 +1083,7 @@
     }
 
     fn restart_worker(&mut self, worker: usize, same_id: bool) {
-        let born_unix_ms = self.now.as_micros() / 1_000;
+        let born_unix_ms = self.unix_ms();
         let old = &self.workers[worker];
         let id = if same_id {
             old.incarnation.id.clone()
