--- a/src/core/execution/tests/incarnations.rs
+++ b/src/core/execution/tests/incarnations.rs
@@ -692,3 +692,33 @@
     assert_eq!(site.starts_at(1).as_deref(), Some("v"));
     assert_eq!(site.worker.active_runs().len(), 1);
 }
+
+/// The stop of a lost entry's run at a replaced worker can't be confirmed. Starts of other entries at the
+/// new worker were rejected meanwhile, and its lease was not renewed.
+#[test]
+fn an_unconfirmed_stop_at_a_replaced_worker_does_not_block_starts() {
+    let mut site = Site::ready();
+    let other = SessionId(2);
+    let entry = "other".to_owned();
+    site.send(ExecutionEvent::SessionOpened {
+        session: other,
+        entry,
+    });
+    site.send(ExecutionEvent::Frame {
+        session: other,
+        frame: heartbeat(site.test.now, 0),
+    });
+    site.send(ExecutionEvent::Frame {
+        session: other,
+        frame: EntryFrame::Start(start_order(1)),
+    });
+    site.deliver();
+    site.replace_worker("x", BORN_MS + 500);
+    site.send(report_of("x", BORN_MS + 500, 1));
+    site.deliver();
+    assert_eq!(site.starts_at(8).as_deref(), Some("x"));
+    site.send(ExecutionEvent::SessionLost { session: other });
+    site.deliver();
+    site.pass(200);
+    assert_eq!(site.starts_at(9).as_deref(), Some("x"));
+}
--- a/src/core/execution/tests/restarts.rs
+++ b/src/core/execution/tests/restarts.rs
@@ -209,3 +209,71 @@
     restarted.advance(test.now);
     assert!(restarted.active_runs().is_empty());
 }
+
+/// The runs of a worker that restarted and ended before its run list under the next token were never
+/// resolved.
+#[test]
+fn runs_of_a_worker_that_ends_right_after_its_restart_are_lost() {
+    let mut test = TestExecutor::ready();
+    test.start_task(1, StartResponse::Accepted);
+    test.advance(20);
+    test.executor.request_run_list();
+    test.send_entry_heartbeat();
+    let call = test.hold_calls().remove(0);
+    let response = HoldResponse::RunList {
+        born_unix_ms: Some(BORN_MS + 500),
+        clock_ms: 40,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    test.send_event(ExecutionEvent::HoldAnswered { call, response });
+    let mut outcomes = test.outcomes();
+    for _ in 0..200 {
+        for call in test.hold_calls() {
+            let response = HoldResponse::Refused;
+            test.send_event(ExecutionEvent::HoldAnswered { call, response });
+            outcomes.extend(test.outcomes());
+        }
+        test.advance(20);
+        outcomes.extend(test.outcomes());
+        test.renew_entry_lease();
+        outcomes.extend(test.outcomes());
+    }
+    assert_eq!(outcomes, [RunOutcome::Lost]);
+}
+
+/// A renewal of the earlier incarnation's lease that arrived late gave the restarted worker the longest
+/// lease, since no token had been raised; its run was reported as lost before that had expired.
+#[test]
+fn a_late_renewal_for_the_earlier_incarnation_is_fenced_or_waited_for() {
+    let mut test = TestExecutor::started_at(EARLIER_START);
+    let mut worker = worker_model(test.now, BORN_MS);
+    test.now = test.now.plus_ms(5_000);
+    let call = test.send_delayed_start(&mut worker);
+    let late = HoldCall {
+        token: call.token,
+        lease_until_ms: Some(call.lease_until_ms),
+        ..latest_poll()
+    };
+    let response = execute(&mut worker, test.now, &call);
+    test.send_event(ExecutionEvent::StartAnswered { call, response });
+    test.advance(20);
+    let born_unix_ms = BORN_MS + 6_000;
+    let mut restarted = worker_model(test.now, born_unix_ms);
+    test.send_worker_heartbeat(born_unix_ms, 1, false);
+    test.answer_holds(&mut restarted);
+    assert_eq!(test.outcomes(), [RunOutcome::Lost]);
+    test.renew_entry_lease();
+    test.send_frame(EntryFrame::Start(start_order(2)));
+    let call = test.start_calls().remove(0);
+    let (response, _) = restarted.start(test.now, &call, 5_000, RunOutcome::Done);
+    assert_eq!(response, StartResponse::Accepted);
+    test.send_event(ExecutionEvent::StartAnswered { call, response });
+    restarted.hold(test.now, &late);
+    while test.outcomes().is_empty() {
+        test.advance(20);
+        test.renew_entry_lease();
+    }
+    restarted.advance(test.now);
+    assert!(restarted.active_runs().is_empty());
+}
