A lost order says nothing about another entry's run

A task whose start an agent had rejected as busy was released when the repeated order was lost with its session: the hello of the next session speaks for this entry's runs only, and the task started elsewhere while the other entry's run went on. Only the agent's own report releases it now; the source of an end is an enum.

--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         DispatchAction, DispatchLogEvent, Dispatcher, LinkId,
-        outcomes::RunEnd,
+        outcomes::{EndSource, RunEnd},
         worker_link::{WorkerKey, WorkerLink},
     },
     crate::core::{
@@ -50,7 +50,7 @@
                 let end = RunEnd {
                     outcome: end,
                     ran_ms,
-                    source: "agent",
+                    source: EndSource::Agent,
                 };
                 self.on_run_ended(now, key, run, end);
             }
@@ -122,7 +122,7 @@
             self.actions.push(DispatchAction::Close { link });
             return;
         }
-        self.mark_runs_lost(now, key, "new_session");
+        self.mark_runs_lost(now, key, EndSource::NewSession);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -140,7 +140,7 @@
     }
 
     /// Treats all runs of an agent as ended with an unknown outcome.
-    fn mark_runs_lost(&mut self, now: Instant, key: WorkerKey, source: &'static str) {
+    fn mark_runs_lost(&mut self, now: Instant, key: WorkerKey, source: EndSource) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
@@ -200,7 +200,7 @@
                 Some(_) if heartbeat_due => self.send_heartbeat(now, key),
                 Some(_) => {}
                 None if runs_finished => {
-                    self.mark_runs_lost(now, key, "limits_expired");
+                    self.mark_runs_lost(now, key, EndSource::LimitsExpired);
                     self.remove_agent(key);
                 }
                 None => {}
--- a/src/core/dispatch/outcomes.rs
+++ b/src/core/dispatch/outcomes.rs
@@ -28,13 +28,34 @@
 /// are noise.
 const MIN_SLOW_EXCESS_MS: u64 = 100;
 
+/// What the end of a run follows from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum EndSource {
+    /// The agent reported it.
+    Agent,
+    /// The hello of a new session: the agent has no run of this entry.
+    NewSession,
+    /// The time limit of a lost session has passed.
+    LimitsExpired,
+}
+
+impl EndSource {
+    /// Name for logs.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Agent => "agent",
+            Self::NewSession => "new_session",
+            Self::LimitsExpired => "limits_expired",
+        }
+    }
+}
+
 /// End of a run, and what it follows from.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RunEnd {
     pub(super) outcome: RunOutcome,
     pub(super) ran_ms: u64,
-    /// For logs: the agent's report, a new session with it, or the time limit of a lost session.
-    pub(super) source: &'static str,
+    pub(super) source: EndSource,
 }
 
 impl Dispatcher {
@@ -61,7 +82,7 @@
                 run: run.to_string(),
                 agent: link.agent.clone(),
                 end: outcome.as_str(),
-                source: end.source,
+                source: end.source.as_str(),
                 after_ms: now.millis_since(open.start_sent_at),
                 heard_ms_ago: now.millis_since(link.last_heard_at),
             };
@@ -69,7 +90,7 @@
         }
         self.update_worker_stats(now, worker, &open, outcome, ran_ms);
         self.record_run_cost(now, &open, outcome, ran_ms);
-        self.apply_outcome(now, worker, open, outcome);
+        self.apply_outcome(now, worker, open, end);
     }
 
     /// Updates the worker's speed, capacity and health.
@@ -120,13 +141,10 @@
         healthy * 2 > others
     }
 
-    fn apply_outcome(
-        &mut self,
-        now: Instant,
-        worker: WorkerKey,
-        open: OpenRun,
-        outcome: RunOutcome,
-    ) {
+    fn apply_outcome(&mut self, now: Instant, worker: WorkerKey, open: OpenRun, end: RunEnd) {
+        let RunEnd {
+            outcome, source, ..
+        } = end;
         let Some(job) = self.jobs.get_mut(open.job) else {
             return;
         };
@@ -144,7 +162,7 @@
         };
         if outcome == RunOutcome::NotStarted(NotStartedReason::TaskBusy) {
             task.busy_at = Some((worker, now));
-        } else if !precedes_busy_check(outcome) {
+        } else if source == EndSource::Agent && !precedes_busy_check(outcome) {
             task.busy_at = None;
         }
         match outcome {
