Stops at a replaced worker don't block its successor

The stop of a lost entry's run at a replaced worker can't be confirmed, and counted as overdue: starts of all other entries at the new worker were rejected, and its lease was not renewed, until the earlier lease had expired. Such runs no longer count.

Test, before the fix: an_unconfirmed_stop_at_a_replaced_worker_does_not_block_starts: left: None, right: Some("x")

--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -323,7 +323,9 @@
                 stop.confirmed_from_hold.is_none() && now.millis_since(stop.since) >= stop_ms
             });
             let link = self.sessions.get(&run.session);
-            is_overdue && link.is_none_or(|link| now >= link.lease_until)
+            let has_lapsed = link.is_none_or(|link| now >= link.lease_until);
+            // No stop is confirmed at a replaced worker, whose lease isn't renewed either.
+            run.replaced_worker.is_none() && is_overdue && has_lapsed
         })
     }
 
