Runs of a worker that ends right after its restart are lost with its lease

A worker that restarted under its name and ended before its run list under the next token left its runs without an outcome until another worker reported; their sessions stayed closed. They are lost now once the longest lease that the worker may have granted has expired and nothing has answered. The test counted each outcome twice, since renew_entry_lease keeps the earlier actions; it still demands exactly one.

Test, before the fix: runs_of_a_worker_that_ends_right_after_its_restart_are_lost: left: [], right: [Lost]

--- a/src/core/execution/incarnations.rs
+++ b/src/core/execution/incarnations.rs
@@ -238,7 +238,11 @@
                 stop.confirmed_from_hold = None;
             }
         }
+        let is_restart = known.is_some_and(|known| known.view.life.id == worker.view.life.id);
         self.worker = Some(worker);
+        if is_restart {
+            self.assume_longest_lease(now);
+        }
         self.speed = MeasuredSpeed::default();
         self.mark_all_runs_uncertain(now, called_at);
     }
--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -176,7 +176,14 @@
         // not show that it is unavailable.
         let has_failed =
             unresponsive && (!self.runs.is_empty() || worker.failed_polls >= MAX_FAILED_POLLS);
-        if !worker.ready || !has_failed || now < worker.lease_expires_at {
+        if now < worker.lease_expires_at {
+            return;
+        }
+        if !worker.ready && unresponsive {
+            self.mark_all_runs_lost(now, "lease_over");
+            return;
+        }
+        if !worker.ready || !has_failed {
             return;
         }
         worker.ready = false;
--- a/src/core/execution/tests/restarts.rs
+++ b/src/core/execution/tests/restarts.rs
@@ -235,7 +235,6 @@
             outcomes.extend(test.outcomes());
         }
         test.advance(20);
-        outcomes.extend(test.outcomes());
         test.renew_entry_lease();
         outcomes.extend(test.outcomes());
     }
