A renewal for an earlier incarnation is fenced at the restarted worker

Runs of the earlier incarnation were resolved without a higher token, so a renewal of its lease that was still under way gave the restarted worker the longest lease, while the agent counted the usual one: a later run was reported as lost before it had ended. The token is raised with each restart under one name, and the longest lease is assumed until the list under it. The test lets the worker answer that list as well.

Test, before the fix: a_late_renewal_for_the_earlier_incarnation_is_fenced_or_waited_for: assertion failed: restarted.active_runs().is_empty()

--- a/src/core/execution/incarnations.rs
+++ b/src/core/execution/incarnations.rs
@@ -219,8 +219,16 @@
         // Responses to earlier calls in the name of others may be late.
         let is_of_view = |report: &UnconfirmedReport| report.view.life == view.life;
         self.unconfirmed_reports.retain(is_of_view);
-        let mut worker = WorkerState::new(now, view, sequence, self.token);
         let known = self.worker.take();
+        let is_restart = known
+            .as_ref()
+            .is_some_and(|known| known.view.life.id == view.life.id);
+        if is_restart && known.as_ref().is_some_and(|known| known.clock.is_some()) {
+            // Calls for the earlier incarnation that are under way must have no effect on the new one.
+            self.raise_token_above(self.token);
+        }
+        let mut worker = WorkerState::new(now, view, sequence, self.token);
+        worker.is_restart = is_restart;
         for run in self.runs.values_mut() {
             if run.replaced_worker.is_none()
                 && let Some(known) = &known
@@ -238,7 +246,6 @@
                 stop.confirmed_from_hold = None;
             }
         }
-        let is_restart = known.is_some_and(|known| known.view.life.id == worker.view.life.id);
         self.worker = Some(worker);
         if is_restart {
             self.assume_longest_lease(now);
--- a/src/core/execution/run_list.rs
+++ b/src/core/execution/run_list.rs
@@ -227,7 +227,6 @@
     /// Marks the worker ready once its run list under the current token contains no orphaned runs.
     fn mark_worker_ready(&mut self, now: Instant, call: &HoldCall, orphans: usize) {
         let token = self.token;
-        let has_earlier_runs = !self.runs.is_empty();
         let Some(worker) = &mut self.worker else {
             return;
         };
@@ -237,7 +236,7 @@
         }
         worker.ready = true;
         let name = worker.view.life.id.clone();
-        if has_earlier_runs {
+        if worker.is_restart {
             self.assume_longest_lease(now);
         }
         self.report_stale_runs_stopped();
--- a/src/core/execution/tests/restarts.rs
+++ b/src/core/execution/tests/restarts.rs
@@ -262,6 +262,8 @@
     test.send_worker_heartbeat(born_unix_ms, 1, false);
     test.answer_holds(&mut restarted);
     assert_eq!(test.outcomes(), [RunOutcome::Lost]);
+    test.advance(100);
+    test.answer_holds(&mut restarted);
     test.renew_entry_lease();
     test.send_frame(EntryFrame::Start(start_order(2)));
     let call = test.start_calls().remove(0);
--- a/src/core/execution/worker_state.rs
+++ b/src/core/execution/worker_state.rs
@@ -34,6 +34,8 @@
     /// The worker's latest report about itself.
     pub(super) view: WorkerView,
     pub(super) report_sequence: u64,
+    /// Whether an earlier incarnation of the same name was known.
+    pub(super) is_restart: bool,
     /// Newest call when the first run list of the incarnation arrived: responses to later calls are not of
     /// an earlier incarnation.
     pub(super) known_from_call: Option<u64>,
@@ -81,6 +83,7 @@
         Self {
             view,
             report_sequence,
+            is_restart: false,
             known_from_call: None,
             first_token,
             departure: Departure::Serving,
