Sessions wait for the lease after a worker was replaced by another name

An agent that restarted while a worker of another name came took the empty run list of the new worker for proof that no run of its earlier process was left, and its hellos freed runs that the replaced worker still executed. The list opens no sessions then; the time limit does. The view of a replacement is persisted once no run is left at the worker that it replaced, so that the next process knows.

Test, before the fix: the_run_list_of_a_replacement_delays_sessions: assertion failed: !test.actions.contains(&ExecutionAction::StaleRunsStopped)

--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -48,6 +48,8 @@
     pub(super) last_hold_sequence: u64,
     /// Reports of other incarnations that a call is to confirm.
     pub(super) unconfirmed_reports: Vec<UnconfirmedReport>,
+    /// Whether a worker of another name than the first one was used.
+    pub(super) has_replaced_worker: bool,
     pub(super) ignored_reports: IgnoredReportsByReason,
     pub(super) leaving: bool,
     /// Free capacity reserved for one of several waiting entries.
@@ -79,6 +81,7 @@
             document: DocumentCopy::default(),
             last_hold_sequence: 0,
             unconfirmed_reports: Vec::new(),
+            has_replaced_worker: false,
             ignored_reports: BTreeMap::new(),
             leaving: false,
             reservation: None,
--- a/src/core/execution/incarnations.rs
+++ b/src/core/execution/incarnations.rs
@@ -146,8 +146,8 @@
                     // Its response to another call was earlier.
                     self.on_heartbeat(now, view, sequence);
                 } else {
-                    self.persist_worker(view.clone());
-                    self.start_incarnation(now, view, sequence, called_at);
+                    self.start_incarnation(now, view.clone(), sequence, called_at);
+                    self.persist_worker(view);
                 }
                 return true;
             }
@@ -223,6 +223,7 @@
         let is_restart = known
             .as_ref()
             .is_some_and(|known| known.view.life.id == view.life.id);
+        self.has_replaced_worker |= known.is_some() && !is_restart;
         if is_restart && known.as_ref().is_some_and(|known| known.clock.is_some()) {
             // Calls for the earlier incarnation that are under way must have no effect on the new one.
             self.raise_token_above(self.token);
@@ -263,8 +264,11 @@
             .filter(|(_, run)| run.replaced_worker.as_ref().is_some_and(is_over))
             .map(|(task, _)| *task)
             .collect();
-        for task in over {
-            self.finish_run_with_cause(now, task, RunOutcome::Lost, "worker_replaced");
+        for task in &over {
+            self.finish_run_with_cause(now, *task, RunOutcome::Lost, "worker_replaced");
+        }
+        if let Some(worker) = self.worker.as_ref().filter(|_| !over.is_empty()) {
+            self.persist_worker(worker.view.clone());
         }
     }
 
--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -229,10 +229,11 @@
     /// Reports that no run of an earlier process is left at the worker, and that none can start there.
     ///
     /// After the worker has rejected a token, the next one that it accepts may still be below those of
-    /// start calls that are under way. Such calls end with their lease only.
+    /// start calls that are under way. Such calls end with their lease only, like runs at a worker that
+    /// was replaced by one of another name.
     pub(super) fn report_stale_runs_stopped(&mut self) {
         let was_rejected = self.token_step > INITIAL_TOKEN_STEP;
-        if !was_rejected {
+        if !was_rejected && !self.has_replaced_worker {
             self.actions.push(ExecutionAction::StaleRunsStopped);
         }
     }
--- a/src/core/execution/restored_worker.rs
+++ b/src/core/execution/restored_worker.rs
@@ -10,7 +10,12 @@
 const RESTORED_WORKER_REPORT_TIMEOUT_MS: u64 = 3_000;
 
 impl Executor {
+    /// Persists the worker's view, unless runs may execute at one that it has replaced: the agent's next
+    /// process must not take the run list of the new worker for theirs.
     pub(super) fn persist_worker(&mut self, view: WorkerView) {
+        if self.runs.values().any(|run| run.replaced_worker.is_some()) {
+            return;
+        }
         self.actions.push(ExecutionAction::PersistWorker(view));
     }
 
