A report that waits for its confirmation survives the restored view

Found by the review of the incident's fix. A stored view that was read late dropped the report of the worker that had replaced it; the worker was used a heartbeat later.

Test, before the fix: a_report_that_waits_for_its_confirmation_survives_the_restored_view: assertion failed: is_called

--- a/src/core/execution/restored_worker.rs
+++ b/src/core/execution/restored_worker.rs
@@ -3,6 +3,7 @@
 use {
     super::{ExecutionAction, Executor},
     crate::core::{time::Instant, work::WorkerView},
+    std::mem,
 };
 
 /// Time within which a restored worker must report to this process, in milliseconds: two report
@@ -28,7 +29,10 @@
         if self.worker.is_some() || view.service != self.settings.service {
             return;
         }
+        // The worker may have reported before its stored view was read.
+        let reports = mem::take(&mut self.unconfirmed_reports);
         self.start_incarnation(now, view, 0, now);
+        self.unconfirmed_reports = reports;
         if let Some(worker) = &mut self.worker {
             worker.restored_at = Some(now);
         }
