--- a/src/core/execution/restored_worker.rs
+++ b/src/core/execution/restored_worker.rs
@@ -3,6 +3,7 @@
 use {
     super::{ExecutionAction, Executor},
     crate::core::{time::Instant, work::WorkerView},
+    std::mem,
 };
 
 /// Time within which a restored worker must report to this process, in milliseconds: two report
@@ -10,7 +11,12 @@
 const RESTORED_WORKER_REPORT_TIMEOUT_MS: u64 = 3_000;
 
 impl Executor {
+    /// Persists the worker's view, unless runs may execute at one that it has replaced: the agent's next
+    /// process must not take the run list of the new worker for theirs.
     pub(super) fn persist_worker(&mut self, view: WorkerView) {
+        if self.runs.values().any(|run| run.replaced_worker.is_some()) {
+            return;
+        }
         self.actions.push(ExecutionAction::PersistWorker(view));
     }
 
@@ -23,7 +29,10 @@
         if self.worker.is_some() || view.service != self.settings.service {
             return;
         }
+        // The worker may have reported before its stored view was read.
+        let reports = mem::take(&mut self.unconfirmed_reports);
         self.start_incarnation(now, view, 0, now);
+        self.unconfirmed_reports = reports;
         if let Some(worker) = &mut self.worker {
             worker.restored_at = Some(now);
         }
