--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -180,7 +180,7 @@
 class Worker:
     """A worker as the pages describe it. A task's spec is its run time in milliseconds."""
 
-    def __init__(self, record, worker_id, service, zone, agent_port, port, cpu=8000, labels=("a", "r1-1")):
+    def __init__(self, record, worker_id, service, zone, agent_port, port, cpu=8000, labels=("a", "r1-1"),):
         self.record, self.id, self.service, self.zone, self.cpu, self.labels = record, worker_id, service, zone, cpu, list(labels)
         self.agent_port, self.port, self.state, self.seq = agent_port, port, "ready", 0
         self.born, self.started = int(time.time() * 1000), time.monotonic()
@@ -347,7 +347,7 @@
 class Site:
     """Entries, agents and workers, started with the commands and the templates of the deploy file."""
 
-    def __init__(self, record, entries, agents, services=("shares",), timeout_ms=1500, piped_logs=False):
+    def __init__(self, record, entries, agents, services=("shares",), timeout_ms=1500, piped_logs=False, limits=None):
         """`entries` are zones; `agents` are pairs of a zone and a service."""
         self.log_readers, self.piped_logs = [], piped_logs
         self.record, self.folder = record, pathlib.Path(tempfile.mkdtemp(prefix="review-"))
@@ -355,7 +355,7 @@
         self.store, self.timeout_ms = Store(record), timeout_ms
         self.routes = [Route(f"r-{service}", f"{service}.example", f"/{service}/", service) for service in services]
         self.version = 0
-        self.put_config()
+        self.put_config(**(limits or {}))
         links = [free_port() for _ in entries]
         for number, zone in enumerate(entries):
             entry = dict(name=f"front-{zone}-{number}", client=free_port(), ready=free_port(), store=self.store.address())
@@ -396,14 +396,15 @@
         self.programs.append(process)
         return process
 
-    def put_config(self):
+    def put_config(self, **limits):
+        """Writes the next version of the configuration; returns when it was acknowledged."""
         self.version += 1
         routes = [dict(name=route.name, host=route.host, path_prefix=route.prefix, kind="unsafe", timeout_ms=self.timeout_ms,
                        target_duration_ms=60, priority=1, service=route.service, max_attempts=3, stretch=1.6) for route in self.routes]
         services = [dict(name=service, health_path="/health", max_conns=64, protocol="h1", tls=False, cold_start_s=0.0, cold_per_s=0.0,
                          rejects_overload=True, standby=False) for service in {route.service for route in self.routes}]
-        limits = dict(max_header_bytes=16384, max_body_bytes=262144, header_timeout_ms=3000, idle_timeout_ms=15000)
-        self.store.put("config", dict(version=self.version, routes=routes, services=services, limits=limits))
+        limits = {**dict(max_header_bytes=16384, max_body_bytes=262144, header_timeout_ms=3000, idle_timeout_ms=15000), **limits}
+        return self.store.put("config", dict(version=self.version, routes=routes, services=services, limits=limits))
 
     def wait_ready(self):
         """Waits until each entry is ready and each worker has run a task."""
