Agents read the evacuated zones themselves while no entry can

Cause: only entries read the operators' rows, and an agent's list of zones had no age.

An entry's beat now says how long ago the entry read the zones, and an agent whose entries haven't read them for 3 to 3.5 s reads the keys evacuate/ of the operators' table itself (rows-get with from and to, without the document). What it finds goes to its entries like all newer zones, so that agents which the store turns away as well learn of it, and a zone that is taken back is used again. Starts never wait for a read. While entries read, agents make no call. New lines: zones_outdated, zones_confirmed, and the source of news_taken. news_in_force and news_taken are logged when the set changes.

The simulation had no check for starts in an evacuated zone; it has one where no other faults are injected.

--- a/src/core/dispatch/dispatch_event.rs
+++ b/src/core/dispatch/dispatch_event.rs
@@ -6,6 +6,7 @@
         document::Document,
         link::{AgentFrame, EntryFrame, EvacuatedZones},
         routes::Route,
+        time::Instant,
         verdict::reasons,
         work::{JobId, JobRequest},
     },
@@ -98,6 +99,11 @@
     LinkLost { link: LinkId },
     /// The evacuated zones at a newer store version.
     EvacuatedZones(EvacuatedZones),
+    /// The store was read and has no evacuated zones but those already passed on.
+    ZonesRead {
+        /// The zones were as known at this time or later.
+        at: Instant,
+    },
     /// A newer document, which agents are to hold.
     Document(Document),
     /// The process is shutting down.
--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -55,6 +55,8 @@
     pub(super) by_agent: BTreeMap<String, WorkerKey>,
     pub(super) by_link: BTreeMap<LinkId, WorkerKey>,
     pub(super) zones: Option<EvacuatedZones>,
+    /// When the store was last read and had no zones but these.
+    pub(super) zones_read_at: Option<Instant>,
     pub(super) document: DocumentCopy<LinkId>,
     /// Since when an agent has held a newer document than this entry.
     pub(super) document_behind_since: Option<Instant>,
@@ -97,6 +99,7 @@
             by_agent: BTreeMap::new(),
             by_link: BTreeMap::new(),
             zones: None,
+            zones_read_at: None,
             document: DocumentCopy::default(),
             document_behind_since: None,
             leaving_since: None,
@@ -170,6 +173,9 @@
             DispatchEvent::Frame { link, frame } => self.on_frame(now, link, frame),
             DispatchEvent::LinkLost { link } => self.disconnect(now, link, "closed"),
             DispatchEvent::EvacuatedZones(zones) => self.on_evacuated_zones(zones),
+            DispatchEvent::ZonesRead { at } => {
+                self.zones_read_at = self.zones_read_at.max(Some(at));
+            }
             DispatchEvent::Document(document) => self.set_document(document),
             DispatchEvent::Shutdown => self.leaving_since = Some(now),
             DispatchEvent::Tick => self.on_tick(now),
--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -216,6 +216,7 @@
 
     fn send_heartbeat(&mut self, now: Instant, key: WorkerKey) {
         let news_version = self.zones.as_ref().map_or(0, |zones| zones.version);
+        let zones_age_ms = self.zones_read_at.map(|at| now.millis_since(at));
         let document_revision = self.document.revision();
         let is_holder = self.is_document_holder(key);
         let demand_milli = self.demand_milli(now);
@@ -231,6 +232,7 @@
             demand_milli,
             echo_us: worker.stamp_us,
             news_version,
+            zones_age_ms,
             document_revision,
             is_holder,
             queue_demands,
@@ -248,15 +250,15 @@
         if !zones.is_newer_than(self.zones.as_ref()) {
             return;
         }
-        self.log_event(DispatchLogEvent::NewsInForce {
-            version: zones.version,
-            evacuated: zones.evacuated.iter().cloned().collect(),
-        });
         let previous = self.zones.replace(zones.clone());
         // The store's version also increases with changes that don't concern agents.
         if previous.is_some_and(|previous| previous.evacuated == zones.evacuated) {
             return;
         }
+        self.log_event(DispatchLogEvent::NewsInForce {
+            version: zones.version,
+            evacuated: zones.evacuated.into_iter().collect(),
+        });
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
             self.send_zones(key);
--- a/src/core/execution/execution_event.rs
+++ b/src/core/execution/execution_event.rs
@@ -3,7 +3,7 @@
 use {
     super::ExecutionLogEvent,
     crate::core::{
-        link::{AgentFrame, EntryFrame, RunOutcome},
+        link::{AgentFrame, EntryFrame, EvacuatedZones, RunOutcome},
         work::{TaskId, WorkerIncarnation, WorkerView},
     },
     std::sync::Arc,
@@ -181,6 +181,8 @@
         call: HoldCall,
         response: HoldResponse,
     },
+    /// The evacuated zones were read from the store; `None` if the read failed.
+    ZonesRead { zones: Option<EvacuatedZones> },
     /// The process is shutting down.
     Shutdown,
     /// Sent periodically.
@@ -202,6 +204,8 @@
     /// No run of an earlier process of this agent is left on the worker: the agent may connect to
     /// entries.
     StaleRunsStopped,
+    /// Read the evacuated zones from the store.
+    ReadZones,
     /// Persist the worker view for a later process of this agent.
     PersistWorker(WorkerView),
     /// Send a start call to the worker.
--- a/src/core/execution/execution_log_event.rs
+++ b/src/core/execution/execution_log_event.rs
@@ -132,5 +132,23 @@
         /// Store version of the set.
         version: u64,
         evacuated: Vec<String>,
+        /// Who sent it: an entry or the store.
+        source: &'static str,
+    },
+    /// No entry has read the evacuated zones lately; the agent reads them itself.
+    ZonesOutdated {
+        /// Store version of the known zones.
+        version: u64,
+        /// Time since they were last read; `None` if they are unknown.
+        age_ms: Option<u64>,
+    },
+    /// An entry reads the evacuated zones again.
+    ZonesConfirmed {
+        /// Store version of the known zones.
+        version: u64,
+        /// Reads by this agent since they were outdated.
+        reads: u64,
+        /// Those of them that failed.
+        failed_reads: u64,
     },
 }
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -9,6 +9,7 @@
         incarnations::{IgnoredReportsByReason, UnconfirmedReport},
         run::Run,
         worker_state::{Departure, WorkerState},
+        zone_reads::ZoneReads,
     },
     crate::core::{
         document::DocumentCopy,
@@ -42,6 +43,7 @@
     /// Disconnected sessions that still have unfinished runs, with the address of their entry.
     pub(super) draining_sessions: BTreeMap<SessionId, String>,
     pub(super) zones: Option<EvacuatedZones>,
+    pub(super) zone_reads: ZoneReads,
     pub(super) document: DocumentCopy<SessionId>,
     pub(super) token: u64,
     pub(super) token_step: u64,
@@ -72,12 +74,12 @@
         Self {
             token: settings.first_token,
             token_step: super::INITIAL_TOKEN_STEP,
-            settings,
             worker: None,
             runs: BTreeMap::new(),
             sessions: BTreeMap::new(),
             draining_sessions: BTreeMap::new(),
             zones: None,
+            zone_reads: ZoneReads::for_agent(&settings.agent),
             document: DocumentCopy::default(),
             last_hold_sequence: 0,
             unconfirmed_reports: Vec::new(),
@@ -91,6 +93,7 @@
             speed: MeasuredSpeed::default(),
             lost_tasks: None,
             actions: Vec::new(),
+            settings,
         }
     }
 
@@ -123,6 +126,7 @@
             ExecutionEvent::HoldAnswered { call, response } => {
                 self.on_hold_answered(now, &call, response);
             }
+            ExecutionEvent::ZonesRead { zones } => self.on_zones_read(now, zones),
             ExecutionEvent::Shutdown => self.on_shutdown(),
             ExecutionEvent::Tick => self.on_tick(now),
         }
@@ -143,6 +147,7 @@
         self.retry_stops(now);
         self.detect_lost_calls(now);
         self.drain_unreported_worker(now);
+        self.read_outdated_zones(now);
     }
 
     /// Applies the worker's report about itself.
--- a/src/core/execution/mod.rs
+++ b/src/core/execution/mod.rs
@@ -24,6 +24,7 @@
 mod sessions;
 mod speed;
 mod worker_state;
+mod zone_reads;
 
 #[cfg(test)]
 mod tests;
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -70,6 +70,7 @@
                 demand_milli,
                 echo_us,
                 news_version,
+                zones_age_ms,
                 document_revision,
                 is_holder,
                 queue_demands,
@@ -77,12 +78,13 @@
                 link.demand_milli = demand_milli;
                 link.queue_demands = queue_demands;
                 self.on_entry_heartbeat(now, session, echo_us, news_version);
+                self.record_entry_read(now, echo_us, zones_age_ms);
                 self.on_document_revision(now, session, document_revision, is_holder);
             }
             EntryFrame::Start(order) => self.on_start(now, session, order),
             EntryFrame::Stop { run } => self.on_stop(now, session, run),
             EntryFrame::Decline => self.clear_request(session),
-            EntryFrame::News(zones) => self.apply_zones(zones),
+            EntryFrame::News(zones) => self.apply_zones(zones, "entry"),
             EntryFrame::FetchDocument(request) => {
                 let part = self.document.part(request);
                 self.send(session, AgentFrame::DocumentPart(part));
@@ -145,14 +147,18 @@
     }
 
     /// Applies evacuated zones unless a newer version is known.
-    fn apply_zones(&mut self, zones: EvacuatedZones) {
+    pub(super) fn apply_zones(&mut self, zones: EvacuatedZones, source: &'static str) {
         if !zones.is_newer_than(self.zones.as_ref()) {
             return;
         }
-        self.log_event(ExecutionLogEvent::NewsTaken {
-            version: zones.version,
-            evacuated: zones.evacuated.iter().cloned().collect(),
-        });
+        let known = self.zones.as_ref().map(|known| &known.evacuated);
+        if known != Some(&zones.evacuated) {
+            self.log_event(ExecutionLogEvent::NewsTaken {
+                version: zones.version,
+                evacuated: zones.evacuated.iter().cloned().collect(),
+                source,
+            });
+        }
         self.zones = Some(zones);
     }
 
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -12,6 +12,7 @@
 mod restored_worker;
 mod retirement;
 mod speed;
+mod zone_reads;
 
 use {
     super::{
@@ -90,6 +91,7 @@
         demand_milli,
         echo_us: now.as_micros(),
         news_version: 0,
+        zones_age_ms: Some(0),
         document_revision: 0,
         is_holder: false,
         queue_demands: Vec::new(),
@@ -288,6 +290,7 @@
             demand_milli: 0,
             echo_us: test.now.as_micros(),
             news_version: 0,
+            zones_age_ms: Some(0),
             document_revision: 4,
             is_holder: *is_holder,
             queue_demands: Vec::new(),
@@ -518,6 +521,7 @@
         demand_milli: 0,
         echo_us,
         news_version: 0,
+        zones_age_ms: Some(0),
         document_revision: 0,
         is_holder: false,
         queue_demands: Vec::new(),
--- a/src/core/execution/tests/queue_levels.rs
+++ b/src/core/execution/tests/queue_levels.rs
@@ -25,6 +25,7 @@
             demand_milli: 0,
             echo_us: self.now.as_micros(),
             news_version: 0,
+            zones_age_ms: Some(0),
             document_revision: 0,
             is_holder: false,
             queue_demands,
--- a/src/core/link/entry_frame.rs
+++ b/src/core/link/entry_frame.rs
@@ -40,6 +40,9 @@
         echo_us: u64,
         /// Version of the evacuated zones that the entry uses.
         news_version: u64,
+        /// Time since the entry read from the store that these are the evacuated zones; `None` if it
+        /// has not read them.
+        zones_age_ms: Option<u64>,
         /// Revision of the document that the entry holds; zero without one.
         document_revision: u64,
         /// The agent is to hold the document, for entries that cannot reach the store.
--- a/src/core/tests/faults.rs
+++ b/src/core/tests/faults.rs
@@ -102,6 +102,12 @@
     EvacuateZone {
         for_ms: u64,
     },
+    /// The store turns away these entries and agents, and serves the others.
+    TurnAway {
+        all_entries: bool,
+        agent: usize,
+        for_ms: u64,
+    },
 }
 
 /// A report that another writer sends to an agent; times are relative to the start of the worker, or to
--- a/src/core/tests/seeds.rs
+++ b/src/core/tests/seeds.rs
@@ -9,6 +9,7 @@
 const RETIREMENT_SEEDS: u64 = 100;
 const DEPARTURE_SEEDS: u64 = 100;
 const CRASH_SEEDS: u64 = 100;
+const REJECTION_SEEDS: u64 = 100;
 const COMPETITION_SEEDS: u64 = 100;
 const INCARNATION_SEEDS: u64 = 100;
 /// Jobs of a simulation whose tasks crash their workers.
@@ -83,6 +84,31 @@
     assert_no_violations(6_512, Setup::production());
 }
 
+/// Tasks started in an evacuated zone for as long as the store turned all entries away.
+#[test]
+fn an_evacuation_holds_while_the_store_turns_entries_away() {
+    for seed in 0..REJECTION_SEEDS {
+        let setup = Setup {
+            rejections: 1,
+            faults: 0,
+            ..Setup::production()
+        };
+        assert_no_violations(seed, setup);
+    }
+}
+
+/// Reads of the zones by agents must not break other invariants.
+#[test]
+fn rejections_beside_other_faults_violate_no_invariant() {
+    for seed in 0..REJECTION_SEEDS {
+        let setup = Setup {
+            rejections: 2,
+            ..Setup::production()
+        };
+        assert_no_violations(seed, setup);
+    }
+}
+
 /// A session that is retired under load must neither lose tasks nor run them twice, and must hardly
 /// cost any completed job.
 #[test]
--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -42,8 +42,10 @@
 /// All jobs must have finished by then, in milliseconds.
 const SIMULATION_DURATION_MS: u64 = 32_000;
 pub(super) const JOBS: u64 = 60;
-const FAULTS: u64 = 7;
+pub(super) const FAULTS: u64 = 7;
 const TICK_MS: u64 = 20;
+/// Time after which nothing may start in an evacuated zone, in milliseconds.
+const EVACUATION_MS: u64 = 5_000;
 const HEARTBEAT_INTERVAL_MS: u64 = 1_500;
 /// Time after which a leaving worker ends without an acknowledgement, in milliseconds.
 const UNACKNOWLEDGED_LEAVE_MS: u64 = 2_000;
@@ -76,6 +78,10 @@
     pub(super) foreign_reports: u64,
     /// Number of times that another writer calls Leave at an agent.
     pub(super) foreign_leaves: u64,
+    /// Number of times that a zone is evacuated while the store turns processes away.
+    pub(super) rejections: u64,
+    /// Number of random faults.
+    pub(super) faults: u64,
 }
 
 impl Setup {
@@ -94,6 +100,8 @@
             double_restarts: 0,
             foreign_reports: 0,
             foreign_leaves: 0,
+            rejections: 0,
+            faults: FAULTS,
         }
     }
 }
@@ -247,6 +255,9 @@
     last_waiter_id: u64,
     zones: EvacuatedZones,
     evacuated_at: Option<Instant>,
+    /// Until when the store turns away entries and agents.
+    entries_rejected_until: Vec<Instant>,
+    agents_rejected_until: Vec<Instant>,
     pub(super) report: SimulationReport,
 }
 
@@ -282,6 +293,8 @@
                 evacuated: BTreeSet::new(),
             },
             evacuated_at: None,
+            entries_rejected_until: vec![Instant::default(); ENTRIES],
+            agents_rejected_until: vec![Instant::default(); WORKERS],
             report: SimulationReport::default(),
         };
         simulation.set_up();
@@ -320,7 +333,7 @@
             let at_ms = self.rng.between(2_000, 2_000 + LOAD_DURATION_MS);
             self.add_client(client, at_ms);
         }
-        for _ in 0..FAULTS {
+        for _ in 0..self.setup.faults {
             let fault = Fault::random(&mut self.rng, ENTRIES, WORKERS);
             let at_ms = self.rng.between(1_500, 2_000 + LOAD_DURATION_MS);
             self.schedule_in_ms(at_ms, Event::StartFault(fault));
@@ -341,6 +354,24 @@
             self.schedule_in_ms(at_ms, Event::StartFault(fault));
         }
         self.schedule_incarnation_faults();
+        self.schedule_rejections();
+    }
+
+    fn schedule_rejections(&mut self) {
+        for _ in 0..self.setup.rejections {
+            let at_ms = self.rng.between(1_500, 5_000);
+            let turn_away = Fault::TurnAway {
+                all_entries: self.rng.percent_chance(75),
+                agent: self.rng.index(WORKERS),
+                for_ms: self.rng.between(9_000, 14_000),
+            };
+            self.schedule_in_ms(at_ms, Event::StartFault(turn_away));
+            let evacuate = Fault::EvacuateZone {
+                for_ms: self.rng.between(6_000, 11_000),
+            };
+            let delay_ms = self.rng.between(0, 2_000);
+            self.schedule_in_ms(at_ms + delay_ms, Event::StartFault(evacuate));
+        }
     }
 
     fn add_client(&mut self, number: u64, at_ms: u64) {
@@ -450,6 +481,7 @@
                         return;
                     }
                     self.schedule_in_ms(TICK_MS, Event::EntryTick { entry, incarnation });
+                    self.follow_zones(entry);
                     self.handle_entry_event(entry, DispatchEvent::Tick);
                 }
             }
@@ -531,8 +563,7 @@
         process.suspended_until = self.now;
         let incarnation = process.incarnation;
         self.schedule_in_ms(TICK_MS, Event::EntryTick { entry, incarnation });
-        let zones = self.zones.clone();
-        self.handle_entry_event(entry, DispatchEvent::EvacuatedZones(zones));
+        self.read_zones_at_entry(entry);
         let document = Document {
             revision: 1,
             text: Arc::from(&b"{}"[..]),
@@ -540,6 +571,26 @@
         self.handle_entry_event(entry, DispatchEvent::Document(document));
     }
 
+    /// Passes the zones to an entry, unless the store turns it away.
+    fn read_zones_at_entry(&mut self, entry: usize) {
+        if self.entries_rejected_until[entry] <= self.now {
+            let zones = self.zones.clone();
+            self.handle_entry_event(entry, DispatchEvent::EvacuatedZones(zones));
+        }
+    }
+
+    /// Confirms the zones to an entry, unless the store turns it away; one that missed a change learns of
+    /// it from agents unless the store turns processes away.
+    fn follow_zones(&mut self, entry: usize) {
+        if self.setup.rejections > 0 {
+            self.read_zones_at_entry(entry);
+        }
+        if self.entries_rejected_until[entry] <= self.now {
+            let at = self.now;
+            self.handle_entry_event(entry, DispatchEvent::ZonesRead { at });
+        }
+    }
+
     fn handle_entry_event(&mut self, entry: usize, event: DispatchEvent) {
         let now = self.now;
         let process = &mut self.entries[entry];
@@ -839,6 +890,20 @@
                 }
             }
             ExecutionAction::StaleRunsStopped => self.connect_to_all_entries(agent),
+            ExecutionAction::ReadZones => {
+                let is_rejected = self.agents_rejected_until[agent] > self.now;
+                let zones = (!is_rejected).then(|| self.zones.clone());
+                let incarnation = self.agents[agent].incarnation;
+                let event = ExecutionEvent::ZonesRead { zones };
+                self.schedule_in_ms(
+                    4,
+                    Event::AgentInput {
+                        agent,
+                        incarnation,
+                        event,
+                    },
+                );
+            }
             ExecutionAction::PersistWorker(view) => {
                 self.stored_worker_views.insert(agent, view);
             }
@@ -1027,6 +1092,7 @@
             );
             self.report.record_violation(what);
         }
+        self.check_zone(worker, task);
         for other in 0..WORKERS {
             self.advance_worker(other);
             if other != worker
@@ -1039,6 +1105,18 @@
         }
     }
 
+    /// Without other faults, nothing may start in a zone that was evacuated long enough ago.
+    fn check_zone(&mut self, worker: usize, task: TaskId) {
+        let is_evacuated = zone_of(worker) == ZONES[0]
+            && self
+                .evacuated_at
+                .is_some_and(|at| self.now.millis_since(at) > EVACUATION_MS);
+        if is_evacuated && self.setup.faults == 0 {
+            let what = format!("{task} starts in an evacuated zone, at worker {worker}");
+            self.report.record_violation(what);
+        }
+    }
+
     pub(super) fn advance_worker(&mut self, worker: usize) {
         let now = self.now;
         for task in self.workers[worker].advance(now) {
@@ -1404,6 +1482,15 @@
             Fault::RestartAgentTwice { agent, gap_ms } => self.restart_agent_twice(agent, gap_ms),
             Fault::ForeignReports { agent, .. } => self.send_foreign_reports(agent, fault),
             Fault::ResetClients { entry } => self.disconnect_clients(entry),
+            Fault::TurnAway {
+                all_entries,
+                agent,
+                for_ms,
+            } => {
+                let rejected = if all_entries { ENTRIES } else { ENTRIES - 1 };
+                self.entries_rejected_until[..rejected].fill(now.plus_ms(for_ms));
+                self.agents_rejected_until[agent] = now.plus_ms(for_ms);
+            }
             Fault::EvacuateZone { for_ms } => {
                 self.evacuated_at = Some(now);
                 self.set_evacuated(true);
@@ -1446,9 +1533,8 @@
             self.zones.evacuated.clear();
         }
         for entry in 0..ENTRIES {
-            let zones = self.zones.clone();
             if self.entries[entry].suspended_until <= self.now {
-                self.handle_entry_event(entry, DispatchEvent::EvacuatedZones(zones));
+                self.read_zones_at_entry(entry);
             }
         }
     }
@@ -1508,6 +1594,10 @@
     }
 }
 
+const fn zone_of(worker: usize) -> &'static str {
+    ZONES[worker % ZONES.len()]
+}
+
 /// The report of one incarnation of the worker at this host.
 pub(super) fn worker_view(
     worker: usize,
@@ -1517,7 +1607,7 @@
     WorkerView {
         life: incarnation.clone(),
         service: "shares".to_owned(),
-        availability_zone: ZONES[worker % ZONES.len()].to_owned(),
+        availability_zone: zone_of(worker).to_owned(),
         capacity: Resources {
             cpu_milli: 1_000 * SLOTS_PER_WORKER as u32,
             ..Resources::default()
--- a/src/platform/rows_store.rs
+++ b/src/platform/rows_store.rs
@@ -29,6 +29,8 @@
 const CONFIG_KEY: &str = "config";
 /// Key prefix of the operators' rows that name evacuated zones.
 const EVACUATE_PREFIX: &str = "evacuate/";
+/// First key after all that begin with [`EVACUATE_PREFIX`].
+const EVACUATE_END: &str = "evacuate0";
 /// Prefix of the project's tables of entries; each replica is the only part of a table of its own, because a feed
 /// delivers the changes of all parts of its table.
 const ENTRIES_TABLE_PREFIX: &str = "rattanslip_entries_";
@@ -127,12 +129,23 @@
         &self,
         table: &str,
         part: &str,
+    ) -> Result<(Vec<RowBody>, u64), PlatformError> {
+        self.read_range(table, part, String::new(), "").await
+    }
+
+    /// Reads rows of one part of a table, and the store version; `from` and `to` are query fields that
+    /// bound the keys, or empty.
+    async fn read_range(
+        &self,
+        table: &str,
+        part: &str,
+        mut from: String,
+        to: &str,
     ) -> Result<(Vec<RowBody>, u64), PlatformError> {
         let mut rows: Vec<RowBody> = Vec::new();
-        let mut from = String::new();
         let mut version = None;
         loop {
-            let path = format!("/v1/rows-get?table={table}&part={part}{from}");
+            let path = format!("/v1/rows-get?table={table}&part={part}{from}{to}");
             let (status, body) = self.get(path, CALL_TIMEOUT_MS).await?;
             if status != StatusCode::OK {
                 return Err(PlatformError::Rejected(status));
@@ -238,6 +251,19 @@
         })
     }
 
+    async fn read_evacuated_zones(&self) -> Result<EvacuatedZones, StoreError> {
+        let from = format!("&from={EVACUATE_PREFIX}");
+        let to = format!("&to={EVACUATE_END}");
+        let (rows, version) = self.read_range(OPERATORS_TABLE, "", from, &to).await?;
+        let zones = rows
+            .iter()
+            .filter_map(|row| row.key.strip_prefix(EVACUATE_PREFIX));
+        Ok(EvacuatedZones {
+            version,
+            evacuated: zones.map(str::to_owned).collect(),
+        })
+    }
+
     async fn wait_for_operator_change(
         &self,
         after: u64,
--- a/src/ports/site_store.rs
+++ b/src/ports/site_store.rs
@@ -53,6 +53,9 @@
 pub(crate) trait SiteStore: Debug + Send + Sync {
     async fn read_operator_rows(&self) -> Result<OperatorRows, StoreError>;
 
+    /// Reads the evacuated zones without the document, which may be large.
+    async fn read_evacuated_zones(&self) -> Result<EvacuatedZones, StoreError>;
+
     /// Long-polls up to `wait_ms` for a change of the operators' rows after a version.
     async fn wait_for_operator_change(
         &self,
--- a/src/ports/store.rs
+++ b/src/ports/store.rs
@@ -22,6 +22,16 @@
     }
 }
 
+impl StoreError {
+    /// Name of the error in logs and metrics.
+    pub(crate) const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Unavailable(_) => "unavailable",
+            Self::OutcomeUnknown(_) => "outcome_unknown",
+        }
+    }
+}
+
 /// One row of the table.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Row {
--- a/src/ports/tests/entry_list_store.rs
+++ b/src/ports/tests/entry_list_store.rs
@@ -4,6 +4,7 @@
     crate::{
         core::{
             entry_list::{EntryListChange, EntryListReplica},
+            link::EvacuatedZones,
             work::WorkerView,
         },
         ports::{EntryListUpdate, OperatorChange, OperatorRows, SiteStore, StoreError},
@@ -121,6 +122,10 @@
         unavailable()
     }
 
+    async fn read_evacuated_zones(&self) -> Result<EvacuatedZones, StoreError> {
+        unavailable()
+    }
+
     async fn wait_for_operator_change(&self, _: u64, _: u64) -> Result<OperatorChange, StoreError> {
         unavailable()
     }
--- a/src/site_agent/execution_loop.rs
+++ b/src/site_agent/execution_loop.rs
@@ -12,8 +12,8 @@
             work::WorkerView,
         },
         ports::{
-            Counter, DecisionLog, Gauge, LogPriority, Metrics, TimerService, WorkerClient,
-            log_decision,
+            Counter, DecisionLog, Gauge, LogPriority, Metrics, SiteStore, StoreError, TimerService,
+            WorkerClient, log_decision,
         },
     },
     std::{collections::BTreeMap, sync::Arc},
@@ -58,6 +58,7 @@
 pub(super) struct ExecutionLoop {
     pub(super) executor: Executor,
     pub(super) worker: Arc<dyn WorkerClient>,
+    pub(super) store: Arc<dyn SiteStore>,
     pub(super) timer: Arc<dyn TimerService>,
     pub(super) decisions: Arc<dyn DecisionLog>,
     pub(super) metrics: Arc<dyn Metrics>,
@@ -160,6 +161,7 @@
             ExecutionAction::StaleRunsStopped => {
                 self.stale_runs_stopped.send_replace(true);
             }
+            ExecutionAction::ReadZones => self.read_zones(),
             ExecutionAction::PersistWorker(view) => {
                 self.worker_view.send_replace(Some(view));
             }
@@ -196,6 +198,25 @@
         });
     }
 
+    /// Reads the evacuated zones in a task of its own, which sends them to the loop as an event.
+    fn read_zones(&self) {
+        let (store, inputs) = (Arc::clone(&self.store), self.input_sender.clone());
+        let metrics = Arc::clone(&self.metrics);
+        tokio::spawn(async move {
+            let zones = store.read_evacuated_zones().await;
+            let outcome = zones
+                .as_ref()
+                .map_or_else(StoreError::as_str, |_| "answered");
+            metrics.count(Counter::StoreCalls, outcome);
+            if let Err(error) = &zones {
+                log::info!(error:% = error; "failed to read the evacuated zones");
+            }
+            let event = ExecutionEvent::ZonesRead { zones: zones.ok() };
+            // The loop runs as long as the process.
+            let _ = inputs.send(LoopInput::Event(event));
+        });
+    }
+
     fn log_event(&self, event: &ExecutionLogEvent) {
         match event {
             ExecutionLogEvent::RunNotStarted { reason, .. } => {
@@ -220,7 +241,9 @@
             | ExecutionLogEvent::StrayRun { .. }
             | ExecutionLogEvent::WorkerCrashed { .. }
             | ExecutionLogEvent::DocumentFetched { .. }
-            | ExecutionLogEvent::NewsTaken { .. } => {}
+            | ExecutionLogEvent::NewsTaken { .. }
+            | ExecutionLogEvent::ZonesOutdated { .. }
+            | ExecutionLogEvent::ZonesConfirmed { .. } => {}
         }
         log_decision(&*self.decisions, LogPriority::Notable, event);
     }
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -67,6 +67,7 @@
         ExecutionLoop {
             executor,
             worker: Arc::new(HttpWorkerClient::new(client)),
+            store: Arc::clone(&self.process.store),
             timer: Arc::new(BootTimer),
             decisions: Arc::clone(&self.process.decisions),
             metrics: Arc::clone(&self.process.metrics),
--- a/src/site_entry/operator_rows_watcher.rs
+++ b/src/site_entry/operator_rows_watcher.rs
@@ -9,11 +9,12 @@
         adapters::timer::Backoff,
         core::{
             dispatch::DispatchEvent, document::Document, link::EvacuatedZones, routes::SiteConfig,
+            time::Instant as BootInstant,
         },
         platform::parse_config,
         ports::{
             Counter, DecisionLog, FeedCursor, LogPriority, Metrics, OperatorChange, OperatorRows,
-            SiteStore, log_decision,
+            SiteStore, TimerService, log_decision,
         },
     },
     std::{
@@ -44,6 +45,7 @@
 #[derive(Debug)]
 pub(super) struct OperatorRowsWatcher {
     pub(super) store: Arc<dyn SiteStore>,
+    pub(super) timer: Arc<dyn TimerService>,
     pub(super) state: Arc<EntryState>,
     pub(super) inputs: mpsc::UnboundedSender<LoopInput>,
     pub(super) decisions: Arc<dyn DecisionLog>,
@@ -58,12 +60,14 @@
         let mut backoff = Backoff::new(INITIAL_REREAD_BACKOFF_MS, MAX_REREAD_BACKOFF_MS);
         loop {
             let started_at = Instant::now();
+            let asked_at = self.timer.now();
             match self.store.read_operator_rows().await {
                 Ok(rows) => {
                     health.record_success();
                     self.log_read(&rows, started_at);
                     let version = rows.zones.version;
                     self.apply_rows(rows);
+                    self.confirm_zones(version, asked_at);
                     self.follow_changes(version, &mut health, &mut backoff)
                         .await;
                     backoff.wait_since(started_at).await;
@@ -79,18 +83,25 @@
     async fn follow_changes(&self, read_at: u64, health: &mut StoreHealth, backoff: &mut Backoff) {
         let mut cursor = FeedCursor::new(read_at, FEED_LAG_RESPONSES);
         loop {
+            let asked_at = self.timer.now();
             let change = self
                 .store
                 .wait_for_operator_change(cursor.after(), LONG_POLL_MS)
                 .await;
+            // The store answers before the end of its wait; later only a suspension delays the response.
+            let answered_at = self.timer.now().min(asked_at.plus_ms(LONG_POLL_MS));
             match change {
-                Ok(OperatorChange::None { version }) => cursor.advance(version),
+                Ok(OperatorChange::None { version }) => {
+                    self.confirm_zones(version, answered_at);
+                    cursor.advance(version);
+                }
                 Ok(OperatorChange::Rows {
                     version,
                     zones,
                     document,
                 }) => {
                     self.apply_changes(version, zones, document);
+                    self.confirm_zones(version, answered_at);
                     cursor.restart(version);
                 }
                 Ok(OperatorChange::HistoryUnavailable) => {
@@ -143,6 +154,19 @@
         self.replace_zones(&mut known, EvacuatedZones { version, evacuated }, "store");
     }
 
+    /// Notifies the dispatcher that the store had no other zones at this time, unless its response is
+    /// older than the known zones.
+    fn confirm_zones(&self, version: u64, at: BootInstant) {
+        let known = self.known().zones.as_ref().map(|zones| zones.version);
+        if known.is_none_or(|known| version < known) {
+            return;
+        }
+        // The loop runs as long as the process.
+        let _ = self
+            .inputs
+            .send(LoopInput::Event(DispatchEvent::ZonesRead { at }));
+    }
+
     /// Applies evacuated zones unless newer ones are known.
     pub(super) fn apply_zones(&self, zones: EvacuatedZones, source: &'static str) {
         self.replace_zones(&mut self.known(), zones, source);
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -55,6 +55,7 @@
     fn operator_rows_watcher(&self) -> Arc<OperatorRowsWatcher> {
         Arc::new(OperatorRowsWatcher {
             store: Arc::clone(&self.process.store),
+            timer: Arc::new(BootTimer),
             state: Arc::clone(&self.state),
             inputs: self.inputs.clone(),
             decisions: Arc::clone(&self.process.decisions),
--- a/src/site_entry/store_health.rs
+++ b/src/site_entry/store_health.rs
@@ -60,11 +60,7 @@
 
     /// Records a failed call, and waits before the next one.
     pub(super) async fn record_failure(&mut self, error: &StoreError) {
-        let outcome = match error {
-            StoreError::Unavailable(_) => "unavailable",
-            StoreError::OutcomeUnknown(_) => "outcome_unknown",
-        };
-        self.metrics.count(Counter::StoreCalls, outcome);
+        self.metrics.count(Counter::StoreCalls, error.as_str());
         self.failed_calls += 1;
         if self.unavailable_since.is_none() {
             self.unavailable_since = Some(Instant::now());
--- a/src/site_entry/tests/events.rs
+++ b/src/site_entry/tests/events.rs
@@ -1,7 +1,7 @@
 //! Checks that the operations page documents every log event.
 
 /// Every log event of an entry, an agent, and a process as a whole.
-const EVENTS: [&str; 46] = [
+const EVENTS: [&str; 48] = [
     "job_taken",
     "job_refused",
     "job_joined",
@@ -35,6 +35,8 @@
     "config_in_force",
     "config_unreadable",
     "news_taken",
+    "zones_outdated",
+    "zones_confirmed",
     "news_read",
     "news_left_aside",
     "document_fetched",
--- a/src/site_entry/tests/operator_rows.rs
+++ b/src/site_entry/tests/operator_rows.rs
@@ -3,6 +3,7 @@
 use {
     super::fakes::{NoopDecisionLog, NoopMetrics},
     crate::{
+        adapters::timer::BootTimer,
         core::{document::Document, link::EvacuatedZones},
         ports::{EntryListStore, OperatorRows},
         site_entry::{operator_rows_watcher::OperatorRowsWatcher, state::EntryState},
@@ -35,6 +36,7 @@
     let (inputs, _input_receiver) = mpsc::unbounded_channel();
     let watcher = OperatorRowsWatcher {
         store: Arc::new(EntryListStore::default()),
+        timer: Arc::new(BootTimer),
         state: Arc::clone(&state),
         inputs,
         decisions: Arc::new(NoopDecisionLog),
--- a/src/site_entry/tests/site/entry_model.rs
+++ b/src/site_entry/tests/site/entry_model.rs
@@ -71,6 +71,10 @@
         };
         let rows_watcher = Arc::new(OperatorRowsWatcher {
             store: Arc::new(client),
+            timer: Arc::new(PausedTimer {
+                host: Arc::clone(host),
+                origin,
+            }),
             state: Arc::clone(&state),
             inputs: inputs.clone(),
             decisions: Arc::clone(&zones_log) as Arc<dyn DecisionLog>,
--- a/src/site_entry/tests/site/store_model.rs
+++ b/src/site_entry/tests/site/store_model.rs
@@ -310,6 +310,12 @@
         Ok(rows)
     }
 
+    async fn read_evacuated_zones(&self) -> Result<EvacuatedZones, StoreError> {
+        self.with_timeout(CALL_TIMEOUT_MS, self.apply_faults())
+            .await?;
+        Ok(self.store.read().zones)
+    }
+
     async fn wait_for_operator_change(
         &self,
         after: u64,
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -7,6 +7,7 @@
 
 mod client_requests;
 mod config;
+mod evacuation;
 mod exactly_once;
 mod gate;
 mod membership;
--- a/tests/processes/support/mod.rs
+++ b/tests/processes/support/mod.rs
@@ -21,7 +21,7 @@
     load::{Load, try_evacuate_zone, unix_ms},
     port::free_addr,
     process::Process,
-    proxy::Proxy,
+    proxy::{Proxy, Rejection},
     site::{HOST, Overlap, Site, SiteRun, SiteWorker, boot_us, site_config, site_job, submit_to},
     site_load::{LoadedJob, SiteLoad},
 };
--- a/tests/processes/support/proxy.rs
+++ b/tests/processes/support/proxy.rs
@@ -1,4 +1,4 @@
-//! A TCP proxy that can blackhole its open connections or partition its two ends.
+//! A TCP proxy that can blackhole its open connections, partition its two ends, or turn requests away.
 
 use {
     std::{
@@ -18,12 +18,24 @@
     },
 };
 
+/// How a proxy turns HTTP requests away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rejection {
+    /// Responds with this status.
+    Status(u16),
+    /// Closes each connection.
+    Close,
+    /// Never responds.
+    Silence,
+}
+
 /// Forwards TCP connections until a fault is injected.
 #[derive(Debug)]
 pub struct Proxy {
     pub addr: SocketAddr,
     blackholed_below: watch::Sender<u64>,
     reject_new: watch::Sender<bool>,
+    rejection: watch::Sender<Option<Rejection>>,
     connection_count: Arc<AtomicU64>,
 }
 
@@ -34,6 +46,7 @@
         let addr = listener.local_addr().expect("address");
         let (blackholed_below, blackholed_receiver) = watch::channel(0);
         let (reject_new, reject_receiver) = watch::channel(false);
+        let (rejection, rejection_receiver) = watch::channel(None);
         let connection_count = Arc::new(AtomicU64::new(0));
         let accept_count = Arc::clone(&connection_count);
         tokio::spawn(async move {
@@ -42,13 +55,20 @@
                     continue;
                 }
                 let number = accept_count.fetch_add(1, Ordering::SeqCst);
-                tokio::spawn(forward(socket, to, number, blackholed_receiver.clone()));
+                tokio::spawn(serve(
+                    socket,
+                    to,
+                    number,
+                    blackholed_receiver.clone(),
+                    rejection_receiver.clone(),
+                ));
             }
         });
         Self {
             addr,
             blackholed_below,
             reject_new,
+            rejection,
             connection_count,
         }
     }
@@ -59,6 +79,11 @@
         self.blackholed_below.send_replace(connection_count);
     }
 
+    /// Turns all requests away, also those under way; `None` forwards new ones again.
+    pub fn turn_away(&self, rejection: Option<Rejection>) {
+        self.rejection.send_replace(rejection);
+    }
+
     /// Number of connections that were opened.
     pub fn connection_count(&self) -> u64 {
         self.connection_count.load(Ordering::SeqCst)
@@ -76,6 +101,48 @@
     }
 }
 
+/// Forwards a connection until requests are turned away.
+async fn serve(
+    mut socket: TcpStream,
+    to: SocketAddr,
+    number: u64,
+    blackholed_receiver: watch::Receiver<u64>,
+    mut rejection_receiver: watch::Receiver<Option<Rejection>>,
+) {
+    let rejection = *rejection_receiver.borrow_and_update();
+    match rejection {
+        None => {
+            tokio::select! {
+                () = forward(socket, to, number, blackholed_receiver) => {}
+                _ = rejection_receiver.wait_for(Option::is_some) => {}
+            }
+        }
+        Some(Rejection::Close) => {}
+        Some(Rejection::Silence) => {
+            // The connection stays silent for good, like one to a host that is gone.
+            while socket
+                .read(&mut [0; 4_096])
+                .await
+                .is_ok_and(|read| read > 0)
+            {}
+        }
+        Some(Rejection::Status(status)) => {
+            let response = format!("HTTP/1.1 {status} No\r\ncontent-length: 0\r\n\r\n");
+            // Each request is small enough for one read.
+            while socket
+                .read(&mut [0; 65_536])
+                .await
+                .is_ok_and(|read| read > 0)
+            {
+                let is_over = rejection_receiver.borrow().is_none();
+                if is_over || socket.write_all(response.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
 async fn forward(
     socket: TcpStream,
     to: SocketAddr,
--- a/tests/processes/support/site.rs
+++ b/tests/processes/support/site.rs
@@ -2,7 +2,7 @@
 //! platform's store and the workers.
 
 use {
-    super::{Process, Proxy, Reply, eventually, free_addr, request, try_request},
+    super::{Process, Proxy, Rejection, Reply, eventually, free_addr, request, try_request},
     base64::{Engine, engine::general_purpose::STANDARD},
     rustix::time::{ClockId, clock_gettime},
     serde_json::{Value, json},
@@ -32,6 +32,8 @@
     pub ready_addr: SocketAddr,
     pub metrics_addr: SocketAddr,
     settings: PathBuf,
+    /// Through which the entry reaches the store.
+    store_proxy: Proxy,
 }
 
 /// A worker of a site and its agent.
@@ -79,7 +81,7 @@
     pub entries: Vec<SiteEntry>,
     pub workers: Vec<SiteWorker>,
     _store_process: Process,
-    /// Through which all other processes reach the store.
+    /// Through which the agents reach the store.
     store_proxy: Proxy,
     folder: PathBuf,
 }
@@ -117,7 +119,7 @@
         .await;
         site.put_operator_row("config", &site_config(1)).await;
         for number in 0..entries {
-            site.add_entry(number);
+            site.add_entry(number).await;
         }
         for number in 0..workers {
             site.add_worker(number);
@@ -145,14 +147,38 @@
         assert_eq!(reply.status, 200);
     }
 
+    /// Removes an operators' row.
+    pub async fn remove_operator_row(&self, key: &str) {
+        let body = json!({"remove": [{"table": "op", "part": "", "key": key}]});
+        let reply = request("POST", self.store, "/v1/rows-tx", &[], &body.to_string()).await;
+        assert_eq!(reply.status, 200);
+    }
+
     /// Lets the open connections to the store go silent; new ones work.
     pub fn silence_store_connections(&self) {
-        self.store_proxy.blackhole_open_connections();
+        for proxy in self.store_proxies() {
+            proxy.blackhole_open_connections();
+        }
+    }
+
+    fn store_proxies(&self) -> impl Iterator<Item = &Proxy> {
+        let entries = self.entries.iter().map(|entry| &entry.store_proxy);
+        entries.chain([&self.store_proxy])
+    }
+
+    /// Lets the store turn an entry away, or serve it again.
+    pub fn turn_entry_away(&self, entry: usize, rejection: Option<Rejection>) {
+        self.entries[entry].store_proxy.turn_away(rejection);
+    }
+
+    /// Lets the store turn all agents away, or serve them again.
+    pub fn turn_agents_away(&self, rejection: Option<Rejection>) {
+        self.store_proxy.turn_away(rejection);
     }
 
     /// Number of connections to the store that were opened.
     pub fn store_connections(&self) -> u64 {
-        self.store_proxy.connection_count()
+        self.store_proxies().map(Proxy::connection_count).sum()
     }
 
     /// Replaces the injected faults of the store.
@@ -160,7 +186,8 @@
         request("POST", self.store, "/faults", &[], &faults.to_string()).await;
     }
 
-    fn add_entry(&mut self, number: usize) {
+    async fn add_entry(&mut self, number: usize) {
+        let store_proxy = Proxy::start(self.store).await;
         let (client_addr, ready_addr, metrics_addr, link_addr) =
             (free_addr(), free_addr(), free_addr(), free_addr());
         let text = format!(
@@ -168,7 +195,7 @@
             common_settings(
                 &format!("entry-{number}"),
                 "north",
-                self.store_proxy.addr,
+                store_proxy.addr,
                 metrics_addr
             ),
             link_addr
@@ -183,6 +210,7 @@
             ready_addr,
             metrics_addr,
             settings,
+            store_proxy,
         });
     }
 
