A job is identified by its queue and its client's number

Cause: the dispatcher's key was the ID alone.

JobId consists of the queue and the number now, so all that was keyed by it tells the two apart: jobs, held copies, refused jobs, crash records, open runs, runs at agents, stop orders. The queue is identified by host and path prefix, not by the route, so that a copy remains the same job after its path was moved. A worker's name of a task lacks the queue; an agent rejects a start whose name another queue's run has there (name_in_use), and the entry chooses another worker.

The simulation and the stand-in of the worker compare tasks by the job's specification too.

Frames between entries and agents change: processes of this version need each other.

--- a/src/core/dispatch/outcomes.rs
+++ b/src/core/dispatch/outcomes.rs
@@ -108,7 +108,11 @@
         let slow_ms = slow_after_ms(open, link.overdue_factor());
         match outcome {
             RunOutcome::NotStarted(NotStartedReason::NoRoom) => link.record_no_room(),
-            RunOutcome::NotStarted(NotStartedReason::TaskBusy | NotStartedReason::SuspectBusy) => {}
+            RunOutcome::NotStarted(
+                NotStartedReason::TaskBusy
+                | NotStartedReason::NameInUse
+                | NotStartedReason::SuspectBusy,
+            ) => {}
             RunOutcome::NotStarted(_) => link.paused_until = now.plus_ms(REJECTED_BACKOFF_MS),
             RunOutcome::Done | RunOutcome::Failed | RunOutcome::Stopped | RunOutcome::Lost => {}
         }
@@ -181,6 +185,10 @@
             RunOutcome::NotStarted(NotStartedReason::TaskBusy | NotStartedReason::SuspectBusy) => {
                 task.not_before = now.plus_ms(BUSY_BACKOFF_MS);
             }
+            RunOutcome::NotStarted(NotStartedReason::NameInUse) => {
+                task.avoid = Some(worker);
+                task.not_before = now.plus_ms(BUSY_BACKOFF_MS);
+            }
             RunOutcome::NotStarted(NotStartedReason::NoRoom) => {}
             RunOutcome::Lost => {
                 task.lost_runs += 1;
--- a/src/core/dispatch/tests/crashes.rs
+++ b/src/core/dispatch/tests/crashes.rs
@@ -17,7 +17,7 @@
 
 fn task(job: u64) -> TaskId {
     TaskId {
-        job: JobId(job),
+        job: JobId::of_number(job),
         step: 0,
         index: 0,
     }
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -5,6 +5,7 @@
 mod concurrent_entries;
 mod crashes;
 mod queue_shares;
+mod same_numbers;
 mod sessions;
 mod uneven_placement;
 mod uneven_workers;
@@ -79,7 +80,7 @@
 fn job(number: u64, priority: u32, steps: Vec<StepSpec>) -> Submission {
     Submission {
         waiter: WaiterId(number),
-        id: JobId(number),
+        id: JobId::of_number(number),
         request: JobRequest {
             spec: Arc::from("spec"),
             steps,
@@ -449,7 +450,7 @@
     dispatcher.submit(job(3, 0, vec![step(1, 60)]));
     dispatcher.end_run(running[0], RunOutcome::Done);
     dispatcher.report_capacity(1, 1, 2);
-    assert_eq!(dispatcher.starts()[0].1.task.job, JobId(3));
+    assert_eq!(dispatcher.starts()[0].1.task.job, JobId::of_number(3));
 }
 
 /// Under overload a begun job must not wait behind an earlier latest start until it can't finish in
@@ -463,7 +464,7 @@
     dispatcher.end_run(begun[0], RunOutcome::Done);
     dispatcher.report_capacity(1, 1, 2);
     let next = dispatcher.starts();
-    assert_eq!(next[0].1.task.job, JobId(1));
+    assert_eq!(next[0].1.task.job, JobId::of_number(1));
 }
 
 /// Refusing a job only when it is late costs its client the time to retry.
@@ -511,7 +512,10 @@
         dispatcher.report_capacity(run.0, 1, 2);
         started.extend(dispatcher.starts().iter().map(|(_, run)| run.task.job));
     }
-    assert_eq!(started, BTreeSet::from([JobId(2), JobId(3)]));
+    assert_eq!(
+        started,
+        BTreeSet::from([JobId::of_number(2), JobId::of_number(3)])
+    );
 }
 
 /// An estimate that leaves less slack than the usual margin must not lead to a refusal while no
@@ -530,7 +534,7 @@
     assert!(dispatcher.outcomes().is_empty());
     dispatcher.end_run(running[0], RunOutcome::Done);
     dispatcher.report_capacity(1, 1, 2);
-    assert_eq!(dispatcher.starts()[0].1.task.job, JobId(2));
+    assert_eq!(dispatcher.starts()[0].1.task.job, JobId::of_number(2));
 }
 
 /// A job that starts in time must not be refused, although no capacity is free.
@@ -542,7 +546,7 @@
     assert!(dispatcher.outcomes().is_empty());
     dispatcher.end_run(starts[0], RunOutcome::Done);
     dispatcher.report_capacity(starts[0].0, 1, 2);
-    assert_eq!(dispatcher.starts()[0].1.task.job, JobId(2));
+    assert_eq!(dispatcher.starts()[0].1.task.job, JobId::of_number(2));
 }
 
 /// An agent must not keep capacity reserved for an entry that has nothing to start there.
@@ -658,7 +662,7 @@
     assert!(dispatcher.outcomes().is_empty());
     dispatcher.end_run(running[0], RunOutcome::Done);
     dispatcher.report_capacity(1, 1, 2);
-    assert_eq!(dispatcher.starts()[0].1.task.job, JobId(3));
+    assert_eq!(dispatcher.starts()[0].1.task.job, JobId::of_number(3));
 }
 
 /// A resubmitted job still has a waiting client and is served if capacity is free.
@@ -680,7 +684,7 @@
     assert!(dispatcher.outcomes().is_empty());
     dispatcher.end_run(running[0], RunOutcome::Done);
     dispatcher.report_capacity(1, 1, 2);
-    assert_eq!(dispatcher.starts()[0].1.task.job, JobId(2));
+    assert_eq!(dispatcher.starts()[0].1.task.job, JobId::of_number(2));
 }
 
 /// A stalled worker that looks healthy must not hold its tasks until the client's deadline. The
--- a/src/core/dispatch/tests/queue_shares.rs
+++ b/src/core/dispatch/tests/queue_shares.rs
@@ -49,7 +49,7 @@
 
     /// Marks a waiting job as it would be at its arrival, and puts its tasks into the queue again.
     fn set_class(&mut self, number: u64, class: ShareClass) {
-        let key = self.dispatcher.by_id[&JobId(number)];
+        let key = self.dispatcher.by_id[&JobId::of_number(number)];
         self.dispatcher.jobs[key].share.class = class;
         for waiting in self.dispatcher.queue.drain_job(key) {
             self.dispatcher.enqueue(self.now, key, waiting.task);
@@ -66,7 +66,7 @@
             self.report_capacity(run.0, 1, *starts_seen);
             for (_, start) in self.starts() {
                 *starts_seen += 1;
-                started.push(start.task.job.0);
+                started.push(start.task.job.number.0);
             }
         }
         started
@@ -109,7 +109,7 @@
     let mut dispatcher = TestDispatcher::with_workers(3);
     let running = dispatcher.submit(competing_job(1, 0, vec![step(6, 900)]));
     dispatcher.submit(long_job(2, 0));
-    let key = dispatcher.dispatcher.by_id[&JobId(2)];
+    let key = dispatcher.dispatcher.by_id[&JobId::of_number(2)];
     // The client has waited for a second; the objective is 1,500 ms.
     dispatcher.dispatcher.jobs[key].waited_ms = 1_000;
     dispatcher.set_class(2, ShareClass::Fitting);
--- a/src/core/dispatch/tests/uneven_workers.rs
+++ b/src/core/dispatch/tests/uneven_workers.rs
@@ -297,7 +297,7 @@
                 let error = 1.0 + self.rng.random_range(-ESTIMATE_ERROR..ESTIMATE_ERROR);
                 let is_long = self.rng.random_range(0..1_000) < LONG_RUNS_PERMILLE;
                 if is_long {
-                    self.jobs.remove(&WaiterId(run.task.job.0));
+                    self.jobs.remove(&WaiterId(run.task.job.number.0));
                 }
                 let factor = if is_long { LONG_RUN_FACTOR } else { 1.0 };
                 let run_us = order.estimate_ms as f64 * 1_000.0 * error * factor * slowness;
--- a/src/core/execution/crashes.rs
+++ b/src/core/execution/crashes.rs
@@ -26,21 +26,19 @@
     /// Tasks that the worker is known to have started.
     pub(super) fn confirmed_tasks(&self) -> Vec<TaskId> {
         let confirmed = self.confirmed_runs();
-        confirmed.map(|(task, _)| *task).collect()
+        confirmed.map(|run| run.order.run.task).collect()
     }
 
-    fn confirmed_runs(&self) -> impl Iterator<Item = (&TaskId, &Run)> {
+    fn confirmed_runs(&self) -> impl Iterator<Item = &Run> {
         let is_confirmed = |run: &Run| matches!(run.start, StartState::Confirmed { .. });
-        self.runs.iter().filter(move |(_, run)| is_confirmed(run))
+        self.runs.values().filter(move |run| is_confirmed(run))
     }
 
     /// Tasks that may have crashed the worker: the one that another worker has crashed under, if it
     /// runs there, otherwise all.
     fn suspected_tasks(&self) -> Vec<TaskId> {
-        let suspects = self
-            .confirmed_runs()
-            .filter(|(_, run)| run.order.is_suspect);
-        let suspects: Vec<TaskId> = suspects.map(|(task, _)| *task).collect();
+        let suspects = self.confirmed_runs().filter(|run| run.order.is_suspect);
+        let suspects: Vec<TaskId> = suspects.map(|run| run.order.run.task).collect();
         if suspects.is_empty() {
             return self.confirmed_tasks();
         }
--- a/src/core/execution/departure.rs
+++ b/src/core/execution/departure.rs
@@ -9,7 +9,7 @@
         ExecutionLogEvent, Executor, LeavingWorker, incarnations::UnconfirmedReport,
         worker_state::Departure,
     },
-    crate::core::{time::Instant, work::TaskId},
+    crate::core::{time::Instant, work::TaskName},
 };
 
 /// Time after the announcement that the worker leaves in which reports from before it may arrive, in
@@ -52,7 +52,7 @@
             runs: self.runs.len(),
         });
         self.announce_worker();
-        let tasks: Vec<TaskId> = self.runs.keys().copied().collect();
+        let tasks: Vec<TaskName> = self.runs.keys().copied().collect();
         for task in tasks {
             self.stop_run(now, task, "worker_left");
         }
--- a/src/core/execution/execution_event.rs
+++ b/src/core/execution/execution_event.rs
@@ -4,7 +4,7 @@
     super::ExecutionLogEvent,
     crate::core::{
         link::{AgentFrame, EntryFrame, EvacuatedZones, RunOutcome},
-        work::{TaskId, WorkerIncarnation, WorkerView},
+        work::{TaskName, WorkerIncarnation, WorkerView},
     },
     std::sync::Arc,
 };
@@ -18,7 +18,7 @@
 pub(crate) struct StartCall {
     /// Name of the worker that the call is addressed to.
     pub(crate) worker: String,
-    pub(crate) task: TaskId,
+    pub(crate) task: TaskName,
     /// Run number at the worker.
     pub(crate) number: u32,
     /// Job specification, passed to the worker unchanged.
@@ -33,7 +33,7 @@
 pub(crate) struct StopCall {
     /// Name of the worker that the call is addressed to.
     pub(crate) worker: String,
-    pub(crate) task: TaskId,
+    pub(crate) task: TaskName,
     /// Run number at the worker.
     pub(crate) number: u32,
     pub(crate) token: u64,
@@ -82,7 +82,7 @@
 /// A running task in the worker's run list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ListedRun {
-    pub(crate) task: TaskId,
+    pub(crate) task: TaskName,
     pub(crate) number: u32,
 }
 
@@ -91,7 +91,7 @@
 pub(crate) struct ListedEnd {
     /// Sequence number, ascending within one incarnation of the worker.
     pub(crate) sequence: u64,
-    pub(crate) task: TaskId,
+    pub(crate) task: TaskName,
     pub(crate) number: u32,
     pub(crate) end: RunOutcome,
 }
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -16,7 +16,7 @@
         link::{AgentFrame, EvacuatedZones, RunOutcome},
         queue_shares::DemandLevels,
         time::Instant,
-        work::{Resources, RunLimits, TaskId, WorkerView},
+        work::{Resources, RunLimits, TaskName, WorkerView},
         worker_speed::MeasuredSpeed,
     },
     std::{collections::BTreeMap, mem},
@@ -38,7 +38,7 @@
 pub(crate) struct Executor {
     pub(super) settings: ExecutorSettings,
     pub(super) worker: Option<WorkerState>,
-    pub(super) runs: BTreeMap<TaskId, Run>,
+    pub(super) runs: BTreeMap<TaskName, Run>,
     pub(super) sessions: BTreeMap<SessionId, EntryLink>,
     /// Disconnected sessions that still have unfinished runs, with the address of their entry.
     pub(super) draining_sessions: BTreeMap<SessionId, String>,
@@ -230,7 +230,7 @@
     }
 
     /// Finishes a run and reports the outcome to its entry, with the cause of its stop, if any.
-    pub(super) fn finish_run(&mut self, now: Instant, task: TaskId, end: RunOutcome) {
+    pub(super) fn finish_run(&mut self, now: Instant, task: TaskName, end: RunOutcome) {
         let stop = self.runs.get(&task).and_then(|run| run.stop);
         let cause = stop.map_or("", |stop| stop.cause);
         self.finish_run_with_cause(now, task, end, cause);
@@ -240,7 +240,7 @@
     pub(super) fn finish_run_with_cause(
         &mut self,
         now: Instant,
-        task: TaskId,
+        task: TaskName,
         end: RunOutcome,
         cause: &'static str,
     ) {
--- a/src/core/execution/incarnations.rs
+++ b/src/core/execution/incarnations.rs
@@ -13,7 +13,7 @@
     crate::core::{
         link::RunOutcome,
         time::Instant,
-        work::{TaskId, WorkerView},
+        work::{TaskName, WorkerView},
         worker_speed::MeasuredSpeed,
     },
     std::{collections::BTreeMap, mem},
@@ -258,7 +258,7 @@
     /// Marks the runs lost whose worker was replaced by one of another name, once its lease has expired.
     pub(super) fn end_runs_of_replaced_workers(&mut self, now: Instant) {
         let is_over = |replaced: &ReplacedWorker| now >= replaced.lease_expires_at;
-        let over: Vec<TaskId> = self
+        let over: Vec<TaskName> = self
             .runs
             .iter()
             .filter(|(_, run)| run.replaced_worker.as_ref().is_some_and(is_over))
--- a/src/core/execution/lease.rs
+++ b/src/core/execution/lease.rs
@@ -6,7 +6,7 @@
         run::{Run, StartState},
         worker_state::{ClockReading, Departure},
     },
-    crate::core::{link::RunOutcome, time::Instant, work::TaskId},
+    crate::core::{link::RunOutcome, time::Instant, work::TaskName},
 };
 
 /// First increment of a fencing token that the worker rejected, for a system clock that was set back by
@@ -205,7 +205,7 @@
     fn mark_all_runs_lost(&mut self, now: Instant, cause: &'static str) -> usize {
         let runs = self.runs.iter();
         let runs = runs.filter(|(_, run)| run.replaced_worker.is_none());
-        let tasks: Vec<TaskId> = runs.clone().map(|(task, _)| *task).collect();
+        let tasks: Vec<TaskName> = runs.clone().map(|(task, _)| *task).collect();
         let is_unconfirmed = |run: &Run| !matches!(run.start, StartState::Confirmed { .. });
         if runs.clone().any(|(_, run)| is_unconfirmed(run)) {
             // Their start calls are late at this incarnation, but not at one whose clock starts again.
--- a/src/core/execution/lost_calls.rs
+++ b/src/core/execution/lost_calls.rs
@@ -6,7 +6,7 @@
 
 use {
     super::{ExecutionLogEvent, Executor, ListedEnd, run::StartState},
-    crate::core::{time::Instant, work::TaskId},
+    crate::core::{time::Instant, work::TaskName},
 };
 
 /// Time after which a call without a response counts as lost, in milliseconds; workers respond
@@ -25,7 +25,7 @@
         let is_unanswered = |since: Instant| is_lost(since) && last_response_at <= since;
         let has_runs = !self.runs.is_empty();
         let mut is_unresponsive = has_runs && worker.renewed_at.is_some_and(is_unanswered);
-        let mut lost: Vec<(TaskId, u64)> = Vec::new();
+        let mut lost: Vec<(TaskName, u64)> = Vec::new();
         let mut requests_run_list = false;
         let runs = self.runs.iter_mut();
         for (task, run) in runs.filter(|(_, run)| run.replaced_worker.is_none()) {
--- a/src/core/execution/run_calls.rs
+++ b/src/core/execution/run_calls.rs
@@ -9,7 +9,7 @@
     crate::core::{
         link::{NotStartedReason, RunOutcome, StartOrder},
         time::Instant,
-        work::TaskId,
+        work::TaskName,
     },
 };
 
@@ -22,7 +22,7 @@
 
 impl Executor {
     pub(super) fn start_run(&mut self, now: Instant, session: SessionId, order: StartOrder) {
-        let task = order.run.task;
+        let task = order.run.task.name();
         let run = Run {
             session,
             number: order.run.number,
@@ -41,7 +41,7 @@
         self.call_start(now, task);
     }
 
-    fn call_start(&mut self, now: Instant, task: TaskId) {
+    fn call_start(&mut self, now: Instant, task: TaskName) {
         let Some(lease_until_ms) = self.extend_lease(now) else {
             self.finish_run(
                 now,
@@ -73,7 +73,7 @@
         worker.map_or_else(String::new, |worker| worker.view.life.id.clone())
     }
 
-    pub(super) fn call_stop(&mut self, task: TaskId, number: u32) {
+    pub(super) fn call_stop(&mut self, task: TaskName, number: u32) {
         let call = StopCall {
             worker: self.worker_name(),
             task,
@@ -140,7 +140,7 @@
     }
 
     /// Repeats a start call that had no effect, unless the run is to be stopped.
-    pub(super) fn retry_start(&mut self, now: Instant, task: TaskId, reason: NotStartedReason) {
+    pub(super) fn retry_start(&mut self, now: Instant, task: TaskName, reason: NotStartedReason) {
         let Some(run) = self.runs.get(&task) else {
             return;
         };
@@ -154,7 +154,7 @@
     pub(super) fn finish_not_started(
         &mut self,
         now: Instant,
-        task: TaskId,
+        task: TaskName,
         reason: NotStartedReason,
     ) {
         self.finish_run(now, task, RunOutcome::NotStarted(reason));
@@ -165,7 +165,7 @@
     /// The call could otherwise start the run seconds later, while its task already runs elsewhere.
     /// Once the worker has responded to a hold call with the higher token, it either lists the run
     /// or will reject the start call whenever that arrives.
-    pub(super) fn mark_run_uncertain(&mut self, now: Instant, task: TaskId, call_token: u64) {
+    pub(super) fn mark_run_uncertain(&mut self, now: Instant, task: TaskName, call_token: u64) {
         self.raise_token_above(call_token);
         let token = self.token;
         let Some(run) = self.runs.get_mut(&task) else {
--- a/src/core/execution/run_list.rs
+++ b/src/core/execution/run_list.rs
@@ -10,7 +10,7 @@
     crate::core::{
         link::{NotStartedReason, RunOutcome},
         time::Instant,
-        work::TaskId,
+        work::TaskName,
     },
     std::collections::BTreeMap,
 };
@@ -124,7 +124,7 @@
     }
 
     /// Records that the worker has started the run.
-    fn confirm_start(&mut self, now: Instant, task: TaskId) {
+    fn confirm_start(&mut self, now: Instant, task: TaskName) {
         if let Some(run) = self.runs.get_mut(&task)
             && !matches!(run.start, StartState::Confirmed { .. })
         {
@@ -137,7 +137,7 @@
     /// Responses on different connections may arrive out of order, and a stale list may still
     /// contain a run that has finished. Only the newest list identifies orphaned runs.
     fn apply_running(&mut self, now: Instant, call: &HoldCall, running: &[ListedRun], stale: bool) {
-        let listed: BTreeMap<TaskId, u32> =
+        let listed: BTreeMap<TaskName, u32> =
             running.iter().map(|run| (run.task, run.number)).collect();
         if stale {
             self.reconcile_runs(now, call, &listed);
@@ -150,12 +150,12 @@
 
     /// Stops runs that this process does not know: runs of an earlier process of this agent, and
     /// starts that took effect after they had been resolved as not started.
-    fn stop_orphaned_runs(&mut self, listed: &BTreeMap<TaskId, u32>) -> usize {
+    fn stop_orphaned_runs(&mut self, listed: &BTreeMap<TaskName, u32>) -> usize {
         let runs = &self.runs;
-        let is_orphan = |(task, number): &(&TaskId, &u32)| {
+        let is_orphan = |(task, number): &(&TaskName, &u32)| {
             runs.get(*task).is_none_or(|run| run.number != **number)
         };
-        let orphans: Vec<(TaskId, u32)> = listed
+        let orphans: Vec<(TaskName, u32)> = listed
             .iter()
             .filter(is_orphan)
             .map(|(task, number)| (*task, *number))
@@ -172,7 +172,7 @@
     }
 
     /// Resolves uncertain starts and confirmed stops by whether their run is listed.
-    fn reconcile_runs(&mut self, now: Instant, call: &HoldCall, listed: &BTreeMap<TaskId, u32>) {
+    fn reconcile_runs(&mut self, now: Instant, call: &HoldCall, listed: &BTreeMap<TaskName, u32>) {
         let stopped_after_ms = self.settings.limits.stop_ms + STOP_RETRY_INTERVAL_MS;
         let mut finished = Vec::new();
         let mut void = Vec::new();
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -10,7 +10,7 @@
     crate::core::{
         link::{AgentFrame, EntryFrame, EvacuatedZones, NotStartedReason, RunOutcome, StartOrder},
         time::Instant,
-        work::{RunId, TaskId},
+        work::{RunId, TaskName},
     },
 };
 
@@ -223,8 +223,12 @@
         if self.is_evacuated(&worker.view.availability_zone) {
             return Some(NotStartedReason::Evacuated);
         }
-        if self.runs.contains_key(&order.run.task) {
-            return Some(NotStartedReason::TaskBusy);
+        if let Some(known) = self.runs.get(&order.run.task.name()) {
+            return Some(if known.order.run.task == order.run.task {
+                NotStartedReason::TaskBusy
+            } else {
+                NotStartedReason::NameInUse
+            });
         }
         if !order.needs.fits(self.free()) {
             return Some(NotStartedReason::NoRoom);
@@ -243,8 +247,9 @@
 
     fn on_stop(&mut self, now: Instant, session: SessionId, run: RunId) {
         let is_same_run = |known: &Run| known.session == session && known.order.run == run;
-        if self.runs.get(&run.task).is_some_and(is_same_run) {
-            self.stop_run(now, run.task, "asked");
+        let task = run.task.name();
+        if self.runs.get(&task).is_some_and(is_same_run) {
+            self.stop_run(now, task, "asked");
         }
     }
 
@@ -294,7 +299,7 @@
         }
     }
 
-    pub(super) fn tasks_of_session(&self, session: SessionId) -> Vec<TaskId> {
+    pub(super) fn tasks_of_session(&self, session: SessionId) -> Vec<TaskName> {
         let runs = self.runs.iter().filter(|(_, run)| run.session == session);
         runs.map(|(task, _)| *task).collect()
     }
@@ -353,7 +358,7 @@
     }
 
     /// Marks a run for stopping and sends a stop call.
-    pub(super) fn stop_run(&mut self, now: Instant, task: TaskId, cause: &'static str) {
+    pub(super) fn stop_run(&mut self, now: Instant, task: TaskName, cause: &'static str) {
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
--- a/src/core/execution/tests/incarnations.rs
+++ b/src/core/execution/tests/incarnations.rs
@@ -79,7 +79,7 @@
         for (end, task) in ended_tasks(&self.test.actions) {
             for worker in self.replaced.iter_mut().chain([&mut self.worker]) {
                 worker.advance(now);
-                let is_active = worker.active_runs().contains_key(&task);
+                let is_active = worker.active_runs().contains_key(&task.name());
                 assert!(!is_active, "{task} is {end:?} and runs");
             }
             self.outcomes
@@ -160,7 +160,9 @@
     fn starts_at(&mut self, job: u64) -> Option<String> {
         self.start(job);
         let is_start = |action: &ExecutionAction| match action {
-            ExecutionAction::Start(call) if call.task == run(job).task => Some(call.worker.clone()),
+            ExecutionAction::Start(call) if call.task == run(job).task.name() => {
+                Some(call.worker.clone())
+            }
             _ => None,
         };
         let worker = self.calls.iter().find_map(is_start);
--- a/src/core/execution/tests/lost_calls.rs
+++ b/src/core/execution/tests/lost_calls.rs
@@ -87,7 +87,7 @@
     test.now = test.now.plus_ms(5);
     test.send_run_list(latest_poll(), &[run(1)], &[]);
     test.pass(DETECTION_MS, true, &[run(1)]);
-    let is_repetition = |call: &StartCall| call.task == run(2).task && call.token > 100;
+    let is_repetition = |call: &StartCall| call.task == run(2).task.name() && call.token > 100;
     assert!(test.start_calls().iter().any(is_repetition));
 }
 
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -23,7 +23,9 @@
     crate::core::{
         link::{AgentFrame, EntryFrame, EvacuatedZones, NotStartedReason, RunOutcome, StartOrder},
         time::Instant,
-        work::{JobId, Resources, RunId, RunLimits, TaskId, WorkerIncarnation, WorkerView},
+        work::{
+            JobId, QueueId, Resources, RunId, RunLimits, TaskId, WorkerIncarnation, WorkerView,
+        },
     },
     std::{collections::BTreeSet, sync::Arc},
 };
@@ -63,7 +65,7 @@
 fn run(job: u64) -> RunId {
     RunId {
         task: TaskId {
-            job: JobId(job),
+            job: JobId::of_number(job),
             step: 0,
             index: 0,
         },
@@ -177,7 +179,7 @@
             running: running
                 .iter()
                 .map(|run| ListedRun {
-                    task: run.task,
+                    task: run.task.name(),
                     number: run.number,
                 })
                 .collect(),
@@ -280,6 +282,21 @@
     } => Draining;
 }
 
+/// A run of another queue's job with the same number would be taken for this one's.
+#[test]
+fn a_start_is_rejected_while_its_name_is_in_use() {
+    let mut test = TestExecutor::ready();
+    test.start_task(1, StartResponse::Accepted);
+    let mut order = start_order(1);
+    order.run.task.job.queue = QueueId::new("rents.example", "/");
+    test.send_frame(EntryFrame::Start(order.clone()));
+    let in_use = RunOutcome::NotStarted(NotStartedReason::NameInUse);
+    assert_eq!(test.outcomes(), [in_use]);
+    // A stop of that run must not stop the other one.
+    test.send_frame(EntryFrame::Stop { run: order.run });
+    assert_eq!(test.stop_count(), 0);
+}
+
 /// Counts document requests after entry heartbeats, 200 ms apart, with these values of `is_holder`.
 fn document_requests(holder_flags: &[bool]) -> usize {
     let mut test = TestExecutor::ready();
@@ -407,7 +424,7 @@
 fn listed_end(job: u64) -> ListedEnd {
     ListedEnd {
         sequence: job,
-        task: run(job).task,
+        task: run(job).task.name(),
         number: 1,
         end: RunOutcome::Done,
     }
@@ -497,7 +514,7 @@
     let earlier = test.hold_calls().remove(0);
     let ended = ListedEnd {
         sequence: 1,
-        task: run(1).task,
+        task: run(1).task.name(),
         number: 1,
         end: RunOutcome::Done,
     };
@@ -680,7 +697,7 @@
         born_unix_ms: Some(BORN_MS + 500),
         clock_ms: 40,
         running: vec![ListedRun {
-            task: run(1).task,
+            task: run(1).task.name(),
             number: 1,
         }],
         ended: Vec::new(),
@@ -769,7 +786,7 @@
     test.start_task(1, StartResponse::Accepted);
     let end = ListedEnd {
         sequence: 1,
-        task: run(1).task,
+        task: run(1).task.name(),
         number: 1,
         end: RunOutcome::Done,
     };
--- a/src/core/execution/tests/restarts.rs
+++ b/src/core/execution/tests/restarts.rs
@@ -86,7 +86,7 @@
     let mut worker = worker_model(earlier.now, BORN_MS);
     earlier.send_delayed_start(&mut worker);
     // Its token is raised, and neither list nor start call under it have reached the worker.
-    let task = run(1).task;
+    let task = run(1).task.name();
     let token = earlier.executor.token;
     let now = earlier.now;
     earlier.executor.mark_run_uncertain(now, task, token);
@@ -136,7 +136,7 @@
     test.send_frame(EntryFrame::Stop { run: run(1) });
     let stop = StopCall {
         worker: "w".to_owned(),
-        task: run(1).task,
+        task: run(1).task.name(),
         number: 1,
         token: 100,
     };
@@ -152,7 +152,7 @@
                 born_unix_ms: Some(BORN_MS + 500),
                 clock_ms,
                 running: vec![ListedRun {
-                    task: run(1).task,
+                    task: run(1).task.name(),
                     number: 1,
                 }],
                 ended: Vec::new(),
--- a/src/core/execution/tests/restored_worker.rs
+++ b/src/core/execution/tests/restored_worker.rs
@@ -33,7 +33,7 @@
 #[test]
 fn a_restarted_worker_with_runs_delays_sessions() {
     let listed = ListedRun {
-        task: run(1).task,
+        task: run(1).task.name(),
         number: 1,
     };
     assert!(!may_open_sessions(BORN_MS + 1, vec![listed]));
--- a/src/core/execution/tests/retirement.rs
+++ b/src/core/execution/tests/retirement.rs
@@ -29,7 +29,7 @@
     }
     let end = ListedEnd {
         sequence: 1,
-        task: run(1).task,
+        task: run(1).task.name(),
         number: 1,
         end: RunOutcome::Done,
     };
--- a/src/core/link/agent_frame.rs
+++ b/src/core/link/agent_frame.rs
@@ -23,6 +23,8 @@
         NoRoom => "no_room",
         /// Another run of the task is unfinished on this worker.
         TaskBusy => "task_busy",
+        /// A task of another queue's job with the same name is unfinished on this worker.
+        NameInUse => "name_in_use",
         /// The task may crash workers, and another such task runs on this worker.
         SuspectBusy => "suspect_busy",
         /// The entry's lease has expired.
--- a/src/core/queue_shares/tests/buckets.rs
+++ b/src/core/queue_shares/tests/buckets.rs
@@ -60,7 +60,7 @@
     let first = test.submit(&urgent, 10_000, true);
     let second = test.submit(&urgent, 10, true);
     test.shares
-        .record_refusal(test.now, JobId(test.last_id - 1), &urgent, first);
+        .record_refusal(test.now, JobId::of_number(test.last_id - 1), &urgent, first);
     let third = test.submit(&urgent, 10, true);
     assert_eq!(
         (first.is_beyond(), second.is_beyond(), third.is_beyond()),
--- a/src/core/queue_shares/tests/mod.rs
+++ b/src/core/queue_shares/tests/mod.rs
@@ -114,9 +114,13 @@
         is_congested: bool,
     ) -> ShareGrant {
         let request = request(estimate_ms);
-        let grant = self
-            .shares
-            .admit(self.now, JobId(id), route, &request, is_congested);
+        let grant = self.shares.admit(
+            self.now,
+            JobId::of_number(id),
+            route,
+            &request,
+            is_congested,
+        );
         self.update();
         grant
     }
--- a/src/core/tests/floods/flood_site.rs
+++ b/src/core/tests/floods/flood_site.rs
@@ -218,7 +218,7 @@
         let submission = Submission {
             waiter: WaiterId(call),
             // The worker derives the run time from the number.
-            id: JobId(call * 8 + queue as u64),
+            id: JobId::of_number(call * 8 + queue as u64),
             request: load.request(),
             route,
             time_left_ms: CLIENT_TIMEOUT_MS,
--- a/src/core/tests/seeds.rs
+++ b/src/core/tests/seeds.rs
@@ -9,6 +9,7 @@
 const RETIREMENT_SEEDS: u64 = 100;
 const DEPARTURE_SEEDS: u64 = 100;
 const CRASH_SEEDS: u64 = 100;
+const SHARED_NUMBER_SEEDS: u64 = 100;
 const REJECTION_SEEDS: u64 = 100;
 const COMPETITION_SEEDS: u64 = 100;
 const INCARNATION_SEEDS: u64 = 100;
@@ -109,6 +110,24 @@
     }
 }
 
+/// A job was answered with the outcome of another queue's job with the same number.
+#[test]
+fn jobs_of_two_queues_with_the_same_number_violate_no_invariant() {
+    let completed = |shared_numbers: bool| {
+        let setup = Setup {
+            shared_numbers,
+            ..Setup::production()
+        };
+        let counts = (0..SHARED_NUMBER_SEEDS).map(|seed| {
+            let report = assert_no_violations(seed, setup).report;
+            u64::from(report.outcome_counts["completed"])
+        });
+        counts.sum::<u64>()
+    };
+    let (with, without) = (completed(true), completed(false));
+    assert!(with * 100 > without * 97, "{with}, without {without}");
+}
+
 /// A session that is retired under load must neither lose tasks nor run them twice, and must hardly
 /// cost any completed job.
 #[test]
--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -22,8 +22,8 @@
         routes::Route,
         time::Instant,
         work::{
-            JobId, JobRequest, Resources, RunLimits, StepSpec, TaskId, WorkerIncarnation,
-            WorkerView,
+            JobId, JobNumber, JobRequest, QueueId, Resources, RunLimits, StepSpec, TaskId,
+            TaskName, WorkerIncarnation, WorkerView,
         },
     },
     crate::standin::WorkerModel,
@@ -82,6 +82,8 @@
     pub(super) rejections: u64,
     /// Number of random faults.
     pub(super) faults: u64,
+    /// Whether each job has the same number as one of another queue of the service.
+    pub(super) shared_numbers: bool,
 }
 
 impl Setup {
@@ -102,6 +104,7 @@
             foreign_leaves: 0,
             rejections: 0,
             faults: FAULTS,
+            shared_numbers: false,
         }
     }
 }
@@ -329,8 +332,14 @@
             self.schedule_in_ms(5, Event::WorkerTick { worker });
             self.schedule_in_ms(100, Event::Heartbeat { worker });
         }
+        let mut at_ms = 0;
         for client in 0..JOBS {
-            let at_ms = self.rng.between(2_000, 2_000 + LOAD_DURATION_MS);
+            let is_twin = self.setup.shared_numbers && client % 2 == 1;
+            at_ms = if is_twin {
+                at_ms + self.rng.between(0, 1_500)
+            } else {
+                self.rng.between(2_000, 2_000 + LOAD_DURATION_MS)
+            };
             self.add_client(client, at_ms);
         }
         for _ in 0..self.setup.faults {
@@ -374,10 +383,38 @@
         }
     }
 
+    fn job_of_client(&self, client: u64) -> JobId {
+        if !self.setup.shared_numbers {
+            return JobId::of_number(client + 1);
+        }
+        let path_prefix = ["/shares/", "/rents/"][client as usize % 2];
+        JobId {
+            queue: QueueId::new("a.example", path_prefix),
+            number: JobNumber(client / 2 + 1),
+        }
+    }
+
+    /// The task that a worker knows by this name; the specification is the number of its client.
+    fn task_of(&self, name: TaskName, spec: &str) -> TaskId {
+        let client: usize = spec.parse().expect("the number of a client");
+        TaskId {
+            job: self.clients[client].job,
+            step: name.step,
+            index: name.index,
+        }
+    }
+
+    fn active_tasks(&self, worker: usize) -> BTreeSet<TaskId> {
+        let active = self.workers[worker].active_specs().into_iter();
+        active
+            .map(|(name, spec)| self.task_of(name, &spec))
+            .collect()
+    }
+
     fn add_client(&mut self, number: u64, at_ms: u64) {
         let client_timeout_ms = self.rng.between(1_500, 7_000);
         self.clients.push(ClientModel {
-            job: JobId(number + 1),
+            job: self.job_of_client(number),
             tasks: self.rng.between(1, 4) as u16,
             // One job in four may run longer than `RETRY_DELAY_MS`.
             run_ms: if self.rng.percent_chance(25) {
@@ -1016,10 +1053,11 @@
             return StartResponse::Rejected;
         }
         let now = self.now;
+        let task = self.task_of(call.task, &call.spec);
         let run_ms = self
             .clients
             .iter()
-            .find(|client| client.job == call.task.job)
+            .find(|client| client.job == task.job)
             .map_or(100, |client| client.run_ms);
         let outcome = if self.rng.percent_chance(3) {
             RunOutcome::Failed
@@ -1028,15 +1066,15 @@
         };
         let (response, started) = self.workers[worker].start(now, call, run_ms, outcome);
         if started {
-            self.check_start(worker, call.task);
-            self.crash_if_guilty(worker, call.task);
+            self.check_start(worker, task);
+            self.crash_if_guilty(worker, task);
         }
         response
     }
 
     /// Whether the job's tasks crash their workers.
     fn is_guilty(&self, job: JobId) -> bool {
-        job.0 <= self.setup.crashing_jobs
+        job.number.0 <= self.setup.crashing_jobs
     }
 
     fn crash_if_guilty(&mut self, worker: usize, task: TaskId) {
@@ -1058,7 +1096,7 @@
             return;
         }
         self.advance_worker(worker);
-        for task in self.workers[worker].active_runs().into_keys() {
+        for task in self.active_tasks(worker) {
             self.report.crashes.entry(task).or_default().0 += 1;
         }
     }
@@ -1097,7 +1135,7 @@
             self.advance_worker(other);
             if other != worker
                 && self.worker_alive[other]
-                && self.workers[other].active_runs().contains_key(&task)
+                && self.active_tasks(other).contains(&task)
             {
                 let what = format!("{task} runs twice, at workers {worker} and {other}");
                 self.report.record_violation(what);
@@ -1119,7 +1157,8 @@
 
     pub(super) fn advance_worker(&mut self, worker: usize) {
         let now = self.now;
-        for task in self.workers[worker].advance(now) {
+        for (name, spec) in self.workers[worker].advance(now) {
+            let task = self.task_of(name, &spec);
             self.report.done_tasks.insert(task);
         }
     }
@@ -1265,7 +1304,7 @@
         let submission = Submission {
             waiter: WaiterId(call.2),
             id: model.job,
-            request: request(model.tasks, model.run_ms),
+            request: request(client, model.tasks, model.run_ms),
             route: Arc::new(route(self.setup.competing_queues.then_some(model.job))),
             time_left_ms: model.deadline.millis_since(now),
         };
@@ -1666,7 +1705,7 @@
 
 /// The route of the only queue, or of one of three competing queues for this job.
 fn route(competing_job: Option<JobId>) -> Route {
-    let priority = competing_job.map_or(0, |job| (job.0 % 3) as u32);
+    let priority = competing_job.map_or(0, |job| (job.number.0 % 3) as u32);
     Route {
         name: format!("shares-{priority}"),
         host: "a.example".to_owned(),
@@ -1682,7 +1721,7 @@
     }
 }
 
-fn request(tasks: u16, run_ms: u64) -> JobRequest {
+fn request(client: usize, tasks: u16, run_ms: u64) -> JobRequest {
     let step = StepSpec {
         tasks,
         needs: Resources {
@@ -1696,7 +1735,7 @@
         max_per_worker: 0,
     };
     JobRequest {
-        spec: Arc::from("spec"),
+        spec: Arc::from(client.to_string()),
         steps: vec![step],
         unsupported: None,
     }
--- a/src/core/work/mod.rs
+++ b/src/core/work/mod.rs
@@ -8,10 +8,10 @@
 mod worker_view;
 
 pub(crate) use {
-    job_id::JobId,
+    job_id::{JobId, JobNumber, QueueId},
     job_request::{JobRequest, StepSpec, UnsupportedFeature},
     resources::Resources,
-    run_id::{RunId, TaskId},
+    run_id::{RunId, TaskId, TaskName},
     run_limits::RunLimits,
     worker_view::{WorkerIncarnation, WorkerView},
 };
--- a/src/platform/client_protocol.rs
+++ b/src/platform/client_protocol.rs
@@ -6,7 +6,7 @@
         adapters::http::{HttpRequest, HttpResponse},
         core::{
             dispatch::JobOutcome,
-            work::{JobId, JobRequest},
+            work::{JobNumber, JobRequest},
         },
     },
     http::{Method, StatusCode},
@@ -18,10 +18,10 @@
 /// The operation that a client requests.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum ClientAction {
-    Submit(JobId),
+    Submit(JobNumber),
     /// Get the status of a job.
-    Status(JobId),
-    Cancel(JobId),
+    Status(JobNumber),
+    Cancel(JobNumber),
     /// Get the number of pending jobs.
     Pending,
     /// No supported operation.
@@ -35,7 +35,7 @@
 impl ClientProtocol {
     /// Parses the operation on a queue; `rest` is the path after the queue's prefix.
     pub(crate) fn parse_action(method: &Method, rest: &str) -> ClientAction {
-        let id = JobId::parse(rest);
+        let id = JobNumber::parse(rest);
         match (method, id) {
             (&Method::POST, Some(id)) => ClientAction::Submit(id),
             (&Method::GET, Some(id)) => ClientAction::Status(id),
--- a/src/platform/http_worker_client.rs
+++ b/src/platform/http_worker_client.rs
@@ -10,7 +10,7 @@
                 HoldCall, HoldResponse, ListedEnd, ListedRun, StartCall, StartResponse, StopCall,
             },
             link::RunOutcome,
-            work::{JobId, TaskId},
+            work::{JobNumber, TaskName},
         },
         ports::WorkerClient,
     },
@@ -187,15 +187,15 @@
 }
 
 /// The name's second part is the number of the job's recurrence; zero for a job that runs once.
-fn task_name(task: TaskId) -> String {
+fn task_name(task: TaskName) -> String {
     format!("{}.0.{}.{}", task.job, task.step, task.index)
 }
 
-fn parse_task_name(name: &str) -> Option<TaskId> {
+fn parse_task_name(name: &str) -> Option<TaskName> {
     let mut parts = name.split('.');
-    let job = JobId::parse(parts.next()?)?;
+    let job = JobNumber::parse(parts.next()?)?;
     let _recurrence = parts.next()?;
-    Some(TaskId {
+    Some(TaskName {
         job,
         step: parts.next()?.parse().ok()?,
         index: parts.next()?.parse().ok()?,
--- a/src/site_entry/client_api.rs
+++ b/src/site_entry/client_api.rs
@@ -9,7 +9,7 @@
                 DispatchEvent, GiveUpReason, JobOutcome, RefusalReason, Submission, WaiterId,
             },
             routes::{HttpLimits, Route},
-            work::JobId,
+            work::{JobId, JobNumber, QueueId},
         },
         platform::{ClientAction, ClientProtocol},
         ports::{Counter, DecisionLog, LogPriority, Metrics, log_decision},
@@ -70,14 +70,14 @@
     async fn submit(
         &self,
         http_request: &HttpRequest,
-        id: JobId,
+        number: JobNumber,
         route: &Route,
         arrived_at: Instant,
     ) -> HttpResponse {
         let request = match ClientProtocol::parse_job(http_request) {
             Ok(request) => request,
             Err(error) => {
-                log::info!(job:% = id, error:% = error; "invalid job request");
+                log::info!(job:% = number, error:% = error; "invalid job request");
                 self.record_rejection(http_request, RefusalReason::BadJob.as_str());
                 return ClientProtocol::bad_request();
             }
@@ -91,7 +91,10 @@
         let waited_ms = u64::try_from(arrived_at.elapsed().as_millis()).unwrap_or(u64::MAX);
         let submission = Submission {
             waiter,
-            id,
+            id: JobId {
+                queue: QueueId::new(&route.host, &route.path_prefix),
+                number,
+            },
             request,
             route: Arc::new(route.clone()),
             time_left_ms: time_left_ms.saturating_sub(waited_ms),
@@ -103,7 +106,7 @@
         };
         let sent = self.inputs.send(LoopInput::Submit { submission, reply });
         if sent.is_err() {
-            log::warn!(job:% = id; "dispatcher is not running");
+            log::warn!(job:% = number; "dispatcher is not running");
             return ClientProtocol::not_configured(NOT_CONFIGURED_RETRY_MS);
         }
         match outcome.await {
@@ -159,7 +162,9 @@
             .get(route.path_prefix.len()..)
             .unwrap_or_default();
         match ClientProtocol::parse_action(&http_request.method, subpath) {
-            ClientAction::Submit(id) => self.submit(http_request, id, route, arrived_at).await,
+            ClientAction::Submit(number) => {
+                self.submit(http_request, number, route, arrived_at).await
+            }
             ClientAction::Status(_) | ClientAction::Cancel(_) => ClientProtocol::no_job(),
             ClientAction::Pending => self.pending(route).await,
             ClientAction::Unknown => ClientProtocol::bad_request(),
--- a/src/standin/site_worker.rs
+++ b/src/standin/site_worker.rs
@@ -15,7 +15,7 @@
         core::{
             execution::{HoldCall, HoldResponse, StartCall, StartResponse, StopCall},
             link::RunOutcome,
-            work::{JobId, TaskId},
+            work::{JobNumber, TaskName},
         },
         ports::TimerService,
     },
@@ -87,7 +87,7 @@
     model: Mutex<WorkerModel>,
     faults: Mutex<WorkerFaults>,
     /// Active runs whose start has been printed.
-    logged_runs: Mutex<BTreeMap<TaskId, u32>>,
+    logged_runs: Mutex<BTreeMap<TaskName, u32>>,
 }
 
 /// Runs the worker until SIGTERM.
@@ -126,16 +126,16 @@
     Ok(())
 }
 
-fn parse_task(name: &str) -> Option<TaskId> {
+fn parse_task(name: &str) -> Option<TaskName> {
     let mut parts = name.split('.');
-    Some(TaskId {
-        job: JobId::parse(parts.next()?)?,
+    Some(TaskName {
+        job: JobNumber::parse(parts.next()?)?,
         step: parts.nth(1)?.parse().ok()?,
         index: parts.next()?.parse().ok()?,
     })
 }
 
-fn task_name(task: TaskId) -> String {
+fn task_name(task: TaskName) -> String {
     format!("{}.0.{}.{}", task.job, task.step, task.index)
 }
 
@@ -183,7 +183,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         let at_us = now.as_micros();
-        let print_event = |event: &str, task: &TaskId, number: u32| {
+        let print_event = |event: &str, task: &TaskName, number: u32| {
             println!(
                 "{}",
                 json!({"at_us": at_us, "event": event, "task": task_name(*task), "run": number})
--- a/src/standin/worker_model.rs
+++ b/src/standin/worker_model.rs
@@ -7,17 +7,18 @@
         },
         link::RunOutcome,
         time::Instant,
-        work::{TaskId, WorkerIncarnation},
+        work::{TaskName, WorkerIncarnation},
     },
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 /// Maximum lease duration; longer requests are shortened to it.
 const MAX_LEASE_MS: u64 = 1_000;
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct ActiveRun {
     number: u32,
+    spec: Arc<str>,
     finishes_at: Instant,
     outcome: RunOutcome,
 }
@@ -38,9 +39,9 @@
     started_at: Instant,
     /// How much slower the worker's clock runs than real time.
     slow_permille: u64,
-    runs: BTreeMap<TaskId, ActiveRun>,
+    runs: BTreeMap<TaskName, ActiveRun>,
     /// Highest run number used for each task.
-    used_numbers: BTreeMap<TaskId, u32>,
+    used_numbers: BTreeMap<TaskName, u32>,
     ended: Vec<ListedEnd>,
     last_end_sequence: u64,
     token: u64,
@@ -79,43 +80,50 @@
     }
 
     /// Run number of each active task.
-    pub(crate) fn active_runs(&self) -> BTreeMap<TaskId, u32> {
+    pub(crate) fn active_runs(&self) -> BTreeMap<TaskName, u32> {
         self.runs
             .iter()
             .map(|(task, run)| (*task, run.number))
             .collect()
     }
 
-    /// Finishes due runs, or all runs as lost if the lease has expired; returns the tasks done.
-    pub(crate) fn advance(&mut self, now: Instant) -> Vec<TaskId> {
+    /// Specification of the job of each active task.
+    #[cfg(test)]
+    pub(crate) fn active_specs(&self) -> BTreeMap<TaskName, Arc<str>> {
+        let runs = self.runs.iter();
+        runs.map(|(task, run)| (*task, Arc::clone(&run.spec)))
+            .collect()
+    }
+
+    /// Finishes due runs, or all runs as lost if the lease has expired; returns the tasks done, with the
+    /// specification of their job.
+    pub(crate) fn advance(&mut self, now: Instant) -> Vec<(TaskName, Arc<str>)> {
         let lease_expired = self.clock_ms(now) >= self.lease_until_ms;
-        let due: Vec<(TaskId, u32, RunOutcome)> = self
+        let due: Vec<(TaskName, ActiveRun)> = self
             .runs
             .iter()
             .filter(|(_, run)| lease_expired || (now >= run.finishes_at && !self.hangs))
             .map(|(task, run)| {
-                (
-                    *task,
-                    run.number,
-                    if lease_expired {
-                        RunOutcome::Lost
-                    } else {
-                        run.outcome
-                    },
-                )
+                let outcome = if lease_expired {
+                    RunOutcome::Lost
+                } else {
+                    run.outcome
+                };
+                let run = run.clone();
+                (*task, ActiveRun { outcome, ..run })
             })
             .collect();
         let mut done = Vec::new();
-        for (task, number, end) in due {
-            self.finish_run(task, number, end);
-            if end == RunOutcome::Done {
-                done.push(task);
+        for (task, run) in due {
+            self.finish_run(task, run.number, run.outcome);
+            if run.outcome == RunOutcome::Done {
+                done.push((task, run.spec));
             }
         }
         done
     }
 
-    fn finish_run(&mut self, task: TaskId, number: u32, end: RunOutcome) {
+    fn finish_run(&mut self, task: TaskName, number: u32, end: RunOutcome) {
         self.runs.remove(&task);
         let used = self.used_numbers.entry(task).or_default();
         *used = (*used).max(number);
@@ -176,6 +184,7 @@
         }
         let run = ActiveRun {
             number: call.number,
+            spec: Arc::clone(&call.spec),
             finishes_at: now.plus_ms(run_ms),
             outcome,
         };
--- a/tests/processes/site.rs
+++ b/tests/processes/site.rs
@@ -330,3 +330,62 @@
     let metrics = get(site.entries[0].metrics_addr, "/metrics").await;
     assert!(metrics.body.contains("rattanslip_"));
 }
+
+/// Submits two jobs with the same ID, of two queues of one service, to these entries; the second one while
+/// the first one runs. Each must be completed by its own tasks.
+async fn assert_jobs_with_the_same_id_run(name: &str, entries: [usize; 2]) {
+    let site = Site::start(name, 2, 2).await;
+    let mut config = site_config(2);
+    let mut route = config["routes"][0].clone();
+    route["name"] = json!("rents");
+    route["path_prefix"] = json!("/rents/");
+    config["routes"].as_array_mut().expect("routes").push(route);
+    site.put_operator_row("config", &config).await;
+    for entry in 0..2 {
+        wait_until_serving(&site, entry).await;
+    }
+    let headers = [
+        ("host", "shares.example"),
+        ("rattanslip-deadline-ms", "8000"),
+    ];
+    eventually("the route is added", Duration::from_secs(5), || async {
+        let get = |entry: usize| {
+            let addr = site.entries[entry].client_addr;
+            request("GET", addr, "/rents/", &headers, "")
+        };
+        get(0).await.status == 200 && get(1).await.status == 200
+    })
+    .await;
+    for number in 0..5 {
+        let id = format!("{number:016x}");
+        let (first, second) = (site_job(2, 400), site_job(3, 100));
+        let path = format!("/rents/{id}");
+        let first_reply = submit_to(site.entries[entries[0]].client_addr, &id, first);
+        let second_reply = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let addr = site.entries[entries[1]].client_addr;
+            request("POST", addr, &path, &headers, &second.to_string()).await
+        };
+        let (first_reply, second_reply) = tokio::join!(first_reply, second_reply);
+        let completed = r#"{"state":"completed"}"#;
+        assert_eq!(first_reply.expect("reply").body, completed);
+        assert_eq!(second_reply.body, completed);
+        let is_done =
+            |(_, event, task): &&(usize, String, String)| event == "end" && task.starts_with(&id);
+        eventually("all tasks have ended", Duration::from_secs(1), || async {
+            site.run_events().iter().filter(is_done).count() >= 5
+        })
+        .await;
+    }
+}
+
+/// The second job was answered with the outcome of the first one, and its tasks never ran.
+#[tokio::test]
+async fn jobs_of_two_queues_with_the_same_id_run_at_one_entry() {
+    assert_jobs_with_the_same_id_run("same-id", [0, 0]).await;
+}
+
+#[tokio::test]
+async fn jobs_of_two_queues_with_the_same_id_run_at_two_entries() {
+    assert_jobs_with_the_same_id_run("same-id-entries", [0, 1]).await;
+}
