Rows of other writers are left aside one by one

Callers saw (other operators' report): one odd row among those of the workers, and the machines that read the list ended or stopped following it. Here no process ended, but one odd row made a list unreadable: a worker with one in its run list got no task, and evacuations beside one weren't followed.

Cause: each list was parsed as a whole. Rows are parsed one by one now, and a row's values only where they are used: a run whose percent is 1e999 is still listed, since it would count as lost otherwise and start a second time. Also: keys are escaped in the query of the next page, an agent takes the row of its own key for its stored view, and an end's number beyond what a worker can count to is left aside, because it would hide all later ends.

Tests for each list: runs, ends, routes and services, operators' rows (read and feed), entries (read and feed), stored views, pages, heartbeats; 15 to 20 odd rows each, and a property with 2,000 random values.

--- a/src/platform/config_document.rs
+++ b/src/platform/config_document.rs
@@ -1,7 +1,10 @@
 //! Parses the operators' configuration document.
 
 use {
-    super::{PlatformError, json::read_json},
+    super::{
+        PlatformError,
+        json::{RowList, duration_ms, read_json},
+    },
     crate::core::{
         document::Document,
         routes::{HttpLimits, Route, RouteTable, ServiceConfig, SiteConfig},
@@ -13,9 +16,9 @@
 struct ConfigBody {
     version: u64,
     #[serde(default)]
-    routes: Vec<RouteBody>,
+    routes: RowList,
     #[serde(default)]
-    services: Vec<ServiceBody>,
+    services: RowList,
     #[serde(default)]
     limits: LimitsBody,
 }
@@ -26,10 +29,10 @@
     host: String,
     path_prefix: String,
     service: String,
-    #[serde(default = "default_timeout_ms")]
+    #[serde(default = "default_timeout_ms", deserialize_with = "duration_ms")]
     timeout_ms: u64,
     /// Despite its name not the target duration, but the time that the objective allows beyond the stretched work.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "duration_ms")]
     target_duration_ms: u64,
     #[serde(default)]
     priority: u32,
@@ -69,16 +72,17 @@
     1.0
 }
 
-/// Parses the configuration in a document.
+/// Parses the configuration in a document; routes and services that are malformed are left aside.
 pub(crate) fn parse_config(document: &Document) -> Result<SiteConfig, PlatformError> {
     let body: ConfigBody = read_json(&document.text)?;
     Ok(SiteConfig {
         version: body.version,
-        routes: RouteTable::new(body.routes.into_iter().map(route)),
+        routes: RouteTable::new(body.routes.parse_objects("routes").into_iter().map(route)),
         services: body
             .services
+            .parse_objects("services")
             .into_iter()
-            .map(|service| (service.name.clone(), self::service(service)))
+            .map(|service: ServiceBody| (service.name.clone(), self::service(service)))
             .collect(),
         limits: limits(&body.limits),
     })
--- a/src/platform/http_worker_client.rs
+++ b/src/platform/http_worker_client.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
-        PlatformError, PlatformHttpClient, json::write_json, platform_http_client::PlatformRequest,
+        PlatformError, PlatformHttpClient,
+        json::{RowList, parse_field, parse_fields, write_json},
+        platform_http_client::PlatformRequest,
     },
     crate::{
         core::{
@@ -74,9 +76,9 @@
     #[serde(default)]
     born: Option<u64>,
     #[serde(default)]
-    running: Vec<Vec<serde_json::Value>>,
+    running: RowList,
     #[serde(default)]
-    finished: Vec<Vec<serde_json::Value>>,
+    finished: RowList,
 }
 
 /// Client of the worker at one address.
@@ -220,7 +222,7 @@
 }
 
 /// Parses the worker's run list; ignores malformed rows.
-fn parse_run_list(body: &[u8]) -> HoldResponse {
+pub(super) fn parse_run_list(body: &[u8]) -> HoldResponse {
     let body: RunListBody = match serde_json::from_slice(body) {
         Ok(body) => body,
         Err(error) => {
@@ -231,39 +233,36 @@
     HoldResponse::RunList {
         born_unix_ms: body.born,
         clock_ms: body.clock_ms,
-        running: body
-            .running
-            .iter()
-            .filter_map(|row| parse_listed_run(row))
-            .collect(),
-        ended: body
-            .finished
-            .iter()
-            .filter_map(|row| parse_listed_end(row))
-            .collect(),
+        running: body.running.parse("running", parse_listed_run),
+        ended: body.finished.parse("finished", parse_listed_end),
     }
 }
 
 /// Parses a row of task, run and unused values.
-fn parse_listed_run(row: &[serde_json::Value]) -> Option<ListedRun> {
+fn parse_listed_run(row: &str) -> Option<ListedRun> {
+    let fields = parse_fields(row)?;
     Some(ListedRun {
-        task: parse_task_name(row.first()?.as_str()?)?,
-        number: u32::try_from(row.get(1)?.as_u64()?).ok()?,
+        task: parse_task_name(&parse_field::<String>(&fields, 0)?)?,
+        number: parse_field(&fields, 1)?,
     })
 }
 
 /// Parses a row of sequence number, task, run and outcome; an unknown outcome counts as lost.
-fn parse_listed_end(row: &[serde_json::Value]) -> Option<ListedEnd> {
-    let end = match row.get(3)?.as_str()? {
+///
+/// A worker counts its ends from 1. A higher number than it can reach is of another writer, and would hide all
+/// later ends.
+fn parse_listed_end(row: &str) -> Option<ListedEnd> {
+    let fields = parse_fields(row)?;
+    let end = match parse_field::<String>(&fields, 3)?.as_str() {
         "done" => RunOutcome::Done,
         "failed" => RunOutcome::Failed,
         "stopped" => RunOutcome::Stopped,
         _ => RunOutcome::Lost,
     };
     Some(ListedEnd {
-        sequence: row.first()?.as_u64()?,
-        task: parse_task_name(row.get(1)?.as_str()?)?,
-        number: u32::try_from(row.get(2)?.as_u64()?).ok()?,
+        sequence: parse_field::<u32>(&fields, 0)?.into(),
+        task: parse_task_name(&parse_field::<String>(&fields, 1)?)?,
+        number: parse_field(&fields, 2)?,
         end,
     })
 }
--- a/src/platform/rows_store.rs
+++ b/src/platform/rows_store.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         PlatformError, PlatformHttpClient,
-        json::{read_json, write_json},
+        json::{RowList, read_json, write_json},
         platform_http_client::PlatformRequest,
     },
     crate::{
@@ -19,6 +19,7 @@
     base64::{Engine, engine::general_purpose::STANDARD},
     bytes::Bytes,
     http::{Method, StatusCode},
+    percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
 };
@@ -62,13 +63,20 @@
 #[derive(Debug, Deserialize)]
 struct RowsBody {
     #[serde(default)]
-    rows: Vec<RowBody>,
+    rows: RowList,
     #[serde(default)]
     truncated: bool,
     /// The latest store version, or the version that a transaction created.
     ver: u64,
 }
 
+/// Rows that changed up to a version.
+#[derive(Debug)]
+struct ChangedRows {
+    rows: Vec<RowBody>,
+    version: u64,
+}
+
 #[derive(Debug, Clone, Copy, Serialize)]
 struct RowKey<'a> {
     table: &'a str,
@@ -151,13 +159,22 @@
                 return Err(PlatformError::Rejected(status));
             }
             let page: RowsBody = read_json(&body)?;
-            rows.extend(page.rows);
+            let page_rows: Vec<RowBody> = page.rows.parse_objects("rows");
+            rows.extend(page_rows);
             // The feed delivers all changes after the version of the first page.
             let version = *version.get_or_insert(page.ver);
             let last = rows.last().filter(|_| page.truncated);
             match last {
                 // Keys are in ascending order; a key with an appended zero byte is the next possible key.
-                Some(last) => from = format!("&from={}%00", last.key),
+                Some(last) => {
+                    let key = utf8_percent_encode(&last.key, NON_ALPHANUMERIC);
+                    let next = format!("&from={key}%00");
+                    if next == from {
+                        let detail = "a page has no row that can be parsed".to_owned();
+                        return Err(PlatformError::Malformed(detail));
+                    }
+                    from = next;
+                }
                 None => return Ok((rows, version)),
             }
         }
@@ -170,13 +187,15 @@
         table: &str,
         after: u64,
         wait_ms: u64,
-    ) -> Result<Option<RowsBody>, PlatformError> {
+    ) -> Result<Option<ChangedRows>, PlatformError> {
         let path = format!("/v1/rows-feed?table={table}&after={after}&wait_ms={wait_ms}");
         let (status, body) = self.get(path, wait_ms + FEED_TIMEOUT_MARGIN_MS).await?;
         match status {
             StatusCode::OK => {
                 let page: RowsBody = read_json(&body)?;
-                Ok((!page.truncated).then_some(page))
+                let rows = page.rows.parse_objects("changed rows");
+                let version = page.ver;
+                Ok((!page.truncated).then_some(ChangedRows { rows, version }))
             }
             StatusCode::GONE => Ok(None),
             status => Err(PlatformError::Rejected(status)),
@@ -211,20 +230,25 @@
 
 impl OperatorRowsPage {
     /// Parses rows in order; a later row replaces an earlier one of the same key. A deletion of the configuration is
-    /// ignored, so the last one stays in force.
-    fn parse(rows: &[RowBody]) -> Result<Self, PlatformError> {
+    /// ignored, so the last one stays in force, and so is one that can't be decoded.
+    fn parse(rows: &[RowBody]) -> Self {
         let mut page = Self::default();
         for row in rows {
             if let Some(zone) = row.key.strip_prefix(EVACUATE_PREFIX) {
                 page.zones.insert(zone.to_owned(), !row.deleted);
             } else if row.key == CONFIG_KEY && !row.deleted {
-                page.document = Some(Document {
-                    revision: row.ver,
-                    text: Arc::from(decode(row)?),
-                });
+                match decode(row) {
+                    Ok(text) => {
+                        page.document = Some(Document {
+                            revision: row.ver,
+                            text: Arc::from(text),
+                        });
+                    }
+                    Err(error) => log::warn!(error:% = error; "the configuration can't be decoded"),
+                }
             }
         }
-        Ok(page)
+        page
     }
 }
 
@@ -237,7 +261,7 @@
 impl SiteStore for RowsStore {
     async fn read_operator_rows(&self) -> Result<OperatorRows, StoreError> {
         let (rows, version) = self.read_rows(OPERATORS_TABLE, "").await?;
-        let changed = OperatorRowsPage::parse(&rows)?;
+        let changed = OperatorRowsPage::parse(&rows);
         let zones = changed.zones.into_iter();
         Ok(OperatorRows {
             zones: EvacuatedZones {
@@ -275,11 +299,11 @@
         else {
             return Ok(OperatorChange::HistoryUnavailable);
         };
-        let version = page.ver;
+        let version = page.version;
         if page.rows.is_empty() {
             return Ok(OperatorChange::None { version });
         }
-        let OperatorRowsPage { zones, document } = OperatorRowsPage::parse(&page.rows)?;
+        let OperatorRowsPage { zones, document } = OperatorRowsPage::parse(&page.rows);
         Ok(OperatorChange::Rows {
             version,
             zones,
@@ -313,7 +337,7 @@
             Some(EntryListChange { entry, is_listed })
         };
         Ok(EntryListUpdate::Changes {
-            version: page.ver,
+            version: page.version,
             changes: page.rows.iter().filter_map(change).collect(),
         })
     }
@@ -362,11 +386,16 @@
 
     async fn read_worker(&self, agent: &str) -> Result<Option<WorkerView>, StoreError> {
         let (rows, _) = self.read_rows(WORKERS_TABLE, agent).await?;
-        let Some(row) = rows.first() else {
+        let Some(row) = rows.iter().find(|row| row.key == WORKER_KEY) else {
             return Ok(None);
         };
-        let worker = decode(row).and_then(|value| read_json(&value))?;
-        Ok(Some(worker))
+        match decode(row).and_then(|value| read_json(&value)) {
+            Ok(worker) => Ok(Some(worker)),
+            Err(error) => {
+                log::info!(error:% = error; "the stored worker view is malformed");
+                Ok(None)
+            }
+        }
     }
 
     async fn store_worker(&self, agent: &str, worker: &WorkerView) -> Result<(), StoreError> {
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the platform's formats and calls.
 
+mod odd_rows;
 mod silent_connections;
 
 use {
