Durations in jobs and configurations are limited to a year

The largest estimates and targets overflowed in sums at entries ("attempt to add with overflow", objective_ms, found by the_largest_figures_are_handled; release builds wrapped around). They are shortened where they are parsed.

--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -715,3 +715,38 @@
     let reason = RefusalReason::Leaving;
     assert!(matches!(outcomes[..], [JobOutcome::NotRun { reason: r, .. }] if r == reason));
 }
+
+/// Longest duration in a job or route, in milliseconds.
+const LONGEST_MS: u64 = 365 * 24 * 3_600 * 1_000;
+
+/// Figures of another writer's report, or of a client's job, must not end the process.
+#[test]
+fn the_largest_figures_are_handled() {
+    let mut dispatcher = TestDispatcher::with_workers(2);
+    dispatcher.connect_with(3, u32::MAX / 1_000, 1_000);
+    let largest = CapacityReport {
+        free: Resources {
+            cpu_milli: u32::MAX,
+            memory_mb: u32::MAX,
+            accelerators: u32::MAX,
+        },
+        starts_seen: u32::MAX,
+        share_permille: u16::MAX,
+        slowness_permille: u16::MAX,
+    };
+    dispatcher.receive_report(3, largest);
+    let steps = vec![step(3, LONGEST_MS), step(2, 50)];
+    dispatcher.submit(job(1, 0, steps));
+    let mut patient = job(2, 0, vec![step(2, LONGEST_MS)]);
+    patient.time_left_ms = LONGEST_MS;
+    let route = Route {
+        timeout_ms: LONGEST_MS,
+        target_ms: LONGEST_MS,
+        stretch: 1e6,
+        ..Route::clone(&patient.route)
+    };
+    patient.route = Arc::new(route);
+    dispatcher.submit(patient);
+    dispatcher.submit(job(3, 0, vec![step(1, 50)]));
+    dispatcher.advance_ms(2_000);
+}
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -830,3 +830,38 @@
     }
     assert_eq!(test.outcomes(), [RunOutcome::Lost]);
 }
+
+/// Figures of another writer's report must not end the process.
+#[test]
+fn a_report_with_the_largest_figures_is_handled() {
+    let largest = Resources {
+        cpu_milli: u32::MAX,
+        memory_mb: u32::MAX,
+        accelerators: u32::MAX,
+    };
+    for born_unix_ms in [0, BORN_MS, u64::MAX] {
+        let mut test = TestExecutor::ready();
+        test.start_task(1, StartResponse::Accepted);
+        let view = WorkerView {
+            capacity: largest,
+            ..view(born_unix_ms, false)
+        };
+        let sequence = u64::MAX;
+        test.send_event(ExecutionEvent::Heartbeat { view, sequence });
+        for call in test.hold_calls() {
+            let response = HoldResponse::RunList {
+                born_unix_ms: Some(born_unix_ms),
+                clock_ms: u64::MAX,
+                running: Vec::new(),
+                ended: Vec::new(),
+            };
+            test.send_event(ExecutionEvent::HoldAnswered { call, response });
+        }
+        test.send_entry_heartbeat();
+        test.send_frame(EntryFrame::Start(start_order(2)));
+        for _ in 0..200 {
+            test.advance(20);
+            test.send_entry_heartbeat();
+        }
+    }
+}
--- a/src/platform/client_protocol.rs
+++ b/src/platform/client_protocol.rs
@@ -1,7 +1,7 @@
 //! The HTTP protocol of clients.
 
 use {
-    super::{PlatformError, job_body::parse_job},
+    super::{PlatformError, job_body::parse_job, json::MAX_DURATION_MS},
     crate::{
         adapters::http::{HttpRequest, HttpResponse},
         core::{
@@ -52,7 +52,8 @@
 
     /// How long the client waits; `None` if it doesn't specify a valid time.
     pub(crate) fn time_left_ms(request: &HttpRequest) -> Option<u64> {
-        request.header(DEADLINE_HEADER)?.parse().ok()
+        let time_left_ms: u64 = request.header(DEADLINE_HEADER)?.parse().ok()?;
+        Some(time_left_ms.min(MAX_DURATION_MS))
     }
 
     /// The response with the final outcome of a job.
--- a/src/platform/job_body.rs
+++ b/src/platform/job_body.rs
@@ -1,7 +1,10 @@
 //! Parses jobs that clients submit.
 
 use {
-    super::{PlatformError, json::read_json},
+    super::{
+        PlatformError,
+        json::{duration_ms, read_json},
+    },
     crate::core::work::{JobRequest, Resources, StepSpec, UnsupportedFeature},
     serde::Deserialize,
     std::sync::Arc,
@@ -33,7 +36,7 @@
     mem_mb: u32,
     #[serde(default)]
     gpu: u32,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "duration_ms")]
     estimate_ms: u64,
     #[serde(default)]
     after: Vec<u16>,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -165,6 +165,15 @@
         Some(UnsupportedFeature::LongRunning);
 }
 
+/// Sums of estimates must not overflow.
+#[test]
+fn an_estimate_is_a_year_at_most() {
+    let body =
+        json!({"spec": "x", "best_effort": true, "steps": [{"count": 2, "estimate_ms": u64::MAX}]});
+    let job = parse_job(body.to_string().as_bytes()).expect("valid job");
+    assert_eq!(job.steps[0].estimate_ms, 365 * 24 * 3_600 * 1_000);
+}
+
 /// A document with fields of a newer version is accepted; one without a valid version number is rejected.
 #[test]
 fn unknown_fields_of_a_document_are_ignored() {
