Log messages are written by a thread of their own

Where the reader was gone, each message panicked the task that logged it.

Cause: messages were written by the thread that logs them, which runs everything. Messages and decisions use one writer now: a thread, a bounded queue and a budget; what is dropped is counted and reported, and write errors end the writing only.

--- a/src/adapters/logging/line_budget.rs
+++ b/src/adapters/logging/line_budget.rs
@@ -55,6 +55,13 @@
         *self.dropped.entry(event.to_owned()).or_default() += 1;
     }
 
+    /// Counts lines again whose report was dropped.
+    pub(super) fn restore_dropped(&mut self, dropped: BTreeMap<String, u64>) {
+        for (event, count) in dropped {
+            *self.dropped.entry(event).or_default() += count;
+        }
+    }
+
     /// Returns the dropped lines by event, at most once per interval.
     pub(super) fn drain_dropped(&mut self, now_ms: u64) -> Option<BTreeMap<String, u64>> {
         if self.dropped.is_empty()
--- a/src/adapters/logging/mod.rs
+++ b/src/adapters/logging/mod.rs
@@ -3,6 +3,8 @@
 mod decision_writer;
 mod init;
 mod line_budget;
+mod line_writer;
+mod message_writer;
 
 #[cfg(test)]
 mod tests;
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -13,6 +13,7 @@
 
 /// Prints an error to standard error and returns its exit code.
 pub(crate) fn exit_code(result: Result<(), RunError>) -> ExitCode {
+    log::logger().flush();
     let Err(error) = result else {
         return ExitCode::SUCCESS;
     };
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -18,4 +18,5 @@
 mod silent_connections;
 mod site;
 mod support;
+mod unread_logs;
 mod worker_reports;
--- a/tests/processes/support/process.rs
+++ b/tests/processes/support/process.rs
@@ -5,7 +5,7 @@
     std::{
         fs::File,
         path::Path,
-        process::{Child, Command, ExitStatus},
+        process::{Child, Command, ExitStatus, Stdio},
         time::{Duration, Instant},
     },
 };
@@ -29,6 +29,20 @@
         Self { child }
     }
 
+    /// Starts a program whose stdout and stderr nobody reads; `is_reader_gone` closes them.
+    pub fn start_unread(program: &str, args: &[&str], is_reader_gone: bool) -> Self {
+        let mut child = Command::new(program)
+            .args(args)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("program starts");
+        if is_reader_gone {
+            drop((child.stdout.take(), child.stderr.take()));
+        }
+        Self { child }
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).expect("process id");
         kill_process(Pid::from_raw(pid).expect("process id"), signal).expect("signal");
--- a/tests/processes/support/site.rs
+++ b/tests/processes/support/site.rs
@@ -278,6 +278,26 @@
         worker.agent = start_agent(&worker.settings, &self.folder);
     }
 
+    /// Kills all entries and agents and restarts them with logs that nobody reads.
+    pub fn restart_with_unread_logs(&mut self, is_reader_gone: bool) {
+        let entries = self.entries.iter_mut();
+        let entries = entries.map(|entry| {
+            let program = env!("CARGO_BIN_EXE_rattanslip-entry");
+            (&mut entry.process, program, &entry.settings)
+        });
+        let workers = self.workers.iter_mut();
+        let agents = workers.map(|worker| {
+            let program = env!("CARGO_BIN_EXE_rattanslip-agent");
+            (&mut worker.agent, program, &worker.settings)
+        });
+        for (process, program, settings) in entries.chain(agents) {
+            process.kill();
+            let path = settings.to_string_lossy();
+            let args = ["--settings", path.as_ref()];
+            *process = Process::start_unread(program, &args, is_reader_gone);
+        }
+    }
+
     /// Adds an entry to an agent's seeds; effective after the agent's restart.
     pub fn set_seed(&self, agent: usize, entry: usize) {
         let settings = &self.workers[agent].settings;
