Heartbeats without labels are rejected

Cause: labels were optional, though each worker sends them ("a worker's report about itself also contains capacity and labels"). The field is required, and a clock of another type is rejected too.

a_heartbeat_with_more_fields_and_without_labels_is_valid stated the opposite: it assumed that workers without labels leave the field out. It asks for an empty list instead, and missing_labels_are_rejected, which the earlier parser fails, is as strict the other way.

--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -93,6 +93,10 @@
     a_missing_state_is_rejected: |body| remove(body, "state");
     a_missing_capacity_is_rejected: |body| remove(body, "capacity");
     a_missing_sequence_is_rejected: |body| remove(body, "seq");
+    missing_labels_are_rejected: |body| remove(body, "labels");
+    labels_that_are_null_are_rejected: |body| body["labels"] = Value::Null;
+    labels_that_are_numbers_are_rejected: |body| body["labels"] = json!([1]);
+    a_clock_that_is_text_is_rejected: |body| body["clock_ms"] = json!("482113");
     labels_that_are_text_are_rejected: |body| body["labels"] = json!("a");
 }
 
@@ -100,11 +104,11 @@
     body.as_object_mut().expect("an object").remove(field);
 }
 
-/// Later versions of the format may add fields, and workers without labels leave them out.
+/// Later versions of the format may add fields, and a worker may have no label.
 #[test]
-fn a_heartbeat_with_more_fields_and_without_labels_is_valid() {
+fn a_heartbeat_with_more_fields_and_with_an_empty_list_of_labels_is_valid() {
     let mut body = heartbeat();
-    remove(&mut body, "labels");
+    body["labels"] = json!([]);
     body["remaining_ms"] = json!(2_000);
     body["colour"] = json!({"name": "blue"});
     assert!(parse_heartbeat(body.to_string().as_bytes()).is_some());
--- a/src/platform/worker_reports.rs
+++ b/src/platform/worker_reports.rs
@@ -44,8 +44,10 @@
     #[serde(rename = "cold_remaining_ms")]
     _cold_remaining_ms: f64,
     capacity: CapacityBody,
-    #[serde(default)]
     labels: Vec<String>,
+    /// The worker's clock, in milliseconds.
+    #[serde(default, rename = "clock_ms")]
+    _clock_ms: Option<u64>,
     seq: u64,
     /// Start of the worker incarnation, in Unix milliseconds.
     born: u64,
