Limits of the configuration are in force on open connections

Cause: a connection read the limits once, when it was accepted. They are read for each request and each check now; a connection that was opened under another limit of the header closes after its current request, since its buffer can't be resized.

Seen failing with the earlier server: five of the six tests in adapters/http/tests/limits.rs (the sixth, a connection that stays open, passes).

--- a/src/adapters/http/http_server.rs
+++ b/src/adapters/http/http_server.rs
@@ -19,6 +19,8 @@
 
 /// Minimum buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
+/// Longest interval between the checks of a connection, in milliseconds; a shorter timeout is in force after it.
+const MAX_CHECK_INTERVAL_MS: u64 = 1_500;
 /// Checks of a connection per header timeout.
 const CHECKS_PER_HEADER_TIMEOUT: u64 = 2;
 
@@ -102,7 +104,7 @@
     /// Handles one request. The future is dropped when the client disconnects.
     async fn handle(&self, request: HttpRequest) -> HttpResponse;
 
-    /// Limits for new connections.
+    /// Limits in force; they may change while a connection is open.
     fn limits(&self) -> HttpLimits {
         HttpLimits::default()
     }
@@ -130,29 +132,30 @@
         log::debug!(error:% = error; "failed to set TCP_NODELAY on a connection");
         return;
     }
-    let limits = handler.limits();
     let clock = Arc::new(ConnectionClock::default());
+    let max_header_bytes = handler.limits().max_header_bytes;
     let service = service_fn(|request| {
         let (handler, clock) = (Arc::clone(&handler), Arc::clone(&clock));
         async move {
             let guard = clock.start_request();
-            let response = read_and_handle(request, handler, limits).await;
+            let response = read_and_handle(request, handler).await;
             drop(guard);
             Ok::<_, Infallible>(response)
         }
     });
     let socket = TimedSocket::new(socket, Arc::clone(&clock));
     let connection = http1::Builder::new()
-        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
-    let check_interval =
-        Duration::from_millis((limits.header_timeout_ms / CHECKS_PER_HEADER_TIMEOUT).max(1));
     let mut stopping = *stop.borrow();
     if stopping {
         connection.as_mut().graceful_shutdown();
     }
     loop {
+        let check_interval_ms = handler.limits().header_timeout_ms / CHECKS_PER_HEADER_TIMEOUT;
+        let check_interval =
+            Duration::from_millis(check_interval_ms.clamp(1, MAX_CHECK_INTERVAL_MS));
         tokio::select! {
             result = connection.as_mut() => {
                 if let Err(error) = result {
@@ -165,10 +168,13 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = sleep(check_interval) => {
+                let limits = handler.limits();
                 if clock.is_header_overdue(limits.header_timeout_ms) {
                     return;
                 }
-                if clock.is_idle_for(limits.idle_timeout_ms) {
+                // The buffer of an open connection can't be resized.
+                let has_other_buffer = limits.max_header_bytes != max_header_bytes;
+                if has_other_buffer || clock.is_idle_for(limits.idle_timeout_ms) {
                     connection.as_mut().graceful_shutdown();
                 }
             }
@@ -179,8 +185,8 @@
 async fn read_and_handle(
     request: Request<Incoming>,
     handler: Arc<dyn HttpHandler>,
-    limits: HttpLimits,
 ) -> Response<Full<Bytes>> {
+    let limits = handler.limits();
     let (parts, body) = request.into_parts();
     let read = Limited::new(body, limits.max_body_bytes).collect();
     // A body that is sent too slowly must not occupy its connection indefinitely.
--- a/src/adapters/http/tests.rs
+++ b/src/adapters/http/tests.rs
@@ -1,5 +1,7 @@
 //! Checks HTTP statuses against the API page.
 
+mod limits;
+
 use {
     super::response::status_of,
     crate::core::verdict::{MayHaveRunReason, NotRunReason, Verdict},
