A DELETE cancels a job that the entry has

Cause: ClientApi answered each DELETE with 410 and passed none to the dispatcher. An entry that has the job ends it as cancelled now: it stops the runs, starts no more, answers the DELETE and the waiting POST 200 with that state, and doesn't run copies that are held or arrive within two minutes.

--- a/src/core/dispatch/admission.rs
+++ b/src/core/dispatch/admission.rs
@@ -52,6 +52,10 @@
             self.refuse(waiter, reason, retry_after_ms);
             return;
         }
+        if self.cancelled_jobs.contains(now, submission.id) {
+            self.reply(waiter, JobOutcome::Cancelled);
+            return;
+        }
         let Some(known) = self.by_id.get(&submission.id).copied() else {
             self.accept(now, submission, 1);
             return;
--- a/src/core/dispatch/dispatch_event.rs
+++ b/src/core/dispatch/dispatch_event.rs
@@ -76,6 +76,8 @@
     Failed,
     /// Workers crashed while they ran one of its tasks.
     FailedByCrashes,
+    /// A client cancelled it; some of its tasks may have run.
+    Cancelled,
     /// None of its tasks has run, and none will due to this call.
     NotRun {
         reason: RefusalReason,
@@ -91,6 +93,8 @@
 pub(crate) enum DispatchEvent {
     /// A client submitted a job.
     Submit(Submission),
+    /// A client cancels a job.
+    Cancel { id: JobId },
     /// A client has disconnected.
     ClientGone { waiter: WaiterId },
     /// A frame arrived on a session; the first one is the agent's hello.
--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -5,6 +5,7 @@
         DispatchAction, DispatchEvent, DispatchLogEvent, JobOutcome, LinkId, RefusalReason,
         Submission, WaiterId,
         arrival_rate::ArrivalRate,
+        cancellation::CancelledJobs,
         client_deadlines::ClientDeadlines,
         connectivity::Connectivity,
         crashes::CrashRecords,
@@ -50,6 +51,7 @@
     pub(super) by_waiter: BTreeMap<WaiterId, JobKey>,
     /// Copies of closed jobs that wait until the stopped runs have ended.
     pub(super) held_copies: BTreeMap<JobId, Vec<Submission>>,
+    pub(super) cancelled_jobs: CancelledJobs,
     pub(super) queue: TaskQueue,
     pub(super) workers: SlotMap<WorkerKey, WorkerLink>,
     pub(super) by_agent: BTreeMap<String, WorkerKey>,
@@ -94,6 +96,7 @@
             by_id: BTreeMap::new(),
             by_waiter: BTreeMap::new(),
             held_copies: BTreeMap::new(),
+            cancelled_jobs: CancelledJobs::default(),
             queue: TaskQueue::default(),
             workers: SlotMap::with_key(),
             by_agent: BTreeMap::new(),
@@ -169,6 +172,7 @@
     fn handle_event(&mut self, now: Instant, event: DispatchEvent) {
         match event {
             DispatchEvent::Submit(submission) => self.on_submit(now, submission),
+            DispatchEvent::Cancel { id } => self.on_cancel(now, id),
             DispatchEvent::ClientGone { waiter } => self.on_client_gone(now, waiter),
             DispatchEvent::Frame { link, frame } => self.on_frame(now, link, frame),
             DispatchEvent::LinkLost { link } => self.disconnect(now, link, "closed"),
@@ -213,7 +217,7 @@
         self.log_event(event);
         for waiter in waiters {
             self.by_waiter.remove(&waiter);
-            self.actions.push(DispatchAction::Reply { waiter, outcome });
+            self.reply(waiter, outcome);
         }
         self.close_job(key);
     }
@@ -224,6 +228,10 @@
             reason,
             retry_after_ms,
         };
+        self.reply(waiter, outcome);
+    }
+
+    pub(super) fn reply(&mut self, waiter: WaiterId, outcome: JobOutcome) {
         self.actions.push(DispatchAction::Reply { waiter, outcome });
     }
 
@@ -281,6 +289,7 @@
             Self::Completed => ("completed", ""),
             Self::Failed => ("failed", "failed_runs"),
             Self::FailedByCrashes => ("failed", "worker_crashes"),
+            Self::Cancelled => ("cancelled", ""),
             Self::NotRun { reason, .. } => ("not_run", reason.as_str()),
             Self::GivenUp(reason) => ("given_up", reason.as_str()),
         }
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod arrival_rate;
+mod cancellation;
 mod client_deadlines;
 mod connectivity;
 mod crashes;
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -2,6 +2,7 @@
 //! state machines.
 
 mod begun_jobs;
+mod cancellation;
 mod concurrent_entries;
 mod crashes;
 mod queue_shares;
--- a/src/core/tests/floods/flood_site.rs
+++ b/src/core/tests/floods/flood_site.rs
@@ -263,7 +263,10 @@
             }
             JobOutcome::Completed => received.late += 1,
             JobOutcome::NotRun { .. } => received.refused += 1,
-            JobOutcome::Failed | JobOutcome::FailedByCrashes | JobOutcome::GivenUp(_) => {
+            JobOutcome::Failed
+            | JobOutcome::FailedByCrashes
+            | JobOutcome::Cancelled
+            | JobOutcome::GivenUp(_) => {
                 received.other += 1;
             }
         }
--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -1333,7 +1333,9 @@
                 model.finished = true;
                 self.check_complete(client);
             }
-            JobOutcome::Failed | JobOutcome::FailedByCrashes => model.finished = true,
+            JobOutcome::Failed | JobOutcome::FailedByCrashes | JobOutcome::Cancelled => {
+                model.finished = true;
+            }
             JobOutcome::NotRun { retry_after_ms, .. } => {
                 model.not_run_count += 1;
                 model.finished = retry_after_ms == 0;
--- a/src/platform/client_protocol.rs
+++ b/src/platform/client_protocol.rs
@@ -65,6 +65,7 @@
             JobOutcome::Failed | JobOutcome::FailedByCrashes => {
                 HttpResponse::json(StatusCode::OK, r#"{"state":"failed"}"#)
             }
+            JobOutcome::Cancelled => Self::cancelled(),
             JobOutcome::NotRun {
                 reason,
                 retry_after_ms,
@@ -79,6 +80,11 @@
         }
     }
 
+    /// The response for a job that is or was cancelled.
+    pub(crate) fn cancelled() -> HttpResponse {
+        HttpResponse::json(StatusCode::OK, r#"{"state":"cancelled"}"#)
+    }
+
     /// The response while no configuration is loaded.
     pub(crate) fn not_configured(retry_after_ms: u64) -> HttpResponse {
         Self::rejection(
--- a/src/site_entry/client_api.rs
+++ b/src/site_entry/client_api.rs
@@ -91,10 +91,7 @@
         let waited_ms = u64::try_from(arrived_at.elapsed().as_millis()).unwrap_or(u64::MAX);
         let submission = Submission {
             waiter,
-            id: JobId {
-                queue: QueueId::new(&route.host, &route.path_prefix),
-                number,
-            },
+            id: job_id(route, number),
             request,
             route: Arc::new(route.clone()),
             time_left_ms: time_left_ms.saturating_sub(waited_ms),
@@ -132,6 +129,16 @@
         log_decision(&*self.decisions, LogPriority::Routine, &event);
     }
 
+    async fn cancel(&self, id: JobId) -> HttpResponse {
+        let (reply, is_known) = oneshot::channel();
+        let sent = self.inputs.send(LoopInput::Cancel { id, reply });
+        match (sent, is_known.await) {
+            (Ok(()), Ok(true)) => ClientProtocol::cancelled(),
+            (Ok(()), Ok(false)) => ClientProtocol::no_job(),
+            _ => ClientProtocol::not_configured(NOT_CONFIGURED_RETRY_MS),
+        }
+    }
+
     async fn pending(&self, route: &Route) -> HttpResponse {
         let (reply, pending_jobs) = oneshot::channel();
         let route = route.name.clone();
@@ -165,13 +172,22 @@
             ClientAction::Submit(number) => {
                 self.submit(http_request, number, route, arrived_at).await
             }
-            ClientAction::Status(_) | ClientAction::Cancel(_) => ClientProtocol::no_job(),
+            ClientAction::Cancel(number) => self.cancel(job_id(route, number)).await,
+            ClientAction::Status(_) => ClientProtocol::no_job(),
             ClientAction::Pending => self.pending(route).await,
             ClientAction::Unknown => ClientProtocol::bad_request(),
         }
     }
 }
 
+/// The job with this number in the queue of a route.
+fn job_id(route: &Route, number: JobNumber) -> JobId {
+    JobId {
+        queue: QueueId::new(&route.host, &route.path_prefix),
+        number,
+    }
+}
+
 #[async_trait]
 impl HttpHandler for ClientApi {
     async fn handle(&self, http_request: HttpRequest) -> HttpResponse {
--- a/src/site_entry/dispatch_loop.rs
+++ b/src/site_entry/dispatch_loop.rs
@@ -10,6 +10,7 @@
                 RefusalReason, StartCounts, Submission, WaiterId,
             },
             link::{AgentFrame, EntryFrame},
+            work::JobId,
         },
         ports::{
             Counter, DecisionLog, Gauge, Histogram, LogPriority, Metrics, TimerService,
@@ -38,6 +39,11 @@
     },
     /// Any other event for the dispatcher.
     Event(DispatchEvent),
+    /// Cancels a job; the reply says whether this entry has it.
+    Cancel {
+        id: JobId,
+        reply: oneshot::Sender<bool>,
+    },
     /// Requests the number of pending jobs of a route.
     CountPending {
         route: String,
@@ -110,6 +116,11 @@
                 }
                 events.push(event);
             }
+            LoopInput::Cancel { id, reply } => {
+                // The requester may have disconnected.
+                let _ = reply.send(self.dispatcher.can_cancel(id));
+                events.push(DispatchEvent::Cancel { id });
+            }
             // The requester may have disconnected.
             LoopInput::CountPending { route, reply } => {
                 let _ = reply.send(self.dispatcher.pending(&route));
--- a/tests/processes/site.rs
+++ b/tests/processes/site.rs
@@ -389,3 +389,63 @@
 async fn jobs_of_two_queues_with_the_same_id_run_at_two_entries() {
     assert_jobs_with_the_same_id_run("same-id-entries", [0, 1]).await;
 }
+
+/// Cancelled jobs were answered with 410 and went on to their end.
+#[tokio::test]
+async fn a_cancelled_job_is_stopped() {
+    let site = Site::start("cancelled", 1, 2).await;
+    wait_until_serving(&site, 0).await;
+    let entry = site.entries[0].client_addr;
+    let id = "00000000000000c5";
+    let submitting = tokio::spawn(submit_to(entry, id, site_job(4, 5_000)));
+    let begun = || {
+        site.run_events()
+            .iter()
+            .filter(|(_, _, task)| task.starts_with(id))
+            .count()
+    };
+    eventually("the tasks run", Duration::from_secs(5), || async {
+        begun() == 4
+    })
+    .await;
+    let path = format!("/shares/{id}");
+    let headers = [("host", "shares.example")];
+    let reply = request("DELETE", entry, &path, &headers, "").await;
+    assert_eq!(reply.status, 200);
+    let reply = submitting.await.expect("task").expect("reply");
+    assert_eq!(reply.body, r#"{"state":"cancelled"}"#);
+    // Each of the four runs has ended as well.
+    eventually("the runs are stopped", Duration::from_secs(1), || async {
+        begun() == 8
+    })
+    .await;
+    let again = request("DELETE", entry, &path, &headers, "").await;
+    assert_eq!(again.status, 200);
+}
+
+/// An entry answers 410 for a job that another entry runs.
+#[tokio::test]
+async fn a_job_is_cancelled_at_another_entry() {
+    let site = Site::start("cancelled-elsewhere", 2, 2).await;
+    wait_until_serving(&site, 0).await;
+    let id = "00000000000000c6";
+    let addr = site.entries[0].client_addr;
+    let submitting = tokio::spawn(submit_to(addr, id, site_job(4, 5_000)));
+    let begun = || {
+        let events = site.run_events();
+        events
+            .iter()
+            .filter(|(_, _, task)| task.starts_with(id))
+            .count()
+    };
+    eventually("the tasks run", Duration::from_secs(5), || async {
+        begun() == 4
+    })
+    .await;
+    let headers = [("host", "shares.example")];
+    let other = site.entries[1].client_addr;
+    let reply = request("DELETE", other, &format!("/shares/{id}"), &headers, "").await;
+    assert_eq!(reply.status, 200);
+    let reply = submitting.await.expect("task").expect("reply");
+    assert_eq!(reply.body, r#"{"state":"cancelled"}"#);
+}
