Tests of cancelled jobs share their set-up

The two tests of cancelled jobs repeated how a job is submitted and cancelled. Assertions are as they were.

--- a/tests/processes/site.rs
+++ b/tests/processes/site.rs
@@ -2,9 +2,10 @@
 //! store.
 
 use {
-    crate::support::{Site, eventually, get, request, site_config, site_job, submit_to},
+    crate::support::{Reply, Site, eventually, get, request, site_config, site_job, submit_to},
     serde_json::json,
     std::{collections::BTreeMap, time::Duration},
+    tokio::task::JoinHandle,
 };
 
 /// Tasks that began more than once.
@@ -390,62 +391,55 @@
     assert_jobs_with_the_same_id_run("same-id-entries", [0, 1]).await;
 }
 
+/// Begin and end events of a job's runs.
+fn count_events(site: &Site, id: &str) -> usize {
+    let events = site.run_events();
+    let of_job = events.iter().filter(|(_, _, task)| task.starts_with(id));
+    of_job.count()
+}
+
+/// Submits a job of four tasks to the first entry of a site; returns the call once all of them run.
+async fn submit_long_job(site: &Site, id: &'static str) -> JoinHandle<Result<Reply, String>> {
+    wait_until_serving(site, 0).await;
+    let addr = site.entries[0].client_addr;
+    let submitting = tokio::spawn(submit_to(addr, id, site_job(4, 5_000)));
+    eventually("the tasks run", Duration::from_secs(5), || async {
+        count_events(site, id) == 4
+    })
+    .await;
+    submitting
+}
+
+async fn cancel(site: &Site, entry: usize, id: &str) -> Reply {
+    let addr = site.entries[entry].client_addr;
+    let headers = [("host", "shares.example")];
+    request("DELETE", addr, &format!("/shares/{id}"), &headers, "").await
+}
+
 /// Cancelled jobs were answered with 410 and went on to their end.
 #[tokio::test]
 async fn a_cancelled_job_is_stopped() {
     let site = Site::start("cancelled", 1, 2).await;
-    wait_until_serving(&site, 0).await;
-    let entry = site.entries[0].client_addr;
     let id = "00000000000000c5";
-    let submitting = tokio::spawn(submit_to(entry, id, site_job(4, 5_000)));
-    let begun = || {
-        site.run_events()
-            .iter()
-            .filter(|(_, _, task)| task.starts_with(id))
-            .count()
-    };
-    eventually("the tasks run", Duration::from_secs(5), || async {
-        begun() == 4
-    })
-    .await;
-    let path = format!("/shares/{id}");
-    let headers = [("host", "shares.example")];
-    let reply = request("DELETE", entry, &path, &headers, "").await;
-    assert_eq!(reply.status, 200);
+    let submitting = submit_long_job(&site, id).await;
+    assert_eq!(cancel(&site, 0, id).await.status, 200);
     let reply = submitting.await.expect("task").expect("reply");
     assert_eq!(reply.body, r#"{"state":"cancelled"}"#);
     // Each of the four runs has ended as well.
     eventually("the runs are stopped", Duration::from_secs(1), || async {
-        begun() == 8
+        count_events(&site, id) == 8
     })
     .await;
-    let again = request("DELETE", entry, &path, &headers, "").await;
-    assert_eq!(again.status, 200);
+    assert_eq!(cancel(&site, 0, id).await.status, 200);
 }
 
 /// An entry answers 410 for a job that another entry runs.
 #[tokio::test]
 async fn a_job_is_cancelled_at_another_entry() {
     let site = Site::start("cancelled-elsewhere", 2, 2).await;
-    wait_until_serving(&site, 0).await;
     let id = "00000000000000c6";
-    let addr = site.entries[0].client_addr;
-    let submitting = tokio::spawn(submit_to(addr, id, site_job(4, 5_000)));
-    let begun = || {
-        let events = site.run_events();
-        events
-            .iter()
-            .filter(|(_, _, task)| task.starts_with(id))
-            .count()
-    };
-    eventually("the tasks run", Duration::from_secs(5), || async {
-        begun() == 4
-    })
-    .await;
-    let headers = [("host", "shares.example")];
-    let other = site.entries[1].client_addr;
-    let reply = request("DELETE", other, &format!("/shares/{id}"), &headers, "").await;
-    assert_eq!(reply.status, 200);
+    let submitting = submit_long_job(&site, id).await;
+    assert_eq!(cancel(&site, 1, id).await.status, 200);
     let reply = submitting.await.expect("task").expect("reply");
     assert_eq!(reply.body, r#"{"state":"cancelled"}"#);
 }
