Repeatable requests leave a home that can't be reached

What callers saw (standalone deployment): after the agents of a rack had been killed, single requests without a ticket were answered 504 (home_unreachable) after 2 s while other agents worked.

Cause: the entry chose the home, one of two active ones for six agents, and then called it again and again for 2 s. That is needed for a job whose ticket the client holds, but a request for which the entry chose the ticket is repeatable and has no copies.

Ruled out: colliding ports (each test program has its own slot), workers that weren't known yet (the first requests go through where a home lives).

Change: such a request moves to another home after each failed call, also when its home had it; homes whose last call failed are excluded by the entry's directory. Jobs with a ticket or a key stay at their home (a test says so).

--- a/src/adapters/http/client_api.rs
+++ b/src/adapters/http/client_api.rs
@@ -14,7 +14,7 @@
             ticket::{Ticket, TicketError},
             verdict::NotRunReason,
         },
-        entry::JobIdentity,
+        entry::{JobIdentity, TicketSource},
         ports::Counter,
     },
     poem::{
@@ -179,12 +179,13 @@
     let spec = job_spec(api, request, job, &service)?;
     let has_identity =
         request.header(TICKET_HEADER).is_some() || request.header(IDEMPOTENCY_KEY_HEADER).is_some();
-    let identity = if spec.repeatable && !has_identity {
-        JobIdentity::of_ticket(api.state.mint(1).pop().ok_or_else(no_tickets)?)
-    } else {
-        identity(api, request, &spec.team).await?
-    };
     let wait_ms = spec.deadline_ms;
+    if spec.repeatable && !has_identity {
+        let run = api.jobs.run_repeatable(spec, wait_ms).await;
+        let (ticket, report) = run.ok_or_else(no_tickets)?;
+        return Ok(request_response(ticket, &report));
+    }
+    let identity = identity(api, request, &spec.team).await?;
     let report = api.jobs.submit(identity, spec, wait_ms).await;
     Ok(request_response(identity.ticket, &report))
 }
@@ -256,7 +257,7 @@
     match api.claims.ticket_for(team, key).await {
         Ok(ticket) => Ok(JobIdentity {
             ticket,
-            by_key: true,
+            source: TicketSource::Key,
         }),
         Err(verdict) => Err(Refusal {
             verdict,
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -46,13 +46,24 @@
     Verdict(Verdict),
 }
 
-/// How a client identifies its job.
+/// Who chose the ticket of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum TicketSource {
+    /// The client sent it.
+    Client,
+    /// It is bound to the key that the client sent.
+    Key,
+    /// This entry, for a repeatable request that the client didn't identify.
+    Entry,
+}
+
+/// The ticket of a job.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct JobIdentity {
-    /// The ticket, or the one that the client's key is bound to.
+    /// The ticket, which names the home.
     pub(crate) ticket: Ticket,
-    /// Whether the client sent a key.
-    pub(crate) by_key: bool,
+    /// Who chose it.
+    pub(crate) source: TicketSource,
 }
 
 impl JobIdentity {
@@ -60,7 +71,7 @@
     pub(crate) const fn of_ticket(ticket: Ticket) -> Self {
         Self {
             ticket,
-            by_key: false,
+            source: TicketSource::Client,
         }
     }
 }
@@ -78,15 +89,39 @@
     /// Submits a job, or attaches to it if it was submitted before, and waits for its end.
     pub(crate) async fn submit(
         &self,
-        identity: JobIdentity,
+        mut identity: JobIdentity,
+        spec: JobSpec,
+        wait_ms: u64,
+    ) -> JobReport {
+        self.submit_with(&mut identity, spec, wait_ms).await
+    }
+
+    /// Runs a repeatable job that the client didn't identify; `None` if no home accepts work.
+    ///
+    /// While the home can't be reached the job moves to other homes, since it may run more than
+    /// once. The ticket returned is that of the last one.
+    pub(crate) async fn run_repeatable(
+        &self,
+        spec: JobSpec,
+        wait_ms: u64,
+    ) -> Option<(Ticket, JobReport)> {
+        let mut identity = JobIdentity {
+            ticket: self.state.mint(1).pop()?,
+            source: TicketSource::Entry,
+        };
+        let report = self.submit_with(&mut identity, spec, wait_ms).await;
+        Some((identity.ticket, report))
+    }
+
+    async fn submit_with(
+        &self,
+        identity: &mut JobIdentity,
         spec: JobSpec,
         wait_ms: u64,
     ) -> JobReport {
-        let ticket = identity.ticket;
         let task_count = spec.tasks.len();
-        let report = self.follow(identity, Some(spec), wait_ms).await;
-        match report {
-            JobReport::Ended(answer) if !answer.is_complete(&ticket.id, task_count) => {
+        match self.follow(identity, Some(spec), wait_ms).await {
+            JobReport::Ended(answer) if !answer.is_complete(&identity.ticket.id, task_count) => {
                 corrupt_answer()
             }
             report => report,
@@ -95,10 +130,8 @@
 
     /// Waits for the end of a submitted job.
     pub(crate) async fn poll(&self, ticket: Ticket, wait_ms: u64) -> JobReport {
-        match self
-            .follow(JobIdentity::of_ticket(ticket), None, wait_ms)
-            .await
-        {
+        let mut identity = JobIdentity::of_ticket(ticket);
+        match self.follow(&mut identity, None, wait_ms).await {
             JobReport::Ended(answer) if !answer.is_complete(&ticket.id, answer.outcomes.len()) => {
                 corrupt_answer()
             }
@@ -122,31 +155,37 @@
 
     /// Calls the home repeatedly until the job ends or the wait is over.
     ///
-    /// Calls are idempotent under the ticket, so a failed or timed-out call is retried.
+    /// Calls are idempotent under the ticket, so a failed or timed-out call is retried. The spec of
+    /// a job that was submitted before is `None`.
     async fn follow(
         &self,
-        identity: JobIdentity,
+        identity: &mut JobIdentity,
         mut spec: Option<JobSpec>,
         wait_ms: u64,
     ) -> JobReport {
-        let ticket = identity.ticket;
         let started_at = self.timer.now();
-        let mut service = spec.as_ref().map(|spec| spec.service.clone());
+        let service = spec.as_ref().map(|spec| spec.service.clone());
+        // Whether the home has the job; further calls only poll.
+        let mut is_submitted = spec.is_none();
         let mut failing_since = None;
         loop {
             let elapsed_ms = self.elapsed_ms(started_at);
             let call_wait_ms = wait_ms.saturating_sub(elapsed_ms).min(MAX_CALL_WAIT_MS);
-            let mut request = self.follow_request(identity, spec.as_ref(), &service, call_wait_ms);
+            let unsubmitted = spec.as_ref().filter(|_| !is_submitted);
+            let mut request = self.follow_request(*identity, unsubmitted, &service, call_wait_ms);
             if let PeerRequest::Submit(submission) = &mut request {
                 // A retried submission has less time left.
                 let remaining_ms = submission.spec.deadline_ms.saturating_sub(elapsed_ms);
                 submission.spec.deadline_ms = remaining_ms.max(1);
             }
-            match self.call_home(ticket, request).await {
+            match self.call_home(identity.ticket, request).await {
                 Ok(JobReport::Running { ended, total }) => {
                     failing_since = None;
-                    // The home has the job; further calls only poll.
-                    service = spec.take().map(|spec| spec.service).or(service);
+                    is_submitted = true;
+                    if identity.source != TicketSource::Entry {
+                        // The inputs are no longer needed.
+                        spec = None;
+                    }
                     if self.elapsed_ms(started_at) >= wait_ms {
                         return JobReport::Running { ended, total };
                     }
@@ -159,12 +198,29 @@
                     if self.elapsed_ms(since) >= HOME_UNREACHABLE_MS || out_of_time {
                         return JobReport::Verdict(verdict);
                     }
+                    if self.move_to_another_home(identity) {
+                        is_submitted = false;
+                        continue;
+                    }
                     sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
                 }
             }
         }
     }
 
+    /// Replaces the ticket with one of another home if the entry chose it; true if it did.
+    fn move_to_another_home(&self, identity: &mut JobIdentity) -> bool {
+        if identity.source != TicketSource::Entry {
+            return false;
+        }
+        // Homes whose last call failed accept no work.
+        let Some(ticket) = self.state.mint(1).pop() else {
+            return false;
+        };
+        identity.ticket = ticket;
+        true
+    }
+
     fn follow_request(
         &self,
         identity: JobIdentity,
@@ -179,7 +235,7 @@
         match spec {
             Some(spec) => PeerRequest::Submit(Box::new(Submission {
                 ticket: identity.ticket,
-                by_key: identity.by_key,
+                by_key: identity.source == TicketSource::Key,
                 impossible: !self.state.fits_somewhere(spec),
                 spec: spec.clone(),
                 candidates,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -23,6 +23,6 @@
     config_draft::{Change, Edit, based_on_all},
     config_store::ConfigStore,
     entry_state::{EntryState, InForce},
-    jobs::{JobIdentity, JobReport, Jobs},
+    jobs::{JobIdentity, JobReport, Jobs, TicketSource},
     run::run_entry,
 };
--- a/src/entry/tests/jobs.rs
+++ b/src/entry/tests/jobs.rs
@@ -9,14 +9,14 @@
 use {
     crate::{
         core::{
-            job::{JobAnswer, JobSpec, JobStatus, TaskOutcome, TaskSpec},
-            message::{Announcement, PeerEntry, PeerReply, PeerRequest},
-            ticket::{AgentId, GrantSecret, Ticket, TicketGrant},
+            job::{JobAnswer, JobStatus},
+            message::{PeerReply, PeerRequest},
+            ticket::{AgentId, Ticket, TicketGrant},
             verdict::{MayHaveRunReason, Verdict},
         },
         entry::{
-            EntryState, JobIdentity, JobReport, Jobs,
-            tests::fakes::{NoMetrics, PausedTimer},
+            JobIdentity, JobReport, Jobs,
+            tests::fakes::{NoMetrics, answer, grant_of, spec, state_with_homes},
         },
         ports::{PeerError, PeerNetwork, SessionIo},
     },
@@ -79,33 +79,11 @@
 }
 
 fn grant() -> TicketGrant {
-    GrantSecret::new([5; 32]).grant(HOME, 0, 8)
+    grant_of(HOME)
 }
 
 fn jobs(script: Vec<CallBehaviour>) -> (Jobs, Arc<ScriptedNetwork>) {
-    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
-    let local_entry = PeerEntry {
-        entry: AgentId(1),
-        name: "entry".to_owned(),
-        peer_addr: addr,
-    };
-    let timer = Arc::new(PausedTimer(tokio::time::Instant::now()));
-    let state = Arc::new(EntryState::new(local_entry, timer.clone(), 3_600_000, 1));
-    state.handle_announcement(Announcement {
-        number: 1,
-        roster_digest: 0,
-        agent: HOME,
-        worker: "w01".to_owned(),
-        availability_zone: "grindavik".to_owned(),
-        peer_addr: addr,
-        services: Vec::new(),
-        slots: 1,
-        free_slots: 1,
-        leaving: false,
-        config_version: 0,
-        adopted: Vec::new(),
-        grant: Some(grant()),
-    });
+    let (state, timer) = state_with_homes(&[HOME]);
     let network = Arc::new(ScriptedNetwork {
         script: Mutex::new(script.into()),
         calls: Mutex::new(Vec::new()),
@@ -119,31 +97,6 @@
     (jobs, network)
 }
 
-fn spec(tasks: usize) -> JobSpec {
-    let task = TaskSpec {
-        input: "share".to_owned(),
-        declared_run_ms: 0,
-        memory_mb: 0,
-        accelerators: 0,
-    };
-    JobSpec {
-        service: "crew-share".to_owned(),
-        team: String::new(),
-        deadline_ms: 10_000,
-        repeatable: false,
-        tasks: vec![task; tasks],
-    }
-}
-
-fn answer(ticket: Ticket, tasks: usize) -> JobAnswer {
-    let outcomes = (0..tasks)
-        .map(|index| TaskOutcome::Done {
-            output: format!("share {index}"),
-        })
-        .collect();
-    JobAnswer::new(ticket.id, Verdict::Done, outcomes)
-}
-
 fn ended(answer: JobAnswer) -> CallBehaviour {
     CallBehaviour::Reply(JobStatus::Ended(Arc::new(answer)))
 }
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -3,3 +3,4 @@
 mod config;
 mod fakes;
 mod jobs;
+mod moved_jobs;
