A job is cancelled at any entry

A copy at another entry ran on as well when the job was cancelled where the DELETE arrived.

Cause: entries know nothing of each other's jobs, and have no connections to each other.

Change: the cancellation goes through three agents to their other entries, and after 150 ms without a confirmation through up to 24 more (EntryFrame::CancelJob, AgentFrame::CancelJob). An entry that has the job ends it and confirms, through the same agent, to all entries (JobCancelled); these end their own copies, remember the job, and the one that was asked answers 200. Agents keep no state of it. New log line cancellation_answered.

--- a/src/core/dispatch/admission.rs
+++ b/src/core/dispatch/admission.rs
@@ -52,7 +52,7 @@
             self.refuse(waiter, reason, retry_after_ms);
             return;
         }
-        if self.cancelled_jobs.contains(now, submission.id) {
+        if self.cancellations.contains(now, submission.id) {
             self.reply(waiter, JobOutcome::Cancelled);
             return;
         }
--- a/src/core/dispatch/dispatch_event.rs
+++ b/src/core/dispatch/dispatch_event.rs
@@ -94,7 +94,11 @@
     /// A client submitted a job.
     Submit(Submission),
     /// A client cancels a job.
-    Cancel { id: JobId },
+    Cancel {
+        /// The call that waits for the reply.
+        waiter: WaiterId,
+        id: JobId,
+    },
     /// A client has disconnected.
     ClientGone { waiter: WaiterId },
     /// A frame arrived on a session; the first one is the agent's hello.
@@ -132,6 +136,12 @@
         waiter: WaiterId,
         outcome: JobOutcome,
     },
+    /// Reply to a client that cancels a job.
+    ReplyToCancellation {
+        waiter: WaiterId,
+        /// Whether the job was cancelled; otherwise no entry is known to have it.
+        is_cancelled: bool,
+    },
     /// An agent sent zones that may be newer than this entry's.
     ApplyEvacuatedZones(EvacuatedZones),
     /// A newer document was fetched from an agent.
--- a/src/core/dispatch/dispatch_log_event.rs
+++ b/src/core/dispatch/dispatch_log_event.rs
@@ -41,6 +41,14 @@
         /// Runs that have not ended.
         runs: usize,
     },
+    /// A client's cancellation was answered.
+    CancellationAnswered {
+        job: String,
+        /// Whether the job was cancelled, here or at another entry.
+        is_cancelled: bool,
+        /// Time during which other entries were asked; zero if none was.
+        took_ms: u64,
+    },
     /// A job has its final outcome.
     JobAnswered {
         job: String,
--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -5,7 +5,7 @@
         DispatchAction, DispatchEvent, DispatchLogEvent, JobOutcome, LinkId, RefusalReason,
         Submission, WaiterId,
         arrival_rate::ArrivalRate,
-        cancellation::CancelledJobs,
+        cancellation::Cancellations,
         client_deadlines::ClientDeadlines,
         connectivity::Connectivity,
         crashes::CrashRecords,
@@ -51,7 +51,7 @@
     pub(super) by_waiter: BTreeMap<WaiterId, JobKey>,
     /// Copies of closed jobs that wait until the stopped runs have ended.
     pub(super) held_copies: BTreeMap<JobId, Vec<Submission>>,
-    pub(super) cancelled_jobs: CancelledJobs,
+    pub(super) cancellations: Cancellations,
     pub(super) queue: TaskQueue,
     pub(super) workers: SlotMap<WorkerKey, WorkerLink>,
     pub(super) by_agent: BTreeMap<String, WorkerKey>,
@@ -96,7 +96,7 @@
             by_id: BTreeMap::new(),
             by_waiter: BTreeMap::new(),
             held_copies: BTreeMap::new(),
-            cancelled_jobs: CancelledJobs::default(),
+            cancellations: Cancellations::default(),
             queue: TaskQueue::default(),
             workers: SlotMap::with_key(),
             by_agent: BTreeMap::new(),
@@ -172,7 +172,7 @@
     fn handle_event(&mut self, now: Instant, event: DispatchEvent) {
         match event {
             DispatchEvent::Submit(submission) => self.on_submit(now, submission),
-            DispatchEvent::Cancel { id } => self.on_cancel(now, id),
+            DispatchEvent::Cancel { waiter, id } => self.on_cancel(now, waiter, id),
             DispatchEvent::ClientGone { waiter } => self.on_client_gone(now, waiter),
             DispatchEvent::Frame { link, frame } => self.on_frame(now, link, frame),
             DispatchEvent::LinkLost { link } => self.disconnect(now, link, "closed"),
@@ -191,6 +191,7 @@
         self.end_expired_jobs(now);
         self.end_isolated_jobs(now);
         self.stop_overdue_runs(now);
+        self.maintain_cancellations(now);
     }
 
     /// Closes a job and sends its outcome to all waiters.
--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -63,6 +63,8 @@
                 self.actions.push(DispatchAction::Send { link, frame });
             }
             AgentFrame::DocumentPart(part) => self.handle_document_part(now, link, &part),
+            AgentFrame::CancelJob { job } => self.on_forwarded_cancellation(now, link, job),
+            AgentFrame::JobCancelled { job } => self.on_job_cancelled_elsewhere(now, job),
         }
     }
 
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -60,6 +60,14 @@
         self.actions.push(ExecutionAction::Send { session, frame });
     }
 
+    /// Sends a frame to all entries but one.
+    fn send_to_others(&mut self, excluded: SessionId, frame: &AgentFrame) {
+        let others: Vec<SessionId> = self.sessions.keys().copied().collect();
+        for session in others.into_iter().filter(|other| *other != excluded) {
+            self.send(session, frame.clone());
+        }
+    }
+
     pub(super) fn on_frame(&mut self, now: Instant, session: SessionId, frame: EntryFrame) {
         let Some(link) = self.sessions.get_mut(&session) else {
             return;
@@ -90,6 +98,12 @@
                 self.send(session, AgentFrame::DocumentPart(part));
             }
             EntryFrame::DocumentPart(part) => self.handle_document_part(now, session, &part),
+            EntryFrame::CancelJob { job } => {
+                self.send_to_others(session, &AgentFrame::CancelJob { job });
+            }
+            EntryFrame::JobCancelled { job } => {
+                self.send_to_others(session, &AgentFrame::JobCancelled { job });
+            }
         }
     }
 
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Unit tests of the executor; `core::tests` simulates it together with the other parts.
 
+mod cancelled_jobs;
 mod capacity_reports;
 mod capacity_shares;
 mod crashes;
--- a/src/core/link/agent_frame.rs
+++ b/src/core/link/agent_frame.rs
@@ -5,7 +5,7 @@
     crate::core::{
         document::{DocumentPart, PartRequest},
         verdict::reasons,
-        work::{Resources, RunId, TaskId, WorkerView},
+        work::{JobId, Resources, RunId, TaskId, WorkerView},
     },
     serde::{Deserialize, Serialize},
 };
@@ -120,4 +120,8 @@
     DocumentPart(DocumentPart),
     /// The worker crashed while it ran these tasks.
     Crashed { tasks: Vec<TaskId> },
+    /// A client cancels a job at an entry that doesn't have it.
+    CancelJob { job: JobId },
+    /// A job was cancelled at another entry.
+    JobCancelled { job: JobId },
 }
--- a/src/core/link/entry_frame.rs
+++ b/src/core/link/entry_frame.rs
@@ -4,7 +4,7 @@
     super::{EvacuatedZones, QueueDemand},
     crate::core::{
         document::{DocumentPart, PartRequest},
-        work::{Resources, RunId},
+        work::{JobId, Resources, RunId},
     },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -62,4 +62,8 @@
     FetchDocument(PartRequest),
     /// A part of the entry's document, as requested by the agent.
     DocumentPart(DocumentPart),
+    /// A client cancels a job that this entry doesn't have; passed on to the agent's other entries.
+    CancelJob { job: JobId },
+    /// A job was cancelled at this entry; passed on to the agent's other entries.
+    JobCancelled { job: JobId },
 }
--- a/src/core/tests/floods/flood_site.rs
+++ b/src/core/tests/floods/flood_site.rs
@@ -244,6 +244,7 @@
                 DispatchAction::Close { link } => panic!("{link:?} is closed"),
                 DispatchAction::Log(_)
                 | DispatchAction::SetQueueLevel { .. }
+                | DispatchAction::ReplyToCancellation { .. }
                 | DispatchAction::ApplyEvacuatedZones(_)
                 | DispatchAction::ApplyDocument(_) => {}
             }
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -1,8 +1,10 @@
 //! Deterministic simulation of entries, agents and workers with injected faults.
 //!
 //! Invariants: no task has two concurrent runs, a job reported as completed has all its tasks done, a
-//! job reported only as not run has never started, every client finishes in time, and no run remains.
+//! job reported only as not run has never started, no task starts long after its job was cancelled, every
+//! client finishes in time, and no run remains.
 
+mod cancellations;
 mod client_model;
 mod faults;
 mod floods;
--- a/src/core/tests/seeds.rs
+++ b/src/core/tests/seeds.rs
@@ -11,6 +11,8 @@
 const CRASH_SEEDS: u64 = 100;
 const SHARED_NUMBER_SEEDS: u64 = 100;
 const REJECTION_SEEDS: u64 = 100;
+const CANCELLATION_SEEDS: u64 = 100;
+const CANCELLATIONS: u64 = 20;
 const COMPETITION_SEEDS: u64 = 100;
 const INCARNATION_SEEDS: u64 = 100;
 /// Jobs of a simulation whose tasks crash their workers.
@@ -110,6 +112,42 @@
     }
 }
 
+/// Jobs ran on when their clients cancelled them at entries that didn't have them.
+#[test]
+fn jobs_are_cancelled_at_any_entry() {
+    let mut confirmed = 0;
+    for seed in 0..CANCELLATION_SEEDS {
+        let setup = Setup {
+            cancellations: CANCELLATIONS,
+            faults: 0,
+            ..Setup::production()
+        };
+        confirmed += u64::from(
+            assert_no_violations(seed, setup)
+                .report
+                .confirmed_cancellations,
+        );
+    }
+    // Many jobs end before they are cancelled.
+    let cancellations = CANCELLATION_SEEDS * CANCELLATIONS;
+    assert!(
+        confirmed * 4 > cancellations,
+        "{confirmed} of {cancellations}"
+    );
+}
+
+/// Copies of a job at entries that can't be reached must not run long after its cancellation.
+#[test]
+fn cancellations_beside_faults_violate_no_invariant() {
+    for seed in 0..CANCELLATION_SEEDS {
+        let setup = Setup {
+            cancellations: CANCELLATIONS,
+            ..Setup::production()
+        };
+        assert_no_violations(seed, setup);
+    }
+}
+
 /// A job was answered with the outcome of another queue's job with the same number.
 #[test]
 fn jobs_of_two_queues_with_the_same_number_violate_no_invariant() {
--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        cancellations::CancelCall,
         client_model::{ClientModel, RETRY_DELAY_MS},
         faults::{Fault, ForeignReport},
         link_model::LinkModel,
@@ -84,6 +85,8 @@
     pub(super) faults: u64,
     /// Whether each job has the same number as one of another queue of the service.
     pub(super) shared_numbers: bool,
+    /// Number of clients that cancel their jobs, at entries chosen at random.
+    pub(super) cancellations: u64,
 }
 
 impl Setup {
@@ -105,6 +108,7 @@
             rejections: 0,
             faults: FAULTS,
             shared_numbers: false,
+            cancellations: 0,
         }
     }
 }
@@ -174,6 +178,9 @@
     ClientDisconnect {
         client: usize,
     },
+    Cancel {
+        client: usize,
+    },
     ClientDeadline {
         client: usize,
     },
@@ -253,9 +260,13 @@
     stalled_links: BTreeMap<(usize, usize), Instant>,
     links: BTreeMap<u64, LinkModel>,
     last_link_id: u64,
-    clients: Vec<ClientModel>,
+    pub(super) clients: Vec<ClientModel>,
     waiters: BTreeMap<(usize, u64, u64), usize>,
     last_waiter_id: u64,
+    /// Cancellations without a reply.
+    pub(super) cancel_calls: BTreeMap<(usize, u64, u64), CancelCall>,
+    /// When cancellations were confirmed to clients.
+    pub(super) cancelled_at: BTreeMap<JobId, Instant>,
     zones: EvacuatedZones,
     evacuated_at: Option<Instant>,
     /// Until when the store turns away entries and agents.
@@ -291,6 +302,8 @@
             clients: Vec::new(),
             waiters: BTreeMap::new(),
             last_waiter_id: 0,
+            cancel_calls: BTreeMap::new(),
+            cancelled_at: BTreeMap::new(),
             zones: EvacuatedZones {
                 version: 1,
                 evacuated: BTreeSet::new(),
@@ -341,6 +354,11 @@
                 self.rng.between(2_000, 2_000 + LOAD_DURATION_MS)
             };
             self.add_client(client, at_ms);
+            if client < self.setup.cancellations {
+                let at_ms = at_ms + self.rng.between(20, 1_200);
+                let client = client as usize;
+                self.schedule_in_ms(at_ms, Event::Cancel { client });
+            }
         }
         for _ in 0..self.setup.faults {
             let fault = Fault::random(&mut self.rng, ENTRIES, WORKERS);
@@ -568,6 +586,7 @@
             } => self.deliver_reply(client, call, outcome),
             Event::ClientDisconnect { client } => self.disconnect_client(client),
             Event::ClientDeadline { client } => self.expire_client(client),
+            Event::Cancel { client } => self.cancel(client),
             Event::StartFault(fault) => self.start_fault(fault),
             Event::EndFault(fault) => self.end_fault(fault),
             Event::StartEntry { entry } => self.start_entry(entry),
@@ -668,6 +687,10 @@
                 self.handle_entry_event(entry, DispatchEvent::Document(document));
             }
             DispatchAction::Log(event) => self.trace(format!("entry {entry}: {event:?}")),
+            DispatchAction::ReplyToCancellation {
+                waiter,
+                is_cancelled,
+            } => self.deliver_cancel_reply((entry, incarnation, waiter.0), is_cancelled),
             DispatchAction::SetQueueLevel { .. } => {}
         }
     }
@@ -1130,6 +1153,7 @@
             );
             self.report.record_violation(what);
         }
+        self.check_not_cancelled(task);
         self.check_zone(worker, task);
         for other in 0..WORKERS {
             self.advance_worker(other);
@@ -1287,17 +1311,15 @@
 
     fn submit(&mut self, client: usize) {
         let now = self.now;
-        let model = &self.clients[client];
+        let model = &mut self.clients[client];
+        model.finished |= self.cancelled_at.contains_key(&model.job);
         if model.finished || model.pending_call.is_some() {
             return;
         }
-        let entry = self.rng.index(ENTRIES);
-        if self.entries[entry].machine.is_none() {
+        let Some(call) = self.call_any_entry() else {
             self.schedule_in_ms(50, Event::Submit { client });
             return;
-        }
-        self.last_waiter_id += 1;
-        let call = (entry, self.entries[entry].incarnation, self.last_waiter_id);
+        };
         let model = &mut self.clients[client];
         model.pending_call = Some(call);
         model.call_count += 1;
@@ -1312,6 +1334,14 @@
         self.deliver_client_input(call, DispatchEvent::Submit(submission));
     }
 
+    /// A call to an entry chosen at random; `None` if its process doesn't run.
+    pub(super) fn call_any_entry(&mut self) -> Option<(usize, u64, u64)> {
+        let entry = self.rng.index(ENTRIES);
+        self.entries[entry].machine.as_ref()?;
+        self.last_waiter_id += 1;
+        Some((entry, self.entries[entry].incarnation, self.last_waiter_id))
+    }
+
     fn deliver_reply(&mut self, client: usize, call: (usize, u64, u64), outcome: JobOutcome) {
         if self.clients[client].pending_call != Some(call) {
             return;
@@ -1383,7 +1413,7 @@
     }
 
     /// Passes the event to the entry now, or soon after a suspended entry resumes.
-    fn deliver_client_input(&mut self, call: (usize, u64, u64), event: DispatchEvent) {
+    pub(super) fn deliver_client_input(&mut self, call: (usize, u64, u64), event: DispatchEvent) {
         let (entry, incarnation, waiter) = call;
         if !self.entries[entry].is_incarnation(incarnation) {
             return;
--- a/src/core/tests/simulation_report.rs
+++ b/src/core/tests/simulation_report.rs
@@ -18,6 +18,8 @@
     /// Clients that timed out without any reply.
     pub(super) unanswered_clients: u32,
     pub(super) start_count: u32,
+    /// Replies that a job was cancelled.
+    pub(super) confirmed_cancellations: u32,
     /// For each task, the worker crashes while it ran, and its starts after the third of them.
     pub(super) crashes: BTreeMap<TaskId, (u32, u32)>,
     /// Jobs failed for crashes whose tasks do crash workers, and other jobs.
--- a/src/site_entry/client_api.rs
+++ b/src/site_entry/client_api.rs
@@ -85,7 +85,7 @@
         if let Some(feature) = request.unsupported {
             self.metrics.count(Counter::Refusals, feature.as_str());
         }
-        let waiter = WaiterId(self.next_waiter.fetch_add(1, Ordering::Relaxed));
+        let waiter = self.next_waiter();
         let (reply, outcome) = oneshot::channel();
         let time_left_ms = ClientProtocol::time_left_ms(http_request).unwrap_or(route.timeout_ms);
         let waited_ms = u64::try_from(arrived_at.elapsed().as_millis()).unwrap_or(u64::MAX);
@@ -129,10 +129,15 @@
         log_decision(&*self.decisions, LogPriority::Routine, &event);
     }
 
+    fn next_waiter(&self) -> WaiterId {
+        WaiterId(self.next_waiter.fetch_add(1, Ordering::Relaxed))
+    }
+
     async fn cancel(&self, id: JobId) -> HttpResponse {
-        let (reply, is_known) = oneshot::channel();
-        let sent = self.inputs.send(LoopInput::Cancel { id, reply });
-        match (sent, is_known.await) {
+        let waiter = self.next_waiter();
+        let (reply, is_cancelled) = oneshot::channel();
+        let sent = self.inputs.send(LoopInput::Cancel { waiter, id, reply });
+        match (sent, is_cancelled.await) {
             (Ok(()), Ok(true)) => ClientProtocol::cancelled(),
             (Ok(()), Ok(false)) => ClientProtocol::no_job(),
             _ => ClientProtocol::not_configured(NOT_CONFIGURED_RETRY_MS),
--- a/src/site_entry/dispatch_loop.rs
+++ b/src/site_entry/dispatch_loop.rs
@@ -39,8 +39,9 @@
     },
     /// Any other event for the dispatcher.
     Event(DispatchEvent),
-    /// Cancels a job; the reply says whether this entry has it.
+    /// Cancels a job; the reply says whether it was cancelled.
     Cancel {
+        waiter: WaiterId,
         id: JobId,
         reply: oneshot::Sender<bool>,
     },
@@ -63,6 +64,7 @@
     pub(super) decisions: Arc<dyn DecisionLog>,
     pub(super) metrics: Arc<dyn Metrics>,
     pub(super) waiters: BTreeMap<WaiterId, oneshot::Sender<JobOutcome>>,
+    pub(super) cancel_waiters: BTreeMap<WaiterId, oneshot::Sender<bool>>,
     pub(super) links: BTreeMap<LinkId, mpsc::UnboundedSender<EntryFrame>>,
     pub(super) last_link_id: u64,
     pub(super) input_sender: mpsc::UnboundedSender<LoopInput>,
@@ -116,10 +118,9 @@
                 }
                 events.push(event);
             }
-            LoopInput::Cancel { id, reply } => {
-                // The requester may have disconnected.
-                let _ = reply.send(self.dispatcher.can_cancel(id));
-                events.push(DispatchEvent::Cancel { id });
+            LoopInput::Cancel { waiter, id, reply } => {
+                self.cancel_waiters.insert(waiter, reply);
+                events.push(DispatchEvent::Cancel { waiter, id });
             }
             // The requester may have disconnected.
             LoopInput::CountPending { route, reply } => {
@@ -169,6 +170,15 @@
                         let _ = reply.send(outcome);
                     }
                 }
+                DispatchAction::ReplyToCancellation {
+                    waiter,
+                    is_cancelled,
+                } => {
+                    // The client may have disconnected meanwhile.
+                    if let Some(reply) = self.cancel_waiters.remove(&waiter) {
+                        let _ = reply.send(is_cancelled);
+                    }
+                }
                 DispatchAction::ApplyEvacuatedZones(zones) => {
                     self.rows_watcher.apply_zones(zones, "agent")
                 }
@@ -245,6 +255,7 @@
             DispatchLogEvent::JobRefused { .. }
             | DispatchLogEvent::JobJoined { .. }
             | DispatchLogEvent::JobHeld { .. }
+            | DispatchLogEvent::CancellationAnswered { .. }
             | DispatchLogEvent::Woke { .. }
             | DispatchLogEvent::JobIsolated { .. }
             | DispatchLogEvent::HelloOutdated { .. }
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -90,6 +90,7 @@
             decisions: Arc::clone(&self.process.decisions),
             metrics: Arc::clone(&self.process.metrics),
             waiters: BTreeMap::new(),
+            cancel_waiters: BTreeMap::new(),
             links: BTreeMap::new(),
             last_link_id: 0,
             input_sender: self.inputs.clone(),
--- a/src/site_entry/tests/events.rs
+++ b/src/site_entry/tests/events.rs
@@ -1,11 +1,12 @@
 //! Checks that the operations page documents every log event.
 
 /// Every log event of an entry, an agent, and a process as a whole.
-const EVENTS: [&str; 48] = [
+const EVENTS: [&str; 49] = [
     "job_taken",
     "job_refused",
     "job_joined",
     "job_held",
+    "cancellation_answered",
     "job_answered",
     "job_isolated",
     "run_lost",
--- a/src/site_entry/tests/site/entry_model.rs
+++ b/src/site_entry/tests/site/entry_model.rs
@@ -96,6 +96,7 @@
             decisions: Arc::clone(&zones_log) as Arc<dyn DecisionLog>,
             metrics: Arc::new(NoopMetrics),
             waiters: BTreeMap::new(),
+            cancel_waiters: BTreeMap::new(),
             links: BTreeMap::new(),
             last_link_id: 0,
             input_sender: inputs,
