A configuration comes into force while the store turns all entries away

Cause: agents hold the document for entries that can't read it, but held only what an entry had read, so nobody read a new one.

Change: the agents that hold the document read its changes where they read the zones, once no entry has read the store for 3 to 3.5 s. They ask the feed for changes after the version up to which their entries had read all rows, or that of their own document, whichever is later: a document that hasn't changed costs a call and no bytes. Beats carry that version (rows_version, from the entry's lagging feed cursor, since a feed may leave a change out of one response); one from an entry with a newer document than the agent's isn't counted. Entries fetch the new revision as usual. Log line document_read.

--- a/src/core/dispatch/dispatch_event.rs
+++ b/src/core/dispatch/dispatch_event.rs
@@ -111,6 +111,8 @@
     ZonesRead {
         /// The zones were as known at this time or later.
         at: Instant,
+        /// Store version up to which all operators' rows were read.
+        rows_version: u64,
     },
     /// A newer document, which agents are to hold.
     Document(Document),
--- a/src/core/dispatch/dispatcher.rs
+++ b/src/core/dispatch/dispatcher.rs
@@ -59,6 +59,8 @@
     pub(super) zones: Option<EvacuatedZones>,
     /// When the store was last read and had no zones but these.
     pub(super) zones_read_at: Option<Instant>,
+    /// Store version up to which the operators' rows were read; zero without a read.
+    pub(super) rows_version: u64,
     pub(super) document: DocumentCopy<LinkId>,
     /// Since when an agent has held a newer document than this entry.
     pub(super) document_behind_since: Option<Instant>,
@@ -103,6 +105,7 @@
             by_link: BTreeMap::new(),
             zones: None,
             zones_read_at: None,
+            rows_version: 0,
             document: DocumentCopy::default(),
             document_behind_since: None,
             leaving_since: None,
@@ -177,8 +180,9 @@
             DispatchEvent::Frame { link, frame } => self.on_frame(now, link, frame),
             DispatchEvent::LinkLost { link } => self.disconnect(now, link, "closed"),
             DispatchEvent::EvacuatedZones(zones) => self.on_evacuated_zones(zones),
-            DispatchEvent::ZonesRead { at } => {
+            DispatchEvent::ZonesRead { at, rows_version } => {
                 self.zones_read_at = self.zones_read_at.max(Some(at));
+                self.rows_version = self.rows_version.max(rows_version);
             }
             DispatchEvent::Document(document) => self.set_document(document),
             DispatchEvent::Shutdown => self.leaving_since = Some(now),
--- a/src/core/dispatch/links.rs
+++ b/src/core/dispatch/links.rs
@@ -235,6 +235,7 @@
             echo_us: worker.stamp_us,
             news_version,
             zones_age_ms,
+            rows_version: self.rows_version,
             document_revision,
             is_holder,
             queue_demands,
--- a/src/core/execution/documents.rs
+++ b/src/core/execution/documents.rs
@@ -1,9 +1,11 @@
 //! Replication of the operators' document to agents, for entries that cannot reach the store.
+//!
+//! While no entry can, the agents that hold the document read its changes from the store.
 
 use {
     super::{ExecutionLogEvent, Executor, SessionId},
     crate::core::{
-        document::{DocumentPart, FetchStep},
+        document::{Document, DocumentPart, FetchStep},
         link::AgentFrame,
         time::Instant,
     },
@@ -38,6 +40,38 @@
         }
     }
 
+    /// Records up to which store version an entry has read the operators' rows.
+    ///
+    /// Says nothing while the entry holds a newer document than this agent: it may fail before this
+    /// agent has fetched it.
+    pub(super) fn record_rows_version(&mut self, rows_version: u64, document_revision: u64) {
+        if document_revision <= self.document.revision() {
+            self.rows_version = self.rows_version.max(rows_version);
+        }
+    }
+
+    /// Store version after which the document may have changed; `None` if no entry names this agent as
+    /// a holder.
+    pub(super) fn unread_document_after(&self) -> Option<u64> {
+        let is_holder = self
+            .sessions
+            .values()
+            .any(|link| link.holder_since.is_some());
+        is_holder.then(|| self.rows_version.max(self.document.revision()))
+    }
+
+    /// Holds a document that was read from the store; entries fetch it when they see its revision.
+    pub(super) fn on_document_read(&mut self, document: Document) {
+        if document.revision <= self.document.revision() {
+            return;
+        }
+        self.log_event(ExecutionLogEvent::DocumentRead {
+            revision: document.revision,
+            bytes: document.text.len(),
+        });
+        self.document.update(document);
+    }
+
     pub(super) fn handle_document_part(
         &mut self,
         now: Instant,
--- a/src/core/execution/execution_event.rs
+++ b/src/core/execution/execution_event.rs
@@ -3,6 +3,7 @@
 use {
     super::ExecutionLogEvent,
     crate::core::{
+        document::Document,
         link::{AgentFrame, EntryFrame, EvacuatedZones, RunOutcome},
         work::{TaskName, WorkerIncarnation, WorkerView},
     },
@@ -183,6 +184,8 @@
     },
     /// The evacuated zones were read from the store; `None` if the read failed.
     ZonesRead { zones: Option<EvacuatedZones> },
+    /// A changed document was read from the store.
+    DocumentRead(Document),
     /// The process is shutting down.
     Shutdown,
     /// Sent periodically.
@@ -205,7 +208,11 @@
     /// entries.
     StaleRunsStopped,
     /// Read the evacuated zones from the store.
-    ReadZones,
+    ReadZones {
+        /// Store version after which changes of the operators' document are to be read as well; `None`
+        /// for no read of it.
+        document_after: Option<u64>,
+    },
     /// Persist the worker view for a later process of this agent.
     PersistWorker(WorkerView),
     /// Send a start call to the worker.
--- a/src/core/execution/execution_log_event.rs
+++ b/src/core/execution/execution_log_event.rs
@@ -142,6 +142,12 @@
         /// Time since they were last read; `None` if they are unknown.
         age_ms: Option<u64>,
     },
+    /// The operators' document was read from the store, because no entry reads it.
+    DocumentRead {
+        /// Version of the store row.
+        revision: u64,
+        bytes: usize,
+    },
     /// An entry reads the evacuated zones again.
     ZonesConfirmed {
         /// Store version of the known zones.
--- a/src/core/execution/executor.rs
+++ b/src/core/execution/executor.rs
@@ -45,6 +45,8 @@
     pub(super) zones: Option<EvacuatedZones>,
     pub(super) zone_reads: ZoneReads,
     pub(super) document: DocumentCopy<SessionId>,
+    /// Store version up to which this document is the newest one, by the entries' reads.
+    pub(super) rows_version: u64,
     pub(super) token: u64,
     pub(super) token_step: u64,
     pub(super) last_hold_sequence: u64,
@@ -81,6 +83,7 @@
             zones: None,
             zone_reads: ZoneReads::for_agent(&settings.agent),
             document: DocumentCopy::default(),
+            rows_version: 0,
             last_hold_sequence: 0,
             unconfirmed_reports: Vec::new(),
             has_replaced_worker: false,
@@ -127,6 +130,7 @@
                 self.on_hold_answered(now, &call, response);
             }
             ExecutionEvent::ZonesRead { zones } => self.on_zones_read(now, zones),
+            ExecutionEvent::DocumentRead(document) => self.on_document_read(document),
             ExecutionEvent::Shutdown => self.on_shutdown(),
             ExecutionEvent::Tick => self.on_tick(now),
         }
--- a/src/core/execution/sessions.rs
+++ b/src/core/execution/sessions.rs
@@ -79,6 +79,7 @@
                 echo_us,
                 news_version,
                 zones_age_ms,
+                rows_version,
                 document_revision,
                 is_holder,
                 queue_demands,
@@ -88,6 +89,7 @@
                 self.on_entry_heartbeat(now, session, echo_us, news_version);
                 self.record_entry_read(now, echo_us, zones_age_ms);
                 self.on_document_revision(now, session, document_revision, is_holder);
+                self.record_rows_version(rows_version, document_revision);
             }
             EntryFrame::Start(order) => self.on_start(now, session, order),
             EntryFrame::Stop { run } => self.on_stop(now, session, run),
--- a/src/core/execution/tests/mod.rs
+++ b/src/core/execution/tests/mod.rs
@@ -5,6 +5,7 @@
 mod capacity_shares;
 mod crashes;
 mod departure;
+mod document_reads;
 mod entry_loss;
 mod incarnations;
 mod lost_calls;
@@ -95,6 +96,7 @@
         echo_us: now.as_micros(),
         news_version: 0,
         zones_age_ms: Some(0),
+        rows_version: 0,
         document_revision: 0,
         is_holder: false,
         queue_demands: Vec::new(),
@@ -309,6 +311,7 @@
             echo_us: test.now.as_micros(),
             news_version: 0,
             zones_age_ms: Some(0),
+            rows_version: 0,
             document_revision: 4,
             is_holder: *is_holder,
             queue_demands: Vec::new(),
@@ -540,6 +543,7 @@
         echo_us,
         news_version: 0,
         zones_age_ms: Some(0),
+        rows_version: 0,
         document_revision: 0,
         is_holder: false,
         queue_demands: Vec::new(),
--- a/src/core/execution/tests/queue_levels.rs
+++ b/src/core/execution/tests/queue_levels.rs
@@ -26,6 +26,7 @@
             echo_us: self.now.as_micros(),
             news_version: 0,
             zones_age_ms: Some(0),
+            rows_version: 0,
             document_revision: 0,
             is_holder: false,
             queue_demands,
--- a/src/core/execution/tests/zone_reads.rs
+++ b/src/core/execution/tests/zone_reads.rs
@@ -32,7 +32,8 @@
                 self.send_frame(frame);
             }
             self.send_event(ExecutionEvent::Tick);
-            if self.actions.contains(&ExecutionAction::ReadZones) {
+            let is_read = |action: &_| matches!(action, ExecutionAction::ReadZones { .. });
+            if self.actions.iter().any(is_read) {
                 reads.push(passed_ms);
             }
         }
--- a/src/core/execution/zone_reads.rs
+++ b/src/core/execution/zone_reads.rs
@@ -1,4 +1,4 @@
-//! Reads of the evacuated zones from the store while no entry can read them.
+//! Reads of the evacuated zones, and by holders of the document, while no entry can read them.
 
 use {
     super::{ExecutionAction, ExecutionLogEvent, Executor},
@@ -79,6 +79,8 @@
         });
         self.zone_reads.reads = 0;
         self.zone_reads.failed_reads = 0;
+        self.zone_reads.retry_at = now;
+        self.zone_reads.retry_delay_ms = INITIAL_RETRY_DELAY_MS;
     }
 
     /// Requests a read of outdated zones if entries may order starts.
@@ -100,7 +102,9 @@
         }
         self.zone_reads.reads += 1;
         self.zone_reads.requested_at = Some(now);
-        self.actions.push(ExecutionAction::ReadZones);
+        let document_after = self.unread_document_after();
+        self.actions
+            .push(ExecutionAction::ReadZones { document_after });
     }
 
     pub(super) fn on_zones_read(&mut self, now: Instant, zones: Option<EvacuatedZones>) {
--- a/src/core/link/entry_frame.rs
+++ b/src/core/link/entry_frame.rs
@@ -43,6 +43,8 @@
         /// Time since the entry read from the store that these are the evacuated zones; `None` if it
         /// has not read them.
         zones_age_ms: Option<u64>,
+        /// Store version up to which the entry has read the operators' rows; zero if it has not.
+        rows_version: u64,
         /// Revision of the document that the entry holds; zero without one.
         document_revision: u64,
         /// The agent is to hold the document, for entries that cannot reach the store.
--- a/src/core/tests/floods/flood_site.rs
+++ b/src/core/tests/floods/flood_site.rs
@@ -294,7 +294,7 @@
                 }
                 ExecutionAction::Close { session } => panic!("{session:?} is closed"),
                 ExecutionAction::SessionDrained { .. }
-                | ExecutionAction::ReadZones
+                | ExecutionAction::ReadZones { .. }
                 | ExecutionAction::PersistWorker(_)
                 | ExecutionAction::Log(_) => {}
             }
--- a/src/core/tests/simulation.rs
+++ b/src/core/tests/simulation.rs
@@ -642,8 +642,11 @@
             self.read_zones_at_entry(entry);
         }
         if self.entries_rejected_until[entry] <= self.now {
-            let at = self.now;
-            self.handle_entry_event(entry, DispatchEvent::ZonesRead { at });
+            let event = DispatchEvent::ZonesRead {
+                at: self.now,
+                rows_version: self.zones.version,
+            };
+            self.handle_entry_event(entry, event);
         }
     }
 
@@ -950,7 +953,7 @@
                 }
             }
             ExecutionAction::StaleRunsStopped => self.connect_to_all_entries(agent),
-            ExecutionAction::ReadZones => {
+            ExecutionAction::ReadZones { .. } => {
                 let is_rejected = self.agents_rejected_until[agent] > self.now;
                 let zones = (!is_rejected).then(|| self.zones.clone());
                 let incarnation = self.agents[agent].incarnation;
--- a/src/site_agent/execution_loop.rs
+++ b/src/site_agent/execution_loop.rs
@@ -4,6 +4,7 @@
     crate::{
         adapters::link::FrameDuplex,
         core::{
+            document::Document,
             execution::{
                 ExecutionAction, ExecutionEvent, ExecutionLogEvent, Executor, LeavingWorker,
                 SessionId,
@@ -12,8 +13,8 @@
             work::WorkerView,
         },
         ports::{
-            Counter, DecisionLog, Gauge, LogPriority, Metrics, SiteStore, StoreError, TimerService,
-            WorkerClient, log_decision,
+            Counter, DecisionLog, Gauge, LogPriority, Metrics, OperatorChange, SiteStore,
+            StoreError, TimerService, WorkerClient, log_decision,
         },
     },
     std::{collections::BTreeMap, sync::Arc},
@@ -22,6 +23,8 @@
 
 /// Tick interval in milliseconds; leases and timeouts are checked at this resolution.
 const TICK_MS: u64 = 20;
+/// Time that the store may wait for a change of the document, in milliseconds.
+const DOCUMENT_WAIT_MS: u64 = 50;
 
 /// Connection of this agent to an entry.
 pub(super) type EntryLink = FrameDuplex<EntryFrame, AgentFrame>;
@@ -161,7 +164,12 @@
             ExecutionAction::StaleRunsStopped => {
                 self.stale_runs_stopped.send_replace(true);
             }
-            ExecutionAction::ReadZones => self.read_zones(),
+            ExecutionAction::ReadZones { document_after } => {
+                self.read_zones();
+                if let Some(after) = document_after {
+                    self.read_document(after);
+                }
+            }
             ExecutionAction::PersistWorker(view) => {
                 self.worker_view.send_replace(Some(view));
             }
@@ -217,6 +225,28 @@
         });
     }
 
+    /// Reads the operators' document if it has changed after this store version.
+    fn read_document(&self, after: u64) {
+        let (store, inputs) = (Arc::clone(&self.store), self.input_sender.clone());
+        let metrics = Arc::clone(&self.metrics);
+        tokio::spawn(async move {
+            let read = changed_document(&*store, after).await;
+            let outcome = read
+                .as_ref()
+                .map_or_else(StoreError::as_str, |_| "answered");
+            metrics.count(Counter::StoreCalls, outcome);
+            match read {
+                Ok(None) => {}
+                Ok(Some(document)) => {
+                    let event = ExecutionEvent::DocumentRead(document);
+                    // The loop runs as long as the process.
+                    let _ = inputs.send(LoopInput::Event(event));
+                }
+                Err(error) => log::info!(error:% = error; "failed to read the document"),
+            }
+        });
+    }
+
     fn log_event(&self, event: &ExecutionLogEvent) {
         match event {
             ExecutionLogEvent::RunNotStarted { reason, .. } => {
@@ -241,6 +271,7 @@
             | ExecutionLogEvent::StrayRun { .. }
             | ExecutionLogEvent::WorkerCrashed { .. }
             | ExecutionLogEvent::DocumentFetched { .. }
+            | ExecutionLogEvent::DocumentRead { .. }
             | ExecutionLogEvent::NewsTaken { .. }
             | ExecutionLogEvent::ZonesOutdated { .. }
             | ExecutionLogEvent::ZonesConfirmed { .. } => {}
@@ -248,3 +279,16 @@
         log_decision(&*self.decisions, LogPriority::Notable, event);
     }
 }
+
+/// The operators' document if it has changed after this store version.
+async fn changed_document(
+    store: &dyn SiteStore,
+    after: u64,
+) -> Result<Option<Document>, StoreError> {
+    let change = store.wait_for_operator_change(after, DOCUMENT_WAIT_MS);
+    match change.await? {
+        OperatorChange::None { .. } => Ok(None),
+        OperatorChange::Rows { document, .. } => Ok(document),
+        OperatorChange::HistoryUnavailable => Ok(store.read_operator_rows().await?.document),
+    }
+}
--- a/src/site_entry/operator_rows_watcher.rs
+++ b/src/site_entry/operator_rows_watcher.rs
@@ -67,7 +67,7 @@
                     self.log_read(&rows, started_at);
                     let version = rows.zones.version;
                     self.apply_rows(rows);
-                    self.confirm_zones(version, asked_at);
+                    self.confirm_zones(version, asked_at, version);
                     self.follow_changes(version, &mut health, &mut backoff)
                         .await;
                     backoff.wait_since(started_at).await;
@@ -92,7 +92,7 @@
             let answered_at = self.timer.now().min(asked_at.plus_ms(LONG_POLL_MS));
             match change {
                 Ok(OperatorChange::None { version }) => {
-                    self.confirm_zones(version, answered_at);
+                    self.confirm_zones(version, answered_at, cursor.after());
                     cursor.advance(version);
                 }
                 Ok(OperatorChange::Rows {
@@ -101,8 +101,8 @@
                     document,
                 }) => {
                     self.apply_changes(version, zones, document);
-                    self.confirm_zones(version, answered_at);
                     cursor.restart(version);
+                    self.confirm_zones(version, answered_at, cursor.after());
                 }
                 Ok(OperatorChange::HistoryUnavailable) => {
                     health.record_success();
@@ -156,15 +156,14 @@
 
     /// Notifies the dispatcher that the store had no other zones at this time, unless its response is
     /// older than the known zones.
-    fn confirm_zones(&self, version: u64, at: BootInstant) {
+    fn confirm_zones(&self, version: u64, at: BootInstant, rows_version: u64) {
         let known = self.known().zones.as_ref().map(|zones| zones.version);
         if known.is_none_or(|known| version < known) {
             return;
         }
+        let event = DispatchEvent::ZonesRead { at, rows_version };
         // The loop runs as long as the process.
-        let _ = self
-            .inputs
-            .send(LoopInput::Event(DispatchEvent::ZonesRead { at }));
+        let _ = self.inputs.send(LoopInput::Event(event));
     }
 
     /// Applies evacuated zones unless newer ones are known.
--- a/src/site_entry/tests/events.rs
+++ b/src/site_entry/tests/events.rs
@@ -1,7 +1,7 @@
 //! Checks that the operations page documents every log event.
 
 /// Every log event of an entry, an agent, and a process as a whole.
-const EVENTS: [&str; 49] = [
+const EVENTS: [&str; 50] = [
     "job_taken",
     "job_refused",
     "job_joined",
@@ -41,6 +41,7 @@
     "news_read",
     "news_left_aside",
     "document_fetched",
+    "document_read",
     "store_lost",
     "store_regained",
     "woke",
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -18,5 +18,6 @@
 mod silent_connections;
 mod site;
 mod support;
+mod unread_config;
 mod unread_logs;
 mod worker_reports;
