Jobs with a label that no worker has are refused at once

Cause: they were accepted, and their tasks waited at the head of the queue; a placement ends after 24 tasks without a fitting worker.

Change: the check for tasks larger than every worker covers labels; reason no_matching_worker, retry after 1 s.

Failing before (the check taken out): jobs_with_an_unknown_label_hold_up_no_others (the job waits: []), a_known_label_is_served (left: 0, right: 1), an_unknown_label_of_a_later_step_refuses_the_job (its first step starts).

--- a/src/core/dispatch/admission.rs
+++ b/src/core/dispatch/admission.rs
@@ -8,7 +8,7 @@
     },
     crate::core::{
         time::Instant,
-        work::{JobRequest, Resources, StepSpec, UnsupportedFeature},
+        work::{JobRequest, StepSpec, UnsupportedFeature},
     },
 };
 
@@ -25,7 +25,7 @@
 /// The balancer needs two failed probes, a second apart, and clients use open connections for
 /// another second. Jobs accepted last have half of the usual grace period of 6 s left.
 const LEAVING_ACCEPT_MS: u64 = 3_000;
-/// Time after the first worker was announced until the largest worker is known, in milliseconds.
+/// Time after the first worker was announced until all kinds of workers are known, in milliseconds.
 const WORKERS_KNOWN_AFTER_MS: u64 = 1_000;
 
 impl Dispatcher {
@@ -37,6 +37,7 @@
                 RefusalReason::Overloaded
                 | RefusalReason::DeadlinePassed
                 | RefusalReason::TooLarge
+                | RefusalReason::NoMatchingWorker
                 | RefusalReason::Isolated => OVERLOAD_RETRY_AFTER_MS,
                 RefusalReason::Unsupported | RefusalReason::BadJob => 0,
             };
@@ -95,30 +96,32 @@
         if self.leaving_since.is_some_and(stops_accepting) {
             return Some(RefusalReason::Leaving);
         }
-        if self.exceeds_all_workers(now, submission) {
-            return Some(RefusalReason::TooLarge);
-        }
-        None
+        self.mismatch(now, submission)
     }
 
-    /// Whether a task of the job requires more than any connected worker of its service has in
-    /// total.
-    fn exceeds_all_workers(&self, now: Instant, submission: &Submission) -> bool {
+    /// Why no connected worker of the job's service can ever run one of its steps, if so: such tasks
+    /// would keep others waiting until their deadline.
+    fn mismatch(&self, now: Instant, submission: &Submission) -> Option<RefusalReason> {
         let are_workers_known = |since| now.millis_since(since) >= WORKERS_KNOWN_AFTER_MS;
         if !self.first_worker_at.is_some_and(are_workers_known) {
-            return false;
-        }
-        let capacities = || {
-            let views = self
-                .workers
-                .values()
-                .filter_map(|worker| worker.view.as_ref());
-            let views = views.filter(|view| view.service == submission.route.service);
-            views.map(|view| view.capacity)
+            return None;
+        }
+        let views = || {
+            let workers = self.workers.values();
+            let views = workers.filter_map(|worker| worker.view.as_ref());
+            views.filter(|view| view.service == submission.route.service)
         };
-        let exceeds_all = |needs: Resources| !capacities().any(|capacity| needs.fits(capacity));
-        let mut steps = submission.request.steps.iter();
-        capacities().next().is_some() && steps.any(|step| exceeds_all(step.needs))
+        views().next()?;
+        submission.request.steps.iter().find_map(|step| {
+            let mut labelled = views()
+                .filter(|view| step.has_required_label(view))
+                .peekable();
+            if labelled.peek().is_none() {
+                return Some(RefusalReason::NoMatchingWorker);
+            }
+            let fits_somewhere = labelled.any(|view| step.needs.fits(view.capacity));
+            (!fits_somewhere).then_some(RefusalReason::TooLarge)
+        })
     }
 
     /// Accepts a job and numbers its runs from `first_run`.
--- a/src/core/dispatch/dispatch_event.rs
+++ b/src/core/dispatch/dispatch_event.rs
@@ -22,6 +22,8 @@
         BadJob => "bad_job",
         /// No known worker is large enough for one of its tasks.
         TooLarge => "too_large",
+        /// No known worker has a label that one of its steps requires.
+        NoMatchingWorker => "no_matching_worker",
         /// Its tasks could not start in time to finish before the client's deadline.
         Overloaded => "overloaded",
         /// The deadline passed before a task was started.
--- a/src/core/dispatch/tests/mod.rs
+++ b/src/core/dispatch/tests/mod.rs
@@ -5,6 +5,7 @@
 mod cancellation;
 mod concurrent_entries;
 mod crashes;
+mod labels;
 mod queue_shares;
 mod same_numbers;
 mod sessions;
--- a/src/core/dispatch/worker_link.rs
+++ b/src/core/dispatch/worker_link.rs
@@ -158,7 +158,6 @@
         zones: Option<&EvacuatedZones>,
     ) -> Option<&WorkerView> {
         let view = self.view.as_ref()?;
-        let has_label = |label: &String| view.labels.contains(label);
         let is_evacuated =
             zones.is_some_and(|zones| zones.evacuated.contains(&view.availability_zone));
         let is_usable = self.link.is_some()
@@ -166,7 +165,7 @@
             && view.service == job.route.service
             && !is_evacuated
             && !self.health.is_ejected(now)
-            && step.required_label.as_ref().is_none_or(has_label);
+            && step.has_required_label(view);
         is_usable.then_some(view)
     }
 
--- a/src/core/work/job_request.rs
+++ b/src/core/work/job_request.rs
@@ -1,6 +1,10 @@
 //! A job as a client submits it.
 
-use {super::Resources, crate::core::verdict::reasons, std::sync::Arc};
+use {
+    super::{Resources, WorkerView},
+    crate::core::verdict::reasons,
+    std::sync::Arc,
+};
 
 reasons! {
     /// A feature that a job may request and that is not implemented.
@@ -39,6 +43,14 @@
     pub(crate) max_per_worker: u16,
 }
 
+impl StepSpec {
+    /// Whether a worker has the label that the step requires, if any.
+    pub(crate) fn has_required_label(&self, worker: &WorkerView) -> bool {
+        let required = self.required_label.as_ref();
+        required.is_none_or(|label| worker.labels.contains(label))
+    }
+}
+
 /// A job that is not stored; its outcome is returned when it ends.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct JobRequest {
