Simulation of configuration changes: agents read the store, which may refuse all entries

Agents read the rows as in production now (changed_document is visible to tests for it; nothing else of the product changes), and a fault refuses all entries and serves agents.

--- a/src/site_agent/execution_loop.rs
+++ b/src/site_agent/execution_loop.rs
@@ -281,7 +281,7 @@
 }
 
 /// The operators' document if it has changed after this store version.
-async fn changed_document(
+pub(crate) async fn changed_document(
     store: &dyn SiteStore,
     after: u64,
 ) -> Result<Option<Document>, StoreError> {
--- a/src/site_agent/mod.rs
+++ b/src/site_agent/mod.rs
@@ -12,3 +12,6 @@
 mod tests;
 
 pub(crate) use run::run_site_agent;
+
+#[cfg(test)]
+pub(crate) use execution_loop::changed_document;
--- a/src/site_entry/tests/config_changes.rs
+++ b/src/site_entry/tests/config_changes.rs
@@ -105,6 +105,13 @@
         (9_200, SiteEvent::FreezeEntry { entry: 2, for_ms: 2_000 }),
         (14_900, SiteEvent::FreezeEntry { entry: 3, for_ms: 1_000 }),
     ];
+    /// Nobody read a change while the store served only agents.
+    a_change_is_applied_in_time_while_the_store_refuses_all_entries:
+        [(8_500, store_fault(StoreFault::RefusesEntries, 15_000))];
+    a_zone_is_evacuated_in_time_while_the_store_refuses_all_entries: [
+        (4_500, store_fault(StoreFault::RefusesEntries, 18_000)),
+        (6_000, SiteEvent::Zone { is_evacuated: true }),
+    ];
     a_zone_is_evacuated_in_time_at_entries_that_the_store_refuses: [
         (4_500, store_fault(StoreFault::RefusesSome(3, 1), 18_000)),
         (6_000, SiteEvent::Zone { is_evacuated: true }),
@@ -209,6 +216,25 @@
     }
 }
 
+fn random_plan_with_refused_entries(seed: u64) -> SitePlan {
+    let mut plan = random_plan(seed);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let for_ms = rng.random_range(4_000..16_000);
+    let at_ms = rng.random_range(4_000..30_000);
+    let refused = store_fault(StoreFault::RefusesEntries, for_ms);
+    plan.events.push((at_ms, refused));
+    plan
+}
+
+/// The same while the store serves only agents.
+#[tokio::test(start_paused = true)]
+async fn changes_are_applied_in_time_under_random_faults_while_the_store_refuses_entries() {
+    for seed in 0..SEED_COUNT {
+        let violations = violations_of(random_plan_with_refused_entries(seed)).await;
+        assert_eq!(violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 /// `RATTANSLIP_SEEDS=FIRST..END cargo test --release --lib more_site_seeds -- --ignored` runs other seeds.
 #[tokio::test(start_paused = true)]
 #[ignore = "runs hundreds of seeds; started by hand"]
@@ -218,7 +244,8 @@
     let (first, end): (u64, u64) = (first.parse().expect("first"), end.parse().expect("end"));
     let mut failed = Vec::new();
     for seed in first..end {
-        let violations = violations_of(random_plan(seed)).await;
+        let mut violations = violations_of(random_plan(seed)).await;
+        violations.extend(violations_of(random_plan_with_refused_entries(seed)).await);
         if !violations.is_empty() {
             println!("seed {seed}: {violations:?}");
             failed.push(seed);
--- a/src/site_entry/tests/site/agent_model.rs
+++ b/src/site_entry/tests/site/agent_model.rs
@@ -1,7 +1,7 @@
 //! Agent of the simulation: the production executor without a worker.
 
 use {
-    super::{HostModel, paused_timer::PausedTimer},
+    super::{HostModel, paused_timer::PausedTimer, store_model::StoreClient},
     crate::{
         adapters::link::FrameDuplex,
         core::{
@@ -9,7 +9,8 @@
             link::{AgentFrame, EntryFrame},
             work::RunLimits,
         },
-        ports::TimerService,
+        ports::{SiteStore, TimerService},
+        site_agent::changed_document,
     },
     serde::Serialize,
     std::{collections::BTreeMap, sync::Arc},
@@ -32,14 +33,19 @@
     },
 }
 
-/// Passes inputs and ticks to an executor until the input channel closes.
+/// Passes inputs and ticks to an executor until the task is aborted.
 pub(super) async fn run_agent(
     name: String,
     host: Arc<HostModel>,
     origin: Instant,
     limits: RunLimits,
-    mut inputs: mpsc::UnboundedReceiver<AgentInput>,
+    store: StoreClient,
+    (input_sender, mut inputs): (
+        mpsc::UnboundedSender<AgentInput>,
+        mpsc::UnboundedReceiver<AgentInput>,
+    ),
 ) {
+    let store = Arc::new(store);
     let mut executor = Executor::new(ExecutorSettings {
         agent: name,
         service: "shares".to_owned(),
@@ -79,12 +85,36 @@
                         let _: Result<(), _> = drained.send(());
                     }
                 }
+                ExecutionAction::ReadZones { document_after } => {
+                    tokio::spawn(read_rows(
+                        Arc::clone(&store),
+                        document_after,
+                        input_sender.clone(),
+                    ));
+                }
                 _ => {}
             }
         }
     }
 }
 
+/// Reads the evacuated zones, and the document if it has changed after a version.
+async fn read_rows(
+    store: Arc<StoreClient>,
+    document_after: Option<u64>,
+    inputs: mpsc::UnboundedSender<AgentInput>,
+) {
+    let zones = store.read_evacuated_zones().await.ok();
+    // The agent may have stopped meanwhile.
+    let _: Result<(), _> = inputs.send(AgentInput::Event(ExecutionEvent::ZonesRead { zones }));
+    if let Some(after) = document_after
+        && let Ok(Some(document)) = changed_document(&*store, after).await
+    {
+        let event = ExecutionEvent::DocumentRead(document);
+        let _: Result<(), _> = inputs.send(AgentInput::Event(event));
+    }
+}
+
 /// Returns both ends of a session whose frames cross the links of two hosts.
 pub(super) fn connect(
     entry: &Arc<HostModel>,
--- a/src/site_entry/tests/site/site_simulation.rs
+++ b/src/site_entry/tests/site/site_simulation.rs
@@ -5,7 +5,7 @@
         HostModel, StoreFault,
         agent_model::{AgentInput, connect, run_agent},
         entry_model::EntryIncarnation,
-        store_model::{StoreModel, ZONE},
+        store_model::{FIRST_AGENT, StoreClient, StoreModel, ZONE},
     },
     crate::{
         adapters::link::FrameDuplex,
@@ -228,7 +228,12 @@
             Arc::clone(&shared.agent_hosts[agent]),
             shared.origin,
             shared.limits,
-            input_receiver,
+            StoreClient {
+                store: Arc::clone(&shared.store),
+                host: Arc::clone(&shared.agent_hosts[agent]),
+                number: FIRST_AGENT + agent,
+            },
+            (inputs.clone(), input_receiver),
         ));
         for entry in 0..shared.entries.len() {
             tasks.spawn(Arc::clone(shared).maintain_session(agent, entry, inputs.clone()));
--- a/src/site_entry/tests/site/store_model.rs
+++ b/src/site_entry/tests/site/store_model.rs
@@ -26,6 +26,8 @@
 const CALL_MS: u64 = 4;
 /// Zone that the operator evacuates.
 pub(super) const ZONE: &str = "north";
+/// Number of the first agent's host; entries are numbered from zero.
+pub(super) const FIRST_AGENT: usize = 1_000;
 /// Timeout of a read.
 const CALL_TIMEOUT_MS: u64 = 1_000;
 const FEED_TIMEOUT_SLACK_MS: u64 = 500;
@@ -49,12 +51,14 @@
     StaleReads(u64),
     /// Refuses hosts whose number modulo the first value equals the second.
     RefusesSome(usize, usize),
+    /// Refuses all entries and serves agents.
+    RefusesEntries,
 }
 
 impl StoreFault {
     /// Whether the fault affects only some hosts.
     pub(super) const fn is_partial(self) -> bool {
-        matches!(self, Self::RefusesSome(..))
+        matches!(self, Self::RefusesSome(..) | Self::RefusesEntries)
     }
 }
 
@@ -208,6 +212,7 @@
 pub(super) struct StoreClient {
     pub(super) store: Arc<StoreModel>,
     pub(super) host: Arc<HostModel>,
+    /// Number of the entry, or [`FIRST_AGENT`] and more for agents.
     pub(super) number: usize,
 }
 
@@ -235,6 +240,7 @@
                     std::future::pending().await
                 }
                 StoreFault::RefusesSome(of, rem) if self.number % of == rem => return refused(),
+                StoreFault::RefusesEntries if self.number < FIRST_AGENT => return refused(),
                 _ => {}
             }
         }
