--- a/src/conf/agent_settings.rs
+++ b/src/conf/agent_settings.rs
@@ -1,7 +1,8 @@
 //! Settings of `rattanslip-agent`.
 
 use {
-    super::{LogSettings, TableReader},
+    super::{LogSettings, TableReader, connection_settings::read_connection_limits},
+    crate::core::connections::ConnectionLimits,
     std::net::SocketAddr,
 };
 
@@ -43,6 +44,8 @@
     pub(crate) stop_limit_ms: u64,
     /// Placement policy of this home.
     pub(crate) placement: PlacementSetting,
+    /// Limits on the connections of HTTP clients.
+    pub(crate) client_connections: ConnectionLimits,
     /// Settings of the process log.
     pub(crate) log: LogSettings,
 }
@@ -76,6 +79,7 @@
                 ],
                 PlacementSetting::MostFree,
             ),
+            client_connections: read_connection_limits(reader),
             log: reader.table("log", LogSettings::read),
         };
         if settings.entries.is_empty() {
--- a/src/conf/entry_settings.rs
+++ b/src/conf/entry_settings.rs
@@ -1,7 +1,8 @@
 //! Settings of `rattanslip-entry`.
 
 use {
-    super::{LogSettings, TableReader},
+    super::{LogSettings, TableReader, connection_settings::read_connection_limits},
+    crate::core::connections::ConnectionLimits,
     std::net::SocketAddr,
 };
 
@@ -47,6 +48,8 @@
     pub(crate) max_deadline_ms: u64,
     /// Operators with their tokens.
     pub(crate) operators: Vec<OperatorSettings>,
+    /// Limits on the connections of HTTP clients.
+    pub(crate) client_connections: ConnectionLimits,
     /// Settings of the process log.
     pub(crate) log: LogSettings,
 }
@@ -70,6 +73,7 @@
             max_body_bytes: reader.number("max_body_bytes", 1_024..=16_777_216, Some(4_194_304)),
             max_deadline_ms: reader.number("max_deadline_ms", 1_000..=120_000, Some(60_000)),
             operators: read_operators(reader),
+            client_connections: read_connection_limits(reader),
             log: reader.table("log", LogSettings::read),
         }
     }
--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -1,6 +1,7 @@
 //! Parsing and validation of settings files and the configuration document.
 
 mod agent_settings;
+mod connection_settings;
 mod document_reader;
 mod document_rules;
 mod entry_settings;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod admission;
 pub(crate) mod claim;
 pub(crate) mod config;
+pub(crate) mod connections;
 pub(crate) mod demand;
 pub(crate) mod directory;
 pub(crate) mod dispatch;
