Tests: crowds of clients that begin requests and stop short, against each server

The tests start the real programs with settings of a small host (64 MB, 128 descriptors), let 10 to 300 clients send whole bodies, bodies in pieces, chunks of 16 KB and of one byte, headers without an end, or nothing, each short of its end and staying open, and check that the process lives, that its peak memory and its open descriptors stay within the host's, and that an ordinary request is answered beside the crowd and after it. Crowds that come again, during a restart and a stop; a single request of the largest size must still be served. The crowd counts as sent when the server has read all that the system received.

The bounds are the memory and the descriptors in the settings and stay.

--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -7,6 +7,7 @@
 
 mod client_requests;
 mod config;
+mod crowds;
 mod evacuation;
 mod exactly_once;
 mod gate;
--- a/tests/processes/site.rs
+++ b/tests/processes/site.rs
@@ -25,7 +25,7 @@
 
 /// Waits until an entry completes a job. Before its first contact with an agent it rejects short
 /// jobs.
-async fn wait_until_serving(site: &Site, entry: usize) {
+pub async fn wait_until_serving(site: &Site, entry: usize) {
     let what = format!("entry {entry} serves");
     eventually(&what, Duration::from_secs(10), || async {
         let id = format!("{:016x}", rand::random::<u64>());
--- a/tests/processes/support/mod.rs
+++ b/tests/processes/support/mod.rs
@@ -6,6 +6,7 @@
     reason = "each helper is used by some of the tests"
 )]
 
+mod crowd;
 mod deployment;
 mod http;
 mod load;
@@ -16,6 +17,7 @@
 mod site_load;
 
 pub use {
+    crowd::{Crowd, DescriptorSampler, Shape, send_slowly},
     deployment::{Deployment, Layout, SERVICE, TOKEN, WorkerHandle, job_body},
     http::{Reply, get, request, try_request},
     load::{Load, try_evacuate_zone, unix_ms},
--- a/tests/processes/support/process.rs
+++ b/tests/processes/support/process.rs
@@ -3,7 +3,7 @@
 use {
     rustix::process::{Pid, Signal, kill_process},
     std::{
-        fs::File,
+        fs::{self, File},
         path::Path,
         process::{Child, Command, ExitStatus, Stdio},
         time::{Duration, Instant},
@@ -43,6 +43,21 @@
         Self { child }
     }
 
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Most memory that the process had at a time, in megabytes.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.id());
+        let status = fs::read_to_string(path).expect("status");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|value| value.trim().strip_suffix("kB"));
+        let kilobytes: u64 = kilobytes.expect("peak").trim().parse().expect("a number");
+        kilobytes.div_ceil(1_024)
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).expect("process id");
         kill_process(Pid::from_raw(pid).expect("process id"), signal).expect("signal");
--- a/tests/processes/support/site.rs
+++ b/tests/processes/support/site.rs
@@ -44,6 +44,7 @@
     pub addr: SocketAddr,
     /// Address at which the agent receives the worker's reports.
     pub report_addr: SocketAddr,
+    pub metrics_addr: SocketAddr,
     pub log: PathBuf,
     settings: PathBuf,
     /// When the process last ran before it exited, on the host's boot clock.
@@ -84,6 +85,8 @@
     /// Through which the agents reach the store.
     store_proxy: Proxy,
     folder: PathBuf,
+    /// Lines in the settings of all entries and agents.
+    settings: String,
 }
 
 fn common_settings(name: &str, zone: &str, store: SocketAddr, metrics_addr: SocketAddr) -> String {
@@ -96,6 +99,11 @@
 impl Site {
     /// Starts a site and waits until its entries are ready.
     pub async fn start(name: &str, entries: usize, workers: usize) -> Self {
+        Self::start_with(name, entries, workers, "").await
+    }
+
+    /// Starts a site with these lines in the settings of all entries and agents.
+    pub async fn start_with(name: &str, entries: usize, workers: usize, settings: &str) -> Self {
         let folder = std::env::temp_dir().join(format!("site-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("folder");
         let store = free_addr();
@@ -110,6 +118,7 @@
             workers: Vec::new(),
             _store_process: store_process,
             folder,
+            settings: settings.to_owned(),
         };
         eventually("the store listens", Duration::from_secs(10), || async {
             try_request("GET", store, "/v1/rows-get?table=op&part=", &[], "")
@@ -191,14 +200,15 @@
         let (client_addr, ready_addr, metrics_addr, link_addr) =
             (free_addr(), free_addr(), free_addr(), free_addr());
         let text = format!(
-            "{}client_listen = \"{client_addr}\"\nready_listen = \"{ready_addr}\"\nlink_listen = \"{}\"\n",
+            "{}client_listen = \"{client_addr}\"\nready_listen = \"{ready_addr}\"\nlink_listen = \"{}\"\n{}",
             common_settings(
                 &format!("entry-{number}"),
                 "north",
                 store_proxy.addr,
                 metrics_addr
             ),
-            link_addr
+            link_addr,
+            self.settings
         );
         let settings = self.folder.join(format!("entry-{number}.toml"));
         fs::write(&settings, text).expect("settings");
@@ -222,16 +232,17 @@
     }
 
     fn add_worker(&mut self, number: usize) {
-        let (addr, report_addr) = (free_addr(), free_addr());
+        let (addr, report_addr, metrics_addr) = (free_addr(), free_addr(), free_addr());
         let zone = ["north", "south"][number % 2];
         let text = format!(
-            "{}service = \"shares\"\nworker = \"{addr}\"\nworker_listen = \"{report_addr}\"\n",
+            "{}service = \"shares\"\nworker = \"{addr}\"\nworker_listen = \"{report_addr}\"\n{}",
             common_settings(
                 &format!("agent-{number}"),
                 zone,
                 self.store_proxy.addr,
-                free_addr()
-            )
+                metrics_addr
+            ),
+            self.settings
         );
         let settings = self.folder.join(format!("agent-{number}.toml"));
         fs::write(&settings, text).expect("settings");
@@ -265,6 +276,7 @@
             agent,
             addr,
             report_addr,
+            metrics_addr,
             log,
             settings,
             exited_at_us: None,
