Site: connections and the bytes of their requests are counted, and a crowd is closed first

Cause: limits held for one request or connection, and nothing counted what a process held in all. Limited::collect() kept each frame as a handle of its own on a whole read buffer, so that a body in chunks of one byte took about 37 times its size; and nothing bounded the connections, so that a crowd took the descriptors of the store's and the workers' connections too.

Now each server has a table of its connections (core/connections, no network): at the limit of bytes it closes the unfinished request that has held most for longest, at the limit of connections the oldest unfinished one; never one whose request is complete, whose job would run for nobody. The newcomer with a small request gets in. An unfinished body is answered 503 with Retry-After, and its client has a second to read it before the connection is reset. Bodies go into one buffer, whose growth is counted before it is allocated; one request of the largest size always fits. Probes, metrics and workers' reports have limits of their own. A job's body is freed once it is parsed. idle_timeout_ms is the time without a byte of a body, as documented; it was taken as the time for the whole body.

The lib tests of HTTP's limits pass unchanged.

--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -12,6 +12,7 @@
 mod job_body;
 mod known_job;
 mod operator_api;
+mod request_body;
 mod response;
 mod timed_socket;
 
@@ -25,6 +26,6 @@
     client_api::{IDEMPOTENCY_KEY_HEADER, TEAM_HEADER, TICKET_HEADER},
     connection_pool::{ConnectionPool, PoolSettings, PooledClient},
     entry_api::{EntryApi, serve_entry_api},
-    http_server::{HttpHandler, HttpRequest, HttpResponse, serve_http},
+    http_server::{HttpHandler, HttpRequest, HttpResponse, serve_http, serve_limited_http},
     response::{NEXT_TICKET_HEADER, REASON_HEADER, VERDICT_HEADER},
 };
--- a/src/adapters/http/tests/limits.rs
+++ b/src/adapters/http/tests/limits.rs
@@ -121,6 +121,50 @@
         |limits| limits.max_body_bytes = 20, 50, 0 => Some(200), Some(413);
 }
 
+/// The idle timeout was taken as the time for the whole body.
+#[tokio::test]
+async fn a_slow_body_is_read_while_its_data_arrives() {
+    let mut server = TestServer::start(limits()).await;
+    let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\n";
+    server
+        .connection
+        .write_all(head.as_bytes())
+        .await
+        .expect("header");
+    for _ in 0..10 {
+        sleep(Duration::from_millis(100)).await;
+        server.connection.write_all(b"x").await.expect("body");
+    }
+    let mut response = [0; 64];
+    let read = server
+        .connection
+        .read(&mut response)
+        .await
+        .expect("response");
+    let text = String::from_utf8_lossy(&response[..read]).into_owned();
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+}
+
+/// The response was lost when the connection was closed while the client still sent its body.
+#[tokio::test]
+async fn a_client_that_is_still_sending_reads_its_rejection() {
+    let server = TestServer::start(limits()).await;
+    let mut connection = server.connection;
+    let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1000000\r\n\r\n";
+    connection.write_all(head.as_bytes()).await.expect("header");
+    for _ in 0..20 {
+        sleep(Duration::from_millis(20)).await;
+        connection.write_all(&[b'x'; 1_000]).await.expect("body");
+    }
+    let mut response = String::new();
+    let reading = connection.read_to_string(&mut response);
+    timeout(Duration::from_secs(5), reading)
+        .await
+        .expect("in time")
+        .expect("response");
+    assert!(response.starts_with("HTTP/1.1 413"), "{response}");
+}
+
 /// The buffer for headers can't be resized, so that the connection must be opened anew.
 #[tokio::test]
 async fn a_connection_with_another_header_limit_is_closed() {
--- a/src/adapters/http/timed_socket.rs
+++ b/src/adapters/http/timed_socket.rs
@@ -1,7 +1,13 @@
 //! Activity of an HTTP connection, for its timeouts.
 
 use {
-    crate::adapters::socket::{ObservedSocket, SocketObserver},
+    crate::{
+        adapters::{
+            connections::TrackedConnection,
+            socket::{ObservedSocket, SocketObserver},
+        },
+        core::connections::Stage,
+    },
     std::{
         sync::{Arc, Mutex, PoisonError},
         time::Instant,
@@ -21,11 +27,13 @@
 #[derive(Debug)]
 pub(super) struct ConnectionClock {
     state: Mutex<ConnectionState>,
+    tracked: Arc<TrackedConnection>,
 }
 
-impl Default for ConnectionClock {
-    fn default() -> Self {
+impl ConnectionClock {
+    pub(super) fn new(tracked: Arc<TrackedConnection>) -> Self {
         Self {
+            tracked,
             state: Mutex::new(ConnectionState {
                 header_started_at: None,
                 last_activity_at: Instant::now(),
@@ -41,6 +49,8 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
+        // A connection that must be closed is closed by its task.
+        self.0.tracked.enter(Stage::Idle);
         self.0.update(|state| {
             state.active_requests -= 1;
             state.last_activity_at = Instant::now();
@@ -59,6 +69,7 @@
 
     /// Records that a request header has been read.
     pub(super) fn start_request(self: &Arc<Self>) -> RequestGuard {
+        self.tracked.enter(Stage::Body);
         self.update(|state| {
             state.active_requests += 1;
             state.header_started_at = None;
@@ -92,7 +103,8 @@
 }
 
 impl SocketObserver for Arc<ConnectionClock> {
-    fn on_read(&self, _bytes: usize) {
+    fn on_read(&self, bytes: usize) {
+        self.tracked.receive(bytes);
         self.record_read();
     }
 }
--- a/src/adapters/metrics/otel_metrics.rs
+++ b/src/adapters/metrics/otel_metrics.rs
@@ -1,24 +1,33 @@
 //! Metrics on opentelemetry's Prometheus exporter.
 
 use {
-    crate::ports::{Counter, Gauge, Histogram, Metrics},
+    crate::ports::{ConnectionLoad, Counter, Gauge, Histogram, Metrics, ReadConnectionLoad},
     opentelemetry::{
         KeyValue,
         metrics::{
-            Counter as OtelCounter, Gauge as OtelGauge, Histogram as OtelHistogram, MeterProvider,
+            Counter as OtelCounter, Gauge as OtelGauge, Histogram as OtelHistogram, Meter,
+            MeterProvider,
         },
     },
     opentelemetry_sdk::{error::OTelSdkError, metrics::SdkMeterProvider},
     prometheus::{Encoder, Registry, TextEncoder},
-    std::{collections::BTreeMap, fmt},
+    std::{
+        collections::BTreeMap,
+        fmt,
+        sync::{Arc, Mutex, PoisonError},
+    },
 };
 
+/// Load of each server by its name.
+type ConnectionLoads = Arc<Mutex<BTreeMap<&'static str, ReadConnectionLoad>>>;
+
 /// Metrics of one process.
 pub(crate) struct OtelMetrics {
     registry: Registry,
     counters: BTreeMap<Counter, OtelCounter<u64>>,
     gauges: BTreeMap<Gauge, OtelGauge<u64>>,
     histograms: BTreeMap<Histogram, OtelHistogram<u64>>,
+    loads: ConnectionLoads,
     // Keeps alive the reader that the registry gathers from.
     _provider: SdkMeterProvider,
 }
@@ -47,16 +56,45 @@
             .iter()
             .map(|histogram| (*histogram, meter.u64_histogram(histogram.as_str()).build()))
             .collect();
+        let loads = ConnectionLoads::default();
+        observe_loads(&meter, "rattanslip.connections", &loads, |load| {
+            load.connections
+        });
+        observe_loads(&meter, "rattanslip.buffered_bytes", &loads, |load| {
+            load.buffered_bytes
+        });
         Ok(Self {
             registry,
             counters,
             gauges,
             histograms,
+            loads,
             _provider: provider,
         })
     }
 }
 
+/// Adds a gauge with one value of each server's load.
+fn observe_loads(
+    meter: &Meter,
+    name: &'static str,
+    loads: &ConnectionLoads,
+    value: fn(&ConnectionLoad) -> u64,
+) {
+    let loads = Arc::clone(loads);
+    meter
+        .u64_observable_gauge(name)
+        .with_callback(move |observer| {
+            let loads = loads.lock().unwrap_or_else(PoisonError::into_inner);
+            for (server, read) in loads.iter() {
+                if let Some(load) = read() {
+                    observer.observe(value(&load), &[KeyValue::new("server", *server)]);
+                }
+            }
+        })
+        .build();
+}
+
 impl fmt::Debug for OtelMetrics {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("OtelMetrics").finish_non_exhaustive()
@@ -98,6 +136,11 @@
         }
     }
 
+    fn observe_connections(&self, server: &'static str, read: ReadConnectionLoad) {
+        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        loads.insert(server, read);
+    }
+
     fn render(&self) -> String {
         let mut text = Vec::new();
         match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
--- a/src/conf/agent_settings.rs
+++ b/src/conf/agent_settings.rs
@@ -1,8 +1,10 @@
 //! Settings of `rattanslip-agent`.
 
 use {
-    super::{LogSettings, TableReader, connection_settings::read_connection_limits},
-    crate::core::connections::ConnectionLimits,
+    super::{
+        LogSettings, TableReader,
+        connection_settings::{ConnectionSettings, read_connection_settings},
+    },
     std::net::SocketAddr,
 };
 
@@ -44,8 +46,8 @@
     pub(crate) stop_limit_ms: u64,
     /// Placement policy of this home.
     pub(crate) placement: PlacementSetting,
-    /// Limits on the connections of HTTP clients.
-    pub(crate) client_connections: ConnectionLimits,
+    /// Limits on the connections to each server of the process.
+    pub(crate) accepted: ConnectionSettings,
     /// Settings of the process log.
     pub(crate) log: LogSettings,
 }
@@ -79,7 +81,7 @@
                 ],
                 PlacementSetting::MostFree,
             ),
-            client_connections: read_connection_limits(reader),
+            accepted: read_connection_settings(reader),
             log: reader.table("log", LogSettings::read),
         };
         if settings.entries.is_empty() {
--- a/src/conf/connection_settings.rs
+++ b/src/conf/connection_settings.rs
@@ -10,33 +10,57 @@
 const BYTES_PER_MB: u64 = 1 << 20;
 /// Memory that one connection takes without a request body: socket, task and read buffer.
 const CONNECTION_BYTES: u64 = 16_384;
-/// Part of the memory that buffered requests may take, and part that idle connections may take.
-const MEMORY_SHARE_DIVISOR: u64 = 4;
-/// Part of the descriptors that connections of clients may take; the rest is for workers, the store and peers.
+/// Part of the memory that connections may take without their requests.
+const CONNECTION_MEMORY_DIVISOR: u64 = 4;
+/// Part of the memory that buffered requests may take. A growing buffer is copied, a parsed request takes
+/// more than its body, and freed memory returns to the system late.
+const REQUEST_MEMORY_DIVISOR: u64 = 8;
+/// Part of the descriptors that the connections of clients may take.
 const DESCRIPTOR_SHARE_DIVISOR: u64 = 3;
+/// Part of the descriptors that agents and other entries may take.
+const PEER_SHARE_PERCENT: u64 = 43;
 /// Assumed if the operating system doesn't tell.
 const FALLBACK_MEMORY_MB: u64 = 128;
 /// Assumed if the operating system sets no limit.
 const FALLBACK_DESCRIPTORS: u64 = 1_024;
 
+/// Limits on the connections to a process's servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ConnectionSettings {
+    /// Limits of each HTTP server.
+    pub(crate) http: ConnectionLimits,
+    /// Limits of the server for agents and other entries.
+    pub(crate) peers: ConnectionLimits,
+}
+
 /// Reads the resources of the process and the limits on its connections; their defaults follow from the resources.
-pub(super) fn read_connection_limits(reader: &mut TableReader<'_>) -> ConnectionLimits {
+pub(super) fn read_connection_settings(reader: &mut TableReader<'_>) -> ConnectionSettings {
     let memory_mb = reader.number("memory_mb", 16..=1_048_576, Some(host_memory_mb()));
     let descriptors = reader.number("max_descriptors", 64..=1_048_576, Some(descriptor_limit()));
-    let memory_bytes = memory_mb * BYTES_PER_MB / MEMORY_SHARE_DIVISOR;
-    let connections = (descriptors / DESCRIPTOR_SHARE_DIVISOR).min(memory_bytes / CONNECTION_BYTES);
+    let memory_bytes = memory_mb * BYTES_PER_MB;
+    let by_memory = memory_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
+    let connections = (descriptors / DESCRIPTOR_SHARE_DIVISOR).min(by_memory);
     let max_connections = reader.number("max_connections", 8..=1_048_576, Some(connections));
-    if max_connections >= descriptors {
-        let message = format!("must be below max_descriptors, which is {descriptors}");
+    let max_buffered_bytes = reader.number(
+        "max_buffered_bytes",
+        65_536..=1_099_511_627_776,
+        Some(memory_bytes / REQUEST_MEMORY_DIVISOR),
+    );
+    let peers = descriptors * PEER_SHARE_PERCENT / 100;
+    let max_peers = reader.number("max_peer_connections", 8..=1_048_576, Some(peers));
+    if max_connections + max_peers >= descriptors {
+        let message = format!(
+            "{max_connections} and max_peer_connections of {max_peers} must leave some of the {descriptors} descriptors"
+        );
         reader.report_fault("max_connections", message);
     }
-    ConnectionLimits {
+    let limits = |max_connections| ConnectionLimits {
         max_connections: to_usize(max_connections),
-        max_buffered_bytes: to_usize(reader.number(
-            "max_buffered_bytes",
-            65_536..=1_099_511_627_776,
-            Some(memory_bytes),
-        )),
+        max_buffered_bytes: to_usize(max_buffered_bytes),
+    };
+    ConnectionSettings {
+        http: limits(max_connections),
+        peers: limits(max_peers),
     }
 }
 
--- a/src/conf/entry_settings.rs
+++ b/src/conf/entry_settings.rs
@@ -1,8 +1,10 @@
 //! Settings of `rattanslip-entry`.
 
 use {
-    super::{LogSettings, TableReader, connection_settings::read_connection_limits},
-    crate::core::connections::ConnectionLimits,
+    super::{
+        LogSettings, TableReader,
+        connection_settings::{ConnectionSettings, read_connection_settings},
+    },
     std::net::SocketAddr,
 };
 
@@ -48,8 +50,8 @@
     pub(crate) max_deadline_ms: u64,
     /// Operators with their tokens.
     pub(crate) operators: Vec<OperatorSettings>,
-    /// Limits on the connections of HTTP clients.
-    pub(crate) client_connections: ConnectionLimits,
+    /// Limits on the connections to each server of the process.
+    pub(crate) accepted: ConnectionSettings,
     /// Settings of the process log.
     pub(crate) log: LogSettings,
 }
@@ -73,7 +75,7 @@
             max_body_bytes: reader.number("max_body_bytes", 1_024..=16_777_216, Some(4_194_304)),
             max_deadline_ms: reader.number("max_deadline_ms", 1_000..=120_000, Some(60_000)),
             operators: read_operators(reader),
-            client_connections: read_connection_limits(reader),
+            accepted: read_connection_settings(reader),
             log: reader.table("log", LogSettings::read),
         }
     }
--- a/src/conf/site_settings.rs
+++ b/src/conf/site_settings.rs
@@ -1,8 +1,11 @@
 //! Settings of entries and agents on a site.
 
 use {
-    super::{LogSettings, TableReader, connection_settings::read_connection_limits},
-    crate::core::{connections::ConnectionLimits, work::RunLimits},
+    super::{
+        LogSettings, TableReader,
+        connection_settings::{ConnectionSettings, read_connection_settings},
+    },
+    crate::core::work::RunLimits,
     std::net::SocketAddr,
 };
 
@@ -22,7 +25,7 @@
     /// Time between the stop signal and the kill by the platform, in seconds.
     pub(crate) stop_grace_s: u64,
     /// Limits on the connections to each server of the process.
-    pub(crate) connections: ConnectionLimits,
+    pub(crate) accepted: ConnectionSettings,
     /// Settings of the process log.
     pub(crate) log: LogSettings,
 }
@@ -38,7 +41,7 @@
             store: reader.socket_addr("store"),
             limits: RunLimits::for_resend(resend_ms, stop_ms),
             stop_grace_s: reader.number("stop_grace_s", 1..=3_600, Some(6)),
-            connections: read_connection_limits(reader),
+            accepted: read_connection_settings(reader),
             log: reader.table("log", LogSettings::read),
         }
     }
--- a/src/conf/tests.rs
+++ b/src/conf/tests.rs
@@ -121,6 +121,37 @@
         format!("{SITE_ENTRY}remote_penalty = \"3.0\"\n") => [PENALTY_FAULT];
 }
 
+fault_cases! {
+    read_site_entry;
+    limits_that_use_up_the_descriptors_are_rejected:
+        format!("{SITE_ENTRY}max_descriptors = 100\nmax_connections = 60\nmax_peer_connections = 40\n") => [
+            "line 10: max_connections: 60 and max_peer_connections of 40 must leave some of the 100 descriptors",
+        ];
+    too_few_descriptors_are_rejected: format!("{SITE_ENTRY}max_descriptors = 63\n") => [
+        "line 9: max_descriptors: must be a whole number from 64 to 1048576",
+    ];
+}
+
+/// Limits on connections by the memory and descriptors of the host.
+fn accepted(settings: &str) -> super::connection_settings::ConnectionSettings {
+    let settings = read_site_entry(&format!("{SITE_ENTRY}{settings}"));
+    settings.expect("no faults").site.accepted
+}
+
+#[test]
+fn limits_on_connections_follow_from_the_host() {
+    let small = accepted("memory_mb = 120\nmax_descriptors = 3075\n");
+    assert_eq!(small.http.max_connections, 1_025);
+    assert_eq!(small.http.max_buffered_bytes, 15 << 20);
+    assert_eq!(small.peers.max_connections, 1_322);
+    let little_memory = accepted("memory_mb = 16\nmax_descriptors = 3075\n");
+    assert_eq!(little_memory.http.max_connections, 256);
+    let chosen =
+        accepted("max_descriptors = 3075\nmax_connections = 9\nmax_buffered_bytes = 70000\n");
+    assert_eq!(chosen.http.max_connections, 9);
+    assert_eq!(chosen.http.max_buffered_bytes, 70_000);
+}
+
 macro_rules! penalty_cases {
     ($($name:ident: $text:expr => $permille:expr;)+) => {
         $(
--- a/src/platform/client_protocol.rs
+++ b/src/platform/client_protocol.rs
@@ -46,8 +46,8 @@
     }
 
     /// Parses the job in a request's body.
-    pub(crate) fn parse_job(request: &HttpRequest) -> Result<JobRequest, PlatformError> {
-        parse_job(&request.body)
+    pub(crate) fn parse_job(body: &[u8]) -> Result<JobRequest, PlatformError> {
+        parse_job(body)
     }
 
     /// How long the client waits; `None` if it doesn't specify a valid time.
--- a/src/ports/metrics.rs
+++ b/src/ports/metrics.rs
@@ -44,6 +44,8 @@
         DocumentBytes => "rattanslip.document_bytes",
         /// Payload bytes on connections to peers, by direction.
         PeerBytes => "rattanslip.peer_bytes",
+        /// Connections that were closed because a limit was reached, by limit.
+        ClosedConnections => "rattanslip.closed_connections",
         /// Writes to connections to peers; each is about one TCP segment.
         PeerWrites => "rattanslip.peer_writes",
     }
@@ -76,6 +78,18 @@
     }
 }
 
+/// What the connections to a server hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ConnectionLoad {
+    /// Open connections.
+    pub(crate) connections: u64,
+    /// Bytes of requests that are being received or handled.
+    pub(crate) buffered_bytes: u64,
+}
+
+/// Reads the load of a server; `None` once the server is gone.
+pub(crate) type ReadConnectionLoad = Box<dyn Fn() -> Option<ConnectionLoad> + Send + Sync>;
+
 /// Records and renders metrics.
 pub(crate) trait Metrics: Debug + Send + Sync {
     /// Adds one to a counter under a reason.
@@ -97,6 +111,9 @@
     /// Records a duration under a reason.
     fn observe(&self, histogram: Histogram, reason: &'static str, elapsed_ms: u64);
 
+    /// Reads the load of a server whenever the metrics are rendered.
+    fn observe_connections(&self, _server: &'static str, _read: ReadConnectionLoad) {}
+
     /// Returns all values in the Prometheus text format.
     fn render(&self) -> String;
 }
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -20,7 +20,7 @@
     backend_server::BackendServer,
     decision_log::{DecisionLog, LogPriority, log_decision},
     feed_cursor::FeedCursor,
-    metrics::{Counter, Gauge, Histogram, Metrics},
+    metrics::{ConnectionLoad, Counter, Gauge, Histogram, Metrics, ReadConnectionLoad},
     peer_network::{PeerError, PeerNetwork, SessionIo},
     site_store::{EntryListUpdate, OperatorChange, OperatorRows, SiteStore},
     store::{Check, ObjectStore, Put, Row, StoreError, Table, Transaction, TransactionOutcome},
--- a/src/site_agent/run.rs
+++ b/src/site_agent/run.rs
@@ -11,7 +11,7 @@
     },
     crate::{
         adapters::{
-            http::{HttpHandler, serve_http},
+            http::{HttpHandler, serve_limited_http},
             timer::BootTimer,
         },
         cli::{RunError, listen, log_reload_signals, stop_signal},
@@ -121,7 +121,13 @@
             inputs: self.inputs.clone(),
             metrics: Arc::clone(&self.process.metrics),
         });
-        tokio::spawn(serve_http(listener, report_handler, stopped.clone()));
+        let limits = settings.site.accepted.http.auxiliary();
+        tokio::spawn(serve_limited_http(
+            listener,
+            report_handler,
+            self.process.connections("worker_reports", limits),
+            stopped.clone(),
+        ));
         self.process.serve_metrics(&settings.site, stopped).await
     }
 }
--- a/src/site_entry/client_api.rs
+++ b/src/site_entry/client_api.rs
@@ -69,12 +69,16 @@
     /// Submits a job whose request arrived at `arrived_at`.
     async fn submit(
         &self,
-        http_request: &HttpRequest,
+        http_request: &mut HttpRequest,
         number: JobNumber,
         route: &Route,
         arrived_at: Instant,
     ) -> HttpResponse {
-        let request = match ClientProtocol::parse_job(http_request) {
+        let body = std::mem::take(&mut http_request.body);
+        let parsed = ClientProtocol::parse_job(&body);
+        // The job waits long after its body has been parsed.
+        drop(body);
+        let request = match parsed {
             Ok(request) => request,
             Err(error) => {
                 log::info!(job:% = number, error:% = error; "invalid job request");
@@ -154,7 +158,7 @@
         }
     }
 
-    async fn route_request(&self, http_request: &HttpRequest) -> HttpResponse {
+    async fn route_request(&self, http_request: &mut HttpRequest) -> HttpResponse {
         let arrived_at = Instant::now();
         let wait_until = self.started_at + Duration::from_millis(CONFIG_WAIT_MS);
         let config = match self.state.config() {
@@ -195,8 +199,8 @@
 
 #[async_trait]
 impl HttpHandler for ClientApi {
-    async fn handle(&self, http_request: HttpRequest) -> HttpResponse {
-        let response = self.route_request(&http_request).await;
+    async fn handle(&self, mut http_request: HttpRequest) -> HttpResponse {
+        let response = self.route_request(&mut http_request).await;
         if self.state.is_leaving() {
             // Closes the connection so that the client's next request goes to another entry.
             return response.with_header(http::header::CONNECTION, "close");
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -13,7 +13,7 @@
     },
     crate::{
         adapters::{
-            http::{HttpHandler, serve_http},
+            http::{HttpHandler, serve_limited_http},
             link::serve_links,
             timer::BootTimer,
         },
@@ -123,14 +123,17 @@
 ) -> Result<(), RunError> {
     let client_listener = listen(settings.client_listen).await?;
     let balancer_listener = listen(settings.ready_listen).await?;
-    tokio::spawn(serve_http(
+    let limits = settings.site.accepted.http;
+    tokio::spawn(serve_limited_http(
         client_listener,
         shared.client_api(),
+        shared.process.connections("clients", limits),
         stopped.clone(),
     ));
-    tokio::spawn(serve_http(
+    tokio::spawn(serve_limited_http(
         balancer_listener,
         shared.readiness_handler(),
+        shared.process.connections("readiness", limits.auxiliary()),
         stopped.clone(),
     ));
     shared.process.serve_metrics(&settings.site, stopped).await
--- a/src/site_entry/site_process.rs
+++ b/src/site_entry/site_process.rs
@@ -4,12 +4,14 @@
     super::{process_log_event::ProcessLogEvent, status_handlers::MetricsHandler},
     crate::{
         adapters::{
-            http::{HttpHandler, serve_http},
+            connections::ServerConnections,
+            http::{HttpHandler, serve_limited_http},
             logging::DecisionWriter,
             metrics::OtelMetrics,
         },
         cli::{RunError, listen},
         conf::SiteSettings,
+        core::connections::ConnectionLimits,
         platform::{PlatformHttpClient, RowsStore},
         ports::{DecisionLog, LogPriority, Metrics, SiteStore, log_decision},
     },
@@ -48,10 +50,20 @@
         let handler: Arc<dyn HttpHandler> = Arc::new(MetricsHandler {
             metrics: Arc::clone(&self.metrics),
         });
-        tokio::spawn(serve_http(listener, handler, stopped));
+        let connections = self.connections("metrics", site.accepted.http.auxiliary());
+        tokio::spawn(serve_limited_http(listener, handler, connections, stopped));
         Ok(())
     }
 
+    /// The connections of one of the process's servers.
+    pub(crate) fn connections(
+        &self,
+        server: &'static str,
+        limits: ConnectionLimits,
+    ) -> Arc<ServerConnections> {
+        ServerConnections::new(server, limits, &self.metrics)
+    }
+
     pub(crate) fn log_event(&self, event: &ProcessLogEvent) {
         log_decision(&*self.decisions, LogPriority::Notable, event);
     }
--- a/tests/processes/crowds.rs
+++ b/tests/processes/crowds.rs
@@ -11,6 +11,10 @@
         },
     },
     std::{net::SocketAddr, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
 };
 
 /// Memory and descriptors of the host, as the settings tell them.
@@ -409,26 +413,17 @@
     let addr = site.entries[0].client_addr;
     let id = "00000000000000fd";
     let headers = [("host", HOST)];
-    let unfinished = tokio::spawn(async move {
-        use tokio::io::{AsyncReadExt, AsyncWriteExt};
-        let mut socket = tokio::net::TcpStream::connect(addr).await.expect("connect");
-        let head = format!(
-            "POST /shares/{id} HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: {SITE_BODY}\r\n\r\n"
-        );
-        socket.write_all(head.as_bytes()).await.expect("header");
-        socket
-            .write_all(&vec![b' '; SITE_BODY - 1])
-            .await
-            .expect("body");
-        let mut response = String::new();
-        socket
-            .read_to_string(&mut response)
-            .await
-            .expect("a whole response");
-        response
-    });
+    let head = format!(
+        "POST /shares/{id} HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: {SITE_BODY}\r\n\r\n"
+    );
+    let mut unfinished = TcpStream::connect(addr).await.expect("connect");
+    unfinished.write_all(head.as_bytes()).await.expect("header");
+    let body = vec![b' '; SITE_BODY - 1];
+    unfinished.write_all(&body).await.expect("body");
     let _crowd = Crowd::send(addr, SiteServer::Clients.path(), 300, WHOLE).await;
-    let response = within(unfinished).await.expect("task");
+    let mut response = String::new();
+    let reading = unfinished.read_to_string(&mut response);
+    within(reading).await.expect("a whole response");
     assert!(response.starts_with("HTTP/1.1 503"), "{response}");
     assert!(response.contains("retry-after"), "{response}");
     let known = try_request("GET", addr, &format!("/shares/{id}"), &headers, "").await;
