Standalone: entries and agents serve HTTP with timeouts and limits

Cause: poem's server has no timeout for headers or bodies and no bound of connections, and its Json extractor reads a body of any length.

The routes are now served by the HTTP server of the site, which reads and counts the body before a route sees it. Settings with defaults: max_header_bytes, header_timeout_ms, idle_timeout_ms; max_body_bytes holds for operators too, and for agents.

--- a/src/adapters/connections/server_connections.rs
+++ b/src/adapters/connections/server_connections.rs
@@ -148,6 +148,16 @@
         }))
     }
 
+    /// Whether no connection has a request in progress; those that are still being received count if
+    /// `including_unfinished`.
+    pub(crate) fn is_idle(&self, including_unfinished: bool) -> bool {
+        let state = self.lock();
+        if including_unfinished {
+            return state.table.len() == 0;
+        }
+        state.table.count(Stage::Handling) == 0
+    }
+
     /// Counts and logs closed connections.
     fn record(&self, closed: &[Closing]) {
         for closing in closed {
--- a/src/adapters/http/agent_api.rs
+++ b/src/adapters/http/agent_api.rs
@@ -1,19 +1,27 @@
 //! The agent's HTTP routes: announcements of its backend server, metrics and health.
 
 use {
-    super::health::with_health,
-    crate::{adapters::backend::HttpBackend, agent::AgentHandle, cli::RunError, ports::Metrics},
+    super::{health::with_health, route_server::RouteHandler},
+    crate::{
+        adapters::{backend::HttpBackend, connections::ServerConnections},
+        agent::AgentHandle,
+        cli::RunError,
+        core::routes::HttpLimits,
+        ports::Metrics,
+    },
     poem::{
-        EndpointExt, Route, Server, get, handler,
+        EndpointExt, Route, get, handler,
         http::StatusCode,
-        listener::TcpListener,
         post,
         web::{Data, Json},
     },
     serde::{Deserialize, Serialize},
-    std::{future::Future, net::SocketAddr, sync::Arc},
+    std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
 };
 
+/// Time for requests in progress to complete on shutdown, in seconds.
+const SHUTDOWN_TIMEOUT_S: u64 = 10;
+
 /// State of the routes.
 #[derive(Debug)]
 pub(crate) struct AgentApi {
@@ -41,16 +49,20 @@
 pub(crate) async fn serve_agent_api(
     listen: SocketAddr,
     api: Arc<AgentApi>,
+    limits: HttpLimits,
+    connections: Arc<ServerConnections>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), RunError> {
     let routes = Route::new()
         .at("/v1/backend", post(announce))
         .at("/ready", get(ready));
-    let routes = with_health(routes, Arc::clone(&api.metrics)).data(api);
-    Server::new(TcpListener::bind(listen))
-        .run_with_graceful_shutdown(routes, stop, None)
+    let routes = with_health(routes, Arc::clone(&api.metrics))
+        .data(api)
+        .map_to_response();
+    let shutdown_timeout = Duration::from_secs(SHUTDOWN_TIMEOUT_S);
+    RouteHandler::new(routes, limits)
+        .serve(listen, connections, stop, shutdown_timeout)
         .await
-        .map_err(|error| RunError::Listen(listen, error))
 }
 
 #[handler]
--- a/src/adapters/http/client_api.rs
+++ b/src/adapters/http/client_api.rs
@@ -18,9 +18,7 @@
         ports::Counter,
     },
     poem::{
-        Body, IntoResponse, Request, Response,
-        error::ReadBodyError,
-        handler,
+        Body, IntoResponse, Request, Response, handler,
         http::HeaderValue,
         web::{Json, Path, Query},
     },
@@ -101,7 +99,7 @@
     query: WaitQuery,
     body: Body,
 ) -> Result<Response, Refusal> {
-    let text = read_body(api, body).await?;
+    let text = read_body(body).await?;
     let job: JobBody = serde_json::from_str(&text)
         .map_err(|error| Refusal::new(NotRunReason::BadRequest, error.to_string()))?;
     let service = find_service(api, &job.service)?;
@@ -165,7 +163,7 @@
     query: RequestQuery,
     body: Body,
 ) -> Result<Response, Refusal> {
-    let input = read_body(api, body).await?;
+    let input = read_body(body).await?;
     let service = find_service(api, &name)?;
     let job = JobBody {
         service: name,
@@ -190,19 +188,15 @@
     Ok(request_response(identity.ticket, &report))
 }
 
-async fn read_body(api: &EntryApi, body: Body) -> Result<String, Refusal> {
+/// Reads the body, which has been received within its limit.
+async fn read_body(body: Body) -> Result<String, Refusal> {
+    let bad_request =
+        |error: &dyn ToString| Refusal::new(NotRunReason::BadRequest, error.to_string());
     let bytes = body
-        .into_bytes_limit(api.max_body_bytes)
+        .into_bytes()
         .await
-        .map_err(|error| match error {
-            ReadBodyError::PayloadTooLarge => {
-                let limit = format!("at most {} bytes", api.max_body_bytes);
-                Refusal::new(NotRunReason::BodyTooLarge, limit)
-            }
-            other => Refusal::new(NotRunReason::BadRequest, other.to_string()),
-        })?;
-    String::from_utf8(bytes.to_vec())
-        .map_err(|_| Refusal::new(NotRunReason::BadRequest, "the body must be UTF-8"))
+        .map_err(|error| bad_request(&error))?;
+    String::from_utf8(bytes.to_vec()).map_err(|_| bad_request(&"the body must be UTF-8"))
 }
 
 fn find_service(api: &EntryApi, name: &str) -> Result<Service, Refusal> {
--- a/src/adapters/http/entry_api.rs
+++ b/src/adapters/http/entry_api.rs
@@ -1,17 +1,18 @@
 //! The entry's HTTP routes.
 
 use {
-    super::{client_api, health::with_health, operator_api, response::Refusal},
+    super::{
+        client_api, health::with_health, operator_api, response::Refusal,
+        route_server::RouteHandler,
+    },
     crate::{
+        adapters::connections::ServerConnections,
         cli::RunError,
-        core::verdict::NotRunReason,
+        core::{routes::HttpLimits, verdict::NotRunReason},
         entry::{ConfigStore, EntryState, Jobs},
         ports::Metrics,
     },
-    poem::{
-        EndpointExt, Response, Route, Server, get, handler, http::StatusCode,
-        listener::TcpListener, post, web::Data,
-    },
+    poem::{EndpointExt, Response, Route, get, handler, http::StatusCode, post, web::Data},
     std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -26,7 +27,6 @@
     pub(crate) state: Arc<EntryState>,
     pub(crate) config_store: Arc<ConfigStore>,
     pub(crate) metrics: Arc<dyn Metrics>,
-    pub(crate) max_body_bytes: usize,
     pub(crate) max_deadline_ms: u64,
 }
 
@@ -37,6 +37,8 @@
 pub(crate) async fn serve_entry_api(
     listen: SocketAddr,
     api: Arc<EntryApi>,
+    limits: HttpLimits,
+    connections: Arc<ServerConnections>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), RunError> {
     let routes = Route::new()
@@ -59,10 +61,10 @@
     let routes = with_health(routes, Arc::clone(&api.metrics))
         .data(api)
         .catch_all_error(route_error_response);
-    Server::new(TcpListener::bind(listen))
-        .run_with_graceful_shutdown(routes, stop, Some(Duration::from_secs(SHUTDOWN_TIMEOUT_S)))
+    let shutdown_timeout = Duration::from_secs(SHUTDOWN_TIMEOUT_S);
+    RouteHandler::new(routes, limits)
+        .serve(listen, connections, stop, shutdown_timeout)
         .await
-        .map_err(|error| RunError::Listen(listen, error))
 }
 
 /// Response to requests that match no route, with a "not run" verdict like other rejections.
--- a/src/adapters/http/http_server.rs
+++ b/src/adapters/http/http_server.rs
@@ -67,7 +67,7 @@
     /// The `Host` header without the port, empty if absent.
     pub(crate) host: String,
     pub(crate) body: Bytes,
-    headers: HeaderMap,
+    pub(super) headers: HeaderMap,
 }
 
 impl HttpRequest {
@@ -114,6 +114,18 @@
         }
     }
 
+    /// A response with these headers.
+    pub(super) fn from_parts(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Self {
+        let headers = headers.iter();
+        Self {
+            status,
+            headers: headers
+                .map(|(name, value)| (name.clone(), value.clone()))
+                .collect(),
+            body,
+        }
+    }
+
     /// Adds a header; an invalid header value is ignored.
     pub(crate) fn with_header(mut self, name: HeaderName, value: &str) -> Self {
         if let Ok(value) = HeaderValue::from_str(value) {
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -14,6 +14,7 @@
 mod operator_api;
 mod request_body;
 mod response;
+mod route_server;
 mod timed_socket;
 
 #[cfg(test)]
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -8,6 +8,7 @@
     crate::{
         adapters::{
             backend::HttpBackend,
+            connections::ServerConnections,
             http::{AgentApi, serve_agent_api},
             metrics::OtelMetrics,
             peer::{H2Client, serve_peers},
@@ -72,6 +73,7 @@
         metrics: Arc::clone(&metrics),
     };
     tokio::spawn(announcer.run());
+    let connections = ServerConnections::new("http", settings.accepted.http, &metrics);
     let api = Arc::new(AgentApi {
         agent: Arc::clone(&agent),
         backend,
@@ -82,7 +84,14 @@
         stop_signal().await;
         drain(&agent, timer.as_ref(), settings.stop_limit_ms).await;
     };
-    serve_agent_api(settings.http_listen, api, stop).await?;
+    serve_agent_api(
+        settings.http_listen,
+        api,
+        settings.http_limits,
+        connections,
+        stop,
+    )
+    .await?;
     log::info!("agent stopped");
     Ok(())
 }
--- a/src/conf/agent_settings.rs
+++ b/src/conf/agent_settings.rs
@@ -3,8 +3,9 @@
 use {
     super::{
         LogSettings, TableReader,
-        connection_settings::{ConnectionSettings, read_connection_settings},
+        connection_settings::{ConnectionSettings, read_connection_settings, read_http_limits},
     },
+    crate::core::routes::HttpLimits,
     std::net::SocketAddr,
 };
 
@@ -46,6 +47,8 @@
     pub(crate) stop_limit_ms: u64,
     /// Placement policy of this home.
     pub(crate) placement: PlacementSetting,
+    /// Limits on requests by HTTP.
+    pub(crate) http_limits: HttpLimits,
     /// Limits on the connections to each server of the process.
     pub(crate) accepted: ConnectionSettings,
     /// Settings of the process log.
@@ -81,6 +84,7 @@
                 ],
                 PlacementSetting::MostFree,
             ),
+            http_limits: read_http_limits(reader, 65_536),
             accepted: read_connection_settings(reader),
             log: reader.table("log", LogSettings::read),
         };
--- a/src/conf/connection_settings.rs
+++ b/src/conf/connection_settings.rs
@@ -2,7 +2,7 @@
 
 use {
     super::TableReader,
-    crate::core::connections::ConnectionLimits,
+    crate::core::{connections::ConnectionLimits, routes::HttpLimits},
     rustix::process::{Resource, getrlimit},
     std::fs,
 };
@@ -64,6 +64,23 @@
     }
 }
 
+/// Reads the limits on single requests of a standalone deployment; a site's configuration has its own.
+pub(super) fn read_http_limits(
+    reader: &mut TableReader<'_>,
+    default_body_bytes: usize,
+) -> HttpLimits {
+    HttpLimits {
+        max_header_bytes: reader.number("max_header_bytes", 8_192..=1_048_576, Some(65_536)),
+        max_body_bytes: reader.number(
+            "max_body_bytes",
+            1_024..=16_777_216,
+            Some(default_body_bytes),
+        ),
+        header_timeout_ms: reader.number("header_timeout_ms", 100..=600_000, Some(10_000)),
+        idle_timeout_ms: reader.number("idle_timeout_ms", 100..=600_000, Some(60_000)),
+    }
+}
+
 fn to_usize(value: u64) -> usize {
     usize::try_from(value).unwrap_or(usize::MAX)
 }
--- a/src/conf/entry_settings.rs
+++ b/src/conf/entry_settings.rs
@@ -3,8 +3,9 @@
 use {
     super::{
         LogSettings, TableReader,
-        connection_settings::{ConnectionSettings, read_connection_settings},
+        connection_settings::{ConnectionSettings, read_connection_settings, read_http_limits},
     },
+    crate::core::routes::HttpLimits,
     std::net::SocketAddr,
 };
 
@@ -44,8 +45,8 @@
     pub(crate) platform_writes_per_s: u64,
     /// How long permits may be granted while the platform is unreachable.
     pub(crate) outage_limit_ms: u64,
-    /// Size limit of a client's request body.
-    pub(crate) max_body_bytes: usize,
+    /// Limits on the requests of clients and operators.
+    pub(crate) http_limits: HttpLimits,
     /// Upper limit of the deadline of a job.
     pub(crate) max_deadline_ms: u64,
     /// Operators with their tokens.
@@ -72,7 +73,7 @@
             platform_reads_per_s: reader.number("platform_reads_per_s", 50..=100_000, Some(1_500)),
             platform_writes_per_s: reader.number("platform_writes_per_s", 20..=10_000, Some(300)),
             outage_limit_ms: reader.number("outage_limit_ms", 10_000..=86_400_000, Some(3_600_000)),
-            max_body_bytes: reader.number("max_body_bytes", 1_024..=16_777_216, Some(4_194_304)),
+            http_limits: read_http_limits(reader, 4_194_304),
             max_deadline_ms: reader.number("max_deadline_ms", 1_000..=120_000, Some(60_000)),
             operators: read_operators(reader),
             accepted: read_connection_settings(reader),
--- a/src/core/connections/connection_table.rs
+++ b/src/core/connections/connection_table.rs
@@ -79,6 +79,14 @@
         self.buffered_bytes
     }
 
+    /// Number of connections in this stage that are not closing.
+    pub(crate) fn count(&self, stage: Stage) -> usize {
+        let connections = self.connections.values();
+        connections
+            .filter(|connection| connection.stage == stage && !connection.is_closing)
+            .count()
+    }
+
     /// Adds a new connection and returns its id with the connections to close for it; `None` if all
     /// others handle requests.
     pub(crate) fn open(&mut self, now: Instant) -> Option<(ConnectionId, Vec<Closing>)> {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -9,6 +9,7 @@
     },
     crate::{
         adapters::{
+            connections::ServerConnections,
             http::{EntryApi, serve_entry_api},
             metrics::OtelMetrics,
             peer::{H2Client, serve_peers},
@@ -181,7 +182,6 @@
             state: Arc::clone(&self.state),
             config_store: Arc::clone(&self.config_store),
             metrics: Arc::clone(&self.metrics),
-            max_body_bytes: settings.max_body_bytes,
             max_deadline_ms: settings.max_deadline_ms,
         })
     }
@@ -199,7 +199,15 @@
     shared.start_exchange();
     let api = shared.api(&settings);
     log::info!(name = settings.name.as_str(), client_listen:% = settings.client_listen; "entry started");
-    serve_entry_api(settings.client_listen, api, stop_signal()).await?;
+    let connections = ServerConnections::new("http", settings.accepted.http, &shared.metrics);
+    serve_entry_api(
+        settings.client_listen,
+        api,
+        settings.http_limits,
+        connections,
+        stop_signal(),
+    )
+    .await?;
     // Stopped before the rows are removed, so that it doesn't register again.
     roster.abort();
     let store = shared.platform.store(Urgency::Urgent);
