Links and peer connections are limited, and a handshake has a timeout

A crowd that connects to an entry's or agent's address for peers took the process's descriptors, so that neither workers nor the store could be reached: 320 connections that send nothing stayed open, standalone for good (no timeout before the handshake).

Both servers have a table of their connections as the HTTP servers do: at max_peer_connections the oldest connection without a complete handshake is closed; sessions are never. The standalone handshake has five seconds, as a link has half a second already.

--- a/src/adapters/link/frame_link.rs
+++ b/src/adapters/link/frame_link.rs
@@ -4,9 +4,11 @@
     super::{DialError, FrameDuplex},
     crate::{
         adapters::{
+            connections::{ServerConnections, TrackedConnection},
             peer::{SessionChannels, run_session, with_byte_counter},
             socket::accept,
         },
+        core::connections::Stage,
         ports::{Metrics, PeerError},
     },
     bytes::Bytes,
@@ -110,6 +112,7 @@
 pub(crate) async fn serve_links<In, Out>(
     listener: TcpListener,
     opened: mpsc::UnboundedSender<FrameDuplex<In, Out>>,
+    connections: Arc<ServerConnections>,
     metrics: Arc<dyn Metrics>,
 ) where
     In: DeserializeOwned + Send + 'static,
@@ -117,26 +120,31 @@
 {
     loop {
         let socket = accept(&listener, "accepting a link connection failed").await;
+        let Some(tracked) = connections.track().await else {
+            continue;
+        };
         let (opened, metrics) = (opened.clone(), Arc::clone(&metrics));
-        tokio::spawn(serve_link(socket, opened, metrics));
+        tokio::spawn(serve_link(socket, tracked, opened, metrics));
     }
 }
 
 async fn serve_link<In, Out>(
     socket: TcpStream,
+    tracked: Arc<TrackedConnection>,
     opened: mpsc::UnboundedSender<FrameDuplex<In, Out>>,
     metrics: Arc<dyn Metrics>,
 ) where
     In: DeserializeOwned + Send + 'static,
     Out: Serialize + Send + 'static,
 {
-    if let Err(error) = accept_link(socket, opened, metrics).await {
+    if let Err(error) = accept_link(socket, &tracked, opened, metrics).await {
         log::debug!(error:% = error; "opening a session failed");
     }
 }
 
 async fn accept_link<In, Out>(
     socket: TcpStream,
+    tracked: &TrackedConnection,
     opened: mpsc::UnboundedSender<FrameDuplex<In, Out>>,
     metrics: Arc<dyn Metrics>,
 ) -> Result<(), PeerError>
@@ -155,10 +163,15 @@
         let stream = stream.ok_or_else(|| unreachable("closed"))?;
         Ok((connection, stream.map_err(unreachable)?))
     };
-    let (mut connection, (request, mut respond)) =
-        timeout(Duration::from_millis(OPEN_TIMEOUT_MS), accepting)
-            .await
-            .map_err(|_| unreachable("timed out"))??;
+    let (mut connection, (request, mut respond)) = tokio::select! {
+        accepted = timeout(Duration::from_millis(OPEN_TIMEOUT_MS), accepting) => {
+            accepted.map_err(|_| unreachable("timed out"))??
+        }
+        () = tracked.close_order() => return Err(unreachable("too many connections")),
+    };
+    if !tracked.enter(Stage::Handling) {
+        return Err(unreachable("too many connections"));
+    }
     let body = respond
         .send_response(Response::new(()), false)
         .map_err(unreachable)?;
--- a/src/adapters/peer/h2_server.rs
+++ b/src/adapters/peer/h2_server.rs
@@ -12,18 +12,25 @@
         liveness::until_caller_unresponsive,
     },
     crate::{
-        adapters::socket::accept,
-        core::message::{HomeFrame, PeerReply, PeerRequest, RunnerFrame},
+        adapters::{
+            connections::{ServerConnections, TrackedConnection},
+            socket::accept,
+        },
+        core::{
+            connections::Stage,
+            message::{HomeFrame, PeerReply, PeerRequest, RunnerFrame},
+        },
         ports::Metrics,
     },
     async_trait::async_trait,
     bytes::Bytes,
     h2::{RecvStream, server::SendResponse},
     http::{Request, Response, StatusCode},
-    std::{fmt::Debug, sync::Arc},
+    std::{fmt::Debug, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::mpsc,
+        time::timeout,
     },
 };
 
@@ -45,23 +52,30 @@
     fn accept_session(&self, session: RunnerSession) -> bool;
 }
 
+/// Time for a new connection to complete the handshake, in milliseconds.
+const HANDSHAKE_TIMEOUT_MS: u64 = 5_000;
 const MAX_BUFFERED_FRAMES: usize = 1_024;
 
 /// Serves peers until the task is dropped.
 pub(crate) async fn serve_peers(
     listener: TcpListener,
     handler: Arc<dyn PeerHandler>,
+    connections: Arc<ServerConnections>,
     metrics: Arc<dyn Metrics>,
 ) {
     loop {
         let socket = accept(&listener, "accepting a peer connection failed").await;
+        let Some(tracked) = connections.track().await else {
+            continue;
+        };
         let (handler, metrics) = (Arc::clone(&handler), Arc::clone(&metrics));
-        tokio::spawn(serve_connection(socket, handler, metrics));
+        tokio::spawn(serve_connection(socket, tracked, handler, metrics));
     }
 }
 
 async fn serve_connection(
     socket: TcpStream,
+    tracked: Arc<TrackedConnection>,
     handler: Arc<dyn PeerHandler>,
     metrics: Arc<dyn Metrics>,
 ) {
@@ -74,10 +88,14 @@
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
-        .handshake(socket)
-        .await;
-    let Ok(mut connection) = handshake else {
-        return;
+        .handshake(socket);
+    let handshake = timeout(Duration::from_millis(HANDSHAKE_TIMEOUT_MS), handshake);
+    let mut connection = tokio::select! {
+        handshake = handshake => match handshake {
+            Ok(Ok(connection)) if tracked.enter(Stage::Handling) => connection,
+            _ => return,
+        },
+        () = tracked.close_order() => return,
     };
     let Some(pings) = connection.ping_pong() else {
         return;
--- a/src/adapters/peer/tests.rs
+++ b/src/adapters/peer/tests.rs
@@ -8,7 +8,7 @@
         h2_server::{PeerHandler, RunnerSession, serve_peers},
     },
     crate::{
-        adapters::metrics::OtelMetrics,
+        adapters::{connections::ServerConnections, metrics::OtelMetrics},
         core::{
             config::Head,
             job::{TaskOutcome, TaskRef},
@@ -191,7 +191,12 @@
     let runner = TcpListener::bind("127.0.0.1:0").await.expect("listen");
     let runner_addr = runner.local_addr().expect("address");
     let handler = Arc::new(UnresponsiveRunner::default());
-    tokio::spawn(serve_peers(runner, handler, metrics.clone()));
+    tokio::spawn(serve_peers(
+        runner,
+        handler,
+        ServerConnections::unlimited(),
+        metrics.clone(),
+    ));
     let relay = TcpListener::bind("127.0.0.1:0").await.expect("listen");
     let relay_addr = relay.local_addr().expect("address");
     let (blackhole, blackholed) = watch::channel(false);
@@ -232,7 +237,12 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("listen");
     let addr = listener.local_addr().expect("address");
     let handler = Arc::new(UnresponsiveRunner::default());
-    tokio::spawn(serve_peers(listener, handler, metrics.clone()));
+    tokio::spawn(serve_peers(
+        listener,
+        handler,
+        ServerConnections::unlimited(),
+        metrics.clone(),
+    ));
     let client = H2Client::with_idle_timeout(metrics, Duration::from_millis(50));
     for epoch in 1..=2 {
         let mut session = client
@@ -279,6 +289,7 @@
     tokio::spawn(serve_peers(
         peer,
         Arc::new(LargeReplyPeer::default()),
+        ServerConnections::unlimited(),
         metrics.clone(),
     ));
     let link = TcpListener::bind("127.0.0.1:0").await.expect("listen");
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -58,7 +58,13 @@
     let handler = Arc::new(AgentPeerHandler {
         agent: Arc::clone(&agent),
     });
-    tokio::spawn(serve_peers(peers, handler, Arc::clone(&metrics)));
+    let connections = ServerConnections::new("peers", settings.accepted.peers, &metrics);
+    tokio::spawn(serve_peers(
+        peers,
+        handler,
+        connections,
+        Arc::clone(&metrics),
+    ));
     let announcer = Announcer {
         id,
         worker: settings.worker.clone(),
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -194,7 +194,13 @@
     let handler = Arc::new(EntryPeerHandler {
         state: Arc::clone(&shared.state),
     });
-    tokio::spawn(serve_peers(peers, handler, Arc::clone(&shared.metrics)));
+    let connections = ServerConnections::new("peers", settings.accepted.peers, &shared.metrics);
+    tokio::spawn(serve_peers(
+        peers,
+        handler,
+        connections,
+        Arc::clone(&shared.metrics),
+    ));
     let roster = shared.start_roster(settings.head_poll_ms);
     shared.start_exchange();
     let api = shared.api(&settings);
--- a/src/site_agent/tests/dialler.rs
+++ b/src/site_agent/tests/dialler.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         adapters::{
+            connections::ServerConnections,
             link::{FrameDuplex, serve_links},
             timer::TokioTimer,
         },
@@ -177,7 +178,12 @@
         let (opened, sessions) = mpsc::unbounded_channel();
         let metrics = Arc::new(DialCounter::default());
         (
-            tokio::spawn(serve_links(listener, opened, metrics)),
+            tokio::spawn(serve_links(
+                listener,
+                opened,
+                ServerConnections::unlimited(),
+                metrics,
+            )),
             sessions,
         )
     }
--- a/src/site_entry/run.rs
+++ b/src/site_entry/run.rs
@@ -160,6 +160,9 @@
     tokio::spawn(serve_links(
         agent_listener,
         link_sender,
+        shared
+            .process
+            .connections("links", settings.site.accepted.peers),
         Arc::clone(&shared.process.metrics),
     ));
     for replica in EntryListReplica::ALL {
