A connection that is closed at a limit is counted and logged once

One that was told to close and then had to go at once, for want of descriptors, was counted twice. The table now tells which connection was closed for a new one and which was only hurried, and the checks of a connection's timeouts are a function of their own. A test with real processes reads the counter, the gauges and the log.

--- a/src/adapters/connections/server_connections.rs
+++ b/src/adapters/connections/server_connections.rs
@@ -32,11 +32,9 @@
 }
 
 impl State {
-    fn send_orders(&self, closed: &[Closing]) {
-        for closing in closed {
-            if let Some(order) = self.orders.get(&closing.id) {
-                order.send_replace(Some(closing.mode));
-            }
+    fn send_order(&self, id: ConnectionId, mode: CloseMode) {
+        if let Some(order) = self.orders.get(&id) {
+            order.send_replace(Some(mode));
         }
     }
 }
@@ -129,19 +127,24 @@
     fn open(self: &Arc<Self>) -> Option<Arc<TrackedConnection>> {
         let now = self.now();
         let mut state = self.lock();
-        let Some((id, closed)) = state.table.open(now) else {
+        let Some(opened) = state.table.open(now) else {
             drop(state);
             self.count_closed(REFUSED);
             log::info!(server = self.server; "connection refused: all others handle requests");
             return None;
         };
-        state.send_orders(&closed);
+        if let Some(closing) = &opened.closed {
+            state.send_order(closing.id, closing.mode);
+        }
+        if let Some(aborted) = opened.aborted {
+            state.send_order(aborted, CloseMode::Abort);
+        }
         let (order, received_order) = watch::channel(None);
-        state.orders.insert(id, order);
+        state.orders.insert(opened.id, order);
         drop(state);
-        self.record(&closed);
+        self.record(opened.closed.as_slice());
         Some(Arc::new(TrackedConnection {
-            id,
+            id: opened.id,
             connections: Arc::clone(self),
             order: received_order,
             max_request_bytes: AtomicUsize::new(0),
@@ -233,7 +236,9 @@
         let max_request_bytes = self.max_request_bytes.load(Ordering::Relaxed);
         let mut state = self.connections.lock();
         let closed = update(&mut state.table, max_request_bytes, now);
-        state.send_orders(&closed);
+        for closing in &closed {
+            state.send_order(closing.id, closing.mode);
+        }
         drop(state);
         self.connections.record(&closed);
     }
--- a/src/adapters/http/http_server.rs
+++ b/src/adapters/http/http_server.rs
@@ -209,6 +209,16 @@
     is_body_unread: AtomicBool,
 }
 
+/// What becomes of a connection after a check of its timeouts.
+#[derive(Debug)]
+enum Check {
+    Keep,
+    /// Close it after the request in progress.
+    Finish,
+    /// Close it at once.
+    Abort,
+}
+
 type ResponseFuture =
     Pin<Box<dyn Future<Output = Result<Response<Full<Bytes>>, Infallible>> + Send>>;
 
@@ -273,17 +283,12 @@
                     Pin::new(&mut connection).graceful_shutdown();
                 }
                 () = sleep(check_interval) => {
-                    if abort_at.is_some_and(|abort_at| abort_at <= Instant::now()) {
-                        return;
-                    }
-                    let limits = self.handler.limits();
-                    if clock.is_header_overdue(limits.header_timeout_ms) {
-                        return;
-                    }
-                    // The buffer of an open connection can't be resized.
-                    let has_other_buffer = limits.max_header_bytes != max_header_bytes;
-                    if has_other_buffer || clock.is_idle_for(limits.idle_timeout_ms) {
-                        Pin::new(&mut connection).graceful_shutdown();
+                    let is_overdue = abort_at.is_some_and(|abort_at| abort_at <= Instant::now());
+                    match self.check(&clock, max_header_bytes) {
+                        _ if is_overdue => return,
+                        Check::Abort => return,
+                        Check::Finish => Pin::new(&mut connection).graceful_shutdown(),
+                        Check::Keep => {}
                     }
                 }
             }
@@ -291,6 +296,20 @@
         self.close(connection.into_parts().io.into_inner()).await;
     }
 
+    /// Checks the timeouts of the connection; its buffer was created for headers of `max_header_bytes`.
+    fn check(&self, clock: &ConnectionClock, max_header_bytes: usize) -> Check {
+        let limits = self.handler.limits();
+        if clock.is_header_overdue(limits.header_timeout_ms) {
+            return Check::Abort;
+        }
+        // The buffer of an open connection can't be resized.
+        let has_other_buffer = limits.max_header_bytes != max_header_bytes;
+        if has_other_buffer || clock.is_idle_for(limits.idle_timeout_ms) {
+            return Check::Finish;
+        }
+        Check::Keep
+    }
+
     /// Closes a connection after its last response, so that the client can read the response.
     async fn close(&self, mut socket: TimedSocket) {
         if socket.shutdown().await.is_err() || !self.is_body_unread.load(Ordering::Relaxed) {
--- a/src/core/connections/connection_table.rs
+++ b/src/core/connections/connection_table.rs
@@ -32,6 +32,16 @@
     }
 }
 
+/// A new connection and what must be closed for it.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct OpenedConnection {
+    pub(crate) id: ConnectionId,
+    /// The connection in whose place it comes.
+    pub(crate) closed: Option<Closing>,
+    /// A connection that was told to close earlier and must be closed at once.
+    pub(crate) aborted: Option<ConnectionId>,
+}
+
 /// The connections of one server and what they hold.
 ///
 /// A crowd that keeps unfinished requests open must not keep others out, so it isn't the newcomer that
@@ -87,17 +97,19 @@
             .count()
     }
 
-    /// Adds a new connection and returns its id with the connections to close for it; `None` if all
-    /// others handle requests.
-    pub(crate) fn open(&mut self, now: Instant) -> Option<(ConnectionId, Vec<Closing>)> {
-        let mut closed = Vec::new();
+    /// Adds a new connection; `None` if all others handle requests.
+    pub(crate) fn open(&mut self, now: Instant) -> Option<OpenedConnection> {
+        let mut closed = None;
         if self.len() - self.closing >= self.limits.max_connections {
             let oldest = self.oldest_closable()?;
-            closed.push(self.close(oldest, CloseCause::Connections, now));
-        }
-        if self.len() >= self.max_open() {
-            closed.extend(self.abort_oldest_closing(now));
+            closed = Some(self.close(oldest, CloseCause::Connections, now));
         }
+        let has_room = self.len() < self.max_open();
+        let aborted = if has_room {
+            None
+        } else {
+            self.oldest_closing()
+        };
         self.last_id += 1;
         let id = ConnectionId(self.last_id);
         let connection = Connection {
@@ -107,7 +119,11 @@
             is_closing: false,
         };
         self.connections.insert(id, connection);
-        Some((id, closed))
+        Some(OpenedConnection {
+            id,
+            closed,
+            aborted,
+        })
     }
 
     /// Removes a connection that has been closed.
@@ -238,17 +254,10 @@
         closing
     }
 
-    fn abort_oldest_closing(&self, now: Instant) -> Option<Closing> {
+    fn oldest_closing(&self) -> Option<ConnectionId> {
         let closing = self.connections.iter();
         let closing = closing.filter(|(_, connection)| connection.is_closing);
-        let (id, connection) = closing.min_by_key(|(_, connection)| connection.since)?;
-        Some(Closing {
-            id: *id,
-            cause: CloseCause::Connections,
-            mode: CloseMode::Abort,
-            stage: connection.stage,
-            held_ms: now.millis_since(connection.since),
-            buffered_bytes: 0,
-        })
+        let oldest = closing.min_by_key(|(_, connection)| connection.since);
+        oldest.map(|(id, _)| *id)
     }
 }
--- a/src/core/connections/tests.rs
+++ b/src/core/connections/tests.rs
@@ -7,7 +7,7 @@
     crate::core::time::Instant,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::BTreeSet,
 };
 
 const LIMITS: ConnectionLimits = ConnectionLimits {
@@ -21,6 +21,8 @@
 struct Server {
     table: ConnectionTable,
     now: Instant,
+    /// Connections that were closed without waiting for their clients.
+    aborted: BTreeSet<ConnectionId>,
 }
 
 impl Server {
@@ -28,6 +30,7 @@
         Self {
             table: ConnectionTable::new(LIMITS),
             now: Instant::default(),
+            aborted: BTreeSet::new(),
         }
     }
 
@@ -36,7 +39,12 @@
     }
 
     fn open(&mut self) -> (ConnectionId, Vec<Closing>) {
-        self.table.open(self.now).expect("a connection")
+        let opened = self.table.open(self.now).expect("a connection");
+        if let Some(aborted) = opened.aborted {
+            self.table.remove(aborted);
+            self.aborted.insert(aborted);
+        }
+        (opened.id, opened.closed.into_iter().collect())
     }
 
     /// Opens a connection whose body occupies so many bytes.
@@ -130,19 +138,12 @@
 fn closing_connections_are_aborted_when_there_are_too_many() {
     let mut server = Server::new();
     let most = LIMITS.max_connections + LIMITS.max_connections / 8;
-    let mut open = BTreeSet::new();
     for _ in 0..200 {
         server.wait_ms(1);
-        let (id, closed) = server.open_body(10);
-        open.insert(id);
-        for closing in closed {
-            if closing.mode == CloseMode::Abort {
-                server.table.remove(closing.id);
-                open.remove(&closing.id);
-            }
-        }
-        assert!(open.len() <= most, "{}", open.len());
+        server.open_body(10);
+        assert!(server.table.len() <= most, "{}", server.table.len());
     }
+    assert_eq!(server.aborted.len(), 200 - most);
 }
 
 /// A keep-alive connection occupies nothing between requests.
@@ -196,7 +197,7 @@
 fn simulate(seed: u64) -> (usize, usize) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut server = Server::new();
-    let mut held: BTreeMap<ConnectionId, usize> = BTreeMap::new();
+    let mut held: BTreeSet<ConnectionId> = BTreeSet::new();
     let mut receiving: Vec<Ordinary> = Vec::new();
     let mut handling: Vec<Ordinary> = Vec::new();
     let (mut served, mut refused) = (0, 0);
@@ -207,9 +208,9 @@
         if random.random_bool(0.5) {
             let (id, evicted) = server.open_body(random.random_range(0..2_000));
             closed.extend(evicted);
-            held.insert(id, 0);
+            held.insert(id);
         }
-        let growing: Vec<ConnectionId> = held.keys().copied().collect();
+        let growing: Vec<ConnectionId> = held.iter().copied().collect();
         for id in growing {
             closed.extend(server.grow(id, random.random_range(0..3_000)));
         }
@@ -241,7 +242,7 @@
                 handling.iter().all(|client| client.id != closing.id),
                 "seed {seed}"
             );
-            if held.remove(&closing.id).is_some() {
+            if held.remove(&closing.id) {
                 server.table.remove(closing.id);
             }
         }
--- a/tests/processes/crowds.rs
+++ b/tests/processes/crowds.rs
@@ -429,3 +429,21 @@
     let known = try_request("GET", addr, &format!("/shares/{id}"), &headers, "").await;
     assert_eq!(known.expect("reply").status, 410);
 }
+
+/// Operators must see what is held, and that clients were closed out.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn closed_connections_are_counted_and_logged() {
+    let site = Site::start_with("crowd-counted", 1, 1, SETTINGS).await;
+    wait_until_serving(&site, 0).await;
+    let addr = site.entries[0].client_addr;
+    let _crowd = Crowd::send(addr, SiteServer::Clients.path(), 300, WHOLE).await;
+    let metrics = get(site.entries[0].metrics_addr, "/metrics").await.body;
+    for name in [
+        "rattanslip_closed_connections_total{reason=\"connections\"}",
+        "rattanslip_connections{server=\"clients\"}",
+        "rattanslip_buffered_bytes{server=\"clients\"}",
+    ] {
+        assert!(metrics.contains(name), "{name} in {metrics}");
+    }
+    assert!(site.log("entry-0").contains("connection closed at a limit"));
+}
