Standalone: a request is handled to its end although its client has disconnected

A handler now says whether its requests outlive their clients. Such a connection is polled on and stays counted, with its bytes, until the request has ended.

--- a/src/adapters/http/http_server.rs
+++ b/src/adapters/http/http_server.rs
@@ -145,9 +145,15 @@
 /// Handles the requests to a process.
 #[async_trait]
 pub(crate) trait HttpHandler: Debug + Send + Sync {
-    /// Handles one request. The future is dropped when the client disconnects.
+    /// Handles one request. The future is dropped when the client disconnects, unless
+    /// [`Self::outlives_client`].
     async fn handle(&self, request: HttpRequest) -> HttpResponse;
 
+    /// Whether a request is handled to its end although its client has disconnected.
+    fn outlives_client(&self) -> bool {
+        false
+    }
+
     /// Limits in force; they may change while a connection is open.
     fn limits(&self) -> HttpLimits {
         HttpLimits::default()
@@ -252,6 +258,7 @@
             Pin::new(&mut connection).graceful_shutdown();
         }
         let mut orders = self.tracked.orders();
+        let mut is_client_gone = false;
         // Set once the connection has been told to close after a response.
         let mut abort_at: Option<Instant> = None;
         loop {
@@ -261,11 +268,16 @@
                 Duration::from_millis(check_interval_ms.clamp(1, MAX_CHECK_INTERVAL_MS));
             tokio::select! {
                 result = poll_fn(|context| connection.poll_without_shutdown(context)) => {
-                    if let Err(error) = result {
-                        log::debug!(error:% = error; "connection failed");
+                    let Err(error) = result else {
+                        break;
+                    };
+                    log::debug!(error:% = error; "connection failed");
+                    if is_client_gone || !self.handler.outlives_client() {
                         return;
                     }
-                    break;
+                    // Polled further, the connection reads no more and drives the request in progress.
+                    is_client_gone = true;
+                    Pin::new(&mut connection).graceful_shutdown();
                 }
                 _ = orders.changed() => {
                     if *orders.borrow() == Some(CloseMode::Abort) {
--- a/src/adapters/http/route_server.rs
+++ b/src/adapters/http/route_server.rs
@@ -95,6 +95,10 @@
         from_poem(self.routes.get_response(request).await).await
     }
 
+    fn outlives_client(&self) -> bool {
+        true
+    }
+
     fn limits(&self) -> HttpLimits {
         self.limits
     }
