A connection that is closed at once is not reset before its response is read

Trace (the entry's log): the request was closed when 196,696 of its 262,143 bytes had been read, and hurried a moment later, for want of descriptors, with the rest unread.

What has arrived is now read before such a connection is closed.

--- a/src/adapters/http/http_server.rs
+++ b/src/adapters/http/http_server.rs
@@ -50,6 +50,8 @@
 /// Time for a client to read the response to a request that it is still sending, in milliseconds. Closing
 /// the connection before would reset it, and the response could be lost.
 const LINGER_MS: u64 = 1_000;
+/// Reads of a connection that is closed at once; more than a socket's buffer usually holds.
+const MAX_DISCARDED_READS: usize = 64;
 /// Retry delay sent to clients whose unfinished request was rejected, in seconds.
 const REJECTED_RETRY_S: &str = "1";
 /// Response to connections beyond the limit.
@@ -286,6 +288,7 @@
                             Poll::Ready(connection.poll_without_shutdown(context))
                         };
                         let _ = poll_fn(last_poll).await;
+                        discard_received(connection.into_parts().io.into_inner()).await;
                         return;
                     }
                     abort_at = Some(Instant::now() + Duration::from_millis(LINGER_MS));
@@ -375,6 +378,21 @@
     }
 }
 
+/// Closes a connection at once. Bytes that have arrived are read first: otherwise the connection would be
+/// reset, and its client could lose the response.
+async fn discard_received(mut socket: TimedSocket) {
+    if socket.shutdown().await.is_err() {
+        return;
+    }
+    let mut buffer = vec![0; MIN_BUFFER_BYTES];
+    for _ in 0..MAX_DISCARDED_READS {
+        match timeout(Duration::ZERO, socket.read(&mut buffer)).await {
+            Ok(Ok(read)) if read > 0 => {}
+            _ => return,
+        }
+    }
+}
+
 /// Most bytes that one request can occupy: the header is read into a buffer that may hold the beginning
 /// of the body as well.
 fn max_request_bytes(limits: &HttpLimits) -> usize {
--- a/tests/processes/crowds.rs
+++ b/tests/processes/crowds.rs
@@ -7,7 +7,7 @@
         site::wait_until_serving,
         support::{
             Crowd, Deployment, DescriptorSampler, HOST, Layout, Process, Shape, Site, get,
-            job_body, request, send_slowly, site_job, try_request,
+            job_body, request, send_slowly, site_job, try_request, wait_until_read,
         },
     },
     std::{net::SocketAddr, time::Duration},
@@ -420,6 +420,7 @@
     unfinished.write_all(head.as_bytes()).await.expect("header");
     let body = vec![b' '; SITE_BODY - 1];
     unfinished.write_all(&body).await.expect("body");
+    wait_until_read(addr.port()).await;
     let _crowd = Crowd::send(addr, SiteServer::Clients.path(), 300, WHOLE).await;
     let mut response = String::new();
     let reading = unfinished.read_to_string(&mut response);
--- a/tests/processes/support/crowd.rs
+++ b/tests/processes/support/crowd.rs
@@ -127,7 +127,7 @@
 }
 
 /// Waits until a server has read all that the system received for it, or reads no more.
-async fn wait_until_read(port: u16) {
+pub async fn wait_until_read(port: u16) {
     let (mut last, mut unchanged) = (0, 0);
     while unchanged < UNCHANGED_SAMPLES {
         sleep(READ_INTERVAL).await;
--- a/tests/processes/support/mod.rs
+++ b/tests/processes/support/mod.rs
@@ -17,7 +17,7 @@
 mod site_load;
 
 pub use {
-    crowd::{Crowd, DescriptorSampler, Shape, send_slowly},
+    crowd::{Crowd, DescriptorSampler, Shape, send_slowly, wait_until_read},
     deployment::{Deployment, Layout, SERVICE, TOKEN, WorkerHandle, job_body},
     http::{Reply, get, request, try_request},
     load::{Load, try_evacuate_zone, unix_ms},
